--- a/test/main.cc
+++ b/test/main.cc
@@ -1,2 +1,2 @@
 #define BOOST_TEST_MODULE kingcuphaven
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
