--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,303 @@
+#include "net/http_client.h"
+
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cctype>
+#include <chrono>
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+namespace kch::net {
+namespace {
+
+// A peer that acknowledges nothing for this long is gone, whatever the task.
+constexpr unsigned kUnacknowledgedMs = 3000;
+constexpr long kMaxIdleConnectionSeconds = 20;
+
+struct ListFree {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+struct EasyFree {
+  void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
+};
+
+struct Transfer {
+  std::uint64_t number = 0;
+  HttpCall call;
+  HttpDone done;
+  std::unique_ptr<CURL, EasyFree> easy;
+  std::unique_ptr<curl_slist, ListFree> headers;
+  HttpResult result;
+};
+
+std::size_t OnBody(char* data, std::size_t size, std::size_t n, void* user) {
+  static_cast<Transfer*>(user)->result.body.append(data, size * n);
+  return size * n;
+}
+
+std::size_t OnHeader(char* data, std::size_t size, std::size_t n, void* user) {
+  const std::string_view line(data, size * n);
+  const std::size_t colon = line.find(':');
+  if (colon != std::string_view::npos) {
+    std::string name(line.substr(0, colon));
+    std::ranges::transform(name, name.begin(), [](unsigned char c) {
+      return static_cast<char>(std::tolower(c));
+    });
+    std::string_view value = line.substr(colon + 1);
+    const std::size_t first = value.find_first_not_of(" \t");
+    const std::size_t last = value.find_last_not_of(" \t\r\n");
+    value = first == std::string_view::npos
+                ? std::string_view()
+                : value.substr(first, last - first + 1);
+    static_cast<Transfer*>(user)->result.headers[name] = std::string(value);
+  }
+  return size * n;
+}
+
+int OnSocket(void* /*user*/, curl_socket_t socket, curlsocktype /*purpose*/) {
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMs,
+             sizeof(kUnacknowledgedMs));
+  return CURL_SOCKOPT_OK;
+}
+
+void Prepare(Transfer& transfer) {
+  CURL* easy = transfer.easy.get();
+  const HttpCall& call = transfer.call;
+  curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocket);
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(call.connect_timeout_ms));
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(call.timeout_ms));
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleConnectionSeconds);
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, 5L);
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, 1L);
+  if (call.new_connection) {
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+  }
+  if (call.method != "GET") {
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(call.body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.c_str());
+  }
+  curl_slist* list = curl_slist_append(nullptr, "Expect:");
+  for (const auto& [name, value] : call.headers) {
+    list = curl_slist_append(list, (name + ": " + value).c_str());
+  }
+  transfer.headers.reset(list);
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
+}
+
+void Finish(Transfer& transfer, CURLcode code) {
+  CURL* easy = transfer.easy.get();
+  HttpResult& result = transfer.result;
+  if (code == CURLE_OK) {
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    result.code = static_cast<int>(status);
+    result.status = CallStatus::kAnswered;
+    return;
+  }
+  long request_bytes = 0;
+  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  curl_off_t connect_us = 0;
+  curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connect_us);
+  const bool never_connected =
+      code == CURLE_COULDNT_CONNECT || (request_bytes == 0 && connect_us == 0);
+  result.status = never_connected ? CallStatus::kNotSent : CallStatus::kBroken;
+  result.error = curl_easy_strerror(code);
+}
+
+}  // namespace
+
+std::string_view HttpResult::Header(std::string_view name) const {
+  const auto found = this->headers.find(name);
+  return found == this->headers.end() ? std::string_view() : found->second;
+}
+
+bool HttpResult::Success() const {
+  constexpr int kFirst = 200;
+  constexpr int kLast = 299;
+  return this->status == CallStatus::kAnswered && this->code >= kFirst &&
+         this->code <= kLast;
+}
+
+class HttpClient::Impl {
+ public:
+  explicit Impl(const Options& options) : multi(curl_multi_init()) {
+    curl_multi_setopt(this->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      options.max_connections_per_host);
+    this->thread = std::thread([this] { this->Run(); });
+  }
+
+  ~Impl() {
+    {
+      const std::lock_guard lock(this->mutex);
+      this->stopping = true;
+    }
+    curl_multi_wakeup(this->multi);
+    this->thread.join();
+    curl_multi_cleanup(this->multi);
+  }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  std::uint64_t Send(HttpCall call, HttpDone done) {
+    auto transfer = std::make_unique<Transfer>();
+    transfer->call = std::move(call);
+    transfer->done = std::move(done);
+    std::uint64_t number = 0;
+    {
+      const std::lock_guard lock(this->mutex);
+      number = ++this->last_number;
+      transfer->number = number;
+      this->added.push_back(std::move(transfer));
+    }
+    curl_multi_wakeup(this->multi);
+    return number;
+  }
+
+  void Abort(std::uint64_t number) {
+    {
+      const std::lock_guard lock(this->mutex);
+      this->aborted.push_back(number);
+    }
+    curl_multi_wakeup(this->multi);
+  }
+
+ private:
+  void Run() {
+    constexpr int kPollMs = 1000;
+    while (this->TakeOrders()) {
+      int running = 0;
+      curl_multi_perform(this->multi, &running);
+      this->Collect();
+      curl_multi_poll(this->multi, nullptr, 0, kPollMs, nullptr);
+    }
+    while (!this->active.empty()) {
+      this->End(this->active.begin()->first, CURLE_ABORTED_BY_CALLBACK);
+    }
+  }
+
+  // Returns false once the client is to stop.
+  bool TakeOrders() {
+    std::vector<std::unique_ptr<Transfer>> starts;
+    std::vector<std::uint64_t> aborts;
+    bool stop = false;
+    {
+      const std::lock_guard lock(this->mutex);
+      starts.swap(this->added);
+      aborts.swap(this->aborted);
+      stop = this->stopping;
+    }
+    for (auto& transfer : starts) {
+      this->Start(std::move(transfer));
+    }
+    for (const std::uint64_t number : aborts) {
+      this->End(number, CURLE_ABORTED_BY_CALLBACK);
+    }
+    return !stop;
+  }
+
+  void Start(std::unique_ptr<Transfer> transfer) {
+    const Time now = std::chrono::time_point_cast<Duration>(
+        std::chrono::steady_clock::now());
+    if (transfer->call.valid_until && now > *transfer->call.valid_until) {
+      transfer->result.error = "expired before it was sent";
+      transfer->done(std::move(transfer->result));
+      return;
+    }
+    transfer->easy.reset(curl_easy_init());
+    Prepare(*transfer);
+    curl_multi_add_handle(this->multi, transfer->easy.get());
+    const std::uint64_t number = transfer->number;
+    this->active.emplace(number, std::move(transfer));
+  }
+
+  void Collect() {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      Transfer* transfer = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+      this->End(transfer->number, message->data.result);
+    }
+  }
+
+  void End(std::uint64_t number, CURLcode code) {
+    const auto found = this->active.find(number);
+    if (found == this->active.end()) {
+      return;
+    }
+    const std::unique_ptr<Transfer> transfer = std::move(found->second);
+    this->active.erase(found);
+    Finish(*transfer, code);
+    curl_multi_remove_handle(this->multi, transfer->easy.get());
+    transfer->done(std::move(transfer->result));
+  }
+
+  CURLM* multi;
+  std::thread thread;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> active;
+
+  std::mutex mutex;  // guards the members below
+  bool stopping = false;
+  std::uint64_t last_number = 0;
+  std::vector<std::unique_ptr<Transfer>> added;
+  std::vector<std::uint64_t> aborted;
+};
+
+Result<std::unique_ptr<HttpClient>> HttpClient::Create(const Options& options) {
+  static const CURLcode global = curl_global_init(CURL_GLOBAL_ALL);
+  if (global != CURLE_OK) {
+    return Fail(
+        ErrorKind::kUnavailable,
+        std::string("libcurl did not start: ") + curl_easy_strerror(global),
+        "check the installed libcurl");
+  }
+  return std::unique_ptr<HttpClient>(
+      new HttpClient(std::make_unique<Impl>(options)));
+}
+
+HttpClient::HttpClient(std::unique_ptr<Impl> impl) : impl(std::move(impl)) {}
+HttpClient::~HttpClient() = default;
+
+std::uint64_t HttpClient::Send(HttpCall call, HttpDone done) {
+  return this->impl->Send(std::move(call), std::move(done));
+}
+
+void HttpClient::Abort(std::uint64_t call) {
+  this->impl->Abort(call);
+}
+
+HttpResult HttpClient::SendAndWait(HttpCall call) {
+  std::promise<HttpResult> promise;
+  auto future = promise.get_future();
+  this->Send(std::move(call), [&promise](HttpResult result) {
+    promise.set_value(std::move(result));
+  });
+  return future.get();
+}
+
+}  // namespace kch::net
