Declare the share and route libraries

The engine is written at the same time and needs their interfaces. The headers state the methods, the types and the named limits; the implementation follows.

--- /dev/null
+++ b/src/route/policy.h
@@ -0,0 +1,26 @@
+#ifndef ROUTE_POLICY_H_
+#define ROUTE_POLICY_H_
+
+#include <variant>
+
+namespace kch::route {
+
+/*! @brief Most free slots, ties by zone spread, then at random. */
+struct MostFree {};
+/*! @brief Any target with a free slot; a baseline for measurements. */
+struct RandomChoice {};
+/*! @brief The freer of two random targets; a baseline for measurements. */
+struct TwoChoices {};
+
+/*! @brief How a target is selected among those that may be used. */
+using ChoicePolicy = std::variant<MostFree, RandomChoice, TwoChoices>;
+
+/*! @brief Settings of a TargetSet. */
+struct TargetOptions {
+  ChoicePolicy policy = MostFree{};
+  bool eject = true;  // off only to measure what ejection gains
+};
+
+}  // namespace kch::route
+
+#endif  // ROUTE_POLICY_H_
--- /dev/null
+++ b/src/route/retry.h
@@ -0,0 +1,104 @@
+#ifndef ROUTE_RETRY_H_
+#define ROUTE_RETRY_H_
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+
+#include "base/base.h"
+
+namespace kch::route {
+
+/*! @brief Tokens that each request adds to the retry budget. */
+inline constexpr double kRetryFraction = 0.1;
+/*! @brief Most retries saved up. */
+inline constexpr double kRetryCapacity = 50.0;
+/*! @brief Level to which the budget refills with time alone. */
+inline constexpr double kRetryFloor = 3.0;
+/*! @brief Rate of that refill. */
+inline constexpr double kRetryFloorPerSecond = 0.5;
+/*! @brief Distinct healthy targets on which a job fails before it ends. */
+inline constexpr int kFailedEverywhereTargets = 3;
+
+/*! @brief Limits retries to a fraction of requests. */
+class RetryBudget {
+ public:
+  /*! @brief Counts a new request; retries are not requests. */
+  void Request(Time now);
+  /*! @brief True if a retry may be made. */
+  [[nodiscard]] bool Available(Time now) const;
+  /*! @brief Takes a retry from the budget; false if none is left. */
+  bool Take(Time now);
+
+ private:
+  [[nodiscard]] double Level(Time now) const;
+
+  double tokens = kRetryFloor;
+  Time at;
+};
+
+/*! @brief What is known of an attempt that gave no answer. */
+enum class AttemptEnd : std::uint8_t {
+  kNotRun,      // proven: refused by the worker, or never sent
+  kFailed,      // ran and failed
+  kUnknown,     // may have run
+  kMismatched,  // an answer of another task, or a truncated one
+};
+
+/*! @brief Facts about a request after an attempt without an answer. */
+struct AttemptFacts {
+  AttemptEnd end = AttemptEnd::kUnknown;
+  // The worst end of the earlier attempts; kNotRun if there were none.
+  AttemptEnd earlier = AttemptEnd::kNotRun;
+  bool repeatable = false;
+  // In this or an earlier attempt.
+  bool first_byte_maybe_sent = true;
+  // Distinct targets, healthy at the time, that ran and failed the request.
+  int failed_targets = 0;
+  bool budget_available = false;
+  Time deadline;
+};
+
+/*! @brief What to do after an attempt without an answer. */
+enum class RetryDecision : std::uint8_t {
+  kRetryElsewhere,
+  kFailed,
+  kNotRun,
+  kUnknown,
+  kFailedEverywhere,
+};
+
+/*! @brief Decides between a retry and the final outcome. */
+[[nodiscard]] RetryDecision DecideRetry(const AttemptFacts& facts, Time now);
+
+/*! @brief The worse of two ends for AttemptFacts::earlier: unknown before
+ * failed before not run. */
+[[nodiscard]] AttemptEnd Worse(AttemptEnd first, AttemptEnd second);
+
+}  // namespace kch::route
+
+template <>
+struct kch::NameTable<kch::route::AttemptEnd> {
+  static constexpr std::
+      array<std::pair<kch::route::AttemptEnd, std::string_view>, 4>
+          kEntries{{{kch::route::AttemptEnd::kNotRun, "not_run"},
+                    {kch::route::AttemptEnd::kFailed, "failed"},
+                    {kch::route::AttemptEnd::kUnknown, "unknown"},
+                    {kch::route::AttemptEnd::kMismatched, "mismatched"}}};
+};
+
+template <>
+struct kch::NameTable<kch::route::RetryDecision> {
+  static constexpr std::
+      array<std::pair<kch::route::RetryDecision, std::string_view>, 5>
+          kEntries{
+              {{kch::route::RetryDecision::kRetryElsewhere, "retry_elsewhere"},
+               {kch::route::RetryDecision::kFailed, "failed"},
+               {kch::route::RetryDecision::kNotRun, "not_run"},
+               {kch::route::RetryDecision::kUnknown, "unknown"},
+               {kch::route::RetryDecision::kFailedEverywhere,
+                "failed_everywhere"}}};
+};
+
+#endif  // ROUTE_RETRY_H_
--- /dev/null
+++ b/src/route/target_set.h
@@ -0,0 +1,96 @@
+#ifndef ROUTE_TARGET_SET_H_
+#define ROUTE_TARGET_SET_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "route/policy.h"
+#include "route/target.h"
+
+namespace kch::route {
+
+/*! @brief Failures in a row after which a target is ejected. */
+inline constexpr int kFailuresToEject = 5;
+/*! @brief Length of the first ejection; doubles up to kMaxEjection. */
+inline constexpr Duration kFirstEjection = std::chrono::seconds(1);
+/*! @brief Longest ejection. */
+inline constexpr Duration kMaxEjection = std::chrono::seconds(60);
+/*! @brief Most usable targets of a pool, in percent, ejected or probed at a
+ * time. */
+inline constexpr std::size_t kMaxEjectedPercent = 30;
+/*! @brief A returning target starts at 1 slot and doubles each such step. */
+inline constexpr Duration kRampStep = std::chrono::seconds(1);
+/*! @brief Oldest state that a worker's report may describe. */
+inline constexpr Duration kMaxReportLag = std::chrono::seconds(2);
+
+/*! @brief The targets of one pool and the choice among them. */
+class TargetSet {
+ public:
+  explicit TargetSet(TargetOptions options = {}) : options(options) {}
+
+  /*! @brief Replaces the list of VMs. A VM that becomes usable after the first
+   * list starts at 1 slot. */
+  void Update(const std::vector<TargetVm>& vms, Time now);
+  /*! @brief The target for the next task, if any has a free slot. */
+  [[nodiscard]] std::optional<VmId> Choose(Time now,
+                                           const Exclusions& exclusions,
+                                           Random& random) const;
+  /*! @brief Counts a task, chosen or adopted, on a target. */
+  void Started(const VmId& vm, const TaskId& task, Time now);
+  /*! @brief Ends a task and judges the target by how it ended. */
+  void Ended(const VmId& vm, const TaskId& task, TaskEnd end, Time now);
+  /*! @brief Corrects the running count by a worker's report, which may
+   * describe the state up to kMaxReportLag ago. */
+  void Report(const VmId& vm, std::int64_t running, Time now);
+
+  /*! @brief Counters of a target; zeros for an unknown one. */
+  [[nodiscard]] TargetCounters Counters(const VmId& vm, Time now) const;
+  /*! @brief Slots of the usable targets, ejected ones included. */
+  [[nodiscard]] std::int64_t slots() const;
+  /*! @brief Slots of the largest VM, usable or not; for `never_fits`. */
+  [[nodiscard]] std::int64_t largest() const;
+  /*! @brief Slots free for new work now. */
+  [[nodiscard]] std::int64_t Free(Time now) const;
+  /*! @brief Usable targets that are ejected or probed. */
+  [[nodiscard]] std::size_t ejected() const;
+  /*! @brief True if a target serves: usable, and neither ejected nor probed;
+   * only failures on such targets count towards `failed_everywhere`. */
+  [[nodiscard]] bool Healthy(const VmId& vm) const;
+
+ private:
+  struct Target {
+    TargetVm vm;
+    std::unordered_map<TaskId, Time> running;
+    std::deque<Time> ends;        // within kMaxReportLag
+    std::int64_t correction = 0;  // reported minus counted tasks
+    int failures = 0;             // in a row
+    int successes = 0;            // in a row
+    int ejections = 0;            // without recovery in between
+    bool out = false;             // ejected or probed
+    Time out_until;
+    TaskId probe;  // the running probe
+    std::optional<Time> ramp_from;
+  };
+  struct Candidate;
+
+  [[nodiscard]] static std::int64_t Running(const Target& target);
+  [[nodiscard]] static std::int64_t RampSlots(const Target& target, Time now);
+  [[nodiscard]] static std::int64_t FreeSlots(const Target& target, Time now);
+  [[nodiscard]] std::size_t EjectionLimit() const;
+  void Eject(Target& target, Time now);
+  void EnforceLimit(Time now);
+
+  TargetOptions options;
+  std::vector<Target> targets;
+  std::unordered_map<VmId, std::size_t> index;
+  bool updated = false;
+};
+
+}  // namespace kch::route
+
+#endif  // ROUTE_TARGET_SET_H_
--- /dev/null
+++ b/src/share/share.h
@@ -0,0 +1,7 @@
+#ifndef SHARE_SHARE_H_
+#define SHARE_SHARE_H_
+
+#include "share/fair_queue.h"
+#include "share/waiting.h"
+
+#endif  // SHARE_SHARE_H_
