--- /dev/null
+++ b/src/once/claim_book.h
@@ -0,0 +1,150 @@
+#ifndef ONCE_CLAIM_BOOK_H_
+#define ONCE_CLAIM_BOOK_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/id.h"
+#include "base/name_table.h"
+#include "base/random.h"
+#include "base/store.h"
+#include "base/time.h"
+#include "once/bucket.h"
+
+namespace kch::once {
+
+/*! @brief What became of a claim. */
+enum class ClaimOutcome : std::uint8_t {
+  kClaimed,      // the claim is in the record; the request may start
+  kTaken,        // another token claimed the request id
+  kUnavailable,  // not claimed, and the claim can no longer take effect
+  kUnknown,      // not claimed as far as known; the claim may be in the record
+};
+
+/*! @brief Why a claim was refused. */
+enum class ClaimRefusal : std::uint8_t { kNone, kDeadline, kFull, kInvalid };
+
+/*! @brief Result of one claim. Only kClaimed permits a start. */
+struct ClaimResult {
+  RequestId request;
+  std::string token;
+  ClaimOutcome outcome = ClaimOutcome::kUnavailable;
+  std::string other_token;  // kTaken only
+  ClaimRefusal refusal = ClaimRefusal::kNone;
+};
+
+/*! @brief Times and bounds of a claim book. */
+struct Settings {
+  Duration deadline = std::chrono::seconds(2);
+  Duration write_interval = std::chrono::milliseconds(20);
+  Duration max_backoff = std::chrono::milliseconds(500);
+  std::int64_t retention_s = 600;
+  std::int64_t clock_margin_s = 120;
+  std::size_t max_record_bytes = std::size_t{512} * 1024;
+};
+
+/*! @brief Claims request ids in bucket records, in batches.
+ *
+ * The owner executes every StoreOp and passes back exactly one reply for it; a
+ * reply that stays out is passed as kUnknown. `wall_s` is wall-clock time in
+ * seconds. Tick is due about every 10 ms while claims are undecided. */
+class ClaimBook {
+ public:
+  ClaimBook(Settings settings, Random::result_type seed);
+
+  /*! @brief Claims a request id for a token that no other claim uses. */
+  std::vector<StoreOp> Claim(const RequestId& request,
+                             const std::string& token,
+                             Time now,
+                             std::int64_t wall_s);
+  /*! @brief Takes the reply to a store operation. */
+  std::vector<StoreOp> OnReply(const StoreReply& reply,
+                               Time now,
+                               std::int64_t wall_s);
+  /*! @brief Performs what is due and reports claims past their deadline. */
+  std::vector<StoreOp> Tick(Time now, std::int64_t wall_s);
+  /*! @brief The results since the last call. */
+  [[nodiscard]] std::vector<ClaimResult> Drain();
+  /*! @brief Number of undecided claims. */
+  [[nodiscard]] std::size_t Pending() const;
+
+ private:
+  struct Waiting {
+    RequestId request;
+    std::string token;
+    Time deadline;
+    bool maybe_written = false;  // in a write from the known version
+  };
+  // A claim reported as kUnknown that is to be removed from the record.
+  struct Withdrawal {
+    RequestId request;
+    std::string token;
+    Time expires;
+    bool maybe_written = true;
+  };
+  enum class Flight : std::uint8_t { kNone, kGet, kCas };
+  struct State {
+    bool read = false;
+    bool stale = false;  // a newer or undecided version exists
+    std::uint64_t version = 0;
+    Bucket bucket;
+    Flight flight = Flight::kNone;
+    std::uint64_t flight_base = 0;
+    Bucket flight_bucket;
+    std::vector<std::size_t> flight_claims;
+    std::vector<Waiting> waiting;
+    std::vector<Withdrawal> withdrawals;
+    Time next_op;
+    std::uint32_t failures = 0;
+  };
+
+  void Report(const Waiting& claim,
+              ClaimOutcome outcome,
+              std::string other_token,
+              ClaimRefusal refusal);
+  void Observe(State& state, Bucket bucket, std::uint64_t version);
+  void Decide(State& state);
+  void Expire(State& state, Time now);
+  void Backoff(State& state, Time now);
+  [[nodiscard]] Bucket MakeBatch(State& state, std::int64_t wall_s);
+  void Work(std::uint32_t index,
+            State& state,
+            Time now,
+            std::int64_t wall_s,
+            std::vector<StoreOp>& ops);
+
+  Settings settings;
+  Random random;
+  std::map<std::uint32_t, State> states;
+  std::vector<ClaimResult> results;
+};
+
+}  // namespace kch::once
+
+template <>
+struct kch::NameTable<kch::once::ClaimOutcome> {
+  static constexpr std::
+      array<std::pair<kch::once::ClaimOutcome, std::string_view>, 4>
+          kEntries{{{kch::once::ClaimOutcome::kClaimed, "claimed"},
+                    {kch::once::ClaimOutcome::kTaken, "taken"},
+                    {kch::once::ClaimOutcome::kUnavailable, "unavailable"},
+                    {kch::once::ClaimOutcome::kUnknown, "unknown"}}};
+};
+
+template <>
+struct kch::NameTable<kch::once::ClaimRefusal> {
+  static constexpr std::
+      array<std::pair<kch::once::ClaimRefusal, std::string_view>, 4>
+          kEntries{{{kch::once::ClaimRefusal::kNone, "none"},
+                    {kch::once::ClaimRefusal::kDeadline, "deadline"},
+                    {kch::once::ClaimRefusal::kFull, "full"},
+                    {kch::once::ClaimRefusal::kInvalid, "invalid"}}};
+};
+
+#endif  // ONCE_CLAIM_BOOK_H_
--- /dev/null
+++ b/src/once/once.h
@@ -0,0 +1,7 @@
+#ifndef ONCE_ONCE_H_
+#define ONCE_ONCE_H_
+
+#include "once/bucket.h"
+#include "once/claim_book.h"
+
+#endif  // ONCE_ONCE_H_
--- /dev/null
+++ b/src/permit/agent.h
@@ -0,0 +1,231 @@
+#ifndef PERMIT_AGENT_H_
+#define PERMIT_AGENT_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "base/random.h"
+#include "base/store.h"
+#include "base/time.h"
+#include "permit/record.h"
+
+namespace kch::permit {
+
+/*! @brief Asks a peer that reported idle permits to transfer some. */
+struct AskPeer {
+  InstanceId instance;
+  Subject subject;
+  std::uint32_t count;
+};
+
+/*! @brief Permits of a retired holder moved to this agent; they are busy. */
+struct Adopted {
+  Subject subject;
+  Holder from;
+  std::uint32_t count;
+};
+
+/*! @brief Permits that were to be adopted no longer exist; their tasks have no
+ * permit and must not get new leases. */
+struct AdoptFailed {
+  Subject subject;
+  Holder from;
+  std::uint32_t count;
+};
+
+/*! @brief What the owner of an agent must do or know. */
+using Effect = std::variant<StoreOp, AskPeer, Adopted, AdoptFailed>;
+using Effects = std::vector<Effect>;
+
+/*! @brief Times and bounds of an agent. */
+struct Settings {
+  Duration max_task_lease = std::chrono::seconds(30);
+  Duration reclaim_margin = std::chrono::seconds(5);
+  Duration write_interval = std::chrono::milliseconds(250);
+  Duration idle_window = std::chrono::seconds(3);
+  Duration ask_interval = std::chrono::milliseconds(250);
+  Duration ask_lifetime = std::chrono::seconds(1);
+  Duration max_poll_interval = std::chrono::seconds(2);
+  Duration max_backoff = std::chrono::seconds(4);
+  Duration retire_spread = std::chrono::seconds(4);
+};
+
+/*! @brief Acquires, transfers and returns the permits of one entry instance.
+ *
+ * The owner executes every StoreOp and passes back exactly one reply for it;
+ * a reply that stays out is passed as kUnknown. Watch events are passed to
+ * OnReply as reads. Tick is due about every 50 ms. */
+class Agent {
+ public:
+  Agent(Holder self, Settings settings, Random::result_type seed);
+
+  /*! @brief Sets the configured limit; an older revision is ignored. */
+  Effects SetLimit(const Subject& subject,
+                   std::uint32_t limit,
+                   std::uint64_t revision,
+                   Time now);
+  /*! @brief Sets how many permits are wanted: busy plus queued. */
+  Effects Demand(const Subject& subject, std::uint32_t wanted, Time now);
+
+  /*! @brief True if TryTake would succeed. */
+  [[nodiscard]] bool CanTake(const Subject& subject) const;
+  /*! @brief Makes an idle permit busy; false if there is none to use. */
+  [[nodiscard]] bool TryTake(const Subject& subject);
+  /*! @brief Takes a permit of both subjects or of none. */
+  [[nodiscard]] bool TryTakeBoth(const Subject& first, const Subject& second);
+  /*! @brief Returns a busy permit to idle once its task has ended. */
+  Effects Give(const Subject& subject, Time now);
+
+  /*! @brief Takes the reply to a store operation, or a watch event. */
+  Effects OnReply(const StoreReply& reply, Time now);
+  /*! @brief Takes a peer's request for permits. */
+  Effects OnAsk(const Subject& subject,
+                const Holder& asker,
+                std::uint32_t count,
+                Time now);
+  /*! @brief Takes a peer's report of its idle permits. */
+  void OnPeerIdle(const Holder& peer,
+                  const Subject& subject,
+                  std::uint32_t idle);
+  /*! @brief Marks the holdings of a holder, and of its earlier incarnations,
+   * as retired. Call it only on proof that the holder stopped. */
+  Effects Retire(const Holder& stopped, Time now);
+  /*! @brief Requests permits of a stopped holder for its tasks that run on.
+   * Once the holding is marked retired, leases of those tasks may be renewed
+   * only after Adopted. */
+  Effects Adopt(const Subject& subject,
+                const Holder& from,
+                std::uint32_t count,
+                Time now);
+  /*! @brief Starts a graceful stop: no more permits are taken, idle ones go
+   * back at once, busy ones when they are given back. */
+  Effects Release(Time now);
+  /*! @brief True once Release has returned every permit. */
+  [[nodiscard]] bool Released() const;
+  /*! @brief Performs what is due. */
+  Effects Tick(Time now);
+
+  /*! @brief Permits in use. */
+  [[nodiscard]] std::uint32_t Busy(const Subject& subject) const;
+  /*! @brief Permits that may be in use under every version of the record that
+   * could be current. */
+  [[nodiscard]] std::uint32_t Usable(const Subject& subject) const;
+  /*! @brief Permits held, not in use and not wanted here; for reports to peers.
+   */
+  [[nodiscard]] std::uint32_t Spare(const Subject& subject) const;
+  /*! @brief True while a lowered limit stops starts. */
+  [[nodiscard]] bool Blocked(const Subject& subject) const;
+  /*! @brief How many permits the sum of counts exceeds the configured limit by,
+   * as far as known. */
+  [[nodiscard]] std::uint64_t Excess(const Subject& subject) const;
+  /*! @brief Subjects that have a limit, demand or a read record. */
+  [[nodiscard]] std::vector<Subject> Subjects() const;
+
+ private:
+  struct Adoption {
+    Holder from;
+    std::uint32_t count = 0;
+    bool checked = false;  // the record was read after the request
+  };
+  struct Ask {
+    Holder asker;
+    std::uint32_t count = 0;
+    Time expires;
+  };
+  // A write from the known version that may have taken effect.
+  struct Write {
+    Record record;
+    std::uint64_t number = 0;
+    std::uint32_t usable = 0;  // own count without newly adopted permits
+    std::vector<Adoption> adoptions;
+  };
+  enum class Flight : std::uint8_t { kNone, kGet, kCas };
+  struct State {
+    std::optional<std::uint32_t> limit;
+    std::uint64_t limit_revision = 0;
+    std::uint32_t wanted = 0;
+    std::uint32_t recent_peak = 0;
+    std::uint32_t earlier_peak = 0;
+    Time peak_since;
+    std::uint32_t busy = 0;
+
+    bool read = false;
+    bool corrupt = false;
+    std::uint64_t version = 0;
+    std::optional<Record> record;
+    std::vector<Write> unresolved;
+    Flight flight = Flight::kNone;
+    std::uint64_t flight_base = 0;
+
+    std::map<Holder, Time> marked_since;
+    std::map<Holder, std::uint32_t> peer_idle;
+    std::vector<Ask> asks;
+    std::vector<Adoption> adoptions;
+
+    Time next_write;
+    std::optional<Time> read_at;
+    std::optional<Time> lazy_at;
+    Time next_poll;
+    Duration poll_interval{0};
+    Time next_ask;
+    std::uint32_t failures = 0;
+  };
+  // A write that the current facts call for.
+  struct Plan {
+    Write write;
+    bool urgent = false;
+  };
+
+  [[nodiscard]] const State* Find(const Subject& subject) const;
+  [[nodiscard]] State& Get(const Subject& subject, Time now);
+  [[nodiscard]] std::uint32_t OwnCount(const State& state) const;
+  [[nodiscard]] bool OwnRetired(const State& state) const;
+  [[nodiscard]] std::uint32_t Usable(const State& state) const;
+  [[nodiscard]] std::uint32_t Spare(const State& state) const;
+  [[nodiscard]] bool IsStopped(const Holder& holder) const;
+  [[nodiscard]] static bool Blocked(const State& state);
+  [[nodiscard]] static std::uint64_t Excess(const State& state);
+  [[nodiscard]] bool Idle(const State& state) const;
+  [[nodiscard]] bool CanTake(const State& state) const;
+  [[nodiscard]] Duration Jitter(Duration bound);
+  [[nodiscard]] std::optional<Plan> MakePlan(const State& state,
+                                             Time now) const;
+  void MoveAdoptions(const State& state, Plan& plan) const;
+  void Reclaim(const State& state, Record& record, Time now) const;
+  void MoveAsked(const State& state, Plan& plan, std::uint32_t& own) const;
+  void RollPeak(State& state, Time now) const;
+  void Observe(const Subject& subject,
+               State& state,
+               std::optional<Record> record,
+               std::uint64_t version,
+               Time now,
+               Effects& effects);
+  void OnRead(const Subject& subject,
+              State& state,
+              const StoreReply& reply,
+              Time now,
+              Effects& effects);
+  void OnWritten(const Subject& subject,
+                 State& state,
+                 const StoreReply& reply,
+                 Time now,
+                 Effects& effects);
+  void Backoff(State& state, Time now);
+  void Poll(const Subject& subject, State& state, Time now, Effects& effects);
+  void Work(const Subject& subject, State& state, Time now, Effects& effects);
+
+  Holder self;
+  Settings settings;
+  Random random;
+  bool releasing = false;
+  std::uint64_t last_write = 0;
+  std::map<InstanceId, std::uint64_t> stopped;  // highest stopped incarnation
+  std::map<Subject, State> states;
+};
+
+}  // namespace kch::permit
+
+#endif  // PERMIT_AGENT_H_
