--- a/src/once/claim_book.h
+++ b/src/once/claim_book.h
@@ -24,13 +24,14 @@
   kClaimed,      // the claim is in the record; the request may start
   kTaken,        // another token claimed the request id
   kUnavailable,  // not claimed, and the claim can no longer take effect
-  kUnknown,      // not claimed as far as known; the claim may be in the record
+  kUnknown,      // undecided; the claim may be in the record for a while
 };
 
 /*! @brief Why a claim was refused. */
 enum class ClaimRefusal : std::uint8_t { kNone, kDeadline, kFull, kInvalid };
 
-/*! @brief Result of one claim. Only kClaimed permits a start. */
+/*! @brief Result of one claim. Only kClaimed permits a start; after any other
+ * outcome the token must not be used again. */
 struct ClaimResult {
   RequestId request;
   std::string token;
@@ -46,7 +47,7 @@
   Duration max_backoff = std::chrono::milliseconds(500);
   std::int64_t retention_s = 600;
   std::int64_t clock_margin_s = 120;
-  std::size_t max_record_bytes = std::size_t{512} * 1024;
+  std::size_t max_record_bytes = std::size_t{256} * 1024;
 };
 
 /*! @brief Claims request ids in bucket records, in batches.
@@ -79,27 +80,21 @@
     RequestId request;
     std::string token;
     Time deadline;
-    bool maybe_written = false;  // in a write from the known version
-  };
-  // A claim reported as kUnknown that is to be removed from the record.
-  struct Withdrawal {
-    RequestId request;
-    std::string token;
-    Time expires;
-    bool maybe_written = true;
+    std::uint32_t writes = 0;  // writes of it that may still take effect
+    bool in_flight = false;    // in the write that has no reply yet
   };
   enum class Flight : std::uint8_t { kNone, kGet, kCas };
   struct State {
     bool read = false;
-    bool stale = false;  // a newer or undecided version exists
+    bool stale = false;  // a write failed; read before the next write
     std::uint64_t version = 0;
     Bucket bucket;
     Flight flight = Flight::kNone;
-    std::uint64_t flight_base = 0;
     Bucket flight_bucket;
-    std::vector<std::size_t> flight_claims;
     std::vector<Waiting> waiting;
-    std::vector<Withdrawal> withdrawals;
+    // Claims reported as kUnknown, to be removed from the record.
+    std::vector<Waiting> withdrawn;
+    Time observed_at;
     Time next_op;
     std::uint32_t failures = 0;
   };
@@ -108,11 +103,17 @@
               ClaimOutcome outcome,
               std::string other_token,
               ClaimRefusal refusal);
-  void Observe(State& state, Bucket bucket, std::uint64_t version);
-  void Decide(State& state);
-  void Expire(State& state, Time now);
-  void Backoff(State& state, Time now);
-  [[nodiscard]] Bucket MakeBatch(State& state, std::int64_t wall_s);
+  [[nodiscard]] bool Expired(const ClaimEntry& claim,
+                             std::int64_t wall_s) const;
+  void Observe(State& state, Bucket bucket, std::uint64_t version, Time now);
+  void Decide(State& state, std::int64_t wall_s);
+  void PassDeadlines(State& state, Time now);
+  void OnRead(State& state, const StoreReply& reply, Time now);
+  void OnWritten(State& state, const StoreReply& reply, Time now);
+  [[nodiscard]] Duration Backoff(State& state);
+  [[nodiscard]] bool MakeBatch(State& state,
+                               Bucket& batch,
+                               std::int64_t wall_s);
   void Work(std::uint32_t index,
             State& state,
             Time now,
--- a/src/permit/agent.h
+++ b/src/permit/agent.h
@@ -57,7 +57,9 @@
  *
  * The owner executes every StoreOp and passes back exactly one reply for it;
  * a reply that stays out is passed as kUnknown. Watch events are passed to
- * OnReply as reads. Tick is due about every 50 ms. */
+ * OnReply as reads; one that overtakes the reply to a read ends that read, and
+ * the late reply is then treated as a watch event. Tick is due about every
+ * 50 ms. */
 class Agent {
  public:
   Agent(Holder self, Settings settings, Random::result_type seed);
@@ -128,7 +130,6 @@
   struct Adoption {
     Holder from;
     std::uint32_t count = 0;
-    bool checked = false;  // the record was read after the request
   };
   struct Ask {
     Holder asker;
@@ -153,8 +154,9 @@
     std::uint32_t busy = 0;
 
     bool read = false;
-    bool corrupt = false;
+    bool stale = false;  // a write failed; read before the next write
     std::uint64_t version = 0;
+    std::uint64_t corrupt_version = 0;  // newest version that cannot be read
     std::optional<Record> record;
     std::vector<Write> unresolved;
     Flight flight = Flight::kNone;
@@ -165,6 +167,7 @@
     std::vector<Ask> asks;
     std::vector<Adoption> adoptions;
 
+    Time observed_at;
     Time next_write;
     std::optional<Time> read_at;
     std::optional<Time> lazy_at;
@@ -172,6 +175,7 @@
     Duration poll_interval{0};
     Time next_ask;
     std::uint32_t failures = 0;
+    std::uint32_t conflicts = 0;
   };
   // A write that the current facts call for.
   struct Plan {
@@ -188,21 +192,30 @@
   [[nodiscard]] bool IsStopped(const Holder& holder) const;
   [[nodiscard]] static bool Blocked(const State& state);
   [[nodiscard]] static std::uint64_t Excess(const State& state);
-  [[nodiscard]] bool Idle(const State& state) const;
   [[nodiscard]] bool CanTake(const State& state) const;
   [[nodiscard]] Duration Jitter(Duration bound);
   [[nodiscard]] std::optional<Plan> MakePlan(const State& state,
                                              Time now) const;
-  void MoveAdoptions(const State& state, Plan& plan) const;
+  void MarkStopped(Record& record) const;
   void Reclaim(const State& state, Record& record, Time now) const;
-  void MoveAsked(const State& state, Plan& plan, std::uint32_t& own) const;
+  std::uint32_t MoveAdopted(const State& state, Plan& plan) const;
+  std::uint32_t MoveAsked(const State& state,
+                          Record& record,
+                          std::uint32_t own) const;
+  [[nodiscard]] std::uint32_t OwnTarget(const State& state,
+                                        std::uint32_t own,
+                                        std::uint64_t others,
+                                        std::uint32_t cap) const;
+  void SetOwn(Record& record, std::uint32_t count) const;
   void RollPeak(State& state, Time now) const;
+  void ReadAt(State& state, Time when) const;
   void Observe(const Subject& subject,
                State& state,
                std::optional<Record> record,
                std::uint64_t version,
                Time now,
                Effects& effects);
+  void SettleAdoptions(const Subject& subject, State& state, Effects& effects);
   void OnRead(const Subject& subject,
               State& state,
               const StoreReply& reply,
@@ -213,7 +226,13 @@
                  const StoreReply& reply,
                  Time now,
                  Effects& effects);
-  void Backoff(State& state, Time now);
+  [[nodiscard]] Duration Backoff(State& state);
+  void SendGet(const Subject& subject, State& state, Effects& effects);
+  void SendCas(const Subject& subject,
+               State& state,
+               Plan plan,
+               Time now,
+               Effects& effects);
   void Poll(const Subject& subject, State& state, Time now, Effects& effects);
   void Work(const Subject& subject, State& state, Time now, Effects& effects);
 
