--- /dev/null
+++ b/src/config/authorize.h
@@ -0,0 +1,26 @@
+#ifndef CONFIG_AUTHORIZE_H_
+#define CONFIG_AUTHORIZE_H_
+
+#include <string>
+#include <string_view>
+
+#include "base/base.h"
+#include "config/state.h"
+
+namespace kch::config {
+
+/*! @brief The team that a caller's work counts against. A secret reads
+ * `<key id>.<random text>`; it is never part of an error. */
+[[nodiscard]] Result<TeamId> Authorize(const State& state,
+                                       std::string_view secret,
+                                       const ProfileId& profile);
+
+/*! @brief The key id in front of a secret; empty if there is none. */
+[[nodiscard]] KeyId KeyIdOf(std::string_view secret);
+
+/*! @brief SHA-256 of a secret as lower-case hex, for Key::secret_sha256. */
+[[nodiscard]] std::string HashSecret(std::string_view secret);
+
+}  // namespace kch::config
+
+#endif  // CONFIG_AUTHORIZE_H_
