Implement changes, state, follower, proposer and authorization

Operators' changes race on one record and write replies get lost, so the proposer finds its change id in the log before it tries again, and refuses only on a head that was read for the proposal at hand.

--- /dev/null
+++ b/src/config/authorize.cc
@@ -0,0 +1,70 @@
+#include "config/authorize.h"
+
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
+
+#include <array>
+
+#include "config/limits.h"
+
+namespace kch::config {
+
+KeyId KeyIdOf(std::string_view secret) {
+  const auto end = secret.find(kSecretSeparator);
+  return end == std::string_view::npos ? KeyId()
+                                       : KeyId(std::string(secret, 0, end));
+}
+
+std::string HashSecret(std::string_view secret) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+  SHA256(reinterpret_cast<const unsigned char*>(secret.data()), secret.size(),
+         digest.data());
+  std::string hex;
+  hex.reserve(2 * digest.size());
+  for (const unsigned char byte : digest) {
+    hex += kDigits[byte >> 4U];
+    hex += kDigits[byte & 15U];
+  }
+  return hex;
+}
+
+Result<TeamId> Authorize(const State& state,
+                         std::string_view secret,
+                         const ProfileId& profile) {
+  const Profile* found = state.Find(profile);
+  if (found == nullptr) {
+    return Fail(ErrorKind::kNotFound,
+                "profile " + profile.str() + " does not exist",
+                "select a configured profile");
+  }
+  if (found->open) {
+    return OpenTeam();
+  }
+  if (secret.empty()) {
+    return Fail(ErrorKind::kForbidden,
+                "profile " + profile.str() + " needs a key",
+                "send the team's key, or select an open profile");
+  }
+  // One text for an unknown key, a withdrawn one and a wrong secret, without
+  // any part of what the caller sent.
+  const auto forbidden = Fail(
+      ErrorKind::kForbidden, "the key is not valid",
+      "ask an operator for a key of your team; it may have been withdrawn");
+  if (secret.size() > kMaxSecretLength) {
+    return forbidden;
+  }
+  const Key* key = state.Find(KeyIdOf(secret));
+  const std::string hash = HashSecret(secret);
+  // An unknown key id costs a comparison too, so that the time taken does not
+  // tell which ids exist.
+  const std::string absent(hash.size(), '-');
+  const std::string& expected = key == nullptr ? absent : key->secret_sha256;
+  if (expected.size() != hash.size() ||
+      CRYPTO_memcmp(expected.data(), hash.data(), hash.size()) != 0) {
+    return forbidden;
+  }
+  return key->team;
+}
+
+}  // namespace kch::config
--- /dev/null
+++ b/src/config/follower.cc
@@ -0,0 +1,60 @@
+#include "config/follower.h"
+
+#include <utility>
+
+namespace kch::config {
+
+Follower::Follower() : current(std::make_shared<const State>()) {}
+
+Result<Offer> Follower::OfferHead(const Head& head) {
+  if (head.revision() <= this->revision()) {
+    return Offer::kStale;
+  }
+  if (head.base_revision > this->revision()) {
+    if (!this->waiting || this->waiting->revision() < head.revision()) {
+      this->waiting = head;
+    }
+    return Offer::kNeedsBase;
+  }
+  // Readers hold the current state, so the changes go to a copy.
+  auto next = std::make_shared<State>(*this->current);
+  for (const LoggedChange& change : head.changes) {
+    if (change.revision <= next->revision) {
+      continue;
+    }
+    if (auto applied = Apply(*next, change); !applied) {
+      return tl::make_unexpected(applied.error());
+    }
+  }
+  this->current = std::move(next);
+  if (this->waiting && this->waiting->base_revision <= this->revision()) {
+    const Head newer = std::move(*this->waiting);
+    this->waiting.reset();
+    if (auto offered = this->OfferHead(newer); !offered) {
+      return offered;
+    }
+  }
+  return this->waiting ? Offer::kNeedsBase : Offer::kApplied;
+}
+
+Result<Offer> Follower::OfferBase(std::shared_ptr<const State> base) {
+  if (base == nullptr || base->revision <= this->revision()) {
+    return Offer::kStale;
+  }
+  this->current = std::move(base);
+  if (this->waiting && this->waiting->base_revision <= this->revision()) {
+    const Head newer = std::move(*this->waiting);
+    this->waiting.reset();
+    if (auto offered = this->OfferHead(newer); !offered) {
+      return offered;
+    }
+  }
+  return this->waiting ? Offer::kNeedsBase : Offer::kApplied;
+}
+
+std::optional<std::uint64_t> Follower::wanted_base() const {
+  return this->waiting ? std::optional(this->waiting->base_revision)
+                       : std::nullopt;
+}
+
+}  // namespace kch::config
--- a/src/config/proposer.h
+++ b/src/config/proposer.h
@@ -5,7 +5,6 @@
 #include <deque>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -94,8 +93,10 @@
   void Advance(Time now, ProposerEffects& effects);
   void Send(Phase next, StoreOp operation, ProposerEffects& effects);
   void ReadHead(ProposerEffects& effects);
-  void Attempt(Time now, ProposerEffects& effects);
+  void Attempt(ProposerEffects& effects);
+  void WriteHead(ProposerEffects& effects);
   void Finish(Outcome outcome, ProposerEffects& effects);
+  void Fault(const Error& error, ProposerEffects& effects);
   void Expire(Time now, ProposerEffects& effects);
   void OnHead(const StoreReply& reply, Time now, ProposerEffects& effects);
   void OnBase(const StoreReply& reply, Time now, ProposerEffects& effects);
@@ -106,12 +107,14 @@
   std::deque<Waiting> queue;
   std::optional<Known> known;
   bool confirmed = false;  // `known` was read for the proposal at the front
-  std::shared_ptr<const State> base;  // at known->head.base_revision
+  bool reread = false;     // `known` may be old; read the head first
+  std::shared_ptr<const State> base;  // latest base that was read or written
   std::optional<Head> read_head;      // waits for its base
   std::uint64_t read_version = 0;
   std::shared_ptr<const State> folded;  // base that is being written
   std::optional<Head> written;          // head that is being written
-  std::string pending_key;              // of the operation in flight
+  std::shared_ptr<const State> written_state;
+  std::string pending_key;  // of the operation in flight
   Phase phase = Phase::kIdle;
   bool abandoned = false;  // the operation in flight is for no proposal
   std::optional<Time> retry_at;
