Declare the maintenance library

The entry and the maintainer binary need the types of the pool record, the availability budget, drain steps, moves and sizes before the code is done.

--- /dev/null
+++ b/src/maintain/maintain.h
@@ -0,0 +1,13 @@
+#ifndef MAINTAIN_MAINTAIN_H_
+#define MAINTAIN_MAINTAIN_H_
+
+#include "maintain/advance.h"
+#include "maintain/budget.h"
+#include "maintain/facts.h"
+#include "maintain/maintainer.h"
+#include "maintain/moves.h"
+#include "maintain/record.h"
+#include "maintain/rollout.h"
+#include "maintain/sizes.h"
+
+#endif  // MAINTAIN_MAINTAIN_H_
--- /dev/null
+++ b/src/maintain/maintainer.h
@@ -0,0 +1,189 @@
+#ifndef MAINTAIN_MAINTAINER_H_
+#define MAINTAIN_MAINTAINER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/id.h"
+#include "base/random.h"
+#include "base/store.h"
+#include "base/time.h"
+#include "maintain/advance.h"
+#include "maintain/budget.h"
+#include "maintain/facts.h"
+#include "maintain/moves.h"
+#include "maintain/record.h"
+#include "maintain/sizes.h"
+
+namespace kch::maintain {
+
+/*! @brief Instances that are live or not proven stopped. */
+struct MembersSeen {
+  std::vector<InstanceId> instances;
+};
+
+/*! @brief An entry's report about one pool. */
+struct EntryReport {
+  InstanceId instance;
+  PoolId pool;
+  EntryWord word;
+};
+
+/*! @brief A worker's answer about its tasks. */
+struct WorkerReport {
+  VmId vm;
+  std::string boot;
+  std::vector<TaskFact> tasks;
+  Time asked_at;
+};
+
+/*! @brief The platform's list. */
+struct PlatformList {
+  std::map<VmId, PlatformVm> vms;
+  Time asked_at;
+};
+
+/*! @brief State of an operation, from a call's reply or a read. */
+struct OperationSeen {
+  std::string operation;
+  std::optional<OperationState> state;  // absent: the reply is ambiguous
+};
+
+/*! @brief Demand on a pool in slots from now on. */
+struct DemandSeen {
+  PoolId pool;
+  double slots = 0;
+};
+
+/*! @brief What operators can order. */
+enum class OrderKind : std::uint8_t {
+  kDrain,
+  kReturn,
+  kReboot,
+  kMove,
+  kRollout
+};
+
+/*! @brief An operator's order. */
+struct Order {
+  std::string id;  // chosen by the caller; named in the OrderResult
+  OrderKind kind = OrderKind::kReboot;
+  PoolId pool;
+  VmId vm;    // not for roll-outs
+  PoolId to;  // moves only
+  std::string reason;
+};
+
+/*! @brief Time passes; carries the wall clock. */
+struct Tick {
+  std::int64_t wall_s = 0;
+};
+
+/*! @brief Inputs of a Maintainer. */
+using Event = std::variant<Tick,
+                           StoreReply,
+                           MembersSeen,
+                           EntryReport,
+                           WorkerReport,
+                           PlatformList,
+                           OperationSeen,
+                           DemandSeen,
+                           Order>;
+
+/*! @brief An order is in the record, or is refused. */
+struct OrderResult {
+  std::string id;
+  Result<void> result;
+};
+
+/*! @brief Outputs of a Maintainer. */
+using Effect =
+    std::variant<StoreOp, PlatformCall, ReadOperation, WorkerCall, OrderResult>;
+
+/*! @brief Settings of one pool. */
+struct PoolSettings {
+  Budget budget;
+  std::uint32_t min_vms = 1;
+  std::uint32_t max_vms = 0;  // 0: no limit
+};
+
+/*! @brief Settings of a Maintainer. */
+struct Settings {
+  std::map<PoolId, PoolSettings> pools;
+  PoolId spare;
+  bool resize = true;
+  SizePolicy sizes;
+  Limits limits;
+  Duration read_interval = std::chrono::seconds(1);
+  Duration call_interval = std::chrono::seconds(1);  // between repeats
+  Duration reply_timeout = std::chrono::seconds(5);
+};
+
+/*! @brief Drives maintenance of all pools in one process; any number of them
+ * may run at once. */
+class Maintainer {
+ public:
+  Maintainer(Settings settings, Random random);
+
+  /*! @brief Handles one event. */
+  [[nodiscard]] std::vector<Effect> Step(const Event& event, Time now);
+  /*! @brief Replaces the settings, for instance after a new configuration. */
+  void Configure(Settings settings);
+  /*! @brief The records as last read or written. */
+  [[nodiscard]] const Records& records() const { return this->cached; }
+  /*! @brief The facts gathered so far. */
+  [[nodiscard]] const Facts& facts() const { return this->known; }
+  /*! @brief CAS attempts that met a newer record. */
+  [[nodiscard]] std::uint64_t conflicts() const { return this->lost_races; }
+
+ private:
+  struct PoolSlot {
+    std::uint64_t version = 0;       // store version of the cached record
+    std::optional<Time> read_at;     // of the cached record
+    std::optional<Time> pending_at;  // an operation is outstanding
+    bool pending_write = false;
+    std::string written;                    // value of the outstanding write
+    std::vector<std::string> write_orders;  // ids confirmed by that write
+    Time next_read;
+    std::vector<Order> orders;  // not written yet
+  };
+
+  void OnReply(const StoreReply& reply, Time now, std::vector<Effect>& effects);
+  void OnTick(Time now, std::vector<Effect>& effects);
+  void Accept(const PoolId& pool, PoolSlot& slot, PoolRecord record, Time now);
+  void Decide(const PoolId& pool,
+              PoolSlot& slot,
+              Time now,
+              std::vector<Effect>& effects);
+  bool ApplyOrders(PoolSlot& slot,
+                   PoolRecord& record,
+                   std::vector<Effect>& effects) const;
+  bool ApplyMoves(PoolRecord& record, Time now) const;
+  bool ApplyReservations(PoolRecord& record, Time now) const;
+  bool ApplySizes(PoolRecord& record) const;
+  void Write(const PoolId& pool,
+             PoolSlot& slot,
+             PoolRecord record,
+             Time now,
+             std::vector<Effect>& effects);
+  bool MayCall(const std::string& key, Time now);
+  void Forget(Time now);
+
+  Settings settings;
+  Random random;
+  Records cached;
+  std::map<PoolId, PoolSlot> slots;
+  Facts known;
+  std::map<PoolId, DemandWindow> demand;
+  std::map<std::string, Time> called;  // last call by operation or task
+  std::uint64_t lost_races = 0;
+};
+
+}  // namespace kch::maintain
+
+#endif  // MAINTAIN_MAINTAINER_H_
--- /dev/null
+++ b/src/maintain/record.h
@@ -0,0 +1,130 @@
+#ifndef MAINTAIN_RECORD_H_
+#define MAINTAIN_RECORD_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/error.h"
+#include "base/id.h"
+#include "base/name_table.h"
+
+namespace kch::maintain {
+
+/*! @brief Step of a VM in its pool's record. */
+enum class VmState : std::uint8_t {
+  kServing,
+  kReserved,
+  kDraining,
+  kQuiet,
+  kRebooting,
+  kChecking,
+};
+
+/*! @brief Why a VM is taken out of service. */
+enum class Purpose : std::uint8_t {
+  kReboot,
+  kMove,
+  kDrain,  // stays quiet until an operator returns it
+};
+
+/*! @brief One VM of a pool. */
+struct VmRow {
+  VmId id;
+  std::string address;  // host:port of the target
+  ZoneId zone;
+  RackId rack;
+  std::uint32_t slots = 0;
+  std::uint32_t cpus = 0;
+  std::uint32_t memory_mb = 0;
+  std::uint32_t accelerators = 0;
+  VmState state = VmState::kServing;
+  Purpose purpose = Purpose::kReboot;
+  PoolId to;                      // destination of a move
+  std::string operation;          // stem of the platform operation ids
+  std::uint32_t step = 0;         // part of the operation ids; rises per state
+  std::uint64_t since = 0;        // generation at which the state was entered
+  std::int64_t since_s = 0;       // wall clock at which the drain was reserved
+  std::string boot;               // boot the worker reported before the reboot
+  std::int64_t maintained_s = 0;  // wall clock of the last maintenance
+  std::uint64_t epoch = 0;        // number of moves the VM has made
+  std::string reason;
+
+  bool operator==(const VmRow&) const = default;
+};
+
+/*! @brief A VM that left this pool and that its destination may not list yet.
+ */
+struct ForwardRow {
+  VmRow vm;  // as the destination is to list it
+  PoolId to;
+
+  bool operator==(const ForwardRow&) const = default;
+};
+
+/*! @brief An operator's or planner's order that has no reservation yet. */
+struct OrderRow {
+  VmId vm;
+  Purpose purpose = Purpose::kReboot;
+  PoolId to;
+  std::string reason;
+
+  bool operator==(const OrderRow&) const = default;
+};
+
+/*! @brief The record `pool/<name>`. */
+struct PoolRecord {
+  PoolId pool;
+  std::uint64_t generation = 0;  // rises by one per written version
+  std::map<VmId, VmRow> vms;
+  std::map<VmId, ForwardRow> forwards;
+  std::map<VmId, std::int64_t> ledger;  // lost unplanned, since wall clock s
+  std::vector<OrderRow> orders;
+  std::int64_t rollout_s = 0;  // VMs maintained before this are due
+  std::int64_t resized_s = 0;  // wall clock of the last planned size change
+  // Generation of another pool's record that this version was based on.
+  std::map<PoolId, std::uint64_t> based_on;
+
+  bool operator==(const PoolRecord&) const = default;
+};
+
+/*! @brief Store key of a pool's record. */
+[[nodiscard]] std::string KeyOf(const PoolId& pool);
+
+/*! @brief The record as JSON. */
+[[nodiscard]] std::string Encode(const PoolRecord& record);
+
+/*! @brief Reads the JSON of a record type; see the specialisations. */
+template <typename Record>
+[[nodiscard]] Result<Record> Decode(std::string_view text);
+
+/*! @brief Reads a pool record. */
+template <>
+[[nodiscard]] Result<PoolRecord> Decode<PoolRecord>(std::string_view text);
+
+}  // namespace kch::maintain
+
+template <>
+struct kch::NameTable<kch::maintain::VmState> {
+  using E = kch::maintain::VmState;
+  static constexpr std::array<std::pair<E, std::string_view>, 6> kEntries{
+      {{E::kServing, "serving"},
+       {E::kReserved, "reserved"},
+       {E::kDraining, "draining"},
+       {E::kQuiet, "quiet"},
+       {E::kRebooting, "rebooting"},
+       {E::kChecking, "checking"}}};
+};
+
+template <>
+struct kch::NameTable<kch::maintain::Purpose> {
+  using E = kch::maintain::Purpose;
+  static constexpr std::array<std::pair<E, std::string_view>, 3> kEntries{
+      {{E::kReboot, "reboot"}, {E::kMove, "move"}, {E::kDrain, "drain"}}};
+};
+
+#endif  // MAINTAIN_RECORD_H_
--- /dev/null
+++ b/src/maintain/rollout.h
@@ -0,0 +1,35 @@
+#ifndef MAINTAIN_ROLLOUT_H_
+#define MAINTAIN_ROLLOUT_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "base/id.h"
+#include "maintain/budget.h"
+#include "maintain/facts.h"
+#include "maintain/record.h"
+
+namespace kch::maintain {
+
+/*! @brief Each VM is maintained once in this period of 5 weeks. */
+inline constexpr std::int64_t kMaintenancePeriodS = 5LL * 7 * 24 * 3600;
+
+/*! @brief True if a roll-out or the maintenance period wants the VM. */
+[[nodiscard]] bool IsDue(const PoolRecord& record,
+                         const VmRow& vm,
+                         std::int64_t wall_s);
+
+/*! @brief VMs to reserve now, in order; together they are within the budget. */
+[[nodiscard]] std::vector<VmId> PlanRollout(const PoolRecord& record,
+                                            const Budget& budget,
+                                            const Facts& facts,
+                                            std::int64_t wall_s);
+
+/*! @brief Fewest successive waves in which the budget allows all due VMs. */
+[[nodiscard]] std::uint32_t LowerBoundWaves(const PoolRecord& record,
+                                            const Budget& budget,
+                                            std::int64_t wall_s);
+
+}  // namespace kch::maintain
+
+#endif  // MAINTAIN_ROLLOUT_H_
