Add the maintenance decisions and the Maintainer

Any kch-maintain must be able to continue a drain, a reboot or a move from the pool record alone. The record holds orders, reservations, steps, forwards and the ledger of losses; the Maintainer writes each step by CAS and acts on committed records only.

--- a/src/maintain/advance.h
+++ b/src/maintain/advance.h
@@ -39,7 +39,7 @@
   TaskId task;
 };
 
-/*! @brief Next actions for a VM; at most one kind is set. */
+/*! @brief Next actions for a VM. */
 struct Advice {
   std::optional<PoolRecord> record;  // to be written by CAS
   std::optional<PlatformCall> platform;
--- a/src/maintain/budget.h
+++ b/src/maintain/budget.h
@@ -57,8 +57,11 @@
                                          Time now,
                                          const Limits& limits);
 
-/*! @brief Makes the ledger agree with the platform's list; true if changed. */
-[[nodiscard]] bool UpdateLedger(PoolRecord& record, const Facts& facts);
+/*! @brief Enters losses and returns into the ledger; true if changed. */
+[[nodiscard]] bool UpdateLedger(PoolRecord& record,
+                                const Facts& facts,
+                                Time now,
+                                const Limits& limits);
 
 }  // namespace kch::maintain
 
--- a/src/maintain/facts.h
+++ b/src/maintain/facts.h
@@ -59,15 +59,15 @@
   bool up = true;
 };
 
-/*! @brief When the observer first saw a state of a VM. */
+/*! @brief When the observer first saw a reservation of a VM. */
 struct StateWatch {
-  std::uint64_t since = 0;  // generation at which the state was entered
+  std::string operation;  // of the reservation
   Time seen_at;
 };
 
 /*! @brief What a maintainer has gathered; all instants are its own clock's. */
 struct Facts {
-  bool entries_known = false;
+  std::optional<Time> entries_at;  // when the observer asked for the entries
   std::map<InstanceId, EntryFact> entries;
   std::map<VmId, WorkerFact> workers;
   std::map<std::string, OperationState> operations;
@@ -95,7 +95,8 @@
                 Time asked_at,
                 const Limits& limits);
 
-/*! @brief True if a fresh list from the platform shows the VM as not up. */
+/*! @brief True if the latest list from the platform lacks the VM or shows it
+ * as down. */
 [[nodiscard]] bool IsLost(const Facts& facts, const VmId& vm);
 
 }  // namespace kch::maintain
--- /dev/null
+++ b/src/maintain/maintainer.cc
@@ -0,0 +1,519 @@
+#include "maintain/maintainer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "maintain/rollout.h"
+
+namespace kch::maintain {
+namespace {
+
+// Latest order ids kept in a record. An order is repeated within seconds if
+// its reply was lost, and operators give few orders in that time.
+constexpr std::size_t kKeptOrderIds = 64;
+// Operations and calls are pruned beyond this number of entries.
+constexpr std::size_t kPruneAbove = 256;
+
+template <typename... Handlers>
+struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+
+Purpose PurposeOf(OrderKind kind) {
+  switch (kind) {
+    case OrderKind::kDrain:
+      return Purpose::kDrain;
+    case OrderKind::kMove:
+      return Purpose::kMove;
+    case OrderKind::kReturn:
+    case OrderKind::kReboot:
+    case OrderKind::kRollout:
+      break;
+  }
+  return Purpose::kReboot;
+}
+
+bool IsMovingOut(const VmRow& vm) {
+  return vm.state != VmState::kServing && vm.purpose == Purpose::kMove &&
+         !IsJoining(vm);
+}
+
+// True if the VM is already on its way to what the order asks for.
+bool IsUnderWay(const VmRow& vm, const OrderRow& order) {
+  const bool before_reboot = vm.state == VmState::kReserved ||
+                             vm.state == VmState::kDraining ||
+                             vm.state == VmState::kQuiet;
+  return before_reboot && vm.purpose == order.purpose && vm.to == order.to;
+}
+
+// Applies one order to the record; the caller notes its id.
+Result<void> Enter(const Order& order,
+                   const Settings& settings,
+                   std::int64_t wall_s,
+                   PoolRecord& record) {
+  if (order.kind == OrderKind::kRollout) {
+    // VMs whose maintainer's clock was ahead are due in this roll-out too.
+    std::int64_t start = std::max(wall_s, record.rollout_s);
+    for (const auto& [id, vm] : record.vms) {
+      start = std::max(start, vm.maintained_s + 1);
+    }
+    record.rollout_s = start;
+    return {};
+  }
+  if (order.kind == OrderKind::kReturn) {
+    auto next = Return(record, order.vm);
+    if (!next) {
+      return tl::unexpected(next.error());
+    }
+    record = *std::move(next);
+    return {};
+  }
+  if (!record.vms.contains(order.vm)) {
+    return Fail(ErrorKind::kNotFound,
+                "pool " + record.pool.str() + " has no VM " + order.vm.str(),
+                "name the pool that lists the VM");
+  }
+  if (order.kind == OrderKind::kMove &&
+      (order.to == record.pool || !settings.pools.contains(order.to))) {
+    return Fail(ErrorKind::kInvalid,
+                "VM " + order.vm.str() + " cannot move to pool '" +
+                    order.to.str() + "'",
+                "name another pool of the configuration");
+  }
+  const OrderRow row{order.vm, PurposeOf(order.kind),
+                     order.kind == OrderKind::kMove ? order.to : PoolId(),
+                     order.reason};
+  const bool known = std::any_of(
+      record.orders.begin(), record.orders.end(), [&](const OrderRow& other) {
+        return other.vm == row.vm && other.purpose == row.purpose &&
+               other.to == row.to;
+      });
+  if (!known) {
+    record.orders.push_back(row);
+  }
+  return {};
+}
+
+}  // namespace
+
+Maintainer::Maintainer(Settings settings, Random random)
+    : settings(std::move(settings)), random(random) {}
+
+void Maintainer::Configure(Settings settings) {
+  this->settings = std::move(settings);
+}
+
+Duration Maintainer::Jittered(Duration mean) {
+  std::uniform_int_distribution<Duration::rep> draw(mean.count() / 2,
+                                                    mean.count() * 3 / 2);
+  return Duration(draw(this->random));
+}
+
+std::vector<Effect> Maintainer::Step(const Event& event, Time now) {
+  std::vector<Effect> effects;
+  auto& facts = this->known;
+  std::visit(
+      Overloaded{
+          [&](const Tick& tick) {
+            facts.wall_s = tick.wall_s;
+            this->OnTick(now, effects);
+          },
+          [&](const StoreReply& reply) { this->OnReply(reply, now, effects); },
+          [&](const MembersSeen& members) {
+            facts.entries_at = members.asked_at;
+            std::map<InstanceId, EntryFact> entries;
+            for (const auto& instance : members.instances) {
+              const auto found = facts.entries.find(instance);
+              entries[instance] = found == facts.entries.end()
+                                      ? EntryFact{now, {}}
+                                      : std::move(found->second);
+            }
+            facts.entries = std::move(entries);
+          },
+          [&](const EntryReport& report) {
+            auto& entry = facts.entries[report.instance];
+            entry.heard_at = now;
+            auto& word = entry.words[report.pool];
+            if (report.word.generation >= word.generation) {
+              word = report.word;
+            }
+          },
+          [&](const WorkerReport& report) {
+            NoteWorker(facts, report.vm, report.boot, report.tasks,
+                       report.asked_at, this->settings.limits);
+          },
+          [&](const PlatformList& list) {
+            if (!facts.listed_at || list.asked_at >= *facts.listed_at) {
+              facts.listed = list.vms;
+              facts.listed_at = list.asked_at;
+            }
+          },
+          [&](const OperationSeen& seen) {
+            if (seen.state) {
+              facts.operations[seen.operation] = *seen.state;
+            } else {
+              // An unknown operation is read before anything else is done.
+              facts.operations.erase(seen.operation);
+            }
+          },
+          [&](const DemandSeen& seen) {
+            this->demand[seen.pool].Add(seen.slots, now);
+          },
+          [&](const Order& order) {
+            if (!this->settings.pools.contains(order.pool)) {
+              effects.emplace_back(OrderResult{
+                  order.id,
+                  Fail(ErrorKind::kNotFound,
+                       "pool '" + order.pool.str() + "' is not configured",
+                       "name a pool of the configuration")});
+              return;
+            }
+            auto& slot = this->slots[order.pool];
+            slot.orders.push_back(order);
+            slot.next_read = now;
+          }},
+      event);
+  return effects;
+}
+
+void Maintainer::OnTick(Time now, std::vector<Effect>& effects) {
+  for (const auto& [pool, pool_settings] : this->settings.pools) {
+    auto& slot = this->slots[pool];
+    if (!slot.pending && now >= slot.next_read) {
+      slot.pending = true;
+      slot.next_read = now + this->Jittered(this->settings.read_interval);
+      effects.emplace_back(StoreOp(StoreGet{KeyOf(pool)}));
+    }
+  }
+  this->Forget();
+}
+
+void Maintainer::OnReply(const StoreReply& reply,
+                         Time now,
+                         std::vector<Effect>& effects) {
+  const auto found = std::find_if(
+      this->slots.begin(), this->slots.end(),
+      [&](const auto& entry) { return KeyOf(entry.first) == reply.key; });
+  if (found == this->slots.end()) {
+    return;
+  }
+  const PoolId& pool = found->first;
+  auto& slot = found->second;
+  slot.pending = false;
+  std::optional<std::string> value = reply.value;
+  if (reply.is_write) {
+    value = std::exchange(slot.written, {});
+    auto orders = std::exchange(slot.written_orders, {});
+    if (reply.status != StoreStatus::kOk) {
+      // The record keeps the ids of orders, so that one whose write took
+      // effect after all is recognised when it is applied again.
+      slot.orders.insert(slot.orders.begin(), orders.begin(), orders.end());
+      this->lost_races += reply.status == StoreStatus::kConflict ? 1 : 0;
+      // The pause keeps maintainers that met once from meeting again.
+      slot.next_read = now + this->Jittered(this->settings.read_interval / 5);
+      return;
+    }
+    for (const auto& order : orders) {
+      effects.emplace_back(OrderResult{order.id, {}});
+    }
+  }
+  if (reply.status != StoreStatus::kOk) {
+    return;
+  }
+  if (!value) {
+    for (const auto& order : std::exchange(slot.orders, {})) {
+      effects.emplace_back(OrderResult{
+          order.id,
+          Fail(ErrorKind::kNotFound, "pool " + pool.str() + " has no record",
+               "create the pool first")});
+    }
+    return;
+  }
+  if (reply.version < slot.version) {
+    return;  // a stale read
+  }
+  auto record = Decode<PoolRecord>(*value);
+  if (!record) {
+    return;
+  }
+  slot.version = reply.version;
+  this->Accept(pool, *std::move(record), now);
+  this->Decide(pool, slot, now, effects);
+}
+
+void Maintainer::Accept(const PoolId& pool, PoolRecord record, Time now) {
+  for (const auto& [id, vm] : record.vms) {
+    if (vm.state == VmState::kServing) {
+      this->known.watches.erase(id);
+      continue;
+    }
+    auto& watch = this->known.watches[id];
+    if (watch.operation != vm.operation) {
+      watch = {vm.operation, now};
+    }
+  }
+  this->cached[pool] = std::move(record);
+}
+
+void Maintainer::Decide(const PoolId& pool,
+                        PoolSlot& slot,
+                        Time now,
+                        std::vector<Effect>& effects) {
+  const auto pool_settings = this->settings.pools.find(pool);
+  if (pool_settings == this->settings.pools.end()) {
+    return;
+  }
+  const auto& limits = this->settings.limits;
+  const PoolRecord& committed = this->cached.at(pool);
+  PoolRecord next = committed;
+  bool changed = UpdateLedger(next, this->known, now, limits);
+  for (const auto& [id, vm] : committed.vms) {
+    if (vm.state == VmState::kServing) {
+      continue;
+    }
+    // Calls follow from the committed record only: a step is in the record
+    // before anything acts on it.
+    const auto advice = Advance(committed, id, this->known, now, limits);
+    if (!advice) {
+      continue;
+    }
+    if (advice->record) {
+      if (auto again = Advance(next, id, this->known, now, limits);
+          again && again->record) {
+        next = *std::move(again->record);
+        changed = true;
+      }
+    }
+    this->Call(*advice, now, effects);
+  }
+  changed = this->ApplyOrders(slot, next, effects) || changed;
+  changed = this->ApplyMoves(next) || changed;
+  changed = this->ApplySizes(next) || changed;
+  changed =
+      this->ApplyReservations(next, pool_settings->second, now) || changed;
+  if (!changed) {
+    return;
+  }
+  slot.pending = true;
+  slot.written = Encode(next);
+  effects.emplace_back(
+      StoreOp(StoreCas{KeyOf(pool), slot.version, slot.written}));
+}
+
+void Maintainer::Call(const Advice& advice,
+                      Time now,
+                      std::vector<Effect>& effects) {
+  if (advice.platform &&
+      this->MayCall("call " + advice.platform->operation, now)) {
+    // The next step reads the operation unless the reply tells its state.
+    this->known.operations.erase(advice.platform->operation);
+    effects.emplace_back(*advice.platform);
+  }
+  if (advice.read && this->MayCall("read " + advice.read->operation, now)) {
+    effects.emplace_back(*advice.read);
+  }
+  for (const auto& call : advice.workers) {
+    if (this->MayCall("task " + call.task.str(), now)) {
+      effects.emplace_back(call);
+    }
+  }
+}
+
+bool Maintainer::ApplyOrders(PoolSlot& slot,
+                             PoolRecord& record,
+                             std::vector<Effect>& effects) const {
+  bool changed = false;
+  for (auto& order : std::exchange(slot.orders, {})) {
+    if (std::find(record.order_ids.begin(), record.order_ids.end(), order.id) !=
+        record.order_ids.end()) {
+      effects.emplace_back(OrderResult{order.id, {}});
+      continue;
+    }
+    if (const auto entered =
+            Enter(order, this->settings, this->known.wall_s, record);
+        !entered) {
+      effects.emplace_back(OrderResult{order.id, entered});
+      continue;
+    }
+    record.order_ids.push_back(order.id);
+    if (record.order_ids.size() > kKeptOrderIds) {
+      record.order_ids.erase(record.order_ids.begin());
+    }
+    ++record.generation;
+    changed = true;
+    slot.written_orders.push_back(std::move(order));
+  }
+  return changed;
+}
+
+bool Maintainer::ApplyMoves(PoolRecord& record) const {
+  bool changed = false;
+  for (const auto& [pool, other] : this->cached) {
+    if (pool == record.pool) {
+      continue;
+    }
+    if (auto next = Adopt(record, other); next) {
+      record = *std::move(next);
+      changed = true;
+    }
+    const auto forwards = record.forwards;
+    for (const auto& [id, forward] : forwards) {
+      if (auto next = DropForward(record, other, id); next) {
+        record = *std::move(next);
+        changed = true;
+      }
+    }
+  }
+  return changed;
+}
+
+bool Maintainer::ApplyReservations(PoolRecord& record,
+                                   const PoolSettings& pool,
+                                   Time now) const {
+  bool changed = false;
+  const auto reserve = [&](const VmId& vm, const Reservation& reservation) {
+    auto next = Reserve(record, vm, reservation, pool.budget, this->known, now,
+                        this->settings.limits);
+    if (next) {
+      record = *std::move(next);
+      changed = true;
+    }
+    return next.has_value();
+  };
+  // Orders come before the roll-out, which would otherwise use up the budget.
+  const auto orders = std::exchange(record.orders, {});
+  for (const auto& order : orders) {
+    const auto vm = record.vms.find(order.vm);
+    if (vm == record.vms.end() || IsUnderWay(vm->second, order)) {
+      changed = true;
+      ++record.generation;
+      continue;
+    }
+    if (!reserve(order.vm, {order.purpose, order.to, order.reason})) {
+      record.orders.push_back(order);
+    }
+  }
+  for (const auto& vm :
+       PlanRollout(record, pool.budget, this->known, this->known.wall_s)) {
+    reserve(vm, {Purpose::kReboot, PoolId(), "roll-out"});
+  }
+  return changed;
+}
+
+bool Maintainer::ApplySizes(PoolRecord& record) const {
+  if (!this->settings.resize || this->settings.spare.empty()) {
+    return false;
+  }
+  // One move at a time leaves each pool, so that a plan from records that are
+  // behind is corrected before the next one.
+  const bool busy =
+      std::any_of(record.orders.begin(), record.orders.end(),
+                  [](const OrderRow& order) {
+                    return order.purpose == Purpose::kMove;
+                  }) ||
+      std::any_of(record.vms.begin(), record.vms.end(),
+                  [](const auto& entry) { return IsMovingOut(entry.second); });
+  if (busy) {
+    return false;
+  }
+  std::map<PoolId, PoolDemand> pools;
+  std::uint32_t spare_vms = 0;
+  Records records = this->cached;
+  records[record.pool] = record;
+  for (const auto& [pool, pool_settings] : this->settings.pools) {
+    if (!records.contains(pool)) {
+      return false;
+    }
+    auto& entry = pools[pool];
+    entry.min_vms = pool_settings.min_vms;
+    entry.max_vms = pool_settings.max_vms;
+    if (const auto window = this->demand.find(pool);
+        window != this->demand.end()) {
+      entry.slots = window->second.Quantile(this->settings.sizes.quantile);
+    }
+    entry.dwelling = this->known.wall_s - records.at(pool).resized_s <
+                     this->settings.sizes.dwell_s;
+  }
+  for (const auto& [pool, other] : records) {
+    const auto arrive = [&](const PoolId& to) {
+      if (const auto found = pools.find(to); found != pools.end()) {
+        ++found->second.vms;
+      }
+    };
+    for (const auto& [id, vm] : other.vms) {
+      arrive(IsMovingOut(vm) ? vm.to : pool);
+      if (const auto found = pools.find(pool); found != pools.end()) {
+        found->second.slots_per_vm =
+            std::max(found->second.slots_per_vm, vm.slots);
+      }
+    }
+    for (const auto& [id, forward] : other.forwards) {
+      const auto to = records.find(forward.to);
+      if (to != records.end() && !to->second.vms.contains(id)) {
+        arrive(forward.to);
+      }
+    }
+    for (const auto& order : other.orders) {
+      const auto from = pools.find(pool);
+      if (order.purpose == Purpose::kMove && from != pools.end() &&
+          from->second.vms > 0) {
+        --from->second.vms;
+        arrive(order.to);
+      }
+    }
+  }
+  if (const auto spare = pools.find(this->settings.spare);
+      spare != pools.end()) {
+    spare_vms = spare->second.vms;
+    pools.erase(spare);
+  }
+  const auto plan =
+      PlanSizes(pools, this->settings.spare, spare_vms, this->settings.sizes);
+  for (const auto& move : plan.moves) {
+    if (move.from != record.pool) {
+      continue;
+    }
+    for (const auto& [id, vm] : record.vms) {
+      if (vm.state == VmState::kServing && !record.ledger.contains(id) &&
+          !IsLost(this->known, id)) {
+        record.orders.push_back({id, Purpose::kMove, move.to, "pool sizes"});
+        record.resized_s = this->known.wall_s;
+        ++record.generation;
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+bool Maintainer::MayCall(const std::string& key, Time now) {
+  const auto [found, is_new] = this->called.try_emplace(key, now);
+  if (!is_new && now - found->second < this->settings.call_interval) {
+    return false;
+  }
+  found->second = now;
+  return true;
+}
+
+void Maintainer::Forget() {
+  if (this->called.size() > kPruneAbove) {
+    // At worst, a call is repeated early; calls are idempotent.
+    this->called.clear();
+  }
+  if (this->known.operations.size() <= kPruneAbove) {
+    return;
+  }
+  std::set<std::string> stems;
+  for (const auto& [pool, record] : this->cached) {
+    for (const auto& [id, vm] : record.vms) {
+      if (vm.state != VmState::kServing) {
+        stems.insert(vm.operation + "." + std::to_string(vm.step));
+      }
+    }
+  }
+  std::erase_if(this->known.operations, [&](const auto& entry) {
+    return !stems.contains(entry.first.substr(0, entry.first.rfind('.')));
+  });
+}
+
+}  // namespace kch::maintain
--- a/src/maintain/maintainer.h
+++ b/src/maintain/maintainer.h
@@ -25,6 +25,7 @@
 /*! @brief Instances that are live or not proven stopped. */
 struct MembersSeen {
   std::vector<InstanceId> instances;
+  Time asked_at;
 };
 
 /*! @brief An entry's report about one pool. */
@@ -121,7 +122,6 @@
   Limits limits;
   Duration read_interval = std::chrono::seconds(1);
   Duration call_interval = std::chrono::seconds(1);  // between repeats
-  Duration reply_timeout = std::chrono::seconds(5);
 };
 
 /*! @brief Drives maintenance of all pools in one process; any number of them
@@ -143,19 +143,17 @@
 
  private:
   struct PoolSlot {
-    std::uint64_t version = 0;       // store version of the cached record
-    std::optional<Time> read_at;     // of the cached record
-    std::optional<Time> pending_at;  // an operation is outstanding
-    bool pending_write = false;
-    std::string written;                    // value of the outstanding write
-    std::vector<std::string> write_orders;  // ids confirmed by that write
+    std::uint64_t version = 0;          // store version of the cached record
+    bool pending = false;               // an operation is outstanding
+    std::string written;                // value of the outstanding write
+    std::vector<Order> written_orders;  // confirmed by that write
     Time next_read;
     std::vector<Order> orders;  // not written yet
   };
 
   void OnReply(const StoreReply& reply, Time now, std::vector<Effect>& effects);
   void OnTick(Time now, std::vector<Effect>& effects);
-  void Accept(const PoolId& pool, PoolSlot& slot, PoolRecord record, Time now);
+  void Accept(const PoolId& pool, PoolRecord record, Time now);
   void Decide(const PoolId& pool,
               PoolSlot& slot,
               Time now,
@@ -163,16 +161,15 @@
   bool ApplyOrders(PoolSlot& slot,
                    PoolRecord& record,
                    std::vector<Effect>& effects) const;
-  bool ApplyMoves(PoolRecord& record, Time now) const;
-  bool ApplyReservations(PoolRecord& record, Time now) const;
+  bool ApplyMoves(PoolRecord& record) const;
+  bool ApplyReservations(PoolRecord& record,
+                         const PoolSettings& pool,
+                         Time now) const;
+  void Call(const Advice& advice, Time now, std::vector<Effect>& effects);
   bool ApplySizes(PoolRecord& record) const;
-  void Write(const PoolId& pool,
-             PoolSlot& slot,
-             PoolRecord record,
-             Time now,
-             std::vector<Effect>& effects);
+  [[nodiscard]] Duration Jittered(Duration mean);
   bool MayCall(const std::string& key, Time now);
-  void Forget(Time now);
+  void Forget();
 
   Settings settings;
   Random random;
--- a/src/maintain/moves.h
+++ b/src/maintain/moves.h
@@ -22,12 +22,11 @@
                                          Time now,
                                          const Limits& limits);
 
-/*! @brief Lists a forwarded VM in the record of its destination. */
+/*! @brief Lists all VMs that the source forwards to the destination. */
 [[nodiscard]] Result<PoolRecord> Adopt(const PoolRecord& destination,
-                                       const PoolRecord& source,
-                                       const VmId& vm);
+                                       const PoolRecord& source);
 
-/*! @brief Drops a forward whose VM the destination lists. */
+/*! @brief Drops a forward that the destination has taken over. */
 [[nodiscard]] Result<PoolRecord> DropForward(const PoolRecord& source,
                                              const PoolRecord& destination,
                                              const VmId& vm);
--- a/src/maintain/record.h
+++ b/src/maintain/record.h
@@ -47,7 +47,7 @@
   PoolId to;                      // destination of a move
   std::string operation;          // stem of the platform operation ids
   std::uint32_t step = 0;         // part of the operation ids; rises per state
-  std::uint64_t since = 0;        // generation at which the state was entered
+  std::uint64_t since = 0;        // generation that took it out of service
   std::int64_t since_s = 0;       // wall clock at which the drain was reserved
   std::string boot;               // boot the worker reported before the reboot
   std::int64_t maintained_s = 0;  // wall clock of the last maintenance
@@ -57,15 +57,6 @@
   bool operator==(const VmRow&) const = default;
 };
 
-/*! @brief A VM that left this pool and that its destination may not list yet.
- */
-struct ForwardRow {
-  VmRow vm;  // as the destination is to list it
-  PoolId to;
-
-  bool operator==(const ForwardRow&) const = default;
-};
-
 /*! @brief An operator's or planner's order that has no reservation yet. */
 struct OrderRow {
   VmId vm;
@@ -76,22 +67,42 @@
   bool operator==(const OrderRow&) const = default;
 };
 
+/*! @brief A VM that left this pool and that its destination may not list yet.
+ */
+struct ForwardRow {
+  VmRow vm;  // as the destination is to list it
+  PoolId to;
+  std::uint64_t generation = 0;  // of the record that made the move
+  std::vector<OrderRow> orders;  // that the destination takes over
+
+  bool operator==(const ForwardRow&) const = default;
+};
+
 /*! @brief The record `pool/<name>`. */
 struct PoolRecord {
   PoolId pool;
-  std::uint64_t generation = 0;  // rises by one per written version
+  std::uint64_t generation = 0;  // rises with each written version
   std::map<VmId, VmRow> vms;
   std::map<VmId, ForwardRow> forwards;
   std::map<VmId, std::int64_t> ledger;  // lost unplanned, since wall clock s
   std::vector<OrderRow> orders;
-  std::int64_t rollout_s = 0;  // VMs maintained before this are due
+  std::vector<std::string> order_ids;  // latest ids, against repeats
+  std::int64_t rollout_s = 0;          // VMs maintained before this are due
   std::int64_t resized_s = 0;  // wall clock of the last planned size change
+  // Highest generation of a forward taken over, by source.
+  std::map<PoolId, std::uint64_t> adopted;
   // Generation of another pool's record that this version was based on.
   std::map<PoolId, std::uint64_t> based_on;
 
   bool operator==(const PoolRecord&) const = default;
 };
 
+/*! @brief True for a VM that its new pool lists but that never served it. */
+[[nodiscard]] bool IsJoining(const VmRow& vm);
+
+/*! @brief Puts a VM into a state in the next version of the record. */
+void EnterState(PoolRecord& record, const VmId& vm, VmState state);
+
 /*! @brief Store key of a pool's record. */
 [[nodiscard]] std::string KeyOf(const PoolId& pool);
 
--- /dev/null
+++ b/src/maintain/sizes.cc
@@ -0,0 +1,121 @@
+#include "maintain/sizes.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kch::maintain {
+namespace {
+
+// Longer than a peak of some seconds, so that a peak hardly moves a mean.
+constexpr Duration kInterval = std::chrono::seconds(30);
+
+std::uint32_t VmsFor(double slots, double headroom, const PoolDemand& pool) {
+  const double vms =
+      std::ceil(slots * headroom / std::max(1U, pool.slots_per_vm));
+  const auto wanted = std::max(static_cast<std::uint32_t>(vms), pool.min_vms);
+  return pool.max_vms == 0 ? wanted : std::min(wanted, pool.max_vms);
+}
+
+std::uint32_t WantedSize(const PoolDemand& pool, const SizePolicy& policy) {
+  if (!pool.slots || pool.dwelling) {
+    return std::max(pool.vms, pool.min_vms);
+  }
+  const auto grown = VmsFor(*pool.slots, policy.headroom, pool);
+  if (grown >= pool.vms) {
+    return grown;
+  }
+  // The margin between both headrooms keeps a pool from giving up a VM that it
+  // would soon want back.
+  return std::min(pool.vms, VmsFor(*pool.slots, policy.shrink_headroom, pool));
+}
+
+}  // namespace
+
+void DemandWindow::Close() {
+  this->means.at(this->closed % kIntervals) = this->area / ToSeconds(kInterval);
+  ++this->closed;
+  this->area = 0;
+  *this->started += kInterval;
+}
+
+void DemandWindow::Add(double slots, Time now) {
+  // Nothing is known about the demand during a long gap.
+  if (!this->started || now - this->last > 2 * kInterval) {
+    this->started = now;
+    this->area = 0;
+  } else {
+    while (now - *this->started >= kInterval) {
+      const Time end = *this->started + kInterval;
+      this->area += this->level * ToSeconds(end - this->last);
+      this->last = end;
+      this->Close();
+    }
+    this->area += this->level * ToSeconds(now - this->last);
+  }
+  this->last = now;
+  this->level = slots;
+}
+
+std::optional<double> DemandWindow::Quantile(double q) const {
+  const std::size_t count = std::min(this->closed, kIntervals);
+  if (count < kIntervals / 2) {
+    return std::nullopt;
+  }
+  std::vector<double> sorted(
+      this->means.begin(),
+      this->means.begin() + static_cast<std::ptrdiff_t>(count));
+  std::sort(sorted.begin(), sorted.end());
+  const auto index =
+      static_cast<std::size_t>(q * static_cast<double>(count - 1) + 0.5);
+  return sorted.at(std::min(index, count - 1));
+}
+
+SizePlan PlanSizes(const std::map<PoolId, PoolDemand>& pools,
+                   const PoolId& spare,
+                   std::uint32_t spare_vms,
+                   const SizePolicy& policy) {
+  SizePlan plan;
+  plan.spare_vms = spare_vms;
+  std::map<PoolId, std::uint32_t> surplus;
+  std::vector<std::pair<std::uint32_t, PoolId>> deficits;
+  for (const auto& [name, pool] : pools) {
+    const auto wanted = WantedSize(pool, policy);
+    plan.wanted[name] = wanted;
+    if (wanted > pool.vms) {
+      deficits.emplace_back(wanted - pool.vms, name);
+    } else if (wanted < pool.vms) {
+      surplus[name] = pool.vms - wanted;
+    }
+  }
+  const auto most = [&] {
+    return std::max_element(
+        surplus.begin(), surplus.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
+  };
+  std::sort(deficits.rbegin(), deficits.rend());
+  for (const auto& [missing, to] : deficits) {
+    for (std::uint32_t i = 0; i < missing; ++i) {
+      // From the spare first: its VMs drain at once.
+      if (plan.spare_vms > policy.spare_floor) {
+        --plan.spare_vms;
+        plan.moves.push_back({spare, to});
+      } else if (const auto from = most();
+                 from != surplus.end() && from->second > 0) {
+        --from->second;
+        plan.moves.push_back({from->first, to});
+      }
+    }
+  }
+  // A surplus stays where it is until a pool needs it or the spare pool is
+  // below its floor: moving it earlier could mean moving it twice.
+  for (auto from = most(); from != surplus.end() && from->second > 0 &&
+                           plan.spare_vms < policy.spare_floor;
+       from = most()) {
+    --from->second;
+    ++plan.spare_vms;
+    plan.moves.push_back({from->first, spare});
+  }
+  return plan;
+}
+
+}  // namespace kch::maintain
