--- /dev/null
+++ b/src/engine/core.cc
@@ -0,0 +1,81 @@
+#include "engine/core.h"
+
+#include <utility>
+#include <variant>
+
+namespace kch::engine {
+namespace {
+
+permit::Settings PermitSettings(const Settings& settings) {
+  permit::Settings result;
+  result.max_task_lease = settings.longest_lease;
+  result.reclaim_margin = settings.lease_margin;
+  return result;
+}
+
+// Sorts what a permit agent asks for into the entry's effects.
+struct PermitVisitor {
+  Core& core;
+
+  void operator()(StoreOp& operation) const {
+    this->core.effects.emplace_back(
+        StoreRequest{StoreUser::kPermits, std::move(operation)});
+  }
+  void operator()(permit::AskPeer& ask) const {
+    this->core.Send(ask.instance, PermitAsk{ask.subject, ask.count});
+  }
+  void operator()(permit::Adopted& adopted) const {
+    this->core.adopted.push_back(std::move(adopted));
+  }
+  void operator()(permit::AdoptFailed& failed) const {
+    this->core.adopt_failed.push_back(std::move(failed));
+  }
+};
+
+}  // namespace
+
+Core::Core(const member::Member& self,
+           const Settings& settings,
+           Random::result_type seed,
+           Time now)
+    : settings(settings),
+      membership(self, now),
+      permits({self.instance, self.incarnation},
+              PermitSettings(settings),
+              seed),
+      claims({}, seed + 1),
+      random(seed + 2) {}
+
+bool Core::Fresh(Time now) const {
+  return this->membership.Fresh(now) &&
+         !(this->behind_since && now - *this->behind_since > member::kFreshFor);
+}
+
+void Core::Send(const InstanceId& to, MessageBody body) {
+  if (to == this->self()) {
+    this->loopback.push_back(std::move(body));
+    return;
+  }
+  Message message;
+  message.from = this->self();
+  message.from_incarnation = this->membership.self().incarnation;
+  const auto known = this->incarnations.find(to);
+  message.to_incarnation =
+      known == this->incarnations.end() ? 0 : known->second;
+  message.body = std::move(body);
+  this->effects.emplace_back(SendPeer{to, std::move(message)});
+}
+
+void Core::Apply(permit::Effects changes) {
+  for (permit::Effect& change : changes) {
+    std::visit(PermitVisitor{*this}, change);
+  }
+}
+
+void Core::Request(StoreUser user, std::vector<StoreOp> operations) {
+  for (StoreOp& operation : operations) {
+    this->effects.emplace_back(StoreRequest{user, std::move(operation)});
+  }
+}
+
+}  // namespace kch::engine
--- /dev/null
+++ b/src/engine/core.h
@@ -0,0 +1,93 @@
+#ifndef ENGINE_CORE_H_
+#define ENGINE_CORE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+#include "config/config.h"
+#include "engine/event.h"
+#include "engine/message.h"
+#include "member/member.h"
+#include "once/once.h"
+#include "permit/permit.h"
+
+namespace kch::engine {
+
+/*! @brief Times and bounds of an entry. */
+struct Settings {
+  Duration start_validity = std::chrono::milliseconds(500);
+  Duration lease_margin = std::chrono::seconds(5);
+  Duration longest_lease = std::chrono::seconds(30);
+  Duration result_ttl = std::chrono::minutes(2);
+  Duration anonymous_result_ttl = std::chrono::seconds(30);
+  Duration resubmit_after = std::chrono::seconds(2);
+  Duration busy_poll_interval = std::chrono::seconds(1);
+  Duration idle_poll_interval = std::chrono::seconds(5);
+  std::size_t max_kept_result_bytes = std::size_t{8} << 20U;
+  Duration min_drain = std::chrono::seconds(1);
+  Duration max_drain = std::chrono::hours(1);
+  Duration release_timeout = std::chrono::seconds(10);
+  std::int64_t max_waiting = 100'000;  // requests queued here, over all pools
+};
+
+/*! @brief What the caller side and the scheduler side of an entry share. */
+struct Core {
+  Core(const member::Member& self,
+       const Settings& settings,
+       Random::result_type seed,
+       Time now);
+
+  /*! @brief Sends a message; one to this entry itself is looped back. */
+  void Send(const InstanceId& to, MessageBody body);
+  /*! @brief Passes the effects of a permit agent on. */
+  void Apply(permit::Effects changes);
+  /*! @brief Passes store operations of one user on. */
+  void Request(StoreUser user, std::vector<StoreOp> operations);
+  /*! @brief Adds to the time line. */
+  void Note(Trace trace) { this->effects.emplace_back(std::move(trace)); }
+  /*! @brief True if this entry may start work: it has contact, and no peer has
+   * known a newer configuration for long. */
+  [[nodiscard]] bool Fresh(Time now) const;
+  /*! @brief This entry's name. */
+  [[nodiscard]] const InstanceId& self() const {
+    return this->membership.self().instance;
+  }
+  /*! @brief This run of the entry. */
+  [[nodiscard]] permit::Holder holder() const {
+    return {this->self(), this->membership.self().incarnation};
+  }
+  /*! @brief The configuration in force. */
+  [[nodiscard]] const config::State& state() const {
+    return *this->follower.state();
+  }
+
+  Settings settings;
+  member::Membership membership;
+  config::Follower follower;
+  permit::Agent permits;
+  once::ClaimBook claims;
+  Random random;
+  std::int64_t wall_s = 0;
+  bool stopping = false;
+  std::optional<Time> store_contact;  // last reply that proves the store up
+  std::optional<Time> behind_since;   // a peer has a newer configuration
+  std::set<VmId> leaving;             // by the platform's list
+  // Latest report of each peer's spare permits.
+  std::map<InstanceId, std::map<permit::Subject, std::uint32_t>> peer_idle;
+  // Incarnation of each process that sent something, members or not.
+  std::map<InstanceId, std::uint64_t> incarnations;
+  std::vector<permit::Adopted> adopted;
+  std::vector<permit::AdoptFailed> adopt_failed;
+  std::deque<MessageBody> loopback;
+  Effects effects;
+};
+
+}  // namespace kch::engine
+
+#endif  // ENGINE_CORE_H_
--- /dev/null
+++ b/src/engine/event.h
@@ -0,0 +1,295 @@
+#ifndef ENGINE_EVENT_H_
+#define ENGINE_EVENT_H_
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/base.h"
+#include "config/config.h"
+#include "engine/attempt.h"
+#include "engine/job.h"
+#include "engine/message.h"
+
+namespace kch::engine {
+
+/*! @brief Number by which the driver knows a waiting caller. */
+using CallId = std::uint64_t;
+
+/*! @brief A caller submits a request, or asks after one. */
+struct CallerRequest {
+  CallId call = 0;
+  ProfileId profile;
+  std::string secret;
+  std::string request_id;
+  bool repeatable = true;
+  bool attach_only = false;
+  std::int64_t deadline_ms = 0;  // 0: as the profile says
+  Needs needs;
+  std::string body;
+};
+
+/*! @brief A caller gives a request up. */
+struct CallerCancel {
+  CallId call = 0;
+};
+
+/*! @brief An operator's change. */
+struct OperatorChange {
+  CallId call = 0;
+  config::Proposal proposal;
+};
+
+/*! @brief A message from another process. */
+struct PeerMessage {
+  Message message;
+};
+
+/*! @brief The end of an attempt that this entry started or attached to. */
+struct AttemptEnded {
+  AttemptResult result;
+};
+
+/*! @brief One task in a worker's report. */
+struct ReportedTask {
+  TaskId task;
+  TeamId team;
+  ProfileId profile;
+};
+
+/*! @brief A worker's report, or its absence. */
+struct WorkerReport {
+  VmId vm;
+  bool reached = false;
+  std::string boot;
+  bool draining = false;
+  std::vector<ReportedTask> tasks;
+};
+
+/*! @brief The platform's list. */
+struct VmList {
+  std::uint64_t version = 0;
+  std::set<VmId> live;
+  std::set<VmId> leaving;
+};
+
+/*! @brief Time passes; due every 20 ms. */
+struct Tick {
+  std::int64_t wall_s = 0;
+};
+
+/*! @brief Begins a graceful shutdown. */
+struct Stop {};
+
+/*! @brief Which part of an entry a store operation belongs to. */
+enum class StoreUser : std::uint8_t {
+  kFollower,
+  kProposer,
+  kPermits,
+  kClaims,
+  kMembers,
+};
+
+/*! @brief The reply to a StoreRequest; one that stays out is kUnknown. */
+struct StoreAnswer {
+  StoreUser user = StoreUser::kFollower;
+  StoreReply reply;
+};
+
+/*! @brief A record that a watch returned. */
+struct StoreWatched {
+  StoreReply reply;
+};
+
+using Event = std::variant<CallerRequest,
+                           CallerCancel,
+                           OperatorChange,
+                           PeerMessage,
+                           StoreAnswer,
+                           StoreWatched,
+                           AttemptEnded,
+                           WorkerReport,
+                           VmList,
+                           Tick,
+                           Stop>;
+
+/*! @brief Answers a caller. */
+struct ReplyCaller {
+  CallId call = 0;
+  Outcome outcome;
+};
+
+/*! @brief Answers an operator's change; an accepted one also names where it is
+ * in force and where it is not yet. */
+struct ReplyOperator {
+  CallId call = 0;
+  config::Outcome outcome;
+  std::vector<InstanceId> in_force;
+  std::vector<InstanceId> pending;
+};
+
+/*! @brief Sends an operation to the store. */
+struct StoreRequest {
+  StoreUser user = StoreUser::kFollower;
+  StoreOp op;
+};
+
+/*! @brief Keeps a watch on a record until the process ends. */
+struct WatchKey {
+  std::string key;
+};
+
+/*! @brief Sends a message to a member or an observer. */
+struct SendPeer {
+  InstanceId to;
+  Message message;
+};
+
+/*! @brief Connects to a peer; an existing connection is replaced. */
+struct ConnectPeer {
+  InstanceId peer;
+  std::string address;
+};
+
+/*! @brief Forgets a peer that is no longer a member. */
+struct DropPeer {
+  InstanceId peer;
+};
+
+/*! @brief Runs a task on a worker and waits for its end. */
+struct StartTask {
+  Attempt attempt;
+  Job job;
+  std::string checkpoint;  // to continue from, if any
+  Time valid_until;        // the checks made for this start are too old later
+};
+
+/*! @brief Waits on a new connection for the end of a task that runs. */
+struct AttachTask {
+  Attempt attempt;
+};
+
+/*! @brief Breaks off the connection that waits for a task. */
+struct AbortCall {
+  TaskId task;
+};
+
+/*! @brief Renews leases and asks for the worker's report. */
+struct PollWorker {
+  VmId vm;
+  std::string address;
+  std::int64_t lease_ms = 0;
+  std::vector<TaskId> tasks;
+  bool new_connection = false;
+};
+
+/*! @brief What a worker can be told to do with a task. */
+enum class TaskOrder : std::uint8_t { kCheckpoint, kThrottle, kStop };
+
+/*! @brief Sends an order about a running task to its worker. */
+struct OrderTask {
+  std::string address;
+  TaskId task;
+  TaskOrder order = TaskOrder::kCheckpoint;
+};
+
+/*! @brief Kinds of events on the time line. */
+enum class TraceKind : std::uint8_t {
+  kRequestReceived,
+  kRequestForwarded,
+  kRequestQueued,
+  kTaskStarted,
+  kTaskEnded,
+  kTaskPreempted,
+  kTaskAdopted,
+  kRequestAnswered,
+  kConfigApplied,
+  kChangeDecided,
+  kPeerDown,
+  kPeerBack,
+  kPeerReconnect,
+  kInstanceStopped,
+  kJoined,
+  kLeft,
+  kFresh,
+  kNotFresh,
+  kZoneOut,
+  kZoneIn,
+  kPoolChanged,
+  kDraining,
+};
+
+/*! @brief Adds an event to the time line. */
+struct Trace {
+  TraceKind kind = TraceKind::kRequestReceived;
+  std::string request;
+  std::string task;
+  std::string vm;
+  std::string team;
+  std::string zone;
+  std::string pool;
+  std::string text;
+};
+
+/*! @brief The graceful shutdown is complete. */
+struct Exit {};
+
+using Effect = std::variant<ReplyCaller,
+                            ReplyOperator,
+                            SendPeer,
+                            ConnectPeer,
+                            DropPeer,
+                            StoreRequest,
+                            WatchKey,
+                            StartTask,
+                            AttachTask,
+                            AbortCall,
+                            PollWorker,
+                            OrderTask,
+                            Trace,
+                            Exit>;
+using Effects = std::vector<Effect>;
+
+}  // namespace kch::engine
+
+template <>
+struct kch::NameTable<kch::engine::TaskOrder> {
+  using E = kch::engine::TaskOrder;
+  static constexpr std::array<std::pair<E, std::string_view>, 3> kEntries{
+      {{E::kCheckpoint, "checkpoint"},
+       {E::kThrottle, "throttle"},
+       {E::kStop, "stop"}}};
+};
+
+template <>
+struct kch::NameTable<kch::engine::TraceKind> {
+  using E = kch::engine::TraceKind;
+  static constexpr std::array<std::pair<E, std::string_view>, 22> kEntries{
+      {{E::kRequestReceived, "request_received"},
+       {E::kRequestForwarded, "request_forwarded"},
+       {E::kRequestQueued, "request_queued"},
+       {E::kTaskStarted, "task_started"},
+       {E::kTaskEnded, "task_ended"},
+       {E::kTaskPreempted, "task_preempted"},
+       {E::kTaskAdopted, "task_adopted"},
+       {E::kRequestAnswered, "request_answered"},
+       {E::kConfigApplied, "config_applied"},
+       {E::kChangeDecided, "change_decided"},
+       {E::kPeerDown, "peer_down"},
+       {E::kPeerBack, "peer_back"},
+       {E::kPeerReconnect, "peer_reconnect"},
+       {E::kInstanceStopped, "instance_stopped"},
+       {E::kJoined, "joined"},
+       {E::kLeft, "left"},
+       {E::kFresh, "fresh"},
+       {E::kNotFresh, "not_fresh"},
+       {E::kZoneOut, "zone_out"},
+       {E::kZoneIn, "zone_in"},
+       {E::kPoolChanged, "pool_changed"},
+       {E::kDraining, "draining"}}};
+};
+
+#endif  // ENGINE_EVENT_H_
--- /dev/null
+++ b/src/engine/origin.cc
@@ -0,0 +1,226 @@
+#include "engine/origin.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace kch::engine {
+namespace {
+
+// Advice to a caller whose request found no scheduler: peers settle who
+// schedules a pool within about two heartbeat timeouts.
+constexpr std::int64_t kNoSchedulerRetryMs = 2000;
+// How long after the deadline a scheduler's word is waited for. A scheduler
+// refuses at the deadline, so silence beyond this means that it is lost.
+constexpr Duration kOutcomeGrace = std::chrono::seconds(5);
+
+}  // namespace
+
+Result<Job> Origin::Check(const CallerRequest& request, Reason& reason) const {
+  const config::State& state = this->core.state();
+  const config::Profile* profile = state.Find(request.profile);
+  if (profile == nullptr) {
+    reason = Reason::kUnknownProfile;
+    return Fail(ErrorKind::kNotFound,
+                "there is no queue " + request.profile.str(),
+                "name a profile that operators have defined");
+  }
+  auto team = config::Authorize(state, request.secret, request.profile);
+  if (!team) {
+    reason = Reason::kKeyInvalid;
+    return tl::make_unexpected(team.error());
+  }
+  if (!request.repeatable && request.request_id.empty()) {
+    reason = Reason::kRequestIdMissing;
+    return Fail(ErrorKind::kInvalid, "an unrepeatable request has no id",
+                "send Kch-Request with an id of your own");
+  }
+  Job job;
+  job.team = *team;
+  job.profile = profile->id;
+  job.pool = profile->pool;
+  job.config_revision = state.revision;
+  if (!profile->open) {
+    job.key = config::KeyIdOf(request.secret);
+    job.key_revision = state.keys.at(job.key).revision;
+  }
+  if (!request.request_id.empty()) {
+    job.request = RequestId(team->str() + "/" + request.request_id);
+  }
+  job.repeatable = request.repeatable;
+  job.attach_only = request.attach_only;
+  job.needs = request.needs;
+  return job;
+}
+
+void Origin::OnRequest(CallerRequest request, Time now) {
+  Reason reason = Reason::kNone;
+  auto job = this->Check(request, reason);
+  if (!job) {
+    this->Refuse(request.call, reason, 0);
+    return;
+  }
+  job->body = std::move(request.body);
+  job->id = TaskId(this->core.self().str() + "." +
+                   std::to_string(this->core.membership.self().incarnation) +
+                   "." + std::to_string(++this->last_job));
+  const config::Profile* profile = this->core.state().Find(job->profile);
+  const std::int64_t deadline_ms =
+      request.deadline_ms > 0
+          ? std::min<std::int64_t>(request.deadline_ms, config::kMaxDeadlineMs)
+          : profile->deadline_ms;
+  this->core.Note({.kind = TraceKind::kRequestReceived,
+                   .request = job->request.str(),
+                   .task = job->id.str(),
+                   .team = job->team.str(),
+                   .pool = job->pool.str()});
+  Pending waiting{.job = *std::move(job),
+                  .call = request.call,
+                  .deadline = now + std::chrono::milliseconds(deadline_ms)};
+  const TaskId id = waiting.job.id;
+  this->calls.emplace(request.call, id);
+  auto [position, added] = this->pending.emplace(id, std::move(waiting));
+  this->Route(position->second, now);
+}
+
+void Origin::Refuse(CallId call, Reason reason, std::int64_t retry_after_ms) {
+  this->core.effects.emplace_back(
+      ReplyCaller{call,
+                  {.kind = OutcomeKind::kNotRun,
+                   .reason = reason,
+                   .retry_after_ms = retry_after_ms}});
+}
+
+// Selects the scheduler of a request. A live one is kept even if another
+// member now ranks first: both could run the request otherwise.
+void Origin::Route(Pending& waiting, Time now) {
+  waiting.next_send = now + this->core.settings.resubmit_after;
+  const auto owner = this->core.membership.OwnerOf(waiting.job.pool, now);
+  if (!owner) {
+    waiting.scheduler.reset();
+    return;
+  }
+  this->core.Note({.kind = TraceKind::kRequestForwarded,
+                   .request = waiting.job.request.str(),
+                   .task = waiting.job.id.str(),
+                   .team = waiting.job.team.str(),
+                   .pool = waiting.job.pool.str(),
+                   .text = "to " + owner->str()});
+  waiting.scheduler = owner;
+  this->Send(waiting, now);
+}
+
+// A repeat to the same scheduler is harmless; it finds the job by its id.
+void Origin::Send(Pending& waiting, Time now) {
+  waiting.next_send = now + this->core.settings.resubmit_after;
+  waiting.sent = true;
+  this->core.Send(*waiting.scheduler,
+                  Submit{waiting.job, ToMs(waiting.deadline - now)});
+}
+
+void Origin::OnCancel(CallId call) {
+  const auto found = this->calls.find(call);
+  if (found == this->calls.end()) {
+    return;
+  }
+  const Pending& waiting = this->pending.at(found->second);
+  if (waiting.scheduler) {
+    this->core.Send(*waiting.scheduler, CancelJob{waiting.job.id});
+  } else if (!waiting.sent) {
+    this->Answer(TaskId(found->second),
+                 {.kind = OutcomeKind::kNotRun, .reason = Reason::kCancelled});
+  }
+}
+
+void Origin::OnStarted(const InstanceId& from, const Started& started) {
+  const auto found = this->pending.find(started.job);
+  if (found != this->pending.end() && found->second.scheduler == from) {
+    found->second.attempt = started.attempt;
+  }
+}
+
+void Origin::OnOutcome(const InstanceId& from, JobOutcome answer, Time now) {
+  const auto found = this->pending.find(answer.job);
+  if (found == this->pending.end()) {
+    return;
+  }
+  Pending& waiting = found->second;
+  // A scheduler that was given up may still know how the request ended, but
+  // not that it will not run: the present scheduler may run it.
+  if (waiting.scheduler != from && answer.outcome.kind != OutcomeKind::kDone) {
+    return;
+  }
+  if (answer.outcome.kind == OutcomeKind::kNotRun &&
+      answer.outcome.reason == Reason::kShuttingDown &&
+      now < waiting.deadline) {
+    waiting.sent = false;
+    this->Route(waiting, now);
+    return;
+  }
+  if (waiting.scheduler && waiting.scheduler != from) {
+    this->core.Send(*waiting.scheduler, CancelJob{waiting.job.id});
+  }
+  this->Answer(answer.job, std::move(answer.outcome));
+}
+
+void Origin::OnPeerDown(const InstanceId& peer, Time now) {
+  for (auto& [id, waiting] : this->pending) {
+    if (waiting.scheduler != peer) {
+      continue;
+    }
+    if (waiting.attempt) {
+      // The task runs on under its lease; this entry follows it from here on.
+      waiting.scheduler = this->core.self();
+      this->scheduler.Adopt(waiting.job, *waiting.attempt, waiting.deadline,
+                            now);
+    } else {
+      this->Route(waiting, now);
+    }
+  }
+}
+
+void Origin::Tick(Time now) {
+  std::vector<TaskId> late;
+  for (auto& [id, waiting] : this->pending) {
+    if (now < waiting.next_send) {
+      continue;
+    }
+    const bool expired =
+        now >= waiting.deadline &&
+        (!waiting.sent || now >= waiting.deadline + kOutcomeGrace);
+    if (expired && !waiting.attempt) {
+      late.push_back(id);
+    } else if (waiting.scheduler) {
+      this->Send(waiting, now);
+    } else {
+      this->Route(waiting, now);
+    }
+  }
+  for (const TaskId& id : late) {
+    const bool sent = this->pending.at(id).sent;
+    this->Answer(id,
+                 {.kind = sent ? OutcomeKind::kUnknown : OutcomeKind::kNotRun,
+                  .reason = Reason::kNoScheduler,
+                  .retry_after_ms = kNoSchedulerRetryMs});
+  }
+}
+
+void Origin::Answer(const TaskId& job, Outcome outcome) {
+  const auto found = this->pending.find(job);
+  const Pending& waiting = found->second;
+  this->core.Note(
+      {.kind = TraceKind::kRequestAnswered,
+       .request = waiting.job.request.str(),
+       .task = outcome.task.empty() ? job.str() : outcome.task.str(),
+       .vm = outcome.vm.str(),
+       .team = waiting.job.team.str(),
+       .pool = waiting.job.pool.str(),
+       .text = std::string(NameOf(outcome.kind)) + " " +
+               std::string(NameOf(outcome.reason))});
+  const CallId call = waiting.call;
+  this->calls.erase(call);
+  this->pending.erase(found);
+  this->core.effects.emplace_back(ReplyCaller{call, std::move(outcome)});
+}
+
+}  // namespace kch::engine
--- /dev/null
+++ b/src/engine/origin.h
@@ -0,0 +1,65 @@
+#ifndef ENGINE_ORIGIN_H_
+#define ENGINE_ORIGIN_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "engine/core.h"
+#include "engine/scheduler.h"
+
+namespace kch::engine {
+
+/*! @brief Caller side of an entry: checks requests, passes them to the
+ * scheduler of their pool and holds the callers that wait. */
+class Origin {
+ public:
+  Origin(Core& core, Scheduler& scheduler) : core(core), scheduler(scheduler) {}
+
+  /*! @brief Takes a caller's request or refuses it. */
+  void OnRequest(CallerRequest request, Time now);
+  /*! @brief Gives a request up. */
+  void OnCancel(CallId call);
+  /*! @brief A scheduler started a task for a waiting request. */
+  void OnStarted(const InstanceId& from, const Started& started);
+  /*! @brief A scheduler answered. */
+  void OnOutcome(const InstanceId& from, JobOutcome answer, Time now);
+  /*! @brief A peer is down: what it scheduled is taken over. */
+  void OnPeerDown(const InstanceId& peer, Time now);
+  /*! @brief Sends again what got no word, and gives up what is too late. */
+  void Tick(Time now);
+
+  /*! @brief Requests that wait for an answer. */
+  [[nodiscard]] std::size_t size() const { return this->pending.size(); }
+
+ private:
+  struct Pending {
+    Job job;
+    CallId call = 0;
+    Time deadline;
+    std::optional<InstanceId> scheduler;
+    bool sent = false;  // to any scheduler: it may run unless one says not
+    std::optional<Attempt> attempt;
+    Time next_send;
+  };
+
+  [[nodiscard]] Result<Job> Check(const CallerRequest& request,
+                                  Reason& reason) const;
+  void Refuse(CallId call, Reason reason, std::int64_t retry_after_ms);
+  void Route(Pending& waiting, Time now);
+  void Send(Pending& waiting, Time now);
+  void Answer(const TaskId& job, Outcome outcome);
+
+  Core& core;
+  Scheduler& scheduler;
+  std::uint64_t last_job = 0;
+  std::unordered_map<TaskId, Pending> pending;
+  std::map<CallId, TaskId> calls;
+};
+
+}  // namespace kch::engine
+
+#endif  // ENGINE_ORIGIN_H_
--- /dev/null
+++ b/src/engine/pool.h
@@ -0,0 +1,38 @@
+#ifndef ENGINE_POOL_H_
+#define ENGINE_POOL_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+#include "base/base.h"
+#include "maintain/record.h"
+#include "route/route.h"
+#include "share/share.h"
+
+namespace kch::engine {
+
+/*! @brief Contact of this entry with one worker. */
+struct WorkerContact {
+  Time next_poll;
+  bool polling = false;
+  int missed = 0;  // polls in a row without a report
+  std::string boot;
+};
+
+/*! @brief One pool as this entry sees it. */
+struct Pool {
+  PoolId id;
+  std::uint64_t version = 0;  // of the record in the store
+  maintain::PoolRecord record;
+  share::FairQueue queue;
+  route::TargetSet targets;
+  route::RetryBudget retries;
+  std::map<VmId, WorkerContact> contacts;
+  std::map<VmId, std::set<TaskId>> tasks;  // of this entry, by VM
+};
+
+}  // namespace kch::engine
+
+#endif  // ENGINE_POOL_H_
--- /dev/null
+++ b/src/engine/scheduler.cc
@@ -0,0 +1,486 @@
+#include "engine/scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kch::engine {
+namespace {
+
+// Without a reply for this long the store counts as down, and starts are
+// delegated to peers that hold permits instead of asking for a transfer.
+constexpr Duration kStoreSilent = std::chrono::seconds(1);
+constexpr std::int64_t kMinRetryAfterMs = 100;
+
+permit::Subject TeamSubject(const TeamId& team) {
+  return {permit::SubjectKind::kTeam, team.str()};
+}
+
+permit::Subject ProfileSubject(const ProfileId& profile) {
+  return {permit::SubjectKind::kProfile, profile.str()};
+}
+
+bool Fits(const Needs& needs, const maintain::VmRow& vm) {
+  return needs.cpus <= vm.cpus && needs.memory_mb <= vm.memory_mb &&
+         needs.accelerators <= vm.accelerators;
+}
+
+bool FitsAny(const Needs& needs, const maintain::PoolRecord& record) {
+  return record.vms.empty() ||
+         std::ranges::any_of(record.vms, [&needs](const auto& entry) {
+           return Fits(needs, entry.second);
+         });
+}
+
+}  // namespace
+
+Pool* Scheduler::FindPool(const PoolId& id) {
+  const auto found = this->known_pools.find(id);
+  return found == this->known_pools.end() ? nullptr : found->second.get();
+}
+
+Work* Scheduler::FindWork(const TaskId& job) {
+  const auto found = this->works.find(job);
+  return found == this->works.end() ? nullptr : found->second.get();
+}
+
+Work* Scheduler::WorkOf(const TaskId& task) {
+  const auto found = this->attempts.find(task);
+  return found == this->attempts.end() ? nullptr
+                                       : this->FindWork(found->second);
+}
+
+const Work* Scheduler::Find(const std::string& id) const {
+  auto found = this->works.find(TaskId(id));
+  if (found == this->works.end()) {
+    const auto request = this->by_request.find(RequestId(id));
+    if (request == this->by_request.end()) {
+      return nullptr;
+    }
+    found = this->works.find(request->second);
+  }
+  return found == this->works.end() ? nullptr : found->second.get();
+}
+
+std::vector<permit::Subject> Scheduler::SubjectsOf(const Job& job) const {
+  std::vector<permit::Subject> subjects{TeamSubject(job.team)};
+  const config::Profile* profile = this->core.state().Find(job.profile);
+  if (profile != nullptr && profile->capacity > 0) {
+    subjects.push_back(ProfileSubject(job.profile));
+  }
+  return subjects;
+}
+
+// True while the job was checked against a configuration that this entry has
+// not applied yet and that may have granted its key.
+bool Scheduler::KeyPending(const Job& job) const {
+  return job.config_revision > this->core.state().revision;
+}
+
+std::optional<Reason> Scheduler::Invalid(const Job& job) const {
+  const config::State& state = this->core.state();
+  const config::Profile* profile = state.Find(job.profile);
+  if (profile == nullptr) {
+    return Reason::kUnknownProfile;
+  }
+  if (state.Find(job.team) == nullptr) {
+    return Reason::kUnknownTeam;
+  }
+  if (job.key.empty()) {
+    return profile->open ? std::nullopt : std::optional(Reason::kKeyWithdrawn);
+  }
+  // A key that was withdrawn and granted again under its old id has another
+  // revision.
+  const auto key = state.keys.find(job.key);
+  if (key == state.keys.end() || key->second.revision != job.key_revision ||
+      key->second.value.team != job.team) {
+    return Reason::kKeyWithdrawn;
+  }
+  return std::nullopt;
+}
+
+bool Scheduler::HasPermits(const Job& job) const {
+  return std::ranges::all_of(this->SubjectsOf(job), [this](const auto& s) {
+    return this->core.permits.CanTake(s);
+  });
+}
+
+// The peer that can start a job against idle permits of its own, while the
+// store cannot transfer them.
+std::optional<InstanceId> Scheduler::DelegateFor(const Job& job,
+                                                 Time now) const {
+  const auto& contact = this->core.store_contact;
+  if (contact && now - *contact < kStoreSilent) {
+    return std::nullopt;
+  }
+  const auto subjects = this->SubjectsOf(job);
+  for (const auto& [peer, idle] : this->core.peer_idle) {
+    if (this->core.membership.StateOf(peer, now) !=
+        member::PeerState::kConnected) {
+      continue;
+    }
+    const bool enough = std::ranges::all_of(subjects, [&](const auto& s) {
+      const auto found = idle.find(s);
+      return found != idle.end() && found->second > 0;
+    });
+    if (enough) {
+      return peer;
+    }
+  }
+  return std::nullopt;
+}
+
+share::Eligibility Scheduler::Check(const Work& work, Time now) const {
+  if (this->KeyPending(work.job)) {
+    return share::Eligibility::kTaskBlocked;
+  }
+  if (this->HasPermits(work.job) || this->DelegateFor(work.job, now)) {
+    return share::Eligibility::kEligible;
+  }
+  return this->core.permits.CanTake(TeamSubject(work.job.team))
+             ? share::Eligibility::kProfileBlocked
+             : share::Eligibility::kTeamBlocked;
+}
+
+void Scheduler::OnSubmit(const InstanceId& from, Submit submit, Time now) {
+  Job& job = submit.job;
+  const Listener listener{from, job.id};
+  const auto refuse = [&](OutcomeKind kind, Reason reason,
+                          std::int64_t retry_after_ms) {
+    this->core.Send(from, JobOutcome{job.id,
+                                     {.kind = kind,
+                                      .reason = reason,
+                                      .retry_after_ms = retry_after_ms}});
+  };
+  Work* known = this->FindWork(job.id);
+  if (known == nullptr && !job.request.empty()) {
+    const auto found = this->by_request.find(job.request);
+    known = found == this->by_request.end() ? nullptr
+                                            : this->FindWork(found->second);
+  }
+  const bool runs_again = known != nullptr && known->job.id != job.id &&
+                          !job.attach_only &&
+                          known->state == WorkState::kFinished &&
+                          known->outcome.kind == OutcomeKind::kNotRun;
+  if (known != nullptr && !runs_again) {
+    known->listeners.insert(listener);
+    this->Reply(*known);
+    return;
+  }
+  if (job.attach_only) {
+    refuse(OutcomeKind::kUnknown, Reason::kNotFound, 0);
+    return;
+  }
+  if (this->core.stopping) {
+    refuse(OutcomeKind::kNotRun, Reason::kShuttingDown, 0);
+    return;
+  }
+  if (const auto reason = this->Invalid(job);
+      reason && !this->KeyPending(job)) {
+    refuse(OutcomeKind::kNotRun, *reason, 0);
+    return;
+  }
+  Pool* pool = this->FindPool(job.pool);
+  if (pool == nullptr) {
+    refuse(OutcomeKind::kNotRun, Reason::kUnknownPool, kMinRetryAfterMs);
+    return;
+  }
+  if (!FitsAny(job.needs, pool->record)) {
+    refuse(OutcomeKind::kNotRun, Reason::kNeverFits, 0);
+    return;
+  }
+  const Time deadline = now + std::chrono::milliseconds(submit.deadline_ms);
+  const Duration wait =
+      pool->targets.Free(now) > 0
+          ? Duration(0)
+          : pool->queue.ExpectedWait(job.team, pool->targets.slots(), now);
+  if (now + wait > deadline ||
+      pool->queue.waiting() >= this->core.settings.max_waiting) {
+    refuse(OutcomeKind::kNotRun, Reason::kQueueFull,
+           std::max(kMinRetryAfterMs, ToMs(now + wait - deadline)));
+    return;
+  }
+
+  auto work = std::make_unique<Work>();
+  work->listeners.insert(listener);
+  work->enqueued = now;
+  work->deadline = deadline;
+  work->exclusions.allow_probe = job.repeatable;
+  if (runs_again) {
+    work->claimed = known->claimed;
+    work->claim_token = known->claim_token;
+  }
+  work->job = std::move(job);
+  if (!work->job.request.empty()) {
+    this->by_request[work->job.request] = work->job.id;
+  }
+  pool->retries.Request(now);
+  this->core.Note({.kind = TraceKind::kRequestQueued,
+                   .request = work->job.request.str(),
+                   .task = work->job.id.str(),
+                   .team = work->job.team.str(),
+                   .pool = work->job.pool.str()});
+  Work& added = *work;
+  this->works[added.job.id] = std::move(work);
+  this->Enqueue(*pool, added, now);
+  this->Dispatch(*pool, now);
+}
+
+void Scheduler::OnCancel(const InstanceId& from, const TaskId& job, Time now) {
+  // The sender may know the job by an id of its own if it attached to it.
+  Work* work = this->FindWork(job);
+  if (work == nullptr || work->state == WorkState::kFinished) {
+    return;
+  }
+  if (work->listeners.size() > 1) {
+    this->core.Send(from, JobOutcome{job,
+                                     {.kind = OutcomeKind::kUnknown,
+                                      .reason = Reason::kCancelled}});
+    work->listeners.erase({from, job});
+    return;
+  }
+  if (work->state == WorkState::kQueued) {
+    this->Finish(*work,
+                 {.kind = work->maybe_sent ? OutcomeKind::kUnknown
+                                           : OutcomeKind::kNotRun,
+                  .reason = Reason::kCancelled},
+                 now);
+    return;
+  }
+  work->cancelled = true;
+  if (work->state != WorkState::kClaiming) {
+    this->Order(*work, TaskOrder::kStop);
+  }
+}
+
+void Scheduler::Enqueue(Pool& pool, Work& work, Time now) {
+  const config::Profile* profile = this->core.state().Find(work.job.profile);
+  work.state = WorkState::kQueued;
+  work.queued_for = this->SubjectsOf(work.job);
+  for (const permit::Subject& subject : work.queued_for) {
+    ++this->queued[subject];
+  }
+  pool.queue.Push({.task = work.job.id,
+                   .team = work.job.team,
+                   .profile = work.job.profile,
+                   .urgent = profile != nullptr && profile->urgent,
+                   .enqueued = work.enqueued,
+                   .deadline = work.deadline},
+                  now);
+}
+
+void Scheduler::Dequeued(const Work& work) {
+  for (const permit::Subject& subject : work.queued_for) {
+    --this->queued[subject];
+  }
+}
+
+// Starts waiting jobs on free slots. Everything that may have changed since a
+// job arrived is checked here again: freshness, key, team, permits; zones and
+// leaving VMs are not usable in the pool's targets.
+void Scheduler::Dispatch(Pool& pool, Time now) {
+  if (this->core.stopping || !this->core.Fresh(now)) {
+    return;
+  }
+  std::vector<std::pair<TaskId, Reason>> rejected;
+  const auto eligible = [&](const share::Waiting& waiting) {
+    const Work& work = *this->works.at(waiting.task);
+    if (!this->KeyPending(work.job)) {
+      if (const auto reason = this->Invalid(work.job)) {
+        rejected.emplace_back(waiting.task, *reason);
+        return share::Eligibility::kTaskBlocked;
+      }
+    }
+    return this->Check(work, now);
+  };
+  while (pool.targets.Free(now) > 0) {
+    const auto next = pool.queue.Pop(now, eligible);
+    if (!next) {
+      break;
+    }
+    Work& work = *this->works.at(next->task);
+    const auto vm =
+        pool.targets.Choose(now, work.exclusions, this->core.random);
+    if (!vm || !this->Place(pool, work, *vm, now)) {
+      pool.queue.Push(*next, now);
+      break;
+    }
+  }
+  for (const auto& [task, reason] : rejected) {
+    Work* work = this->FindWork(task);
+    if (work != nullptr && work->state == WorkState::kQueued) {
+      this->Finish(*work,
+                   {.kind = work->maybe_sent ? OutcomeKind::kUnknown
+                                             : OutcomeKind::kNotRun,
+                    .reason = reason},
+                   now);
+    }
+  }
+}
+
+// Reserves permits and a slot for a job, then claims its id or starts it.
+bool Scheduler::Place(Pool& pool, Work& work, const VmId& vm, Time now) {
+  const config::Profile* profile = this->core.state().Find(work.job.profile);
+  Attempt attempt{
+      .task = TaskId(work.job.id.str() + "/" + this->core.self().str() + "." +
+                     std::to_string(this->core.holder().incarnation) + "." +
+                     std::to_string(++this->last_attempt)),
+      .vm = vm,
+      .address = pool.record.vms.at(vm).address,
+      .lease_ms = std::min<std::int64_t>(
+          profile->task_lease_ms, ToMs(this->core.settings.longest_lease)),
+      .holder = this->core.holder()};
+  const auto subjects = this->SubjectsOf(work.job);
+  const bool own =
+      subjects.size() == 1
+          ? this->core.permits.TryTake(subjects[0])
+          : this->core.permits.TryTakeBoth(subjects[0], subjects[1]);
+  if (own) {
+    work.permit = PermitPlace::kOwn;
+    work.subjects = subjects;
+  } else {
+    const auto peer = this->DelegateFor(work.job, now);
+    if (!peer) {
+      return false;
+    }
+    work.permit = PermitPlace::kPeer;
+    work.delegate = *peer;
+    attempt.holder = {*peer, this->core.incarnations[*peer]};
+    for (const permit::Subject& subject : subjects) {
+      --this->core.peer_idle[*peer][subject];
+    }
+  }
+  this->Dequeued(work);
+  work.attempt = attempt;
+  work.stopping = false;
+  work.absent_reports = 0;
+  this->attempts[attempt.task] = work.job.id;
+  pool.targets.Started(vm, work.job.id, now);
+  pool.queue.Started(work.job.id, work.job.team, profile->preemptible, now);
+  pool.tasks[vm].insert(work.job.id);
+  if (work.job.repeatable || work.claimed) {
+    this->Launch(work, now);
+    return true;
+  }
+  work.state = WorkState::kClaiming;
+  work.claim_token = attempt.task.str();
+  this->core.Request(StoreUser::kClaims,
+                     this->core.claims.Claim(work.job.request, work.claim_token,
+                                             now, this->core.wall_s));
+  return true;
+}
+
+// Sends the start. Time may have passed since the job was placed, so the
+// conditions of a start are checked once more.
+void Scheduler::Launch(Work& work, Time now) {
+  if (work.cancelled) {
+    this->Release(work, route::TaskEnd::kCancelled, true, now);
+    this->Finish(work,
+                 {.kind = OutcomeKind::kNotRun, .reason = Reason::kCancelled},
+                 now);
+    return;
+  }
+  const Pool* pool = this->FindPool(work.job.pool);
+  const bool usable = pool->targets.Counters(work.attempt->vm, now).usable;
+  if (this->core.stopping || !this->core.Fresh(now) ||
+      this->Invalid(work.job) || !usable) {
+    this->Withdraw(work, now);
+    return;
+  }
+  work.state = WorkState::kRunning;
+  work.launched = now;
+  work.renewed = now;
+  if (work.permit == PermitPlace::kPeer) {
+    this->core.Send(work.delegate,
+                    Delegate{work.job, *work.attempt, work.checkpoint});
+  } else {
+    this->core.effects.emplace_back(
+        StartTask{*work.attempt, work.job, work.checkpoint,
+                  now + this->core.settings.start_validity});
+  }
+  this->core.Note({.kind = TraceKind::kTaskStarted,
+                   .request = work.job.request.str(),
+                   .task = work.attempt->task.str(),
+                   .vm = work.attempt->vm.str(),
+                   .team = work.job.team.str(),
+                   .zone = pool->record.vms.at(work.attempt->vm).zone.str(),
+                   .pool = work.job.pool.str()});
+  this->Reply(work);
+}
+
+// Takes a placed job back that was not sent. If it cannot start at all, the
+// next dispatch refuses it.
+void Scheduler::Withdraw(Work& work, Time now) {
+  this->Release(work, route::TaskEnd::kCancelled, true, now);
+  if (this->core.stopping) {
+    this->Finish(
+        work, {.kind = OutcomeKind::kNotRun, .reason = Reason::kShuttingDown},
+        now);
+    return;
+  }
+  this->Requeue(work, now);
+}
+
+void Scheduler::Requeue(Work& work, Time now) {
+  Pool* pool = this->FindPool(work.job.pool);
+  this->Enqueue(*pool, work, now);
+}
+
+// Tells every entry that waits for the job where it stands.
+void Scheduler::Reply(const Work& work) {
+  for (const auto& [instance, id] : work.listeners) {
+    if (work.state == WorkState::kFinished) {
+      this->core.Send(instance, JobOutcome{id, work.outcome});
+    } else if (work.state == WorkState::kRunning && work.attempt) {
+      this->core.Send(instance, Started{id, *work.attempt});
+    }
+  }
+}
+
+void Scheduler::Finish(Work& work, Outcome outcome, Time now) {
+  if (work.state == WorkState::kQueued) {
+    this->Dequeued(work);
+    this->FindPool(work.job.pool)->queue.Cancel(work.job.id, now);
+  }
+  work.state = WorkState::kFinished;
+  work.outcome = std::move(outcome);
+  work.job.body.clear();
+  work.job.body.shrink_to_fit();
+  work.checkpoint.clear();
+  this->Reply(work);
+  const Settings& settings = this->core.settings;
+  this->finished.emplace(
+      now + (work.job.request.empty() ? settings.anonymous_result_ttl
+                                      : settings.result_ttl),
+      work.job.id);
+  this->kept_bytes += work.outcome.body.size();
+  this->kept_bodies.push_back(work.job.id);
+  while (this->kept_bytes > settings.max_kept_result_bytes &&
+         this->kept_bodies.size() > 1) {
+    Work* oldest = this->FindWork(this->kept_bodies.front());
+    this->kept_bodies.pop_front();
+    if (oldest != nullptr && !oldest->outcome.body.empty()) {
+      // An answer without its body would be incomplete.
+      this->kept_bytes -= oldest->outcome.body.size();
+      oldest->outcome = {.kind = OutcomeKind::kUnknown,
+                         .reason = Reason::kNotFound};
+    }
+  }
+}
+
+void Scheduler::Stop(Time now) {
+  std::vector<Work*> waiting;
+  for (const auto& [id, work] : this->works) {
+    if (work->state == WorkState::kQueued) {
+      waiting.push_back(work.get());
+    }
+  }
+  for (Work* work : waiting) {
+    this->Finish(*work,
+                 {.kind = work->maybe_sent ? OutcomeKind::kUnknown
+                                           : OutcomeKind::kNotRun,
+                  .reason = Reason::kShuttingDown},
+                 now);
+  }
+}
+
+}  // namespace kch::engine
--- /dev/null
+++ b/src/engine/scheduler.h
@@ -0,0 +1,133 @@
+#ifndef ENGINE_SCHEDULER_H_
+#define ENGINE_SCHEDULER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "engine/core.h"
+#include "engine/pool.h"
+#include "engine/work.h"
+
+namespace kch::engine {
+
+/*! @brief Scheduler side of an entry: queues jobs per pool, starts them on
+ * targets, follows them to their end and answers the entries that sent them. */
+class Scheduler {
+ public:
+  explicit Scheduler(Core& core) : core(core) {}
+
+  /*! @brief Takes a job from an entry; a repeat returns what is known. */
+  void OnSubmit(const InstanceId& from, Submit submit, Time now);
+  /*! @brief An entry no longer wants an answer. */
+  void OnCancel(const InstanceId& from, const TaskId& job, Time now);
+  /*! @brief Follows a task that a scheduler which failed had started. */
+  void Adopt(const Job& job, const Attempt& attempt, Time deadline, Time now);
+  /*! @brief Starts a peer's task against a permit of this entry. */
+  void OnDelegate(const InstanceId& from, Delegate order, Time now);
+  /*! @brief An attempt of this entry, or one it delegated, ended. */
+  void OnAttemptEnded(AttemptResult result, Time now);
+  /*! @brief A worker reported, or could not be reached. */
+  void OnReport(const WorkerReport& report, Time now);
+  /*! @brief The record of a pool was read. */
+  void OnPool(const PoolId& id,
+              std::uint64_t version,
+              const maintain::PoolRecord& record,
+              Time now);
+  /*! @brief The configuration or the platform's list changed. */
+  void OnConfig(Time now);
+  /*! @brief A peer reported its use of pools that have a backlog. */
+  void OnPeerUse(const InstanceId& peer, std::vector<TeamUse> use, Time now);
+  /*! @brief A peer is down: attempts it runs for this entry are followed. */
+  void OnPeerDown(const InstanceId& peer, Time now);
+  /*! @brief Begins the shutdown: queued jobs go back to their entries. */
+  void Stop(Time now);
+  /*! @brief Performs what is due. */
+  void Tick(Time now);
+
+  /*! @brief Slots in use by team in pools with a backlog. */
+  [[nodiscard]] std::vector<TeamUse> ContendedUse(Time now) const;
+  /*! @brief Tasks of this entry on VMs that are out of service. */
+  [[nodiscard]] std::vector<VmUse> LeavingUse() const;
+  /*! @brief Generations of the pool records that this entry follows. */
+  [[nodiscard]] std::vector<PoolSeen> PoolsSeen() const;
+  /*! @brief The pools, for reports to operators. */
+  [[nodiscard]] const std::map<PoolId, std::unique_ptr<Pool>>& pools() const {
+    return this->known_pools;
+  }
+  /*! @brief A job by its id or by its request id, for operators. */
+  [[nodiscard]] const Work* Find(const std::string& id) const;
+  /*! @brief Tasks that run against permits of this entry, or may. */
+  [[nodiscard]] std::size_t running() const { return this->attempts.size(); }
+
+ private:
+  // Permits that a task may still use although nobody waits for it.
+  struct Lingering {
+    Time until;
+    std::vector<permit::Subject> subjects;
+  };
+
+  [[nodiscard]] Pool* FindPool(const PoolId& id);
+  [[nodiscard]] Work* FindWork(const TaskId& job);
+  [[nodiscard]] Work* WorkOf(const TaskId& task);
+  [[nodiscard]] std::vector<permit::Subject> SubjectsOf(const Job& job) const;
+  [[nodiscard]] std::optional<Reason> Invalid(const Job& job) const;
+  [[nodiscard]] bool KeyPending(const Job& job) const;
+  [[nodiscard]] bool HasPermits(const Job& job) const;
+  [[nodiscard]] std::optional<InstanceId> DelegateFor(const Job& job,
+                                                      Time now) const;
+  [[nodiscard]] share::Eligibility Check(const Work& work, Time now) const;
+
+  void Enqueue(Pool& pool, Work& work, Time now);
+  void Dequeued(const Work& work);
+  void Dispatch(Pool& pool, Time now);
+  bool Place(Pool& pool, Work& work, const VmId& vm, Time now);
+  void Launch(Work& work, Time now);
+  void Withdraw(Work& work, Time now);
+  void Release(Work& work, route::TaskEnd end, bool ended, Time now);
+  void Decide(Work& work, route::AttemptEnd end, Reason reason, Time now);
+  void Recover(Work& work, Time now);
+  void Requeue(Work& work, Time now);
+  void Finish(Work& work, Outcome outcome, Time now);
+  void Reply(const Work& work);
+  void EndForeign(AttemptResult result, Time now);
+  void TakeClaims(Time now);
+  void TakeAdoptions(Time now);
+  void PollTargets(Pool& pool, Time now);
+  void Preempt(Pool& pool, Time now);
+  void CutExcess(Time now);
+  void CheckRecovering(Time now);
+  void UpdateDemand(Time now);
+  void ExpireResults(Time now);
+  void UpdateTargets(Pool& pool, Time now);
+  void UpdateElsewhere(Time now);
+  void Order(Work& work, TaskOrder order);
+
+  Core& core;
+  std::map<PoolId, std::unique_ptr<Pool>> known_pools;
+  std::unordered_map<TaskId, std::unique_ptr<Work>> works;
+  std::unordered_map<RequestId, TaskId> by_request;
+  std::unordered_map<TaskId, TaskId> attempts;  // task to job
+  std::unordered_map<TaskId, Foreign> foreign;  // tasks run for peers
+  std::map<permit::Subject, std::uint32_t> queued;
+  std::map<permit::Subject, std::uint32_t> demanded;
+  std::multimap<Time, TaskId> finished;  // by the end of their retention
+  std::deque<TaskId> kept_bodies;
+  std::size_t kept_bytes = 0;
+  std::vector<Lingering> lingering;
+  std::map<InstanceId, std::vector<TeamUse>> peer_use;
+  std::uint64_t last_attempt = 0;
+  Time next_cut;
+};
+
+}  // namespace kch::engine
+
+#endif  // ENGINE_SCHEDULER_H_
--- /dev/null
+++ b/src/engine/scheduler_attempt.cc
@@ -0,0 +1,382 @@
+// The life of an attempt: its end, recovery, adoption and delegation.
+#include <algorithm>
+#include <utility>
+
+#include "engine/scheduler.h"
+
+namespace kch::engine {
+namespace {
+
+// A refusal means that this entry's count of free slots was wrong; the job
+// waits again. Beyond this many the pool's targets disagree for good.
+constexpr int kMaxRefusals = 8;
+constexpr Duration kAttachInterval = std::chrono::milliseconds(500);
+
+bool Contains(const std::vector<permit::Subject>& subjects,
+              const permit::Subject& subject) {
+  return std::ranges::find(subjects, subject) != subjects.end();
+}
+
+}  // namespace
+
+// Ends the attempt in progress. `ended` says that the task is known not to run
+// any more; otherwise its permits stay busy until its lease has run out.
+void Scheduler::Release(Work& work, route::TaskEnd end, bool ended, Time now) {
+  const Attempt& attempt = *work.attempt;
+  if (Pool* pool = this->FindPool(work.job.pool)) {
+    pool->targets.Ended(attempt.vm, work.job.id, end, now);
+    pool->queue.Ended(work.job.id, now);
+    pool->tasks[attempt.vm].erase(work.job.id);
+  }
+  this->attempts.erase(attempt.task);
+  if (ended) {
+    for (const permit::Subject& subject : work.subjects) {
+      this->core.Apply(this->core.permits.Give(subject, now));
+    }
+  } else if (!work.subjects.empty()) {
+    const Time until = std::max(now, work.renewed) +
+                       std::chrono::milliseconds(attempt.lease_ms) +
+                       this->core.settings.lease_margin;
+    this->lingering.push_back({until, work.subjects});
+  }
+  work.subjects.clear();
+  work.permit = PermitPlace::kNone;
+  work.attaching = false;
+  this->core.Note({.kind = TraceKind::kTaskEnded,
+                   .request = work.job.request.str(),
+                   .task = attempt.task.str(),
+                   .vm = attempt.vm.str(),
+                   .team = work.job.team.str(),
+                   .pool = work.job.pool.str(),
+                   .text = std::string(NameOf(end))});
+}
+
+void Scheduler::OnAttemptEnded(AttemptResult result, Time now) {
+  Work* work = this->WorkOf(result.task);
+  if (work == nullptr) {
+    this->EndForeign(std::move(result), now);
+    return;
+  }
+  Pool* pool = this->FindPool(work->job.pool);
+  const VmId vm = work->attempt->vm;
+  const bool healthy = pool->targets.Healthy(vm);
+  switch (result.status) {
+    case AttemptStatus::kDone:
+      this->Release(*work, route::TaskEnd::kDone, true, now);
+      this->Finish(*work,
+                   {.kind = OutcomeKind::kDone,
+                    .body = std::move(result.body),
+                    .task = result.task,
+                    .vm = vm},
+                   now);
+      break;
+    case AttemptStatus::kFailed:
+      this->Release(
+          *work,
+          work->stopping ? route::TaskEnd::kCancelled : route::TaskEnd::kFailed,
+          true, now);
+      work->maybe_sent = true;
+      if (healthy && !work->stopping) {
+        work->failed_on.insert(vm);
+      }
+      this->Decide(*work, route::AttemptEnd::kFailed, Reason::kWorkerFailed,
+                   now);
+      break;
+    case AttemptStatus::kRefused:
+      this->Release(*work, route::TaskEnd::kRefused, true, now);
+      work->exclusions.vms.insert(vm);
+      if (++work->refusals <= kMaxRefusals && !work->cancelled &&
+          !this->core.stopping) {
+        this->Requeue(*work, now);
+      } else {
+        this->Decide(*work, route::AttemptEnd::kNotRun, Reason::kTargetsRefused,
+                     now);
+      }
+      break;
+    case AttemptStatus::kCheckpointed:
+      this->Release(*work, route::TaskEnd::kCancelled, true, now);
+      work->checkpoint = std::move(result.detail);
+      if (work->cancelled) {
+        this->Finish(
+            *work, {.kind = OutcomeKind::kFailed, .reason = Reason::kCancelled},
+            now);
+      } else {
+        this->Requeue(*work, now);
+      }
+      break;
+    case AttemptStatus::kNotSent:
+      this->Release(*work, route::TaskEnd::kUnknown, true, now);
+      this->Decide(*work, route::AttemptEnd::kNotRun, Reason::kTargetsRefused,
+                   now);
+      break;
+    case AttemptStatus::kExpired:
+      this->Withdraw(*work, now);
+      break;
+    case AttemptStatus::kBroken:
+    case AttemptStatus::kMismatched:
+      work->maybe_sent = true;
+      this->Recover(*work, now);
+      break;
+    case AttemptStatus::kNotKnown:
+      work->maybe_sent = true;
+      this->Release(*work, route::TaskEnd::kUnknown, false, now);
+      this->Decide(*work, route::AttemptEnd::kUnknown, Reason::kWorkerSilent,
+                   now);
+      break;
+  }
+  this->Dispatch(*pool, now);
+}
+
+// Asks the worker for the end of the task over a new connection: connections
+// can go silent while new ones work, and the worker keeps results.
+void Scheduler::Recover(Work& work, Time now) {
+  work.attaching = false;
+  work.next_attach =
+      work.state == WorkState::kRecovering ? now + kAttachInterval : now;
+  work.state = WorkState::kRecovering;
+}
+
+void Scheduler::CheckRecovering(Time now) {
+  std::vector<Work*> lost;
+  for (const auto& [task, job] : this->attempts) {
+    Work* work = this->FindWork(job);
+    if (work->state != WorkState::kRecovering) {
+      continue;
+    }
+    const Time lease_end = work->renewed +
+                           std::chrono::milliseconds(work->attempt->lease_ms) +
+                           this->core.settings.lease_margin;
+    if (now >= lease_end) {
+      lost.push_back(work);
+    } else if (!work->attaching && now >= work->next_attach) {
+      work->attaching = true;
+      this->core.effects.emplace_back(AttachTask{*work->attempt});
+    }
+  }
+  for (Work* work : lost) {
+    if (work->attaching) {
+      this->core.effects.emplace_back(AbortCall{work->attempt->task});
+    }
+    // The worker stopped the task when its lease ran out.
+    this->Release(*work, route::TaskEnd::kUnknown, true, now);
+    this->Decide(*work, route::AttemptEnd::kUnknown, Reason::kWorkerSilent,
+                 now);
+  }
+}
+
+// Retries a job elsewhere or ends it.
+void Scheduler::Decide(Work& work,
+                       route::AttemptEnd end,
+                       Reason reason,
+                       Time now) {
+  Pool* pool = this->FindPool(work.job.pool);
+  const VmId vm = work.attempt->vm;
+  route::AttemptFacts facts{
+      .end = end,
+      .earlier = work.worst,
+      .repeatable = work.job.repeatable,
+      .first_byte_maybe_sent = work.maybe_sent,
+      .failed_targets = static_cast<int>(work.failed_on.size()),
+      .budget_available = pool->retries.Available(now) && !work.cancelled &&
+                          !this->core.stopping,
+      .deadline = work.deadline};
+  const route::RetryDecision decision = route::DecideRetry(facts, now);
+  work.worst = route::Worse(work.worst, end);
+  if (work.cancelled) {
+    reason = Reason::kCancelled;
+  }
+  const auto finish = [&](OutcomeKind kind, Reason why) {
+    this->Finish(
+        work,
+        {.kind = kind, .reason = why, .task = work.attempt->task, .vm = vm},
+        now);
+  };
+  switch (decision) {
+    case route::RetryDecision::kRetryElsewhere: {
+      pool->retries.Take(now);
+      work.exclusions.vms.insert(vm);
+      const auto row = pool->record.vms.find(vm);
+      if (row != pool->record.vms.end()) {
+        work.exclusions.racks.insert(row->second.rack);
+        work.exclusions.zones.insert(row->second.zone);
+      }
+      this->Requeue(work, now);
+      break;
+    }
+    case route::RetryDecision::kFailed:
+      finish(OutcomeKind::kFailed, reason);
+      break;
+    case route::RetryDecision::kNotRun:
+      // The sender passes the request on to another scheduler.
+      finish(OutcomeKind::kNotRun,
+             this->core.stopping ? Reason::kShuttingDown : reason);
+      break;
+    case route::RetryDecision::kUnknown:
+      finish(OutcomeKind::kUnknown, reason);
+      break;
+    case route::RetryDecision::kFailedEverywhere:
+      finish(OutcomeKind::kFailed, Reason::kFailedEverywhere);
+      break;
+  }
+}
+
+void Scheduler::Adopt(const Job& job,
+                      const Attempt& attempt,
+                      Time deadline,
+                      Time now) {
+  Pool* pool = this->FindPool(job.pool);
+  if (pool == nullptr || this->FindWork(job.id) != nullptr) {
+    return;
+  }
+  auto owned = std::make_unique<Work>();
+  Work& work = *owned;
+  work.job = job;
+  work.listeners.insert({this->core.self(), job.id});
+  work.enqueued = now;
+  work.deadline = deadline;
+  work.attempt = attempt;
+  work.maybe_sent = true;
+  work.claimed = true;
+  work.permit = PermitPlace::kAdopting;
+  work.state = WorkState::kRecovering;
+  work.launched = now;
+  work.renewed = now;
+  work.next_attach = now;
+  this->works[job.id] = std::move(owned);
+  if (!job.request.empty()) {
+    this->by_request[job.request] = job.id;
+  }
+  this->attempts[attempt.task] = job.id;
+  pool->targets.Started(attempt.vm, job.id, now);
+  pool->queue.Started(job.id, job.team, false, now);
+  pool->tasks[attempt.vm].insert(job.id);
+  for (const permit::Subject& subject : this->SubjectsOf(job)) {
+    this->core.Apply(this->core.permits.Adopt(subject, attempt.holder, 1, now));
+  }
+  this->core.Note({.kind = TraceKind::kTaskAdopted,
+                   .request = job.request.str(),
+                   .task = attempt.task.str(),
+                   .vm = attempt.vm.str(),
+                   .team = job.team.str(),
+                   .pool = job.pool.str(),
+                   .text = "from " + attempt.holder.instance.str()});
+}
+
+// Assigns adopted permits to the tasks they were requested for. Until then the
+// lease of such a task is not renewed: the permit still belongs to a holder
+// that may release it when the lease it knows of runs out.
+void Scheduler::TakeAdoptions(Time now) {
+  for (const permit::Adopted& adopted : std::exchange(this->core.adopted, {})) {
+    std::uint32_t left = adopted.count;
+    for (const auto& [task, job] : this->attempts) {
+      Work* work = this->FindWork(job);
+      const auto needed = this->SubjectsOf(work->job);
+      const bool waits = work->permit == PermitPlace::kAdopting &&
+                         work->attempt->holder == adopted.from &&
+                         Contains(needed, adopted.subject) &&
+                         !Contains(work->subjects, adopted.subject);
+      if (left == 0 || !waits) {
+        continue;
+      }
+      --left;
+      work->subjects.push_back(adopted.subject);
+      if (work->subjects.size() == needed.size()) {
+        work->permit = PermitPlace::kOwn;
+      }
+    }
+    for (; left > 0; --left) {
+      // The task ended meanwhile.
+      this->core.Apply(this->core.permits.Give(adopted.subject, now));
+    }
+  }
+  for (const permit::AdoptFailed& failed :
+       std::exchange(this->core.adopt_failed, {})) {
+    for (const auto& [task, job] : this->attempts) {
+      Work* work = this->FindWork(job);
+      if (work->permit == PermitPlace::kAdopting && !work->stopping &&
+          work->attempt->holder == failed.from) {
+        this->Order(*work, TaskOrder::kStop);
+      }
+    }
+  }
+}
+
+void Scheduler::OnDelegate(const InstanceId& from, Delegate order, Time now) {
+  const TaskId task = order.attempt.task;
+  const auto refuse = [&](AttemptStatus status, std::string detail) {
+    this->core.Send(from, DelegateEnd{{.task = task,
+                                       .status = status,
+                                       .detail = std::move(detail)}});
+  };
+  if (this->foreign.contains(task)) {
+    return;
+  }
+  Pool* pool = this->FindPool(order.job.pool);
+  if (this->core.stopping || pool == nullptr || !this->core.Fresh(now) ||
+      this->Invalid(order.job) ||
+      !pool->targets.Counters(order.attempt.vm, now).usable) {
+    refuse(AttemptStatus::kExpired, "the delegate may not start it");
+    return;
+  }
+  const auto subjects = this->SubjectsOf(order.job);
+  const bool taken =
+      subjects.size() == 1
+          ? this->core.permits.TryTake(subjects[0])
+          : this->core.permits.TryTakeBoth(subjects[0], subjects[1]);
+  if (!taken) {
+    refuse(AttemptStatus::kExpired, "the delegate has no permit");
+    return;
+  }
+  this->foreign[task] = {from, order.attempt, order.job.pool, subjects, now};
+  this->core.effects.emplace_back(StartTask{
+      order.attempt, std::move(order.job), std::move(order.checkpoint),
+      now + this->core.settings.start_validity});
+}
+
+void Scheduler::EndForeign(AttemptResult result, Time now) {
+  const auto found = this->foreign.find(result.task);
+  if (found == this->foreign.end()) {
+    return;
+  }
+  const Foreign& task = found->second;
+  const bool ended = result.status != AttemptStatus::kBroken &&
+                     result.status != AttemptStatus::kMismatched &&
+                     result.status != AttemptStatus::kNotKnown;
+  if (ended) {
+    for (const permit::Subject& subject : task.subjects) {
+      this->core.Apply(this->core.permits.Give(subject, now));
+    }
+  } else {
+    // The scheduler asks the worker itself; nobody renews the lease.
+    this->lingering.push_back(
+        {std::max(now, task.renewed) +
+             std::chrono::milliseconds(task.attempt.lease_ms) +
+             this->core.settings.lease_margin,
+         task.subjects});
+  }
+  this->core.Send(task.scheduler, DelegateEnd{std::move(result)});
+  this->foreign.erase(found);
+}
+
+void Scheduler::OnPeerDown(const InstanceId& peer, Time now) {
+  for (const auto& [task, job] : this->attempts) {
+    Work* work = this->FindWork(job);
+    if (work->permit != PermitPlace::kPeer || work->delegate != peer) {
+      continue;
+    }
+    work->permit = PermitPlace::kAdopting;
+    for (const permit::Subject& subject : this->SubjectsOf(work->job)) {
+      this->core.Apply(
+          this->core.permits.Adopt(subject, work->attempt->holder, 1, now));
+    }
+    this->Recover(*work, now);
+  }
+}
+
+void Scheduler::Order(Work& work, TaskOrder order) {
+  work.stopping = true;
+  this->core.effects.emplace_back(
+      OrderTask{work.attempt->address, work.attempt->task, order});
+}
+
+}  // namespace kch::engine
--- /dev/null
+++ b/src/engine/scheduler_tick.cc
@@ -0,0 +1,431 @@
+// What a scheduler learns from reports and does as time passes.
+#include <algorithm>
+#include <utility>
+
+#include "engine/scheduler.h"
+
+namespace kch::engine {
+namespace {
+
+// A start may be under way while the worker writes its report.
+constexpr Duration kReportSettle = std::chrono::seconds(2);
+// Reports in a row without a task before its connection is given up.
+constexpr int kAbsentReports = 2;
+constexpr Duration kCutInterval = std::chrono::milliseconds(250);
+
+config::OnLimitCut OnCut(const config::State& state, const Job& job) {
+  const config::Profile* profile = state.Find(job.profile);
+  return profile == nullptr ? config::OnLimitCut::kFinish
+                            : profile->on_limit_cut;
+}
+
+}  // namespace
+
+void Scheduler::OnPool(const PoolId& id,
+                       std::uint64_t version,
+                       const maintain::PoolRecord& record,
+                       Time now) {
+  auto& pool = this->known_pools[id];
+  const bool added = pool == nullptr;
+  if (added) {
+    pool = std::make_unique<Pool>();
+    pool->id = id;
+  }
+  if (version <= pool->version) {
+    return;
+  }
+  pool->version = version;
+  pool->record = record;
+  std::erase_if(pool->contacts, [&record](const auto& entry) {
+    return !record.vms.contains(entry.first);
+  });
+  for (const auto& [vm, row] : record.vms) {
+    pool->contacts.try_emplace(vm);
+  }
+  if (added) {
+    this->OnConfig(now);
+  } else {
+    this->UpdateTargets(*pool, now);
+  }
+  this->core.Note({.kind = TraceKind::kPoolChanged,
+                   .pool = id.str(),
+                   .text = "generation " + std::to_string(record.generation)});
+  this->Dispatch(*pool, now);
+}
+
+void Scheduler::UpdateTargets(Pool& pool, Time now) {
+  const config::State& state = this->core.state();
+  std::vector<route::TargetVm> vms;
+  for (const auto& [id, row] : pool.record.vms) {
+    vms.push_back({.id = id,
+                   .zone = row.zone,
+                   .rack = row.rack,
+                   .slots = row.slots,
+                   .usable = row.state == maintain::VmState::kServing &&
+                             !maintain::IsJoining(row) &&
+                             state.InService(row.zone) &&
+                             !this->core.leaving.contains(id)});
+  }
+  pool.targets.Update(vms, now);
+}
+
+void Scheduler::OnConfig(Time now) {
+  const config::State& state = this->core.state();
+  for (const auto& [id, team] : state.teams) {
+    this->core.Apply(
+        this->core.permits.SetLimit({permit::SubjectKind::kTeam, id.str()},
+                                    team.value.limit, team.revision, now));
+  }
+  for (const auto& [id, profile] : state.profiles) {
+    if (profile.value.capacity > 0) {
+      this->core.Apply(this->core.permits.SetLimit(
+          {permit::SubjectKind::kProfile, id.str()}, profile.value.capacity,
+          profile.revision, now));
+    }
+  }
+  for (const auto& [id, pool] : this->known_pools) {
+    for (const auto& [team, value] : state.teams) {
+      pool->queue.SetTeam(team, value.value.weight, now);
+    }
+    this->UpdateTargets(*pool, now);
+    this->Dispatch(*pool, now);
+  }
+  // A zone out of service: tasks that can continue elsewhere do so.
+  for (const auto& [task, job] : this->attempts) {
+    Work* work = this->FindWork(job);
+    const Pool* pool = this->FindPool(work->job.pool);
+    const auto row = pool->record.vms.find(work->attempt->vm);
+    const config::Profile* profile = state.Find(work->job.profile);
+    if (row != pool->record.vms.end() && profile != nullptr &&
+        !state.InService(row->second.zone) && !work->stopping &&
+        profile->on_drain == config::OnDrain::kCheckpoint) {
+      this->Order(*work, TaskOrder::kCheckpoint);
+    }
+  }
+}
+
+void Scheduler::OnReport(const WorkerReport& report, Time now) {
+  for (const auto& [id, pool] : this->known_pools) {
+    const auto found = pool->contacts.find(report.vm);
+    if (found == pool->contacts.end()) {
+      continue;
+    }
+    WorkerContact& contact = found->second;
+    contact.polling = false;
+    if (!report.reached) {
+      ++contact.missed;
+      continue;
+    }
+    contact.missed = 0;
+    contact.boot = report.boot;
+    pool->targets.Report(report.vm,
+                         static_cast<std::int64_t>(report.tasks.size()), now);
+    std::set<TaskId> present;
+    for (const ReportedTask& task : report.tasks) {
+      present.insert(task.task);
+      const auto ours = this->foreign.find(task.task);
+      if (ours != this->foreign.end()) {
+        ours->second.renewed = now;
+      }
+    }
+    for (const TaskId& job : pool->tasks[report.vm]) {
+      Work* work = this->FindWork(job);
+      if (present.contains(work->attempt->task)) {
+        work->renewed = now;
+        work->absent_reports = 0;
+      } else if (work->state == WorkState::kRunning &&
+                 work->permit == PermitPlace::kOwn &&
+                 now - work->launched > kReportSettle &&
+                 ++work->absent_reports == kAbsentReports) {
+        // The task has ended but its answer has not come: the connection went
+        // silent. The aborted call ends as broken and is recovered.
+        this->core.effects.emplace_back(AbortCall{work->attempt->task});
+      }
+    }
+    this->Dispatch(*pool, now);
+  }
+}
+
+void Scheduler::OnPeerUse(const InstanceId& peer,
+                          std::vector<TeamUse> use,
+                          Time now) {
+  auto& known = this->peer_use[peer];
+  if (known != use) {
+    known = std::move(use);
+    this->UpdateElsewhere(now);
+  }
+}
+
+// Sets, for every pool, what each team uses in other pools with a backlog.
+void Scheduler::UpdateElsewhere(Time now) {
+  std::map<TeamId, double> others;
+  for (const auto& [peer, use] : this->peer_use) {
+    for (const TeamUse& item : use) {
+      others[item.team] += static_cast<double>(item.slots);
+    }
+  }
+  for (const auto& [id, pool] : this->known_pools) {
+    for (const auto& [team, value] : this->core.state().teams) {
+      const auto found = others.find(team);
+      pool->queue.SetElsewhere(team, found == others.end() ? 0 : found->second,
+                               now);
+    }
+  }
+}
+
+std::vector<TeamUse> Scheduler::ContendedUse(Time now) const {
+  std::map<TeamId, std::int64_t> use;
+  for (const auto& [id, pool] : this->known_pools) {
+    if (pool->queue.waiting() == 0 || pool->targets.Free(now) > 0) {
+      continue;
+    }
+    for (const auto& [team, value] : this->core.state().teams) {
+      const auto running = pool->queue.Counters(team, now).running;
+      if (running > 0) {
+        use[team] += running;
+      }
+    }
+  }
+  std::vector<TeamUse> result;
+  for (const auto& [team, slots] : use) {
+    result.push_back({team, slots});
+  }
+  return result;
+}
+
+std::vector<VmUse> Scheduler::LeavingUse() const {
+  std::map<VmId, std::int64_t> use;
+  for (const auto& [id, pool] : this->known_pools) {
+    for (const auto& [vm, row] : pool->record.vms) {
+      const auto tasks = pool->tasks.find(vm);
+      if (row.state != maintain::VmState::kServing &&
+          tasks != pool->tasks.end() && !tasks->second.empty()) {
+        use[vm] += static_cast<std::int64_t>(tasks->second.size());
+      }
+    }
+  }
+  for (const auto& [task, foreign] : this->foreign) {
+    ++use[foreign.attempt.vm];
+  }
+  std::vector<VmUse> result;
+  for (const auto& [vm, tasks] : use) {
+    result.push_back({vm, tasks});
+  }
+  return result;
+}
+
+std::vector<PoolSeen> Scheduler::PoolsSeen() const {
+  std::vector<PoolSeen> result;
+  for (const auto& [id, pool] : this->known_pools) {
+    result.push_back({id, pool->record.generation});
+  }
+  return result;
+}
+
+void Scheduler::TakeClaims(Time now) {
+  for (const once::ClaimResult& result : this->core.claims.Drain()) {
+    const auto found = this->by_request.find(result.request);
+    Work* work = found == this->by_request.end()
+                     ? nullptr
+                     : this->FindWork(found->second);
+    if (work == nullptr || work->state != WorkState::kClaiming ||
+        work->claim_token != result.token) {
+      continue;
+    }
+    switch (result.outcome) {
+      case once::ClaimOutcome::kClaimed:
+        work->claimed = true;
+        this->Launch(*work, now);
+        break;
+      case once::ClaimOutcome::kTaken:
+        // Another scheduler may have run it, or may still.
+        this->Release(*work, route::TaskEnd::kCancelled, true, now);
+        this->Finish(
+            *work,
+            {.kind = OutcomeKind::kUnknown, .reason = Reason::kAlreadyClaimed},
+            now);
+        break;
+      case once::ClaimOutcome::kUnavailable:
+      case once::ClaimOutcome::kUnknown:
+        // Not started here, and no other scheduler can hold this token.
+        this->Release(*work, route::TaskEnd::kCancelled, true, now);
+        this->Finish(*work,
+                     {.kind = OutcomeKind::kNotRun,
+                      .reason = Reason::kStoreUnavailable,
+                      .retry_after_ms = 1000},
+                     now);
+        break;
+    }
+  }
+}
+
+void Scheduler::PollTargets(Pool& pool, Time now) {
+  const auto owner = this->core.membership.OwnerOf(pool.id, now);
+  const bool owned = owner && *owner == this->core.self();
+  for (auto& [vm, contact] : pool.contacts) {
+    const auto row = pool.record.vms.find(vm);
+    if (contact.polling || now < contact.next_poll ||
+        row == pool.record.vms.end()) {
+      continue;
+    }
+    PollWorker poll{.vm = vm,
+                    .address = row->second.address,
+                    .lease_ms = ToMs(this->core.settings.longest_lease),
+                    .new_connection = contact.missed > 0};
+    bool busy = false;
+    for (const TaskId& job : pool.tasks[vm]) {
+      const Work* work = this->FindWork(job);
+      busy = true;
+      if (work->permit == PermitPlace::kOwn &&
+          work->state != WorkState::kClaiming) {
+        poll.tasks.push_back(work->attempt->task);
+      }
+    }
+    for (const auto& [task, foreign] : this->foreign) {
+      if (foreign.attempt.vm == vm) {
+        busy = true;
+        poll.tasks.push_back(task);
+      }
+    }
+    if (!owned && !busy) {
+      continue;
+    }
+    contact.next_poll = now + (busy ? this->core.settings.busy_poll_interval
+                                    : this->core.settings.idle_poll_interval);
+    contact.polling = true;
+    this->core.effects.emplace_back(std::move(poll));
+  }
+}
+
+// Checkpoints a task of the team furthest above its share if a team below its
+// share has waited too long in a full pool.
+void Scheduler::Preempt(Pool& pool, Time now) {
+  if (pool.queue.waiting() == 0 || pool.targets.Free(now) > 0) {
+    return;
+  }
+  const auto choice = pool.queue.PickPreemption(now, pool.targets.slots());
+  if (!choice) {
+    return;
+  }
+  Work* work = this->FindWork(choice->task);
+  if (work == nullptr || work->stopping || !work->attempt) {
+    return;
+  }
+  this->Order(*work, TaskOrder::kCheckpoint);
+  this->core.Note({.kind = TraceKind::kTaskPreempted,
+                   .request = work->job.request.str(),
+                   .task = work->attempt->task.str(),
+                   .vm = work->attempt->vm.str(),
+                   .team = choice->from.str(),
+                   .pool = pool.id.str(),
+                   .text = "for " + choice->to.str()});
+}
+
+// After a limit was lowered, ends running tasks above it as their profile says.
+void Scheduler::CutExcess(Time now) {
+  if (now < this->next_cut) {
+    return;
+  }
+  this->next_cut = now + kCutInterval;
+  for (const permit::Subject& subject : this->core.permits.Subjects()) {
+    std::uint64_t excess = this->core.permits.Excess(subject);
+    if (excess == 0) {
+      continue;
+    }
+    for (const auto& [task, job] : this->attempts) {
+      Work* work = this->FindWork(job);
+      const auto on_cut = OnCut(this->core.state(), work->job);
+      const bool counts =
+          std::ranges::find(work->subjects, subject) != work->subjects.end();
+      if (excess == 0 || !counts || on_cut == config::OnLimitCut::kFinish) {
+        continue;
+      }
+      --excess;
+      if (!work->stopping && work->state == WorkState::kRunning) {
+        this->Order(*work, on_cut == config::OnLimitCut::kStop
+                               ? TaskOrder::kStop
+                               : TaskOrder::kCheckpoint);
+      }
+    }
+  }
+}
+
+void Scheduler::UpdateDemand(Time now) {
+  std::map<permit::Subject, std::uint32_t> wanted;
+  for (auto entry = this->queued.begin(); entry != this->queued.end();) {
+    if (entry->second > 0) {
+      wanted[entry->first] = entry->second;
+      ++entry;
+    } else {
+      entry = this->queued.erase(entry);
+    }
+  }
+  for (const auto& [subject, count] : this->demanded) {
+    wanted.try_emplace(subject, 0);
+  }
+  std::map<permit::Subject, std::uint32_t> next;
+  for (auto& [subject, count] : wanted) {
+    count += this->core.permits.Busy(subject);
+    const auto before = this->demanded.find(subject);
+    if (before == this->demanded.end() || before->second != count) {
+      this->core.Apply(this->core.permits.Demand(subject, count, now));
+    }
+    if (count > 0) {
+      next[subject] = count;
+    }
+  }
+  this->demanded = std::move(next);
+}
+
+void Scheduler::ExpireResults(Time now) {
+  while (!this->finished.empty() && this->finished.begin()->first <= now) {
+    const TaskId id = this->finished.begin()->second;
+    this->finished.erase(this->finished.begin());
+    const Work* work = this->FindWork(id);
+    this->kept_bytes -= work->outcome.body.size();
+    const auto request = this->by_request.find(work->job.request);
+    if (request != this->by_request.end() && request->second == id) {
+      this->by_request.erase(request);
+    }
+    this->works.erase(id);
+  }
+  while (!this->kept_bodies.empty() &&
+         this->FindWork(this->kept_bodies.front()) == nullptr) {
+    this->kept_bodies.pop_front();
+  }
+}
+
+void Scheduler::Tick(Time now) {
+  this->core.Request(StoreUser::kClaims,
+                     this->core.claims.Tick(now, this->core.wall_s));
+  this->TakeClaims(now);
+  this->TakeAdoptions(now);
+  this->CheckRecovering(now);
+  std::erase_if(this->lingering, [&](const Lingering& item) {
+    if (now < item.until) {
+      return false;
+    }
+    for (const permit::Subject& subject : item.subjects) {
+      this->core.Apply(this->core.permits.Give(subject, now));
+    }
+    return true;
+  });
+  for (const auto& [id, pool] : this->known_pools) {
+    for (const share::Waiting& late : pool->queue.Expire(now)) {
+      Work* work = this->FindWork(late.task);
+      this->Finish(*work,
+                   {.kind = work->maybe_sent ? OutcomeKind::kUnknown
+                                             : OutcomeKind::kNotRun,
+                    .reason = Reason::kDeadline},
+                   now);
+    }
+    this->Dispatch(*pool, now);
+    this->Preempt(*pool, now);
+    this->PollTargets(*pool, now);
+  }
+  this->CutExcess(now);
+  this->UpdateDemand(now);
+  this->ExpireResults(now);
+}
+
+}  // namespace kch::engine
--- /dev/null
+++ b/src/engine/work.h
@@ -0,0 +1,97 @@
+#ifndef ENGINE_WORK_H_
+#define ENGINE_WORK_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/base.h"
+#include "engine/attempt.h"
+#include "engine/job.h"
+#include "permit/permit.h"
+#include "route/route.h"
+
+namespace kch::engine {
+
+/*! @brief Where a job stands. */
+enum class WorkState : std::uint8_t {
+  kQueued,
+  kClaiming,    // its request id is being claimed; permit and slot are held
+  kRunning,     // a connection waits for the end of the task
+  kRecovering,  // the connection was lost; the worker is asked again
+  kFinished,
+};
+
+/*! @brief Where the permit of a running task is. */
+enum class PermitPlace : std::uint8_t {
+  kNone,
+  kOwn,      // of this entry
+  kPeer,     // of the peer that the task was delegated to
+  kAdopting  // of the scheduler that started the task and failed
+};
+
+/*! @brief An entry that waits for a job, and the id it knows the job by. */
+using Listener = std::pair<InstanceId, TaskId>;
+
+/*! @brief One job at its scheduler. */
+struct Work {
+  Job job;
+  std::set<Listener> listeners;
+  WorkState state = WorkState::kQueued;
+  Time enqueued;
+  Time deadline;
+  // Attempts so far.
+  std::optional<Attempt> attempt;
+  int refusals = 0;
+  std::set<VmId> failed_on;  // healthy targets
+  route::Exclusions exclusions;
+  route::AttemptEnd worst = route::AttemptEnd::kNotRun;
+  bool maybe_sent = false;
+  std::string claim_token;
+  bool claimed = false;
+  std::string checkpoint;
+  // The attempt in progress.
+  PermitPlace permit = PermitPlace::kNone;
+  // Whose permits this entry holds for the task.
+  std::vector<permit::Subject> subjects;
+  std::vector<permit::Subject> queued_for;  // demand counted while queued
+  InstanceId delegate;
+  bool stopping = false;  // an order to stop or checkpoint was sent
+  bool cancelled = false;
+  Time launched;
+  Time renewed;            // last confirmed renewal of the lease
+  int absent_reports = 0;  // reports in a row that lack the task
+  Time next_attach;
+  bool attaching = false;
+  // The end.
+  Outcome outcome;
+};
+
+/*! @brief A task that this entry runs for a peer against its own permit. */
+struct Foreign {
+  InstanceId scheduler;
+  Attempt attempt;
+  PoolId pool;
+  std::vector<permit::Subject> subjects;
+  Time renewed;
+};
+
+}  // namespace kch::engine
+
+template <>
+struct kch::NameTable<kch::engine::WorkState> {
+  using E = kch::engine::WorkState;
+  static constexpr std::array<std::pair<E, std::string_view>, 5> kEntries{
+      {{E::kQueued, "queued"},
+       {E::kClaiming, "claiming"},
+       {E::kRunning, "running"},
+       {E::kRecovering, "recovering"},
+       {E::kFinished, "finished"}}};
+};
+
+#endif  // ENGINE_WORK_H_
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -4,6 +4,8 @@
 #include "net/http.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/peer_bus.h"
 #include "net/settings.h"
+#include "net/store_client.h"
 
 #endif  // NET_NET_H_
