--- a/src/config/proposer.cc
+++ b/src/config/proposer.cc
@@ -43,10 +43,12 @@
 }
 
 Error NotApplied(const std::string& change_id) {
-  return Error{ErrorKind::kUnavailable,
-               "change " + change_id +
-                   " was not applied: the store did not answer in time",
-               "repeat the change once the store is back"};
+  return Error{
+      ErrorKind::kUnavailable,
+      "change " + change_id +
+          " was not applied by this attempt: the store did not answer in "
+          "time",
+      "repeat the change once the store is back"};
 }
 
 }  // namespace
@@ -90,6 +92,7 @@
     if (answered == Phase::kWrite && reply.status == StoreStatus::kOk) {
       effects.heads.push_back(*this->written);
     }
+    this->read_head.reset();
     this->reread = true;
   } else if (answered == Phase::kHead) {
     this->OnHead(reply, now, effects);
