--- /dev/null
+++ b/test/config/log_test.cc
@@ -0,0 +1,300 @@
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include "config/config.h"
+#include "fake_store.h"
+
+namespace kch::config {
+namespace {
+
+using std::chrono::milliseconds;
+
+Change DrawChange(FakeStore& store) {
+  const auto name = [&](const char* kind) {
+    return kind + std::to_string(store.Draw(4));
+  };
+  switch (store.Draw(8)) {
+    case 0:
+      return RemoveTeam{TeamId(name("t"))};
+    case 1:
+      return GrantKey{{KeyId(name("k")), TeamId(name("t")), HashSecret("s")}};
+    case 2:
+      return WithdrawKey{KeyId(name("k"))};
+    case 3:
+      return SetZone{{ZoneId(name("z")), store.Draw(2) == 0}};
+    case 4:
+      return PutPool{{PoolId(name("p")), false, 1, 1, 1}};
+    case 5: {
+      Profile profile;
+      profile.id = ProfileId(name("f"));
+      profile.pool = PoolId(name("p"));
+      return PutProfile{profile};
+    }
+    default:
+      return PutTeam{{TeamId(name("t")),
+                      static_cast<std::uint32_t>(1 + store.Draw(9)), 3}};
+  }
+}
+
+// Several proposers and followers over one store, driven in a random order.
+class Fleet {
+ public:
+  explicit Fleet(std::uint64_t seed)
+      : random(seed), store(this->random), proposers(3), followers(4) {
+    this->outstanding.resize(this->proposers.size());
+  }
+
+  void Run(int steps) {
+    for (int i = 0; i < steps; ++i) {
+      this->now += milliseconds(this->store.Draw(60));
+      switch (this->store.Draw(12)) {
+        case 0:
+        case 1:
+          this->Propose();
+          break;
+        case 2:
+          this->store.down = this->store.Draw(6) == 0;
+          break;
+        case 3:
+          this->store.DeliverLate();
+          break;
+        case 4:
+          this->Repeat();
+          break;
+        case 5:
+          this->now += milliseconds(this->store.Draw(20) == 0 ? 6'000 : 100);
+          this->StepAll();
+          break;
+        case 6:
+        case 7:
+        case 8:
+          this->Offer(this->followers[this->store.Draw(4)]);
+          break;
+        default:
+          this->Deliver(this->store.Draw(this->proposers.size()));
+      }
+    }
+    this->Settle();
+  }
+
+ private:
+  struct Sent {
+    Proposal proposal;
+    std::uint64_t since = 0;  // revision at the first attempt
+    bool unknown = false;
+  };
+
+  void Propose() {
+    Sent sent;
+    sent.proposal.change_id = "c" + std::to_string(this->sent.size());
+    sent.proposal.change = DrawChange(this->store);
+    if (this->store.Draw(3) == 0) {
+      const auto subject =
+          SubjectOf(this->store.truth.back(), sent.proposal.change);
+      sent.proposal.expected_revision =
+          subject.revision + this->store.Draw(8) / 7;
+    }
+    this->sent.emplace(sent.proposal.change_id, sent);
+    this->Send(sent.proposal.change_id);
+  }
+
+  // Repeats a change whose outcome was unknown, at any proposer.
+  void Repeat() {
+    if (!this->unresolved.empty()) {
+      const std::string id = this->unresolved.back();
+      this->unresolved.pop_back();
+      this->Send(id);
+    }
+  }
+
+  void Send(const std::string& id) {
+    Sent& sent = this->sent.at(id);
+    sent.since = this->store.revision();
+    const auto index = this->store.Draw(this->proposers.size());
+    this->Take(index, this->proposers[index].Propose(sent.proposal, this->now));
+  }
+
+  void Deliver(std::size_t index) {
+    if (const auto op = std::exchange(this->outstanding[index], {})) {
+      // The effect comes long before the reply in some runs.
+      this->Take(index, this->proposers[index].OnReply(
+                            op->reply ? *op->reply : this->store.Do(op->op),
+                            this->now));
+    }
+  }
+
+  void StepAll() {
+    for (std::size_t i = 0; i < this->proposers.size(); ++i) {
+      this->Take(i, this->proposers[i].OnStep(this->now));
+    }
+  }
+
+  void Take(std::size_t index, const ProposerEffects& effects) {
+    for (const StoreOp& op : effects.operations) {
+      RC_ASSERT(!this->outstanding[index]);
+      this->outstanding[index] = Flight{op, {}};
+      if (this->store.Draw(2) == 0) {
+        this->outstanding[index]->reply = this->store.Do(op);
+      }
+    }
+    for (const Finished& finished : effects.finished) {
+      this->Check(finished);
+    }
+  }
+
+  // True if some revision since the first attempt justifies a refusal.
+  bool Justified(const Sent& sent) {
+    for (auto r = sent.since; r <= this->store.revision(); ++r) {
+      State state = this->store.truth[r];
+      const auto subject = SubjectOf(state, sent.proposal.change);
+      if ((sent.proposal.expected_revision &&
+           *sent.proposal.expected_revision != subject.revision) ||
+          !Apply(state, sent.proposal.change)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void Check(const Finished& finished) {
+    Sent& sent = this->sent.at(finished.change_id);
+    if (const auto* accepted = std::get_if<Accepted>(&finished.outcome)) {
+      RC_ASSERT(accepted->revision <= this->store.revision());
+      RC_ASSERT(this->store.truth[accepted->revision].remembered.back().id ==
+                finished.change_id);
+      return;
+    }
+    if (std::holds_alternative<Unknown>(finished.outcome)) {
+      sent.unknown = true;
+      this->unresolved.push_back(finished.change_id);
+      return;
+    }
+    const auto* rejected = std::get_if<Rejected>(&finished.outcome);
+    if (rejected != nullptr &&
+        rejected->error.kind == ErrorKind::kUnavailable) {
+      if (!sent.unknown) {
+        this->refused.insert(finished.change_id);
+      }
+      return;
+    }
+    RC_ASSERT(this->Justified(sent));
+    this->refused.insert(finished.change_id);
+  }
+
+  // Any head that ever was, any base or any peer's state, in any order.
+  void Offer(Follower& follower) {
+    const std::uint64_t before = follower.revision();
+    if (this->store.Draw(3) == 0) {
+      const Follower& peer =
+          this->followers[this->store.Draw(this->followers.size())];
+      RC_ASSERT(follower.OfferBase(peer.state()).has_value());
+    } else if (this->store.Draw(3) == 0) {
+      const auto record =
+          std::next(this->store.records.begin(),
+                    static_cast<std::ptrdiff_t>(
+                        this->store.Draw(this->store.records.size() + 1)));
+      if (record != this->store.records.end() && record->first != kHeadKey) {
+        RC_ASSERT(follower
+                      .OfferBase(std::make_shared<const State>(
+                          *Decode<State>(record->second.first)))
+                      .has_value());
+      }
+    } else {
+      const auto& heads = this->store.heads;
+      const std::size_t late =
+          this->store.Draw(2) == 0 ? this->store.Draw(heads.size()) : 0;
+      RC_ASSERT(follower.OfferHead(heads[heads.size() - 1 - late]).has_value());
+    }
+    RC_ASSERT(follower.revision() >= before);
+    RC_ASSERT(*follower.state() == this->store.truth[follower.revision()]);
+  }
+
+  // The store recovers: everything is answered and in force everywhere.
+  void Settle() {
+    this->store.down = false;
+    this->store.DeliverLate();
+    for (int i = 0; i < 200; ++i) {
+      this->now += milliseconds(100);
+      this->StepAll();
+      for (std::size_t p = 0; p < this->proposers.size(); ++p) {
+        this->Deliver(p);
+      }
+    }
+    this->store.DeliverLate();
+    for (const Proposer& proposer : this->proposers) {
+      RC_ASSERT(proposer.size() == 0U);
+    }
+    RC_ASSERT(this->store.faults == std::vector<std::string>{});
+    const State& last = this->store.truth.back();
+    for (const State& state : this->store.truth) {
+      if (!state.remembered.empty()) {
+        RC_ASSERT(!this->refused.contains(state.remembered.back().id));
+      }
+    }
+    for (Follower& follower : this->followers) {
+      RC_ASSERT(follower.OfferHead(this->store.heads.back()).has_value());
+      if (const auto base = follower.wanted_base()) {
+        const auto record = this->store.records.at(BaseKey(*base));
+        RC_ASSERT(follower
+                      .OfferBase(std::make_shared<const State>(
+                          *Decode<State>(record.first)))
+                      .has_value());
+      }
+      RC_ASSERT(*follower.state() == last);
+    }
+    RC_CLASSIFY(this->store.heads.back().base_revision > 0, "folded");
+  }
+
+  struct Flight {
+    StoreOp op;
+    std::optional<StoreReply> reply;  // if the store has already acted
+  };
+
+  Random random;
+  FakeStore store;
+  Time now;
+  std::vector<Proposer> proposers;
+  std::vector<Follower> followers;
+  std::vector<std::optional<Flight>> outstanding;
+  std::map<std::string, Sent> sent;
+  std::vector<std::string> unresolved;
+  std::set<std::string> refused;
+};
+
+// Guards against a configuration that reverts or differs between entries, an
+// accepted change that is lost, a refused one that takes effect, a change that
+// is applied twice after a lost reply, and a refusal from an old head.
+BOOST_AUTO_TEST_CASE(RacingProposersAndFollowersAgree) {
+  BOOST_TEST(rc::check([] {
+    const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>());
+    Fleet(seed).Run(1'500);
+  }));
+}
+
+// Guards against a change id that is reported as accepted for other content.
+BOOST_AUTO_TEST_CASE(ReusedChangeIdIsRefused) {
+  Random random(1);
+  Proposer proposer;
+  const Time now;
+  FakeStore store(random);
+  const auto run = [&](const Proposal& proposal) {
+    auto effects = proposer.Propose(proposal, now);
+    Time later = now;
+    while (effects.finished.empty()) {
+      later += kStoreRetryDelay;
+      effects = effects.operations.empty()
+                    ? proposer.OnStep(later)
+                    : proposer.OnReply(store.Do(effects.operations[0]), later);
+    }
+    return effects.finished[0].outcome;
+  };
+  const Proposal first{"id", PutTeam{{TeamId("a"), 1, 1}}, {}};
+  const Proposal second{"id", PutTeam{{TeamId("a"), 2, 1}}, {}};
+  BOOST_TEST(std::get<Accepted>(run(first)).revision == 1U);
+  BOOST_TEST(std::get<Accepted>(run(first)).revision == 1U);
+  BOOST_TEST(std::holds_alternative<Rejected>(run(second)));
+}
+
+}  // namespace
+}  // namespace kch::config
