Test membership; require silence beside a VM that is gone

The random test and its model showed that a process that joins on a restarted VM could be proved stopped by a lagging list. Listings now count per incarnation, and a VM that is gone proves a stop only after 2 s of silence.

--- a/src/member/membership.cc
+++ b/src/member/membership.cc
@@ -89,7 +89,7 @@
   if (found == this->peers.end() || incarnation < found->second.incarnation ||
       (incarnation == found->second.incarnation &&
        sequence <= found->second.sequence) ||
-      this->ProofOf(peer, incarnation)) {
+      this->IsProved(peer, incarnation)) {
     return false;
   }
   Peer& known = found->second;
@@ -120,14 +120,18 @@
     return;
   }
   this->list_version = version;
-  std::set<VmId> seen;
-  std::set<VmId> absent;
+  // Each incarnation has to be seen anew: one that starts on a restarted VM
+  // may join before the lagging list shows the VM again.
+  std::map<InstanceId, std::uint64_t> seen;
+  std::map<InstanceId, std::uint64_t> absent;
   for (const auto& [id, row] : this->latest.members) {
+    const auto before = this->listed.find(id);
     if (vms.contains(row.vm)) {
-      seen.insert(row.vm);
-    } else if (this->listed.contains(row.vm)) {
-      seen.insert(row.vm);
-      absent.insert(row.vm);
+      seen.emplace(id, row.incarnation);
+    } else if (before != this->listed.end() &&
+               before->second == row.incarnation) {
+      seen.emplace(id, row.incarnation);
+      absent.emplace(id, row.incarnation);
     }
   }
   this->listed = std::move(seen);
@@ -218,7 +222,7 @@
     return PeerState::kDown;
   }
   // What has stopped needs no two seconds of silence.
-  if (this->ProofOf(peer, found->second.incarnation)) {
+  if (this->IsProved(peer, found->second.incarnation)) {
     return PeerState::kDown;
   }
   const Duration silence = now - found->second.alive_at;
@@ -266,19 +270,30 @@
   return std::move(ranks.front());
 }
 
+bool Membership::IsProved(const InstanceId& instance,
+                          std::uint64_t incarnation) const {
+  const auto found = this->proofs.find(instance);
+  return found != this->proofs.end() &&
+         found->second.incarnation >= incarnation;
+}
+
 std::optional<StopProof> Membership::ProofOf(const InstanceId& instance,
                                              std::uint64_t incarnation) const {
-  const auto found = this->proofs.find(instance);
-  if (found != this->proofs.end() && found->second.incarnation >= incarnation) {
-    return found->second;
+  if (this->IsProved(instance, incarnation)) {
+    return this->proofs.at(instance);
   }
-  const auto row = this->latest.members.find(instance);
-  if (row != this->latest.members.end() &&
-      row->second.incarnation >= incarnation &&
-      this->gone.contains(row->second.vm)) {
-    return StopProof{instance, row->second.incarnation, StopKind::kVmGone};
+  const auto vanished = this->gone.find(instance);
+  if (vanished == this->gone.end() || vanished->second < incarnation) {
+    return std::nullopt;
+  }
+  // The list lags, so it does not outweigh a process that still reports.
+  const auto peer = this->peers.find(instance);
+  if (peer == this->peers.end() ||
+      peer->second.incarnation != vanished->second ||
+      this->last_step - peer->second.alive_at < kDownAfter) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return StopProof{instance, vanished->second, StopKind::kVmGone};
 }
 
 std::uint64_t Membership::config_revision_of(const InstanceId& peer) const {
--- a/src/member/membership.h
+++ b/src/member/membership.h
@@ -89,7 +89,8 @@
   [[nodiscard]] std::vector<InstanceId> RanksOf(const PoolId& pool,
                                                 Time now) const;
   /*! @brief Proof that an incarnation has stopped, if there is one. A timeout
-   * is none. */
+   * is none. A VM that is gone counts after 2 s of silence and only until the
+   * list shows it again: ask once more before acting on it. */
   [[nodiscard]] std::optional<StopProof> ProofOf(
       const InstanceId& instance,
       std::uint64_t incarnation) const;
@@ -126,6 +127,8 @@
              StopKind kind);
   [[nodiscard]] bool Counts(Time contact) const;
   [[nodiscard]] bool HasMajority(Time now) const;
+  [[nodiscard]] bool IsProved(const InstanceId& instance,
+                              std::uint64_t incarnation) const;
   [[nodiscard]] bool IsDraining(const InstanceId& instance) const;
 
   Member own;
@@ -134,8 +137,10 @@
   std::map<InstanceId, Peer> peers;
   std::map<InstanceId, StopProof> proofs;  // highest incarnation of each name
   std::uint64_t list_version = 0;
-  std::set<VmId> listed;  // members' VMs that have been in the list
-  std::set<VmId> gone;    // of these, the ones that are no longer in it
+  // Incarnations whose VM has been in the list, and the ones of these whose VM
+  // is no longer in it.
+  std::map<InstanceId, std::uint64_t> listed;
+  std::map<InstanceId, std::uint64_t> gone;
   Time last_step;
   std::optional<Time> resumed_at;  // end of the last pause
   std::optional<Time> store_contact;
--- /dev/null
+++ b/test/member/member_test.cc
@@ -0,0 +1,383 @@
+#include "member/member.h"
+
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+
+namespace kch::member {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+InstanceId Name(std::uint64_t index) {
+  return InstanceId("e" + std::to_string(index));
+}
+
+Member Row(std::uint64_t index, std::uint64_t incarnation) {
+  return {Name(index), incarnation,  VmId("vm" + std::to_string(index)),
+          ZoneId("z"), "10.0.0.1:1", "10.0.0.1:2"};
+}
+
+// One membership under random reports, pauses and stops, beside a log of what
+// happened from which every answer is derived anew. Instance 0 is its own.
+class World {
+ public:
+  explicit World(std::uint64_t seed)
+      : random(seed),
+        size(1 + this->Draw(6)),
+        view(Row(0, 1), this->now),
+        last_call(this->now) {
+    for (std::uint64_t i = 0; i < this->size; ++i) {
+      this->record = *Join(std::move(this->record), Row(i, 1));
+      this->running[Name(i)] = 1;
+      this->vms.insert(Row(i, 1).vm);
+    }
+    this->view.OnRecord(++this->version, this->record, this->now);
+    this->view.OnVmList(++this->list_version, this->vms);
+  }
+
+  void Run(int steps) {
+    // Modes last for a while, so that all contact can be lost for seconds.
+    std::uint64_t mode = 0;
+    for (int i = 0; i < steps; ++i) {
+      if (this->Draw(25) == 0) {
+        mode = this->Draw(4);
+      }
+      this->now += milliseconds(this->Draw(40) == 0 ? 900 + this->Draw(2'500)
+                                                    : this->Draw(120));
+      RC_ASSERT(!this->view.Fresh(this->now) || this->MayStart(Duration{}));
+      switch (this->Draw(8)) {
+        case 0:
+        case 1:
+        case 2:
+          if (mode != 1 && mode != 3) {
+            this->Heartbeat(1 + this->Draw(this->size));
+          }
+          break;
+        case 3:
+          if (mode == 0 || mode == 1) {
+            this->Called();
+            this->view.OnStoreContact(this->now);
+            this->store = this->now;
+          }
+          break;
+        case 4:
+          if (this->Draw(6) == 0) {
+            this->Stop(1 + this->Draw(this->size));
+          }
+          break;
+        default:
+          this->Called();
+          this->view.OnStep(this->now);
+      }
+      this->Check();
+    }
+  }
+
+ private:
+  std::uint64_t Draw(std::uint64_t bound) { return this->random() % bound; }
+
+  // Notes a gap between calls, which the membership must take for a pause.
+  void Called() {
+    if (this->now - this->last_call > seconds(1)) {
+      this->resumed = this->now;
+    }
+    this->last_call = this->now;
+  }
+
+  void Heartbeat(std::uint64_t index) {
+    const InstanceId peer = Name(index);
+    this->Called();
+    // Some reports are from an earlier process or come twice.
+    const std::uint64_t incarnation =
+        this->Draw(8) == 0 ? 1 : this->running[peer];
+    const std::uint64_t sequence =
+        this->Draw(8) == 0 ? this->sequence : ++this->sequence;
+    const auto key = std::tuple(peer, incarnation, sequence);
+    const bool repeated = !this->reports.insert(key).second;
+    const bool fresh = this->view.OnHeartbeat(peer, incarnation, sequence, 1,
+                                              false, this->now);
+    if (fresh) {
+      RC_ASSERT(!repeated);
+      RC_ASSERT(this->record.members.contains(peer));
+      RC_ASSERT(!this->barred.contains({peer, incarnation}));
+      this->heard[peer] = this->now;
+    }
+  }
+
+  // A process ends, and with luck there is a proof of it.
+  void Stop(std::uint64_t index) {
+    const InstanceId peer = Name(index);
+    const auto row = this->record.members.find(peer);
+    if (row == this->record.members.end()) {
+      return;
+    }
+    const Member member = row->second;
+    const std::uint64_t ended = member.incarnation;
+    const std::uint64_t old_version = this->version;
+    const Record old_record = this->record;
+    const auto kind = this->Draw(5);
+    switch (kind) {
+      case 0:
+        this->record = Leave(this->record, peer, ended);
+        break;
+      case 1:
+        this->record = *Join(this->record, Row(index, ended + 1));
+        this->running[peer] = ended + 1;
+        this->heard.erase(peer);
+        // A restarted VM is back before the list shows it.
+        this->vms.insert(member.vm);
+        break;
+      case 2:
+        this->view.OnVmList(++this->list_version, this->vms);
+        this->vms.erase(member.vm);
+        this->view.OnVmList(++this->list_version, this->vms);
+        for (int i = 0; i < 4; ++i) {
+          this->now += milliseconds(900);
+          this->Called();
+          this->view.OnStep(this->now);
+        }
+        break;
+      case 3:
+        this->view.OnRetired(peer, ended);
+        break;
+      default:
+        // It only falls silent. A list from before it started is no proof.
+        this->view.OnVmList(this->list_version, {VmId("vm0")});
+        this->view.OnVmList(this->list_version + 1, {});
+        return;
+    }
+    for (std::uint64_t i = 1; i <= ended; ++i) {
+      this->stopped.insert({peer, i});
+      if (kind != 2) {
+        this->barred.insert({peer, i});
+      }
+    }
+    this->Called();
+    this->view.OnRecord(++this->version, this->record, this->now);
+    this->view.OnRecord(old_version, old_record, this->now);  // late
+    RC_ASSERT(this->view.record() == this->record);
+    RC_ASSERT(this->view.ProofOf(peer, ended).has_value());
+  }
+
+  // The rules of the design page, from the log. `settle` is the time after a
+  // pause in which contact may be ignored.
+  [[nodiscard]] bool MayStart(Duration settle) const {
+    const auto counts = [&](std::optional<Time> contact) {
+      return contact && this->now - *contact <= seconds(2) &&
+             (!this->resumed || *contact >= *this->resumed + settle);
+    };
+    if (this->now - this->last_call > seconds(1)) {
+      return false;
+    }
+    std::size_t heard = 1;
+    for (const auto& [peer, at] : this->heard) {
+      heard += this->record.members.contains(peer) && counts(at) ? 1 : 0;
+    }
+    return counts(this->store) ||
+           (heard > 1 && 2 * heard > this->record.members.size());
+  }
+
+  void Check() {
+    const bool fresh = this->view.Fresh(this->now);
+    RC_ASSERT(!fresh || this->MayStart(Duration{}));
+    RC_ASSERT(fresh || !this->MayStart(kResumeSettle));
+    for (std::uint64_t i = 1; i <= this->size; ++i) {
+      for (std::uint64_t n = 1; n <= this->running[Name(i)]; ++n) {
+        if (const auto proof = this->view.ProofOf(Name(i), n)) {
+          RC_ASSERT(this->stopped.contains({Name(i), n}));
+          RC_ASSERT(proof->incarnation >= n);
+        }
+      }
+    }
+    const auto live = this->view.Live(this->now);
+    RC_ASSERT(std::count(live.begin(), live.end(), Name(0)) == 1);
+    const auto owner = this->view.OwnerOf(PoolId("p"), this->now);
+    RC_ASSERT(owner && std::count(live.begin(), live.end(), *owner) == 1);
+    RC_ASSERT(!this->view.Superseded());
+  }
+
+  std::mt19937_64 random;
+  Time now;
+  std::uint64_t size;
+  Membership view;
+  Record record;
+  std::uint64_t version = 0;
+  std::uint64_t list_version = 10;
+  std::uint64_t sequence = 0;
+  std::set<VmId> vms;
+  std::map<InstanceId, std::uint64_t> running;
+  std::set<std::tuple<InstanceId, std::uint64_t, std::uint64_t>> reports;
+  std::set<std::pair<InstanceId, std::uint64_t>> stopped;
+  std::set<std::pair<InstanceId, std::uint64_t>> barred;  // reports are ignored
+  std::map<InstanceId, Time> heard;
+  std::optional<Time> store;
+  std::optional<Time> resumed;
+  Time last_call;
+};
+
+// Guards against starts without contact, starts after a pause on old contact,
+// and permits that return although their holder may still run.
+BOOST_AUTO_TEST_CASE(FreshAndProofsFollowTheRules) {
+  BOOST_TEST(rc::check([] {
+    const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>());
+    World(seed).Run(2'000);
+  }));
+}
+
+// Guards against contact that was buffered during a pause and counts after it.
+BOOST_AUTO_TEST_CASE(BufferedContactDoesNotCountAfterAPause) {
+  Membership view(Row(0, 1), Time());
+  view.OnRecord(1, *Join(*Join({}, Row(0, 1)), Row(1, 1)), Time());
+  view.OnStoreContact(Time());
+  BOOST_TEST(view.Fresh(Time() + milliseconds(900)));
+  Time now = Time() + milliseconds(1'500);
+  BOOST_TEST(!view.Fresh(now));
+  view.OnHeartbeat(Name(1), 1, 1, 0, false, now);
+  view.OnStoreContact(now);
+  view.OnStep(now);
+  BOOST_TEST(!view.Fresh(now));
+  now += kResumeSettle;
+  view.OnHeartbeat(Name(1), 1, 2, 0, false, now);
+  BOOST_TEST(view.Fresh(now));
+}
+
+// Guards against a silent connection that is kept, and a peer that stays the
+// owner of its pools although it is down.
+BOOST_AUTO_TEST_CASE(SilenceReplacesTheConnectionThenTheOwner) {
+  Membership view(Row(0, 1), Time());
+  view.OnRecord(1, *Join(*Join({}, Row(0, 1)), Row(1, 1)), Time());
+  std::map<std::int64_t, std::vector<PeerEventKind>> events;
+  std::uint64_t sequence = 0;
+  for (std::int64_t ms = 0; ms <= 5'000; ms += 100) {
+    const Time now = Time() + milliseconds(ms);
+    if (ms <= 500 || ms == 4'000) {
+      view.OnHeartbeat(Name(1), 1, ++sequence, 0, false, now);
+    }
+    for (const PeerEvent& event : view.OnStep(now)) {
+      events[ms].push_back(event.kind);
+    }
+    BOOST_TEST(view.Live(now).size() == (ms < 2'500 || ms >= 4'000 ? 2U : 1U));
+  }
+  using enum PeerEventKind;
+  const std::map<std::int64_t, std::vector<PeerEventKind>> expected{
+      {1'500, {kReconnect}},
+      {2'500, {kReconnect, kDown}},
+      {3'500, {kReconnect}},
+      {4'000, {kBack}},
+      {5'000, {kReconnect}}};
+  BOOST_TEST((events == expected));
+}
+
+// Guards against pools that move between members that stay, and against members
+// that disagree on the owner.
+BOOST_AUTO_TEST_CASE(OnlyPoolsOfALeaverMove) {
+  Record record;
+  for (std::uint64_t i = 0; i < 9; ++i) {
+    record = *Join(std::move(record), Row(i, 1));
+  }
+  Membership first(Row(0, 1), Time());
+  Membership second(Row(1, 1), Time());
+  first.OnRecord(1, record, Time());
+  second.OnRecord(1, record, Time());
+  std::map<InstanceId, int> owned;
+  for (int i = 0; i < 900; ++i) {
+    const PoolId pool("p" + std::to_string(i));
+    const auto ranks = first.RanksOf(pool, Time());
+    BOOST_REQUIRE(ranks.size() == 9U);
+    BOOST_TEST(*second.OwnerOf(pool, Time()) == ranks[0]);
+    ++owned[ranks[0]];
+    Membership rest(Row(0, 1), Time());
+    rest.OnRecord(1, Leave(record, Name(5), 1), Time());
+    BOOST_TEST(*rest.OwnerOf(pool, Time()) ==
+               (ranks[0] == Name(5) ? ranks[1] : ranks[0]));
+  }
+  for (const auto& [id, count] : owned) {
+    BOOST_TEST(count > 60);
+    BOOST_TEST(count < 140);
+  }
+  first.SetDraining(true);
+  for (const InstanceId& id : first.RanksOf(PoolId("p"), Time())) {
+    BOOST_TEST(id != Name(0));
+  }
+}
+
+// Guards against a replaced or stopped process that keeps starting work, or
+// that takes its row back.
+BOOST_AUTO_TEST_CASE(ReplacedProcessMustExit) {
+  const Record first = *Join({}, Row(0, 1));
+  const Record second = *Join(first, Row(0, 2));
+  BOOST_TEST(!Join(second, Row(0, 1)).has_value());
+  BOOST_TEST((Leave(second, Name(0), 1) == second));
+  BOOST_TEST(!Join(Leave(second, Name(0), 2), Row(0, 2)).has_value());
+  BOOST_TEST(Join(Leave(second, Name(0), 2), Row(0, 3)).has_value());
+  for (const Record& record : {second, Leave(first, Name(0), 1)}) {
+    Membership view(Row(0, 1), Time());
+    view.OnRecord(1, first, Time());
+    view.OnStoreContact(Time());
+    BOOST_TEST(view.Fresh(Time()));
+    view.OnRecord(2, record, Time());
+    BOOST_TEST(view.Superseded());
+    BOOST_TEST(!view.Fresh(Time()));
+  }
+  // A row that is merely absent, as after a loss of data, proves nothing.
+  Membership view(Row(1, 1), Time());
+  view.OnRecord(1, first, Time());
+  view.OnRecord(2, Record{}, Time());
+  BOOST_TEST(!view.ProofOf(Name(0), 1).has_value());
+}
+
+// Guards against a VM that counts as gone before it was ever listed, or while
+// it is listed again.
+BOOST_AUTO_TEST_CASE(VmIsGoneOnlyAfterHavingBeenListed) {
+  Membership view(Row(0, 1), Time());
+  view.OnRecord(1, *Join(*Join({}, Row(0, 1)), Row(1, 1)), Time());
+  const VmId own("vm0");
+  const VmId other("vm1");
+  view.OnVmList(1, {own});
+  BOOST_TEST(!view.ProofOf(Name(1), 1).has_value());
+  view.OnVmList(2, {own, other});
+  view.OnVmList(3, {});
+  BOOST_TEST(!view.ProofOf(Name(1), 1).has_value());
+  view.OnVmList(4, {own});
+  BOOST_TEST(!view.ProofOf(Name(1), 1).has_value());
+  view.OnStep(Time() + milliseconds(1'000));
+  view.OnStep(Time() + milliseconds(2'000));
+  BOOST_TEST((view.ProofOf(Name(1), 1)->kind == StopKind::kVmGone));
+  BOOST_TEST(!view.ProofOf(Name(1), 2).has_value());
+  BOOST_TEST(
+      view.OnHeartbeat(Name(1), 1, 1, 0, false, Time() + milliseconds(2'100)));
+  BOOST_TEST(!view.ProofOf(Name(1), 1).has_value());
+  view.OnStep(Time() + milliseconds(3'100));
+  view.OnStep(Time() + milliseconds(4'100));
+  BOOST_TEST(view.ProofOf(Name(1), 1).has_value());
+  view.OnVmList(5, {own, other});
+  BOOST_TEST(!view.ProofOf(Name(1), 1).has_value());
+}
+
+// Guards against a record that loses a field, grows without bound or is read
+// although it is damaged.
+BOOST_AUTO_TEST_CASE(RecordRoundTripsAndIsBounded) {
+  Record record;
+  for (std::uint64_t i = 0; i < kMaxStopped + 40; ++i) {
+    record = Leave(*Join(std::move(record), Row(i, 1)), Name(i), 1);
+  }
+  BOOST_TEST(record.stopped.size() == kMaxStopped);
+  BOOST_TEST(!record.stopped.contains(Name(0)));
+  Member draining = Row(7, 4);
+  draining.draining = true;
+  record = *Join(std::move(record), draining);
+  BOOST_TEST((*Decode<Record>(Encode(record)) == record));
+  for (const char* text :
+       {"", "{}", "[]", R"({"members":[{}],"stopped":[],"next_serial":1})",
+        R"({"members":[],"stopped":[],"next_serial":1,"more":1})"}) {
+    BOOST_TEST(!Decode<Record>(text).has_value());
+  }
+  BOOST_TEST(!Join({}, Row(1, 0)).has_value());
+}
+
+}  // namespace
+}  // namespace kch::member
