--- a/src/maintain/maintainer.cc
+++ b/src/maintain/maintainer.cc
@@ -232,12 +232,15 @@
   if (reply.version < slot.version) {
     return;  // a stale read
   }
-  auto record = Decode<PoolRecord>(*value);
-  if (!record) {
-    return;
+  // Most reads find the record unchanged.
+  if (reply.version != slot.version || !this->cached.contains(pool)) {
+    auto record = Decode<PoolRecord>(*value);
+    if (!record) {
+      return;
+    }
+    slot.version = reply.version;
+    this->Accept(pool, *std::move(record), now);
   }
-  slot.version = reply.version;
-  this->Accept(pool, *std::move(record), now);
   this->Decide(pool, slot, now, effects);
 }
 
