--- a/fake/worker/target.h
+++ b/fake/worker/target.h
@@ -51,7 +51,7 @@
  private:
   using Clock = std::chrono::steady_clock;
   struct Task {
-    Task(asio::io_context& io) : timer(io) {}
+    explicit Task(asio::io_context& io) : timer(io) {}
 
     std::string id;
     std::string team;
