--- a/fake/platform/platform.cc
+++ b/fake/platform/platform.cc
@@ -15,6 +15,10 @@
 // it exceeds the longest watch.
 constexpr int kRequestTimeoutMs = 30'000;
 
+constexpr std::string_view kOperations = "/v1/operations/";
+constexpr std::string_view kVms = "/v1/vms/";
+constexpr std::int64_t kAllPercent = 100;
+
 net::HttpResponse Problem(int status, const std::string& text) {
   return {.status = status, .body = json{{"error", text}}.dump()};
 }
@@ -110,7 +114,6 @@
       this->Draw(this->faults.lose_percent)
           ? net::HttpReply([](const net::HttpResponse&) {})
           : reply;
-  constexpr std::string_view kOperations = "/v1/operations/";
   if (request.method == "GET" && request.path == "/v1/vms") {
     ++this->list_reads;
     answer({.body = this->published});
@@ -167,7 +170,6 @@
 
 void Platform::Order(const net::HttpRequest& request,
                      const net::HttpReply& reply) {
-  constexpr std::string_view kVms = "/v1/vms/";
   const std::string rest = request.path.substr(kVms.size());
   const std::size_t slash = rest.find('/');
   const std::string vm = rest.substr(0, slash);
@@ -329,9 +331,8 @@
 }
 
 bool Platform::Draw(std::int64_t percent) {
-  constexpr std::int64_t kAll = 100;
   return percent > 0 && std::uniform_int_distribution<std::int64_t>(
-                            1, kAll)(this->random) <= percent;
+                            1, kAllPercent)(this->random) <= percent;
 }
 
 }  // namespace kch::fake
--- a/fake/platform/store.cc
+++ b/fake/platform/store.cc
@@ -16,6 +16,9 @@
 
 constexpr std::size_t kMaxValueBytes = 1U << 20U;
 constexpr std::size_t kMaxOperations = 64;
+constexpr std::int64_t kSecondMs = 1000;
+constexpr std::int64_t kMinuteMs = 60'000;
+constexpr std::int64_t kAllPercent = 100;
 constexpr std::int64_t kDefaultWaitMs = 10'000;
 constexpr std::int64_t kMaxWaitMs = 20'000;
 constexpr std::string_view kKv = "/v1/kv/";
@@ -37,8 +40,6 @@
   const std::string_view unit(
       parsed.ptr,
       static_cast<std::size_t>(text.data() + text.size() - parsed.ptr));
-  constexpr std::int64_t kSecondMs = 1000;
-  constexpr std::int64_t kMinuteMs = 60'000;
   std::int64_t ms = kDefaultWaitMs;
   if (unit == "ms") {
     ms = value;
@@ -330,9 +331,8 @@
 }
 
 bool Store::Draw(std::int64_t percent) {
-  constexpr std::int64_t kAll = 100;
   return percent > 0 && std::uniform_int_distribution<std::int64_t>(
-                            1, kAll)(this->random) <= percent;
+                            1, kAllPercent)(this->random) <= percent;
 }
 
 json Store::Counters() const {
--- a/fake/worker/relay.cc
+++ b/fake/worker/relay.cc
@@ -15,13 +15,14 @@
     asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
+constexpr std::string_view kLengthField = "\r\ncontent-length:";
 constexpr std::string_view kHalfMark = "Kch-Fault: half";
 
 std::size_t ContentLength(std::string_view head) {
-  constexpr std::string_view kName = "\r\ncontent-length:";
-  const auto found = std::ranges::search(head, kName, [](char a, char b) {
-    return std::tolower(static_cast<unsigned char>(a)) == b;
-  });
+  const auto found =
+      std::ranges::search(head, kLengthField, [](char a, char b) {
+        return std::tolower(static_cast<unsigned char>(a)) == b;
+      });
   std::size_t length = 0;
   if (!found.empty()) {
     const char* begin = found.end();
@@ -57,6 +58,8 @@
             self->Close();
             return;
           }
+          std::error_code ignored;
+          self->server.set_option(tcp::no_delay(true), ignored);
           self->ReadClient();
           self->ReadServer();
         });
--- a/fake/worker/target.cc
+++ b/fake/worker/target.cc
@@ -10,6 +10,7 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+constexpr std::string_view kTasks = "/tasks/";
 constexpr std::int64_t kNoLeaseMs = 24LL * 3600 * 1000;
 // Lets the answer to the order leave before its connection is closed.
 constexpr milliseconds kRestartDelay{20};
@@ -81,7 +82,6 @@
                     const net::HttpReply& reply) {
   const std::string& path = request.path;
   const bool post = request.method == "POST";
-  constexpr std::string_view kTasks = "/tasks/";
   if (post && path == "/run") {
     this->Run(request, reply);
   } else if (post && path == "/leases") {
