--- a/src/engine/entry.cc
+++ b/src/engine/entry.cc
@@ -36,6 +36,9 @@
   void operator()(const CallerCancel& event) const {
     this->entry.origin.OnCancel(event.call);
   }
+  void operator()(const CancelRequest& event) const {
+    this->entry.origin.OnCancelRequest(event, this->now);
+  }
   void operator()(OperatorChange& event) const {
     this->entry.change_calls.emplace(event.proposal.change_id, event.call);
     this->entry.ApplyProposer(
@@ -87,7 +90,7 @@
     this->entry.origin.OnOutcome(this->message.from, body, this->now);
   }
   void operator()(const CancelJob& body) const {
-    this->entry.jobs.OnCancel(this->message.from, body.job, this->now);
+    this->entry.jobs.OnCancel(this->message.from, body, this->now);
   }
   void operator()(const Delegate& body) const {
     this->entry.jobs.OnDelegate(this->message.from, body, this->now);
--- a/src/engine/event.h
+++ b/src/engine/event.h
@@ -37,6 +37,14 @@
   CallId call = 0;
 };
 
+/*! @brief A caller cancels a request by its id, perhaps from elsewhere. */
+struct CancelRequest {
+  CallId call = 0;
+  ProfileId profile;
+  std::string secret;
+  std::string request_id;
+};
+
 /*! @brief An operator's change. */
 struct OperatorChange {
   CallId call = 0;
@@ -106,6 +114,7 @@
 
 using Event = std::variant<CallerRequest,
                            CallerCancel,
+                           CancelRequest,
                            OperatorChange,
                            PeerMessage,
                            StoreAnswer,
--- a/src/engine/message.h
+++ b/src/engine/message.h
@@ -86,9 +86,11 @@
   bool operator==(const JobOutcome&) const = default;
 };
 
-/*! @brief The caller no longer wants an answer. */
+/*! @brief The caller no longer wants an answer: to one submission, or to a
+ * request by its id, whoever waits for it. */
 struct CancelJob {
   TaskId job;
+  RequestId request;
 
   bool operator==(const CancelJob&) const = default;
 };
--- a/src/engine/origin.cc
+++ b/src/engine/origin.cc
@@ -125,13 +125,33 @@
   }
   const Pending& waiting = this->pending.at(found->second);
   if (waiting.scheduler) {
-    this->core.Send(*waiting.scheduler, CancelJob{waiting.job.id});
+    this->core.Send(*waiting.scheduler, CancelJob{waiting.job.id, {}});
   } else if (!waiting.sent) {
     this->Answer(TaskId(found->second),
                  {.kind = OutcomeKind::kNotRun, .reason = Reason::kCancelled});
   }
 }
 
+void Origin::OnCancelRequest(const CancelRequest& cancel, Time now) {
+  Reason reason = Reason::kNone;
+  const auto job = this->Check({.profile = cancel.profile,
+                                .secret = cancel.secret,
+                                .request_id = cancel.request_id},
+                               reason);
+  const auto owner =
+      job ? this->core.membership.OwnerOf(job->pool, now) : std::nullopt;
+  if (owner) {
+    this->core.Send(*owner, CancelJob{{}, job->request});
+  } else if (reason == Reason::kNone) {
+    reason = Reason::kNoScheduler;
+  }
+  // Passing the order on is all that this answer reports.
+  this->core.effects.emplace_back(ReplyCaller{
+      cancel.call,
+      {.kind = owner ? OutcomeKind::kDone : OutcomeKind::kNotRun,
+       .reason = reason}});
+}
+
 void Origin::OnStarted(const InstanceId& from, const Started& started) {
   const auto found = this->pending.find(started.job);
   if (found != this->pending.end() && found->second.scheduler == from) {
@@ -158,7 +178,7 @@
     return;
   }
   if (waiting.scheduler && waiting.scheduler != from) {
-    this->core.Send(*waiting.scheduler, CancelJob{waiting.job.id});
+    this->core.Send(*waiting.scheduler, CancelJob{waiting.job.id, {}});
   }
   this->Answer(answer.job, std::move(answer.outcome));
 }
--- a/src/engine/origin.h
+++ b/src/engine/origin.h
@@ -23,6 +23,8 @@
   void OnRequest(CallerRequest request, Time now);
   /*! @brief Gives a request up. */
   void OnCancel(CallId call);
+  /*! @brief Passes on the order to cancel a request by its id. */
+  void OnCancelRequest(const CancelRequest& cancel, Time now);
   /*! @brief A scheduler started a task for a waiting request. */
   void OnStarted(const InstanceId& from, const Started& started);
   /*! @brief A scheduler answered. */
--- a/src/engine/scheduler.cc
+++ b/src/engine/scheduler.cc
@@ -225,17 +225,24 @@
   this->Dispatch(*pool, now);
 }
 
-void Scheduler::OnCancel(const InstanceId& from, const TaskId& job, Time now) {
-  // The sender may know the job by an id of its own if it attached to it.
-  Work* work = this->FindWork(job);
+void Scheduler::OnCancel(const InstanceId& from,
+                         const CancelJob& cancel,
+                         Time now) {
+  Work* work = this->FindWork(cancel.job);
+  if (work == nullptr) {
+    const auto found = this->by_request.find(cancel.request);
+    work = found == this->by_request.end() ? nullptr
+                                           : this->FindWork(found->second);
+  }
   if (work == nullptr || work->state == WorkState::kFinished) {
     return;
   }
-  if (work->listeners.size() > 1) {
-    this->core.Send(from, JobOutcome{job,
+  // One of several entries that wait gives up: the others still want it.
+  if (!cancel.job.empty() && work->listeners.size() > 1) {
+    work->listeners.erase({from, cancel.job});
+    this->core.Send(from, JobOutcome{cancel.job,
                                      {.kind = OutcomeKind::kUnknown,
                                       .reason = Reason::kCancelled}});
-    work->listeners.erase({from, job});
     return;
   }
   if (work->state == WorkState::kQueued) {
--- a/src/engine/scheduler.h
+++ b/src/engine/scheduler.h
@@ -28,7 +28,7 @@
   /*! @brief Takes a job from an entry; a repeat returns what is known. */
   void OnSubmit(const InstanceId& from, Submit submit, Time now);
   /*! @brief An entry no longer wants an answer. */
-  void OnCancel(const InstanceId& from, const TaskId& job, Time now);
+  void OnCancel(const InstanceId& from, const CancelJob& cancel, Time now);
   /*! @brief Follows a task that a scheduler which failed had started. */
   void Adopt(const Job& job, const Attempt& attempt, Time deadline, Time now);
   /*! @brief Starts a peer's task against a permit of this entry. */
--- a/src/wire/wire.cc
+++ b/src/wire/wire.cc
@@ -160,6 +160,7 @@
   }
   void operator()(const engine::CancelJob& from) const {
     this->to.mutable_cancel_job()->set_job(from.job.str());
+    this->to.mutable_cancel_job()->set_request(from.request.str());
   }
   void operator()(const engine::Delegate& from) const {
     Delegate& order = *this->to.mutable_delegate();
@@ -232,7 +233,8 @@
       return answer;
     }
     case Envelope::kCancelJob:
-      return engine::CancelJob{TaskId(from.cancel_job().job())};
+      return engine::CancelJob{TaskId(from.cancel_job().job()),
+                               RequestId(from.cancel_job().request())};
     case Envelope::kDelegate:
       return engine::Delegate{Take(from.delegate().job()),
                               Take(from.delegate().attempt()),
--- a/test/wire/wire_test.cc
+++ b/test/wire/wire_test.cc
@@ -44,7 +44,7 @@
                               .task = TaskId("t"),
                               .vm = VmId("vm1"),
                               .retry_after_ms = 8}},
-          engine::CancelJob{job.id},
+          engine::CancelJob{job.id, job.request},
           engine::Delegate{job, attempt, "c1"},
           engine::DelegateEnd{{.task = TaskId("t"),
                                .status = engine::AttemptStatus::kNotKnown,
