--- /dev/null
+++ b/src/route/target_set.cc
@@ -0,0 +1,354 @@
+#include "route/target_set.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace kch::route {
+namespace {
+
+// Doublings after which a ramp exceeds any VM; keeps the shift defined.
+constexpr std::int64_t kRampSteps = 20;
+
+// Ejections after which the length no longer grows.
+constexpr int kMaxDoublings = 6;
+
+}  // namespace
+
+// A target that may take the next task.
+struct TargetSet::Candidate {
+  const Target* target;
+  // Preference before free slots: exclusions in the order VM, rack, zone, and
+  // targets that would be ejected but for the limit.
+  int avoid;
+  std::int64_t free;
+};
+
+std::int64_t TargetSet::Running(const Target& target) {
+  return std::max<std::int64_t>(
+      0, static_cast<std::int64_t>(target.running.size()) + target.correction);
+}
+
+std::int64_t TargetSet::RampSlots(const Target& target, Time now) {
+  if (!target.ramp_from) {
+    return target.vm.slots;
+  }
+  const std::int64_t steps = std::clamp<std::int64_t>(
+      (now - *target.ramp_from) / kRampStep, 0, kRampSteps);
+  return std::min<std::int64_t>(target.vm.slots, std::int64_t{1} << steps);
+}
+
+std::int64_t TargetSet::FreeSlots(const Target& target, Time now) {
+  if (!target.vm.usable) {
+    return 0;
+  }
+  const std::int64_t running = Running(target);
+  if (target.out) {
+    // One probe at a time, and only once the ejection has passed.
+    return target.probe.empty() && now >= target.out_until &&
+                   running < target.vm.slots
+               ? 1
+               : 0;
+  }
+  return std::max<std::int64_t>(0, RampSlots(target, now) - running);
+}
+
+void TargetSet::ForgetEnds(Target& target, Time now) {
+  while (!target.ends.empty() && target.ends.front() < now - kMaxReportLag) {
+    target.ends.pop_front();
+  }
+}
+
+std::size_t TargetSet::EjectionLimit() const {
+  const auto usable = static_cast<std::size_t>(
+      std::count_if(this->targets.begin(), this->targets.end(),
+                    [](const Target& target) { return target.vm.usable; }));
+  return usable * kMaxEjectedPercent / 100;
+}
+
+std::size_t TargetSet::ejected() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->targets.begin(), this->targets.end(),
+      [](const Target& target) { return target.vm.usable && target.out; }));
+}
+
+void TargetSet::Update(const std::vector<TargetVm>& vms, Time now) {
+  std::vector<Target> next;
+  std::unordered_map<VmId, std::size_t> next_index;
+  next.reserve(vms.size());
+  for (const TargetVm& vm : vms) {
+    if (!next_index.try_emplace(vm.id, next.size()).second) {
+      continue;
+    }
+    const auto known = this->index.find(vm.id);
+    bool was_usable = false;
+    if (known != this->index.end()) {
+      next.push_back(std::move(this->targets[known->second]));
+      was_usable = next.back().vm.usable;
+    } else {
+      next.emplace_back();
+    }
+    Target& target = next.back();
+    target.vm = vm;
+    target.zone =
+        this->zones.try_emplace(vm.zone, this->zones.size()).first->second;
+    // The first list shows a pool that already serves, under another entry.
+    if (vm.usable && !was_usable && this->updated) {
+      target.ramp_from = now;
+      target.failures = 0;
+    }
+  }
+  this->targets = std::move(next);
+  this->index = std::move(next_index);
+  this->updated = true;
+  this->EnforceLimit(now);
+}
+
+// With fewer usable targets the ejected ones may exceed the limit; those whose
+// ejection ends first return. They stay behind the others until they succeed.
+void TargetSet::EnforceLimit(Time now) {
+  const std::size_t limit = this->EjectionLimit();
+  for (std::size_t out = this->ejected(); out > limit; --out) {
+    Target* first = nullptr;
+    for (Target& target : this->targets) {
+      if (target.vm.usable && target.out &&
+          (first == nullptr || target.out_until < first->out_until)) {
+        first = &target;
+      }
+    }
+    first->out = false;
+    first->probe = TaskId();
+    first->failures = kFailuresToEject;
+    first->ramp_from = now;
+  }
+}
+
+std::optional<VmId> TargetSet::Choose(Time now,
+                                      const Exclusions& exclusions,
+                                      Random& random) const {
+  std::vector<Candidate> candidates;
+  int least_avoid = 16;
+  for (const Target& target : this->targets) {
+    const std::int64_t free = FreeSlots(target, now);
+    if (free <= 0 || (target.out && !exclusions.allow_probe)) {
+      continue;
+    }
+    const int avoid = (exclusions.vms.contains(target.vm.id) ? 8 : 0) +
+                      (exclusions.racks.contains(target.vm.rack) ? 4 : 0) +
+                      (exclusions.zones.contains(target.vm.zone) ? 2 : 0) +
+                      (this->options.eject && !target.out &&
+                               target.failures >= kFailuresToEject
+                           ? 1
+                           : 0);
+    // A due probe goes first: with one slot it would never win otherwise, and
+    // the target would stay out until the pool is full.
+    if (target.out && avoid == 0) {
+      return target.vm.id;
+    }
+    if (target.out) {
+      continue;
+    }
+    if (avoid < least_avoid) {
+      least_avoid = avoid;
+      candidates.clear();
+    }
+    if (avoid == least_avoid) {
+      candidates.push_back({&target, avoid, free});
+    }
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  const auto draw = [&random](std::size_t count) {
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+  };
+  const auto most_free = [&]() -> const Candidate& {
+    std::int64_t free = 0;
+    for (const Candidate& candidate : candidates) {
+      free = std::max(free, candidate.free);
+    }
+    std::vector<std::int64_t> zone_load(this->zones.size());
+    for (const Target& target : this->targets) {
+      zone_load[target.zone] += Running(target);
+    }
+    std::vector<const Candidate*> best;
+    std::int64_t least_load = 0;
+    for (const Candidate& candidate : candidates) {
+      if (candidate.free < free) {
+        continue;
+      }
+      const std::int64_t load = zone_load[candidate.target->zone];
+      if (best.empty() || load < least_load) {
+        best.clear();
+        least_load = load;
+      }
+      if (load == least_load) {
+        best.push_back(&candidate);
+      }
+    }
+    return *best[draw(best.size())];
+  };
+  const Candidate& chosen = std::visit(
+      [&](const auto& policy) -> const Candidate& {
+        using Policy = std::decay_t<decltype(policy)>;
+        if constexpr (std::is_same_v<Policy, MostFree>) {
+          return most_free();
+        } else if constexpr (std::is_same_v<Policy, RandomChoice>) {
+          return candidates[draw(candidates.size())];
+        } else {
+          const Candidate& first = candidates[draw(candidates.size())];
+          const Candidate& second = candidates[draw(candidates.size())];
+          return second.free > first.free ? second : first;
+        }
+      },
+      this->options.policy);
+  return chosen.target->vm.id;
+}
+
+void TargetSet::Started(const VmId& vm, const TaskId& task, Time now) {
+  const auto found = this->index.find(vm);
+  if (found == this->index.end()) {
+    return;
+  }
+  Target& target = this->targets[found->second];
+  if (!target.running.try_emplace(task, now).second) {
+    return;
+  }
+  if (target.out && target.probe.empty() && now >= target.out_until) {
+    target.probe = task;
+  }
+}
+
+void TargetSet::Eject(Target& target, Time now) {
+  const Duration length = std::min<Duration>(
+      kMaxEjection,
+      kFirstEjection * (1 << std::min(target.ejections, kMaxDoublings)));
+  target.ejections += 1;
+  target.failures = 0;
+  target.successes = 0;
+  target.out = true;
+  target.out_until = now + length;
+  target.probe = TaskId();
+}
+
+void TargetSet::Ended(const VmId& vm,
+                      const TaskId& task,
+                      TaskEnd end,
+                      Time now) {
+  const auto found = this->index.find(vm);
+  if (found == this->index.end()) {
+    return;
+  }
+  Target& target = this->targets[found->second];
+  if (target.running.erase(task) == 0) {
+    return;
+  }
+  target.ends.push_back(now);
+  ForgetEnds(target, now);
+  // The task that ended is probably one that the worker no longer listed.
+  if (target.correction < 0) {
+    target.correction += 1;
+  }
+  const bool probe = !target.probe.empty() && target.probe == task;
+  if (probe) {
+    target.probe = TaskId();
+  }
+  if (end == TaskEnd::kCancelled) {
+    return;
+  }
+  if (end == TaskEnd::kDone) {
+    target.failures = 0;
+    target.successes += 1;
+    if (probe) {
+      target.out = false;
+      target.ramp_from = now;
+    } else if (!target.out && target.successes >= kFailuresToEject) {
+      // A target that fails in between keeps its longer ejections.
+      target.ejections = 0;
+    }
+    return;
+  }
+  target.successes = 0;
+  if (target.out) {
+    // Tasks from before the ejection say nothing new.
+    if (probe) {
+      this->Eject(target, now);
+    }
+    return;
+  }
+  target.failures += 1;
+  if (this->options.eject && target.vm.usable &&
+      target.failures >= kFailuresToEject &&
+      this->ejected() < this->EjectionLimit()) {
+    this->Eject(target, now);
+  }
+}
+
+// The report describes some instant within the lag. At that instant at least
+// the tasks running throughout the lag ran, and at most those running now or
+// ended within it. Only a count outside these bounds contradicts the own one.
+void TargetSet::Report(const VmId& vm, std::int64_t running, Time now) {
+  const auto found = this->index.find(vm);
+  if (found == this->index.end()) {
+    return;
+  }
+  Target& target = this->targets[found->second];
+  const Time oldest = now - kMaxReportLag;
+  ForgetEnds(target, now);
+  const std::int64_t least =
+      std::count_if(target.running.begin(), target.running.end(),
+                    [&](const auto& task) { return task.second < oldest; });
+  const auto most =
+      static_cast<std::int64_t>(target.running.size() + target.ends.size());
+  target.correction = running - std::clamp(running, least, most);
+}
+
+TargetCounters TargetSet::Counters(const VmId& vm, Time now) const {
+  TargetCounters counters;
+  const auto found = this->index.find(vm);
+  if (found == this->index.end()) {
+    return counters;
+  }
+  const Target& target = this->targets[found->second];
+  counters.running = Running(target);
+  counters.free = FreeSlots(target, now);
+  counters.usable = target.vm.usable;
+  if (target.out) {
+    counters.health = now < target.out_until ? TargetHealth::kEjected
+                                             : TargetHealth::kProbing;
+  }
+  return counters;
+}
+
+std::int64_t TargetSet::slots() const {
+  std::int64_t slots = 0;
+  for (const Target& target : this->targets) {
+    slots += target.vm.usable ? target.vm.slots : 0;
+  }
+  return slots;
+}
+
+std::int64_t TargetSet::largest() const {
+  std::int64_t largest = 0;
+  for (const Target& target : this->targets) {
+    largest = std::max(largest, target.vm.slots);
+  }
+  return largest;
+}
+
+std::int64_t TargetSet::Free(Time now) const {
+  std::int64_t free = 0;
+  for (const Target& target : this->targets) {
+    free += FreeSlots(target, now);
+  }
+  return free;
+}
+
+bool TargetSet::Healthy(const VmId& vm) const {
+  const auto found = this->index.find(vm);
+  return found != this->index.end() && this->targets[found->second].vm.usable &&
+         !this->targets[found->second].out;
+}
+
+}  // namespace kch::route
--- a/src/route/target_set.h
+++ b/src/route/target_set.h
@@ -65,6 +65,7 @@
  private:
   struct Target {
     TargetVm vm;
+    std::size_t zone = 0;  // position of vm.zone in `zones`
     std::unordered_map<TaskId, Time> running;
     std::deque<Time> ends;        // within kMaxReportLag
     std::int64_t correction = 0;  // reported minus counted tasks
@@ -81,6 +82,7 @@
   [[nodiscard]] static std::int64_t Running(const Target& target);
   [[nodiscard]] static std::int64_t RampSlots(const Target& target, Time now);
   [[nodiscard]] static std::int64_t FreeSlots(const Target& target, Time now);
+  static void ForgetEnds(Target& target, Time now);
   [[nodiscard]] std::size_t EjectionLimit() const;
   void Eject(Target& target, Time now);
   void EnforceLimit(Time now);
@@ -88,6 +90,7 @@
   TargetOptions options;
   std::vector<Target> targets;
   std::unordered_map<VmId, std::size_t> index;
+  std::unordered_map<ZoneId, std::size_t> zones;  // all zones ever listed
   bool updated = false;
 };
 
--- a/src/share/fair_queue.cc
+++ b/src/share/fair_queue.cc
@@ -254,6 +254,8 @@
     }
   };
   std::vector<Candidate> heap;
+  heap.reserve(this->teams.size());
+  double least = std::numeric_limits<double>::infinity();
   for (const auto& team : this->teams) {
     if (team->waiting == 0) {
       continue;
@@ -261,10 +263,14 @@
     const double load = static_cast<double>(team->running) / team->weight;
     const double mean =
         std::max(this->MeanRunSeconds(*team, now), kMinRunSeconds);
-    heap.push_back(
-        {this->VirtualTime(*team, clock) + load * mean, load, team.get()});
+    const double time = this->VirtualTime(*team, clock);
+    least = std::min(least, time);
+    heap.push_back({time + load * mean, load, team.get()});
+  }
+  if (heap.empty()) {
+    return std::nullopt;
   }
-  this->system_time = this->SystemTime(clock);
+  this->system_time = std::max(this->system_time, least);
   std::make_heap(heap.begin(), heap.end());
   std::vector<Team*> blocked;
   while (!heap.empty()) {
@@ -493,16 +499,23 @@
   };
   std::vector<Late> late;
   for (std::size_t i = 0; i < this->teams.size(); ++i) {
-    const Team& team = *this->teams[i];
-    if (team.waiting == 0 || held(team) >= entitled[i]) {
+    Team& team = *this->teams[i];
+    // A gap of less than a slot is the rounding of shares to whole slots, and
+    // short tasks open and close it all the time.
+    const double gap = entitled[i] - held(team);
+    if (team.waiting == 0 || gap <= 0 || (gap < 1 && held(team) >= 1)) {
+      team.satisfied_at = now;
       continue;
     }
+    const auto since = [&](const Order& age) {
+      return std::max(age.begin()->first.first, team.satisfied_at);
+    };
     if (!team.age_urgent.empty() &&
-        team.age_urgent.begin()->first.first + kPreemptAfterUrgent <= now) {
-      late.push_back({i, true, team.age_urgent.begin()->first.first});
+        since(team.age_urgent) + kPreemptAfterUrgent <= now) {
+      late.push_back({i, true, since(team.age_urgent)});
     } else if (!team.age_normal.empty() &&
-               team.age_normal.begin()->first.first + kPreemptAfter <= now) {
-      late.push_back({i, false, team.age_normal.begin()->first.first});
+               since(team.age_normal) + kPreemptAfter <= now) {
+      late.push_back({i, false, since(team.age_normal)});
     }
   }
   std::sort(late.begin(), late.end(), [](const Late& a, const Late& b) {
--- a/src/share/fair_queue.h
+++ b/src/share/fair_queue.h
@@ -19,7 +19,8 @@
 
 /*! @brief Credit in slot-seconds that a team keeps from time without work. */
 inline constexpr double kIdleBurstSlotSeconds = 2.0;
-/*! @brief Wait after which a team below its share may preempt. */
+/*! @brief Wait after which a team that is a slot or more below its share may
+ * preempt. */
 inline constexpr Duration kPreemptAfter = std::chrono::seconds(2);
 /*! @brief The same for urgent tasks. */
 inline constexpr Duration kPreemptAfterUrgent = std::chrono::milliseconds(500);
@@ -74,7 +75,9 @@
                                       std::int64_t slots,
                                       Time now) const;
   /*! @brief The task to checkpoint for a team below its share that has waited
-   * past its bound in a pool with all `slots` in use. The choice is remembered,
+   * past its bound in a pool with all `slots` in use. Call it every 100 ms or
+   * so: a team counts as waiting since the last call that found it at its
+   * share. The choice is remembered,
    * so each call returns another task, and once the task has ended Pop serves
    * the waiting team first. With a predicate, which must not count the lack of
    * free slots, a team with nothing eligible preempts nobody. */
@@ -142,8 +145,9 @@
     std::map<Stamp, TaskId> preemptible;
     double started_sum = 0;  // seconds, over running tasks
     RunTime run_time;
-    std::int64_t stopping = 0;  // tasks chosen for preemption
-    std::int64_t promised = 0;  // slots taken from others for this team
+    Time satisfied_at = Time::min();  // last seen at its share
+    std::int64_t stopping = 0;        // tasks chosen for preemption
+    std::int64_t promised = 0;        // slots taken from others for this team
   };
 
   // A slot that preemption takes from one team for another.
--- a/test/share/fair_queue_test.cc
+++ b/test/share/fair_queue_test.cc
@@ -320,7 +320,7 @@
     queue.Ended(Task(i), now);
   }
   for (int i = 100; i < 300; ++i) {
-    queue.Push(Job(i, i % 2, now), now);
+    queue.Push(Job(i, (i + 1) % 2, now), now);
   }
   const std::int64_t served = Serve(queue, 0, 100, now);
   BOOST_TEST(served >= 38);
@@ -409,6 +409,34 @@
   BOOST_TEST((queue.PickPreemption(now, 8)->to == Team(2)));
 }
 
+// Guards against preemption on the rounding of shares, on a gap that has just
+// opened, and of tasks that must not stop.
+BOOST_AUTO_TEST_CASE(PreemptionNeedsALastingGapAndAPreemptibleTask) {
+  FairQueue queue;
+  Time now = kStart;
+  for (int i = 0; i < 4; ++i) {
+    queue.Started(Task(i), Team(0), false, now);
+    queue.Started(Task(10 + i), Team(1), true, now);
+  }
+  for (int i = 0; i < 3; ++i) {
+    queue.Started(Task(20 + i), Team(2), true, now);
+    queue.Push(Job(50 + i, i, now), now);
+    queue.Push(Job(60 + i, i, now), now);
+  }
+  // Of 11 slots, team 2 has 3 and is entitled to 3.67.
+  now += kPreemptAfter;
+  BOOST_TEST(!queue.PickPreemption(now, 11));
+  queue.Ended(Task(20), now);
+  queue.Started(Task(4), Team(0), false, now);
+  BOOST_TEST(!queue.PickPreemption(now, 11));
+  now += kPreemptAfter;
+  // Team 0 is further above its share, but nothing of it may stop.
+  const auto pick = queue.PickPreemption(now, 11);
+  BOOST_REQUIRE(pick.has_value());
+  BOOST_TEST(pick->from == Team(1));
+  BOOST_TEST(pick->to == Team(2));
+}
+
 // Guards against tasks that are checkpointed back and forth between two teams
 // of which each is entitled to half a slot.
 BOOST_AUTO_TEST_CASE(TeamsTakeTurnsOfSomeLength) {
