Check claim books and single cases of permit agents

The claim oracle records written tokens and confirmed claims: one token per request within the retention, and no refused token is ever written.

--- /dev/null
+++ b/test/once/claim_book_property_test.cc
@@ -0,0 +1,250 @@
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "../fake_store.h"
+#include "once/once.h"
+
+namespace kch::once {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct Node {
+  std::unique_ptr<ClaimBook> book;
+  bool paused = false;
+  std::deque<StoreReply> inbox;
+  std::int64_t clock_error_s = 0;
+};
+
+// Several claim books over a faulty store; the oracle knows which tokens each
+// written version holds and which claims were confirmed.
+class World {
+ public:
+  explicit World(std::uint64_t seed)
+      : random(seed),
+        store(this->random, this->Uniform(0, 2) * 0.1),
+        nodes(this->Uniform(2, 4)) {
+    this->store.stale_rate = this->Uniform(0, 2) * 0.1;
+    this->store.on_write = [this](const auto&, const auto*, const auto& after) {
+      const Bucket bucket = *Decode<Bucket>(after);
+      for (const ClaimEntry& claim : bucket.claims) {
+        this->written.insert(claim.token);
+        RC_ASSERT(!this->impossible.contains(claim.token));
+      }
+    };
+    // Short times, so that entries are purged and ids reused within a run.
+    this->settings.retention_s = 20;
+    this->settings.clock_margin_s = 5;
+    this->settings.max_record_bytes = this->Uniform(0, 3) == 0 ? 300 : 100000;
+    for (Node& node : this->nodes) {
+      node.clock_error_s = static_cast<int>(this->Uniform(0, 4)) - 2;
+      node.book = std::make_unique<ClaimBook>(this->settings, this->random());
+    }
+  }
+
+  void Run(int steps) {
+    for (int i = 0; i < steps; ++i) {
+      this->RandomStep();
+    }
+  }
+
+  // Ends all faults: every claim must be decided and every withdrawn one gone.
+  void Settle() {
+    this->store.down = false;
+    this->store.fault_rate = 0;
+    this->store.stale_rate = 0;
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+      this->Resume(static_cast<int>(i));
+    }
+    for (int i = 0; i < 2000; ++i) {
+      this->now += milliseconds(10);
+      for (std::size_t n = 0; n < this->nodes.size(); ++n) {
+        this->Tick(static_cast<int>(n));
+        this->StoreStep();
+      }
+    }
+    for (const Node& node : this->nodes) {
+      RC_ASSERT(node.book->Pending() == 0U);
+    }
+    RC_ASSERT(this->store.requests.empty());
+    for (std::uint32_t i = 0; i < kBuckets; ++i) {
+      if (const auto* version = this->store.Current(KeyOf(i))) {
+        const Bucket bucket = *Decode<Bucket>(version->value);
+        for (const ClaimEntry& claim : bucket.claims) {
+          RC_ASSERT(!this->unknown.contains(claim.token));
+        }
+      }
+    }
+  }
+
+  std::map<ClaimOutcome, std::size_t> outcomes;
+
+ private:
+  std::uint32_t Uniform(std::uint32_t low, std::uint32_t high) {
+    return std::uniform_int_distribution<std::uint32_t>(low,
+                                                        high)(this->random);
+  }
+
+  [[nodiscard]] std::int64_t Wall(const Node& node) const {
+    return std::chrono::duration_cast<seconds>(this->now.time_since_epoch())
+               .count() +
+           node.clock_error_s;
+  }
+
+  void Send(int index, const std::vector<StoreOp>& ops) {
+    for (const StoreOp& op : ops) {
+      const std::string& key = std::visit(
+          [](const auto& item) -> const auto& { return item.key; }, op);
+      RC_ASSERT(this->outstanding.insert({index, key}).second);
+      this->store.Send(index, op);
+    }
+    for (const ClaimResult& result : this->nodes[index].book->Drain()) {
+      this->OnResult(result);
+    }
+  }
+
+  void OnResult(const ClaimResult& result) {
+    RC_ASSERT(this->decided.insert(result.token).second);
+    ++this->outcomes[result.outcome];
+    switch (result.outcome) {
+      case ClaimOutcome::kClaimed: {
+        RC_ASSERT(this->written.contains(result.token));
+        // Two confirmed claims of one id must be a retention apart.
+        const auto last = this->claimed_at.find(result.request);
+        RC_ASSERT(last == this->claimed_at.end() ||
+                  this->now - last->second >
+                      seconds(this->settings.retention_s) -
+                          this->settings.deadline);
+        this->claimed_at[result.request] = this->now;
+        break;
+      }
+      case ClaimOutcome::kTaken:
+        RC_ASSERT(result.other_token != result.token);
+        RC_ASSERT(this->written.contains(result.other_token));
+        RC_ASSERT(!this->HeldNow(result));
+        this->impossible.insert(result.token);
+        break;
+      case ClaimOutcome::kUnavailable:
+        RC_ASSERT(!this->HeldNow(result));
+        this->impossible.insert(result.token);
+        break;
+      case ClaimOutcome::kUnknown:
+        this->unknown.insert(result.token);
+    }
+  }
+
+  [[nodiscard]] bool HeldNow(const ClaimResult& result) const {
+    const auto* version = this->store.Current(KeyOf(BucketOf(result.request)));
+    if (version == nullptr) {
+      return false;
+    }
+    const auto bucket = Decode<Bucket>(version->value);
+    const ClaimEntry* entry = bucket->Find(result.request);
+    return entry != nullptr && entry->token == result.token;
+  }
+
+  void Deliver(int index, const StoreReply& reply) {
+    Node& node = this->nodes[index];
+    if (node.paused) {
+      node.inbox.push_back(reply);
+      return;
+    }
+    this->outstanding.erase({index, reply.key});
+    this->Send(index, node.book->OnReply(reply, this->now, this->Wall(node)));
+  }
+
+  void Resume(int index) {
+    Node& node = this->nodes[index];
+    node.paused = false;
+    while (!node.inbox.empty()) {
+      const StoreReply reply = node.inbox.front();
+      node.inbox.pop_front();
+      this->Deliver(index, reply);
+    }
+  }
+
+  void Tick(int index) {
+    Node& node = this->nodes[index];
+    this->Send(index, node.book->Tick(this->now, this->Wall(node)));
+  }
+
+  void StoreStep() {
+    if (auto reply = this->store.Step()) {
+      this->Deliver(reply->first, reply->second);
+    }
+  }
+
+  void RandomStep() {
+    const int index =
+        static_cast<int>(this->Uniform(0, this->nodes.size() - 1));
+    Node& node = this->nodes[index];
+    const std::uint32_t choice = this->Uniform(0, 199);
+    if (choice < 90) {
+      this->StoreStep();
+    } else if (choice < 120) {
+      this->now += milliseconds(this->Uniform(1, 60));
+    } else if (choice < 122) {
+      this->now += milliseconds(this->Uniform(500, 9000));
+    } else if (choice < 124) {
+      this->store.down = !this->store.down && this->store.Chance(0.3);
+    } else if (choice < 128) {
+      if (node.paused) {
+        this->Resume(index);
+      } else {
+        node.paused = this->store.Chance(0.4);
+      }
+    } else if (node.paused) {
+      return;
+    } else if (choice < 170) {
+      this->Tick(index);
+    } else {
+      const RequestId request("request-" + std::to_string(this->Uniform(0, 5)));
+      const std::string token = "token-" + std::to_string(++this->last_token);
+      this->Send(index,
+                 node.book->Claim(request, token, this->now, this->Wall(node)));
+    }
+  }
+
+  Random random;
+  Time now{seconds(1000)};
+  FakeStore store;
+  Settings settings;
+  std::vector<Node> nodes;
+  std::uint64_t last_token = 0;
+  std::set<std::pair<int, std::string>> outstanding;
+  std::set<std::string> written;
+  std::set<std::string> decided;
+  std::set<std::string> impossible;  // reported as without effect
+  std::set<std::string> unknown;
+  std::map<RequestId, Time> claimed_at;
+};
+
+// Guards against two starts of one request id, refusals that take effect later,
+// lost results and withdrawn claims that stay, under lost replies, late writes,
+// stale reads, outages, pauses and clock differences.
+BOOST_AUTO_TEST_CASE(OneTokenIsConfirmedPerRequest) {
+  std::map<ClaimOutcome, std::size_t> outcomes;
+  BOOST_TEST(rc::check("claim books over a faulty store", [&] {
+    const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>());
+    World world(seed);
+    world.Run(10000);
+    world.Settle();
+    for (const auto& [outcome, count] : world.outcomes) {
+      outcomes[outcome] += count;
+    }
+  }));
+  // The property says little unless every outcome occurred often.
+  for (const auto& [outcome, name] : NameTable<ClaimOutcome>::kEntries) {
+    BOOST_TEST(outcomes[outcome] > 100U, name << ": " << outcomes[outcome]);
+  }
+}
+
+}  // namespace
+}  // namespace kch::once
--- /dev/null
+++ b/test/once/claim_book_test.cc
@@ -0,0 +1,195 @@
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+#include "once/once.h"
+
+namespace kch::once {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const RequestId kRequest("booking-1");
+constexpr std::int64_t kWall = 1'700'000'000;
+
+// One claim book whose store operations are answered by hand.
+struct Fixture {
+  Time now{seconds(1000)};
+  ClaimBook book{Settings{}, 1};
+  std::string key = KeyOf(BucketOf(kRequest));
+  std::uint64_t version = 4;
+
+  std::vector<StoreOp> Claim(const std::string& token) {
+    return this->book.Claim(kRequest, token, this->now, kWall);
+  }
+
+  std::vector<StoreOp> Read(const Bucket& bucket) {
+    return this->book.OnReply(
+        {this->key, false, StoreStatus::kOk, Encode(bucket), this->version},
+        this->now, kWall);
+  }
+
+  std::vector<StoreOp> Written(StoreStatus status) {
+    this->version += status == StoreStatus::kOk ? 1 : 0;
+    return this->book.OnReply(
+        {this->key, true, status, std::nullopt, this->version}, this->now,
+        kWall);
+  }
+
+  std::vector<StoreOp> TickAfter(Duration duration) {
+    this->now += duration;
+    return this->book.Tick(this->now, kWall);
+  }
+
+  static Bucket BucketIn(const std::vector<StoreOp>& ops) {
+    BOOST_REQUIRE(ops.size() == 1U);
+    BOOST_REQUIRE(std::holds_alternative<StoreCas>(ops[0]));
+    return *Decode<Bucket>(std::get<StoreCas>(ops[0]).value);
+  }
+
+  ClaimResult Only() {
+    const auto results = this->book.Drain();
+    BOOST_REQUIRE(results.size() == 1U);
+    return results[0];
+  }
+};
+
+// Guards against records that change meaning between schedulers.
+BOOST_AUTO_TEST_CASE(BucketsSurviveEncodingAndBadOnesAreRefused) {
+  const Bucket bucket{{{kRequest, "t\"1", 5}, {RequestId("b"), "t2", 6}}};
+  BOOST_TEST((*Decode<Bucket>(Encode(bucket)) == bucket));
+  for (const char* text : {"", "{}", "[]", R"({"claims":[["a","b"]]})"}) {
+    BOOST_TEST((Decode<Bucket>(text).error().kind == ErrorKind::kCorrupt));
+  }
+  BOOST_TEST(*BucketOfKey("claim/63") == 63U);
+  BOOST_TEST(!BucketOfKey("claim/64").has_value());
+  BOOST_TEST(!BucketOfKey("claim/1x").has_value());
+}
+
+// Guards against a hash that leaves some records unused.
+BOOST_AUTO_TEST_CASE(RequestIdsSpreadOverAllBuckets) {
+  std::set<std::uint32_t> buckets;
+  for (int i = 0; i < 1000; ++i) {
+    buckets.insert(BucketOf(RequestId("r" + std::to_string(i))));
+  }
+  BOOST_TEST(buckets.size() == kBuckets);
+}
+
+// Guards against one write per claim: later claims must share the next write.
+BOOST_AUTO_TEST_CASE(ClaimsDuringAWriteShareTheNextOne) {
+  Fixture f;
+  BOOST_TEST(f.Claim("t1").size() == 1U);
+  BOOST_TEST(Fixture::BucketIn(f.Read({})).claims.size() == 1U);
+  std::vector<RequestId> same_bucket;
+  for (int i = 0; same_bucket.size() < 3; ++i) {
+    const RequestId other("other-" + std::to_string(i));
+    if (BucketOf(other) == BucketOf(kRequest)) {
+      same_bucket.push_back(other);
+      BOOST_TEST(f.book.Claim(other, "t" + other.str(), f.now, kWall).empty());
+    }
+  }
+  BOOST_TEST(f.Written(StoreStatus::kOk).empty());
+  BOOST_TEST((f.Only().outcome == ClaimOutcome::kClaimed));
+  const auto ops = f.TickAfter(milliseconds(20));
+  BOOST_TEST(Fixture::BucketIn(ops).claims.size() == 4U);
+}
+
+// Guards against calling a request not run, or running it twice, when the
+// reply to its claim is lost.
+BOOST_AUTO_TEST_CASE(LostReplyIsReadBackByToken) {
+  Fixture f;
+  f.Claim("t1");
+  const Bucket written = Fixture::BucketIn(f.Read({}));
+  BOOST_TEST(f.Written(StoreStatus::kUnknown).empty());
+  BOOST_TEST(f.book.Drain().empty());
+  const auto ops = f.TickAfter(milliseconds(20));
+  BOOST_TEST(std::holds_alternative<StoreGet>(ops.at(0)));
+  ++f.version;
+  f.Read(written);
+  BOOST_TEST((f.Only().outcome == ClaimOutcome::kClaimed));
+}
+
+// Guards against a conflict taken as another's claim of the same id.
+BOOST_AUTO_TEST_CASE(ConflictIsDecidedByTheRecord) {
+  Fixture f;
+  f.Claim("t1");
+  f.Read({});
+  f.Written(StoreStatus::kConflict);
+  f.TickAfter(milliseconds(20));
+  ++f.version;
+  f.Read({{{kRequest, "t9", kWall}}});
+  const ClaimResult result = f.Only();
+  BOOST_TEST((result.outcome == ClaimOutcome::kTaken));
+  BOOST_TEST(result.other_token == "t9");
+}
+
+// Guards against a refusal that is not true: a claim that may be written is
+// unknown at the deadline, and is removed so that the id can be used again.
+BOOST_AUTO_TEST_CASE(UndecidedClaimIsUnknownAndThenWithdrawn) {
+  Fixture f;
+  f.Claim("t1");
+  const Bucket written = Fixture::BucketIn(f.Read({}));
+  f.TickAfter(seconds(3));
+  BOOST_TEST((f.Only().outcome == ClaimOutcome::kUnknown));
+  f.Written(StoreStatus::kUnknown);
+  f.TickAfter(milliseconds(20));
+  ++f.version;
+  BOOST_TEST(Fixture::BucketIn(f.Read(written)).claims.empty());
+  f.Written(StoreStatus::kOk);
+  BOOST_TEST(f.TickAfter(seconds(1)).empty());
+}
+
+// Guards against calling a claim unknown, and a request with it, although the
+// store was never reached.
+BOOST_AUTO_TEST_CASE(StoreOutageIsADefiniteRefusal) {
+  Fixture f;
+  f.Claim("t1");
+  f.Read({});
+  f.Written(StoreStatus::kUnavailable);
+  f.TickAfter(seconds(3));
+  const ClaimResult result = f.Only();
+  BOOST_TEST((result.outcome == ClaimOutcome::kUnavailable));
+  BOOST_TEST((result.refusal == ClaimRefusal::kDeadline));
+}
+
+// Guards against records above the store's bound on values.
+BOOST_AUTO_TEST_CASE(FullRecordRefusesNewClaims) {
+  Fixture f;
+  Bucket full;
+  const std::string token(100, 't');
+  std::size_t bytes = Encode(full).size();
+  while (bytes + 200 < Settings{}.max_record_bytes) {
+    full.claims.push_back(
+        {RequestId("f" + std::to_string(full.claims.size())), token, kWall});
+    bytes += EncodedSize(full.claims.back());
+  }
+  f.book.Claim(kRequest, std::string(190, 'x'), f.now, kWall);
+  BOOST_TEST(f.Read(full).empty());
+  BOOST_TEST((f.Only().refusal == ClaimRefusal::kFull));
+}
+
+// Guards against a purge before the retention ended on the claimer's clock, and
+// against records that keep claims for ever.
+BOOST_AUTO_TEST_CASE(ClaimsArePurgedAfterRetentionAndMargin) {
+  const std::int64_t kept = Settings{}.retention_s + Settings{}.clock_margin_s;
+  for (const bool old : {false, true}) {
+    Fixture f;
+    f.Claim("t1");
+    const auto ops = f.Read({{{kRequest, "t0", kWall - kept - (old ? 1 : 0)}}});
+    if (old) {
+      BOOST_TEST(Fixture::BucketIn(ops).claims.at(0).token == "t1");
+    } else {
+      BOOST_TEST((f.Only().outcome == ClaimOutcome::kTaken));
+    }
+  }
+}
+
+// Guards against ids that JSON would change, which would never be found again.
+BOOST_AUTO_TEST_CASE(UnprintableIdsAreRefused) {
+  Fixture f;
+  f.book.Claim(RequestId("a\xff"), "t1", f.now, kWall);
+  BOOST_TEST((f.Only().refusal == ClaimRefusal::kInvalid));
+}
+
+}  // namespace
+}  // namespace kch::once
