--- a/src/permit/agent.cc
+++ b/src/permit/agent.cc
@@ -11,8 +11,9 @@
 // Spreads writes that no queued work waits for, so that one instance's write
 // is seen by the others before they make the same one.
 constexpr Duration kLazySpread = milliseconds(500);
-// A lazy write based on an older view is preceded by a read: reads are several
-// times cheaper for the store than writes that conflict.
+// A write based on an older view is preceded by a read, unless queued work
+// waits for it and watch events keep the view fresh: a read takes one call, a
+// conflict costs a write and delays the next one by the write interval.
 constexpr Duration kFreshView = milliseconds(1000);
 // Time for a peer to receive a request and to write the transfer.
 constexpr Duration kTransferTime = milliseconds(60);
@@ -344,7 +345,8 @@
                    const StoreReply& reply,
                    Time now,
                    Effects& effects) {
-  if (state.flight == Flight::kGet) {
+  const bool is_event = state.flight != Flight::kGet;
+  if (!is_event) {
     state.flight = Flight::kNone;
   }
   if (reply.status != StoreStatus::kOk) {
@@ -361,6 +363,9 @@
     }
     return;
   }
+  if (is_event && version > state.version) {
+    state.watched = true;
+  }
   if (!reply.value) {
     this->Observe(subject, state, std::nullopt, 0, now, effects);
     return;
@@ -475,6 +480,7 @@
       // A conflict does not prove that the write had no effect: the client may
       // have repeated a write whose first reply was lost.
       state.stale = true;
+      state.watched = state.watched && now - state.observed_at <= kFreshView;
       this->ReadAt(state, now);
       state.next_write =
           std::max(state.next_write,
@@ -723,16 +729,18 @@
     if (now < *state.lazy_at) {
       return;
     }
-    if (now - state.observed_at > kFreshView) {
-      if (!state.read_at) {
-        this->SendGet(subject, state, effects);
-      }
-      return;
-    }
   }
-  if (now >= state.next_write) {
-    this->SendCas(subject, state, std::move(*plan), now, effects);
+  if (now < state.next_write) {
+    return;
+  }
+  if (now - state.observed_at > kFreshView &&
+      (!plan->urgent || !state.watched)) {
+    if (!state.read_at || state.failures == 0) {
+      this->SendGet(subject, state, effects);
+    }
+    return;
   }
+  this->SendCas(subject, state, std::move(*plan), now, effects);
 }
 
 // Looks for permits that others returned or transferred, and asks for some.
@@ -764,7 +772,7 @@
     state.poll_interval = kFirstPoll;
     state.next_poll = now + kFirstPoll / 2 + this->Jitter(kFirstPoll / 2);
   }
-  if (now >= state.next_poll && !state.read_at) {
+  if (now >= state.next_poll && (!state.read_at || state.failures == 0)) {
     const Duration interval =
         std::min(state.poll_interval * 2, this->settings.max_poll_interval);
     state.poll_interval = interval;
--- a/src/permit/agent.h
+++ b/src/permit/agent.h
@@ -177,6 +177,7 @@
     Time next_ask;
     std::uint32_t failures = 0;
     std::uint32_t conflicts = 0;
+    bool watched = false;  // watch events keep the view fresh
   };
   // A write that the current facts call for.
   struct Plan {
--- a/test/once/claim_book_property_test.cc
+++ b/test/once/claim_book_property_test.cc
@@ -33,6 +33,7 @@
         nodes(this->Uniform(2, 4)) {
     this->store.stale_rate = this->Uniform(0, 2) * 0.1;
     this->store.on_write = [this](const auto&, const auto*, const auto& after) {
+      RC_ASSERT(after.size() <= this->settings.max_record_bytes);
       const Bucket bucket = *Decode<Bucket>(after);
       for (const ClaimEntry& claim : bucket.claims) {
         this->written.insert(claim.token);
