--- a/test/fake_store.h
+++ b/test/fake_store.h
@@ -10,6 +10,7 @@
 
 #include "base/random.h"
 #include "base/store.h"
+#include "base/time.h"
 
 namespace kch {
 
@@ -154,6 +155,66 @@
   std::map<std::string, std::vector<Version>> records;
 };
 
+/*! @brief Nodes that share a FakeStore and may be paused; `World` defines
+ * `Handle(index, reply)`. */
+template <typename World>
+class FaultyWorld {
+ protected:
+  FaultyWorld(std::uint64_t seed, std::uint32_t max_nodes)
+      : random(seed),
+        store(this->random, Uniform(0, 2) * 0.09),
+        paused(Uniform(2, max_nodes)),
+        inbox(this->paused.size()) {
+    this->store.stale_rate = Uniform(0, 2) * 0.1;
+  }
+
+  std::uint32_t Uniform(std::uint32_t low, std::uint32_t high) {
+    return std::uniform_int_distribution<std::uint32_t>(low,
+                                                        high)(this->random);
+  }
+
+  int AnyNode() {
+    return static_cast<int>(Uniform(0, this->paused.size() - 1));
+  }
+
+  void Deliver(int index, const StoreReply& reply) {
+    if (this->paused[index]) {
+      this->inbox[index].push_back(reply);
+    } else {
+      static_cast<World*>(this)->Handle(index, reply);
+    }
+  }
+
+  void Resume(int index) {
+    this->paused[index] = false;
+    for (const StoreReply& reply : std::exchange(this->inbox[index], {})) {
+      Deliver(index, reply);
+    }
+  }
+
+  void StoreStep() {
+    if (auto reply = this->store.Step()) {
+      Deliver(reply->first, reply->second);
+    }
+  }
+
+  // Ends all faults.
+  void Repair() {
+    this->store.down = false;
+    this->store.fault_rate = 0;
+    this->store.stale_rate = 0;
+    for (std::size_t i = 0; i < this->paused.size(); ++i) {
+      Resume(static_cast<int>(i));
+    }
+  }
+
+  Random random;
+  Time now{std::chrono::seconds(1000)};
+  FakeStore store;
+  std::vector<bool> paused;
+  std::vector<std::vector<StoreReply>> inbox;
+};
+
 }  // namespace kch
 
 #endif  // FAKE_STORE_H_
