--- a/src/permit/agent.cc
+++ b/src/permit/agent.cc
@@ -612,6 +612,25 @@
   }
 }
 
+// True if MakePlan would find nothing to write. Most subjects are in this state
+// at most ticks, and a plan copies the record.
+bool Agent::IsQuiet(const State& state) const {
+  if (!state.record || this->releasing || !state.asks.empty() ||
+      !state.adoptions.empty() || !state.marked_since.empty() ||
+      LimitDiffers(state.limit, state.limit_revision, *state.record)) {
+    return false;
+  }
+  const auto& holdings = state.record->holdings;
+  if (std::any_of(holdings.begin(), holdings.end(), [&](const Holding& item) {
+        return item.count == 0 || this->IsStopped(item.holder);
+      })) {
+    return false;
+  }
+  const std::uint32_t own = this->OwnCount(state);
+  return this->OwnTarget(state, own, state.record->Sum() - own,
+                         state.record->cap) == own;
+}
+
 std::optional<Agent::Plan> Agent::MakePlan(const State& state, Time now) const {
   Plan plan;
   Record& record = plan.write.record;
@@ -714,7 +733,10 @@
     }
     return;
   }
-  auto plan = this->MakePlan(state, now);
+  std::optional<Plan> plan;
+  if (!this->IsQuiet(state)) {
+    plan = this->MakePlan(state, now);
+  }
   if (!plan) {
     state.lazy_at.reset();
     state.conflicts = 0;
--- a/src/permit/agent.h
+++ b/src/permit/agent.h
@@ -198,6 +198,7 @@
   [[nodiscard]] Duration Jitter(Duration bound);
   [[nodiscard]] std::optional<Plan> MakePlan(const State& state,
                                              Time now) const;
+  [[nodiscard]] bool IsQuiet(const State& state) const;
   void MarkStopped(Record& record) const;
   void Reclaim(const State& state, Record& record, Time now) const;
   std::uint32_t MoveAdopted(const State& state, Plan& plan) const;
