--- a/bench/config_bench.cc
+++ b/bench/config_bench.cc
@@ -41,6 +41,7 @@
 
 std::vector<Change> Everything(const Size& size) {
   std::vector<Change> changes;
+  changes.reserve(10'000);
   for (int i = 0; i < 6; ++i) {
     changes.emplace_back(SetZone{{ZoneId(Name("zone-", i))}});
   }
--- a/src/config/authorize.cc
+++ b/src/config/authorize.cc
@@ -8,6 +8,11 @@
 #include "config/limits.h"
 
 namespace kch::config {
+namespace {
+
+constexpr std::string_view kHexDigits = "0123456789abcdef";
+
+}  // namespace
 
 KeyId KeyIdOf(std::string_view secret) {
   const auto end = secret.find(kSecretSeparator);
@@ -16,15 +21,14 @@
 }
 
 std::string HashSecret(std::string_view secret) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
   std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
   SHA256(reinterpret_cast<const unsigned char*>(secret.data()), secret.size(),
          digest.data());
   std::string hex;
   hex.reserve(2 * digest.size());
   for (const unsigned char byte : digest) {
-    hex += kDigits[byte >> 4U];
-    hex += kDigits[byte & 15U];
+    hex += kHexDigits[byte >> 4U];
+    hex += kHexDigits[byte & 15U];
   }
   return hex;
 }
--- a/src/config/codec.cc
+++ b/src/config/codec.cc
@@ -60,6 +60,8 @@
                             kName.allowed,
                             true,
                             true};
+constexpr TextRule kTypeName{
+    0, kMaxNameLength, kNameCharacters, "the name of a change", false, false};
 constexpr TextRule kInstanceName{1,
                                  kMaxInstanceLength,
                                  kInstanceCharacters,
@@ -364,14 +366,14 @@
   }
   // The list in a field; empty on an error.
   const Json& List(const char* field) {
-    static const Json kEmpty = Json::array();
+    static const Json empty = Json::array();
     const Json* value = this->Take(field);
     if (value == nullptr) {
-      return kEmpty;
+      return empty;
     }
     if (!value->is_array()) {
       this->Keep(FieldError(field, Dump(*value), "a list"));
-      return kEmpty;
+      return empty;
     }
     return *value;
   }
@@ -450,9 +452,7 @@
 
 void ReadChange(Reader& reader, Change& change) {
   std::string type;
-  constexpr TextRule kAnyType{
-      0, kMaxNameLength, kNameCharacters, "the name of a change", false, false};
-  reader.Text("type", type, kAnyType);
+  reader.Text("type", type, kTypeName);
   if (reader.error()) {
     return;
   }
@@ -480,6 +480,7 @@
   return json;
 }
 
+constexpr std::string_view kBaseRecord = "config/base";
 constexpr std::uint64_t kMaxRevision = std::numeric_limits<std::int64_t>::max();
 
 // Why a record that this library wrote cannot be used.
@@ -596,10 +597,9 @@
 
 template <>
 Result<State> Decode<State>(std::string_view text) {
-  constexpr std::string_view kRecord = "config/base";
   const auto json = Parse(text);
   if (!json) {
-    return Corrupt(kRecord, json.error());
+    return Corrupt(kBaseRecord, json.error());
   }
   State state;
   Reader reader(*json);
@@ -633,7 +633,7 @@
     reader.Keep(Error{ErrorKind::kCorrupt, "team open is missing", ""});
   }
   if (reader.error()) {
-    return Corrupt(kRecord, *reader.error());
+    return Corrupt(kBaseRecord, *reader.error());
   }
   return state;
 }
--- a/src/config/state.cc
+++ b/src/config/state.cc
@@ -158,8 +158,8 @@
 }  // namespace
 
 const TeamId& OpenTeam() {
-  static const TeamId kOpen("open");
-  return kOpen;
+  static const TeamId open("open");
+  return open;
 }
 
 State::State() {
--- a/test/config/log_test.cc
+++ b/test/config/log_test.cc
@@ -1,5 +1,6 @@
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "config/config.h"
@@ -43,6 +44,7 @@
   explicit Fleet(std::uint64_t seed)
       : random(seed), store(this->random), proposers(3), followers(4) {
     this->outstanding.resize(this->proposers.size());
+    this->newest.resize(this->followers.size());
   }
 
   void Run(int steps) {
@@ -69,7 +71,7 @@
         case 6:
         case 7:
         case 8:
-          this->Offer(this->followers[this->store.Draw(4)]);
+          this->Offer(this->store.Draw(this->followers.size()));
           break;
         default:
           this->Deliver(this->store.Draw(this->proposers.size()));
@@ -183,7 +185,9 @@
   }
 
   // Any head that ever was, any base or any peer's state, in any order.
-  void Offer(Follower& follower) {
+  void Offer(std::size_t index) {
+    Follower& follower = this->followers[index];
+    Head& newest = this->newest[index];
     const std::uint64_t before = follower.revision();
     if (this->store.Draw(3) == 0) {
       const Follower& peer =
@@ -204,8 +208,17 @@
       const auto& heads = this->store.heads;
       const std::size_t late =
           this->store.Draw(2) == 0 ? this->store.Draw(heads.size()) : 0;
-      RC_ASSERT(follower.OfferHead(heads[heads.size() - 1 - late]).has_value());
+      const Head& head = heads[heads.size() - 1 - late];
+      RC_ASSERT(follower.OfferHead(head).has_value());
+      if (head.revision() > newest.revision()) {
+        newest = head;
+      }
     }
+    // Nothing that was offered and can be applied stays aside.
+    RC_ASSERT(newest.base_revision > follower.revision() ||
+              newest.revision() <= follower.revision());
+    RC_ASSERT(!follower.wanted_base() ||
+              *follower.wanted_base() > follower.revision());
     RC_ASSERT(follower.revision() >= before);
     RC_ASSERT(*follower.state() == this->store.truth[follower.revision()]);
   }
@@ -244,6 +257,10 @@
       RC_ASSERT(*follower.state() == last);
     }
     RC_CLASSIFY(this->store.heads.back().base_revision > 0, "folded");
+    RC_CLASSIFY(
+        std::any_of(this->sent.begin(), this->sent.end(),
+                    [](const auto& sent) { return sent.second.unknown; }),
+        "unknown outcomes");
   }
 
   struct Flight {
@@ -256,6 +273,7 @@
   Time now;
   std::vector<Proposer> proposers;
   std::vector<Follower> followers;
+  std::vector<Head> newest;  // offered to each follower
   std::vector<std::optional<Flight>> outstanding;
   std::map<std::string, Sent> sent;
   std::vector<std::string> unresolved;
--- a/test/member/member_test.cc
+++ b/test/member/member_test.cc
@@ -36,7 +36,7 @@
       this->vms.insert(Row(i, 1).vm);
     }
     this->view.OnRecord(++this->version, this->record, this->now);
-    this->view.OnVmList(++this->list_version, this->vms);
+    this->ShowVms();
   }
 
   void Run(int steps) {
@@ -70,6 +70,11 @@
           }
           break;
         default:
+          if (this->Draw(30) == 0) {
+            this->ShowVms();
+          }
+          // The list lags: it repeats its last content until it is refreshed.
+          this->view.OnVmList(++this->list_version, this->shown);
           this->Called();
           this->view.OnStep(this->now);
       }
@@ -80,6 +85,11 @@
  private:
   std::uint64_t Draw(std::uint64_t bound) { return this->random() % bound; }
 
+  void ShowVms() {
+    this->shown = this->vms;
+    this->view.OnVmList(++this->list_version, this->shown);
+  }
+
   // Notes a gap between calls, which the membership must take for a pause.
   void Called() {
     if (this->now - this->last_call > seconds(1)) {
@@ -132,9 +142,9 @@
         this->vms.insert(member.vm);
         break;
       case 2:
-        this->view.OnVmList(++this->list_version, this->vms);
+        this->ShowVms();
         this->vms.erase(member.vm);
-        this->view.OnVmList(++this->list_version, this->vms);
+        this->ShowVms();
         for (int i = 0; i < 4; ++i) {
           this->now += milliseconds(900);
           this->Called();
@@ -209,6 +219,7 @@
   std::uint64_t list_version = 10;
   std::uint64_t sequence = 0;
   std::set<VmId> vms;
+  std::set<VmId> shown;  // as of the last list
   std::map<InstanceId, std::uint64_t> running;
   std::set<std::tuple<InstanceId, std::uint64_t, std::uint64_t>> reports;
   std::set<std::pair<InstanceId, std::uint64_t>> stopped;
