--- a/test/config/log_test.cc
+++ b/test/config/log_test.cc
@@ -1,5 +1,6 @@
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "config/config.h"
@@ -43,6 +44,7 @@
   explicit Fleet(std::uint64_t seed)
       : random(seed), store(this->random), proposers(3), followers(4) {
     this->outstanding.resize(this->proposers.size());
+    this->newest.resize(this->followers.size());
   }
 
   void Run(int steps) {
@@ -55,6 +57,9 @@
           break;
         case 2:
           this->store.down = this->store.Draw(6) == 0;
+          if (this->store.Draw(8) == 0) {
+            this->cut_off = this->store.Draw(2 * this->followers.size());
+          }
           break;
         case 3:
           this->store.DeliverLate();
@@ -69,7 +74,7 @@
         case 6:
         case 7:
         case 8:
-          this->Offer(this->followers[this->store.Draw(4)]);
+          this->Offer(this->store.Draw(this->followers.size()));
           break;
         default:
           this->Deliver(this->store.Draw(this->proposers.size()));
@@ -183,7 +188,12 @@
   }
 
   // Any head that ever was, any base or any peer's state, in any order.
-  void Offer(Follower& follower) {
+  void Offer(std::size_t index) {
+    if (index == this->cut_off) {
+      return;
+    }
+    Follower& follower = this->followers[index];
+    Head& newest = this->newest[index];
     const std::uint64_t before = follower.revision();
     if (this->store.Draw(3) == 0) {
       const Follower& peer =
@@ -204,8 +214,17 @@
       const auto& heads = this->store.heads;
       const std::size_t late =
           this->store.Draw(2) == 0 ? this->store.Draw(heads.size()) : 0;
-      RC_ASSERT(follower.OfferHead(heads[heads.size() - 1 - late]).has_value());
+      const Head& head = heads[heads.size() - 1 - late];
+      RC_ASSERT(follower.OfferHead(head).has_value());
+      if (head.revision() > newest.revision()) {
+        newest = head;
+      }
     }
+    // Nothing that was offered and can be applied stays aside.
+    RC_ASSERT(newest.base_revision > follower.revision() ||
+              newest.revision() <= follower.revision());
+    RC_ASSERT(newest.revision() <= follower.revision() ||
+              follower.wanted_base() == newest.base_revision);
     RC_ASSERT(follower.revision() >= before);
     RC_ASSERT(*follower.state() == this->store.truth[follower.revision()]);
   }
@@ -244,6 +263,10 @@
       RC_ASSERT(*follower.state() == last);
     }
     RC_CLASSIFY(this->store.heads.back().base_revision > 0, "folded");
+    RC_CLASSIFY(
+        std::any_of(this->sent.begin(), this->sent.end(),
+                    [](const auto& sent) { return sent.second.unknown; }),
+        "unknown outcomes");
   }
 
   struct Flight {
@@ -256,6 +279,8 @@
   Time now;
   std::vector<Proposer> proposers;
   std::vector<Follower> followers;
+  std::size_t cut_off = 0;   // follower that hears nothing for a while
+  std::vector<Head> newest;  // offered to each follower
   std::vector<std::optional<Flight>> outstanding;
   std::map<std::string, Sent> sent;
   std::vector<std::string> unresolved;
