--- a/src/maintain/sizes.cc
+++ b/src/maintain/sizes.cc
@@ -6,8 +6,9 @@
 namespace kch::maintain {
 namespace {
 
-// Longer than a peak of some seconds, so that a peak hardly moves a mean.
-constexpr Duration kInterval = std::chrono::seconds(30);
+// Longer than a turn of peaks through all queues: with 30 s, a peak every 26 s
+// fell once or twice into an interval and doubled its mean.
+constexpr Duration kInterval = std::chrono::seconds(60);
 
 std::uint32_t VmsFor(double slots, double headroom, const PoolDemand& pool) {
   const double vms =
--- a/test/maintain/fleet_sim.h
+++ b/test/maintain/fleet_sim.h
@@ -124,6 +124,7 @@
     Time contact;
     Time gone_at;
     Records views;
+    Time next_read;
     std::map<TaskId, VmId> running;  // includes starts in flight
   };
   struct Process {
@@ -212,6 +213,12 @@
         entry.gone_at = this->now + Ms(Int(1000, 10000));
       }
     }
+    if (Fault(0.01)) {
+      auto& link =
+          this->silent_links[{static_cast<int>(Int(0, kMaintainers - 1)),
+                              static_cast<int>(Int(0, kEntries - 1))}];
+      link = !link;
+    }
     if (Fault(0.004)) {
       auto vm = std::next(this->vms.begin(),
                           Int(0, static_cast<int>(this->vms.size()) - 1));
@@ -266,7 +273,7 @@
       this->processes[i].paused_until = this->now;
     }
     for (auto& [index, entry] : this->entries) {
-      entry.silent = index == 0;  // one connection stays silent for ever
+      entry.silent = index == 0;  // one entry stays silent for ever
     }
   }
 
@@ -343,8 +350,11 @@
     }
     if (!entry.silent && this->now >= this->store_down_until) {
       entry.contact = this->now;
-      if (this->Chance(0.3)) {
+      if (this->now >= entry.next_read) {
         entry.views = this->latest;
+        // A watch may lag by seconds, but by less than a lease.
+        entry.next_read =
+            this->now + Ms(this->Chance(0.2) ? Int(500, 4000) : 300);
       }
     }
     for (auto task = entry.running.begin(); task != entry.running.end();) {
@@ -354,7 +364,7 @@
     }
     // Freshness rule: contact with the store or with peers.
     const bool fresh = this->now - entry.contact <= Ms(2000) || !entry.silent;
-    if (!fresh || !this->Chance(0.15)) {
+    if (!fresh || !this->Chance(0.4)) {
       return;
     }
     const auto target = std::next(
@@ -451,7 +461,8 @@
 
   void Heartbeats(int index) {
     for (const auto& [i, entry] : this->entries) {
-      if (entry.silent || entry.stopped || Fault(0.1)) {
+      if (entry.silent || entry.stopped || Fault(0.1) ||
+          this->silent_links[{index, i}]) {
         continue;
       }
       for (const auto& [pool, view] : entry.views) {
@@ -703,6 +714,7 @@
   std::map<VmId, Vm> vms;
   std::map<int, Entry> entries;
   std::map<int, Process> processes;
+  std::map<std::pair<int, int>, bool> silent_links;  // maintainer, entry
   std::map<std::string, OperationState> operations;
   std::set<std::string> rebooted;
   std::set<TaskId> in_flight;
