--- a/src/maintain/advance.cc
+++ b/src/maintain/advance.cc
@@ -151,6 +151,9 @@
     if (const auto quiet = CheckQuiet(record, vm, facts, now, limits); !quiet) {
       advice.platform.reset();
       advice.waiting = quiet.error().message;
+      // The step cannot go back, since another maintainer's call may be on its
+      // way; a task that has started against the rules is ended instead.
+      advice.workers = WorkerCalls(vm, facts, now, limits);
     }
   }
   return advice;
--- a/src/maintain/maintainer.cc
+++ b/src/maintain/maintainer.cc
@@ -149,12 +149,7 @@
             }
           },
           [&](const OperationSeen& seen) {
-            if (seen.state) {
-              facts.operations[seen.operation] = *seen.state;
-            } else {
-              // An unknown operation is read before anything else is done.
-              facts.operations.erase(seen.operation);
-            }
+            this->OnOperation(seen, now, effects);
           },
           [&](const DemandSeen& seen) {
             this->demand[seen.pool].Add(seen.slots, now);
@@ -176,6 +171,33 @@
   return effects;
 }
 
+void Maintainer::OnOperation(const OperationSeen& seen,
+                             Time now,
+                             std::vector<Effect>& effects) {
+  if (!seen.state) {
+    // An operation in doubt is read before anything else is done.
+    this->known.operations.erase(seen.operation);
+    return;
+  }
+  this->known.operations[seen.operation] = *seen.state;
+  // The id ends with the step and the verb. Waiting for the next read of the
+  // record would add a read interval to each step of each VM.
+  const auto verb = seen.operation.rfind('.');
+  const auto step = verb == std::string::npos || verb == 0
+                        ? std::string::npos
+                        : seen.operation.rfind('.', verb - 1);
+  const auto pool = this->stems.find(seen.operation.substr(0, step));
+  if (pool == this->stems.end()) {
+    return;
+  }
+  auto& slot = this->slots[pool->second];
+  if (!slot.pending && slot.read_at &&
+      now - *slot.read_at <= 2 * this->settings.read_interval) {
+    const PoolId name = pool->second;
+    this->Decide(name, slot, now, effects);
+  }
+}
+
 void Maintainer::OnTick(Time now, std::vector<Effect>& effects) {
   for (const auto& [pool, pool_settings] : this->settings.pools) {
     auto& slot = this->slots[pool];
@@ -232,6 +254,7 @@
   if (reply.version < slot.version) {
     return;  // a stale read
   }
+  slot.read_at = now;
   // Most reads find the record unchanged.
   if (reply.version != slot.version || !this->cached.contains(pool)) {
     auto record = Decode<PoolRecord>(*value);
@@ -245,11 +268,14 @@
 }
 
 void Maintainer::Accept(const PoolId& pool, PoolRecord record, Time now) {
+  std::erase_if(this->stems,
+                [&](const auto& entry) { return entry.second == pool; });
   for (const auto& [id, vm] : record.vms) {
     if (vm.state == VmState::kServing) {
       this->known.watches.erase(id);
       continue;
     }
+    this->stems[vm.operation] = pool;
     auto& watch = this->known.watches[id];
     if (watch.operation != vm.operation) {
       watch = {vm.operation, now};
--- a/src/maintain/maintainer.h
+++ b/src/maintain/maintainer.h
@@ -144,6 +144,7 @@
  private:
   struct PoolSlot {
     std::uint64_t version = 0;          // store version of the cached record
+    std::optional<Time> read_at;        // of the cached record
     bool pending = false;               // an operation is outstanding
     std::string written;                // value of the outstanding write
     std::vector<Order> written_orders;  // confirmed by that write
@@ -152,6 +153,9 @@
   };
 
   void OnReply(const StoreReply& reply, Time now, std::vector<Effect>& effects);
+  void OnOperation(const OperationSeen& seen,
+                   Time now,
+                   std::vector<Effect>& effects);
   void OnTick(Time now, std::vector<Effect>& effects);
   void Accept(const PoolId& pool, PoolRecord record, Time now);
   void Decide(const PoolId& pool,
@@ -177,7 +181,8 @@
   std::map<PoolId, PoolSlot> slots;
   Facts known;
   std::map<PoolId, DemandWindow> demand;
-  std::map<std::string, Time> called;  // last call by operation or task
+  std::map<std::string, PoolId> stems;  // pools by operation under way
+  std::map<std::string, Time> called;   // last call by operation or task
   std::uint64_t lost_races = 0;
 };
 
