--- a/bench/maintain_bench.cc
+++ b/bench/maintain_bench.cc
@@ -91,7 +91,7 @@
 
 // Baseline: reserves what the budget allows in the order of names and waits
 // for the whole wave.
-double NaiveWavesS(PoolRecord record,
+double NaiveWavesS(const PoolRecord& record,
                    const Budget& budget,
                    const Needs& needs) {
   double total = 0;
@@ -110,11 +110,12 @@
     std::erase_if(left, [&](const VmId& id) {
       auto next = Reserve(wave, id, {Purpose::kReboot, PoolId(), "wave"},
                           budget, facts, Time{}, Limits{});
-      if (next) {
-        wave = *std::move(next);
-        longest = std::max(longest, ToSeconds(needs.at(id)));
+      if (!next) {
+        return false;
       }
-      return next.has_value();
+      wave = *std::move(next);
+      longest = std::max(longest, ToSeconds(needs.at(id)));
+      return true;
     });
     total += longest;
   }
@@ -150,6 +151,7 @@
   std::vector<std::unique_ptr<Maintainer>> processes;
   std::vector<std::vector<Event>> queues(static_cast<std::size_t>(maintainers));
   Random random(seed);
+  processes.reserve(queues.size());
   for (int i = 0; i < maintainers; ++i) {
     processes.push_back(
         std::make_unique<Maintainer>(settings, Random(random())));
@@ -291,6 +293,7 @@
                   size, name.c_str(), varied ? "0-40 s" : "20 s", row[0],
                   row[1], row[2], row[1] / row[0], row[1] / row[2], row[3],
                   row[4]);
+      std::fflush(stdout);
     }
   }
 }
@@ -305,9 +308,9 @@
 // at 5 times its mean for 5 s and falls to a twentieth in between. A VM serves
 // neither pool while it moves.
 SizeRun RunSizes(bool naive, bool drift, int move_s, std::uint64_t seed) {
-  constexpr int kPools = 5;
-  constexpr int kLengthS = 4 * 3600;
-  constexpr int kTurnS = 26;
+  constexpr int pool_count = 5;
+  constexpr int length_s = 4 * 3600;
+  constexpr int turn_s = 26;
   const SizePolicy policy;
   Random random(seed);
   std::uniform_real_distribution<double> noise(0.8, 1.2);
@@ -315,16 +318,16 @@
   std::map<PoolId, DemandWindow> windows;
   std::map<PoolId, int> changed;
   std::uint32_t spare = 6;
-  for (int i = 0; i < kPools; ++i) {
+  for (int i = 0; i < pool_count; ++i) {
     const PoolId pool("p" + std::to_string(i));
     pools[pool] = {std::nullopt, 10, 8, 1, 0, false};
-    changed[pool] = -kLengthS;
+    changed[pool] = -length_s;
   }
   SizeRun run;
   double demand_total = 0;
   double above = 0;
   std::map<PoolId, std::vector<int>> arrivals;  // when moved VMs serve
-  for (int s = 0; s < kLengthS; ++s) {
+  for (int s = 0; s < length_s; ++s) {
     int index = 0;
     std::map<PoolId, double> current;
     for (auto& [name, pool] : pools) {
@@ -332,7 +335,7 @@
       const double growth =
           drift && index == 0 ? std::clamp((s - 3600) / 3600.0, 0.0, 1.0) : 0;
       const double mean = 48 * (1 + growth / 2);
-      const bool peak = s % kTurnS / 5 == index;
+      const bool peak = s % turn_s / 5 == index;
       const double demand = (peak ? 5 : 0.05) * mean * noise(random);
       current[name] = demand;
       windows[name].Add(demand, Time{seconds(s)});
@@ -385,7 +388,7 @@
     }
     run.spare_mean += spare;
   }
-  run.spare_mean /= kLengthS;
+  run.spare_mean /= length_s;
   run.above = above / demand_total;
   return run;
 }
--- a/src/maintain/budget.cc
+++ b/src/maintain/budget.cc
@@ -47,9 +47,20 @@
   return usage;
 }
 
+bool Fits(const VmRow& vm, const Usage& usage, const Budget& budget) {
+  return usage.unavailable < budget.max_unavailable &&
+         CountOf(usage.lost_by_zone, vm.zone) < budget.zone_degraded_at &&
+         CountOf(usage.lost_by_rack, vm.rack) < budget.rack_degraded_at &&
+         CountOf(usage.by_zone, vm.zone) < budget.per_zone &&
+         CountOf(usage.by_rack, vm.rack) < budget.per_rack;
+}
+
 Result<void> CheckBudget(const VmRow& vm,
                          const Usage& usage,
                          const Budget& budget) {
+  if (Fits(vm, usage, budget)) {
+    return {};
+  }
   const auto refuse = [&](const std::string& what) -> Result<void> {
     return Fail(ErrorKind::kUnavailable,
                 "VM " + vm.id.str() + " cannot leave service: " + what,
@@ -69,10 +80,7 @@
   if (CountOf(usage.by_zone, vm.zone) >= budget.per_zone) {
     return refuse("the budget of zone " + vm.zone.str() + " is in use");
   }
-  if (CountOf(usage.by_rack, vm.rack) >= budget.per_rack) {
-    return refuse("the budget of rack " + vm.rack.str() + " is in use");
-  }
-  return {};
+  return refuse("the budget of rack " + vm.rack.str() + " is in use");
 }
 
 Result<PoolRecord> Reserve(const PoolRecord& record,
--- a/src/maintain/budget.h
+++ b/src/maintain/budget.h
@@ -36,7 +36,12 @@
  */
 [[nodiscard]] Usage CountUsage(const PoolRecord& record, const Facts& facts);
 
-/*! @brief Checks whether one more VM may become unavailable. */
+/*! @brief True if one more VM may become unavailable. */
+[[nodiscard]] bool Fits(const VmRow& vm,
+                        const Usage& usage,
+                        const Budget& budget);
+
+/*! @brief As Fits, with the reason if it does not. */
 [[nodiscard]] Result<void> CheckBudget(const VmRow& vm,
                                        const Usage& usage,
                                        const Budget& budget);
--- a/src/maintain/maintainer.cc
+++ b/src/maintain/maintainer.cc
@@ -18,6 +18,8 @@
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
 };
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
 Purpose PurposeOf(OrderKind kind) {
   switch (kind) {
@@ -403,11 +405,12 @@
   const auto reserve = [&](const VmId& vm, const Reservation& reservation) {
     auto next = Reserve(record, vm, reservation, pool.budget, this->known, now,
                         this->settings.limits);
-    if (next) {
-      record = *std::move(next);
-      changed = true;
+    if (!next) {
+      return false;
     }
-    return next.has_value();
+    record = *std::move(next);
+    changed = true;
+    return true;
   };
   // Orders come before the roll-out, which would otherwise use up the budget.
   const auto orders = std::exchange(record.orders, {});
--- a/src/maintain/rollout.cc
+++ b/src/maintain/rollout.cc
@@ -45,8 +45,7 @@
       const std::tuple rank{Waves(zone_left[vm->zone], budget.per_zone),
                             Waves(rack_left[vm->rack], budget.per_rack),
                             -vm->maintained_s};
-      if ((best == nullptr || rank > best_rank) &&
-          CheckBudget(*vm, usage, budget)) {
+      if ((best == nullptr || rank > best_rank) && Fits(*vm, usage, budget)) {
         best = vm;
         best_rank = rank;
       }
--- a/src/maintain/sizes.cc
+++ b/src/maintain/sizes.cc
@@ -67,7 +67,7 @@
       this->means.begin() + static_cast<std::ptrdiff_t>(count));
   std::sort(sorted.begin(), sorted.end());
   const auto index =
-      static_cast<std::size_t>(q * static_cast<double>(count - 1) + 0.5);
+      static_cast<std::size_t>(std::lround(q * static_cast<double>(count - 1)));
   return sorted.at(std::min(index, count - 1));
 }
 
--- a/test/maintain/fleet_sim.h
+++ b/test/maintain/fleet_sim.h
@@ -617,10 +617,12 @@
         ++this->moves;
       }
     }
-    for (const auto& [id, owner] : this->owners) {
+    for (const auto& entry : this->owners) {
+      const auto& [id, owner] = entry;
+      const VmId& vm = entry.first;
       const auto listed = std::count_if(
           this->latest.begin(), this->latest.end(),
-          [&](const auto& entry) { return entry.second.vms.contains(id); });
+          [&](const auto& pool) { return pool.second.vms.contains(vm); });
       const auto pool = PoolOf(id, this->latest);
       if (listed > 1 || !pool || *pool != owner.back()) {
         this->Violated(id.str() + " is in " + std::to_string(listed) +
