--- a/bench/maintain_bench.cc
+++ b/bench/maintain_bench.cc
@@ -359,6 +359,11 @@
         if (wanted(name) < pool.vms) {
           run.moves += static_cast<int>(pool.vms - wanted(name));
           spare += pool.vms - wanted(name);
+          // VMs that have not arrived yet leave first.
+          auto& moving = arrivals[name];
+          moving.resize(
+              moving.size() -
+              std::min<std::size_t>(moving.size(), pool.vms - wanted(name)));
           pool.vms = wanted(name);
         }
       }
--- a/src/maintain/advance.cc
+++ b/src/maintain/advance.cc
@@ -61,11 +61,17 @@
   // not start again with each maintainer.
   const Duration drained = std::chrono::seconds(
       std::max<std::int64_t>(0, facts.wall_s - vm.since_s));
+  // A maintainer that has just started may have read an old record; a stop on a
+  // VM that serves again would interrupt a request. A checkpoint loses nothing.
+  const auto watch = facts.watches.find(vm.id);
+  const bool observed = watch != facts.watches.end() &&
+                        watch->second.operation == vm.operation &&
+                        now - watch->second.seen_at >= limits.report_age;
   for (const auto& task : worker->second.tasks) {
     const Duration checkpoint_at = task.behaviour == DrainBehaviour::kCheckpoint
                                        ? Duration::zero()
                                        : task.bound;
-    if (drained >= checkpoint_at + limits.checkpoint_grace) {
+    if (drained >= checkpoint_at + limits.checkpoint_grace && observed) {
       calls.push_back({WorkerVerb::kStop, vm.id, task.id});
     } else if (drained >= checkpoint_at) {
       calls.push_back({WorkerVerb::kCheckpoint, vm.id, task.id});
--- a/test/maintain/decisions_test.cc
+++ b/test/maintain/decisions_test.cc
@@ -270,6 +270,10 @@
   BOOST_TEST(verbs_at(20) == "t0 w0 ");
   BOOST_TEST(verbs_at(40) == "t0 w2 ");
   BOOST_TEST(verbs_at(50) == "t2 w2 ");
+  // An old record must not stop tasks of a VM that serves again.
+  drain.facts.watches[drain.vm].seen_at = drain.start + seconds(50);
+  BOOST_TEST(verbs_at(51) == "t0 w0 ");
+  BOOST_TEST(verbs_at(52) == "t2 w2 ");
 }
 
 // Guards against VMs in no pool or in two, whatever ages of records the
