--- a/src/maintain/sizes.cc
+++ b/src/maintain/sizes.cc
@@ -6,8 +6,9 @@
 namespace kch::maintain {
 namespace {
 
-// Longer than a peak of some seconds, so that a peak hardly moves a mean.
-constexpr Duration kInterval = std::chrono::seconds(30);
+// Longer than a turn of peaks through all queues: with 30 s, a peak every 26 s
+// fell once or twice into an interval and doubled its mean.
+constexpr Duration kInterval = std::chrono::seconds(60);
 
 std::uint32_t VmsFor(double slots, double headroom, const PoolDemand& pool) {
   const double vms =
@@ -66,7 +67,7 @@
       this->means.begin() + static_cast<std::ptrdiff_t>(count));
   std::sort(sorted.begin(), sorted.end());
   const auto index =
-      static_cast<std::size_t>(q * static_cast<double>(count - 1) + 0.5);
+      static_cast<std::size_t>(std::lround(q * static_cast<double>(count - 1)));
   return sorted.at(std::min(index, count - 1));
 }
 
