--- a/fake/worker/main.cc
+++ b/fake/worker/main.cc
@@ -14,7 +14,7 @@
        Text("id-prefix", "vm-", "target ids are this text and 1, 2, ..."),
        Number("slots", 8, 1, 10'000, "tasks that a target runs at once"),
        Number("connections", 64, 1, 100'000, "open connections of a target"),
-       Number("memory-mb", 128 * 1024, 1, 100'000'000,
+       Number("memory-mb", 131'072, 1, 100'000'000,
               "memory of a target; larger tasks are refused"),
        Number("result-ms", 120'000, 0, 86'400'000,
               "how long results of ended tasks are kept"),
--- a/fake/worker/relay.cc
+++ b/fake/worker/relay.cc
@@ -19,13 +19,14 @@
 constexpr std::string_view kHalfMark = "Kch-Fault: half";
 
 std::size_t ContentLength(std::string_view head) {
-  const auto found =
-      std::ranges::search(head, kLengthField, [](char a, char b) {
-        return std::tolower(static_cast<unsigned char>(a)) == b;
-      });
+  const auto* found =
+      std::search(head.begin(), head.end(), kLengthField.begin(),
+                  kLengthField.end(), [](char a, char b) {
+                    return std::tolower(static_cast<unsigned char>(a)) == b;
+                  });
   std::size_t length = 0;
-  if (!found.empty()) {
-    const char* begin = found.end();
+  if (found != head.end()) {
+    const char* begin = found + kLengthField.size();
     const char* end = head.data() + head.size();
     while (begin != end && *begin == ' ') {
       ++begin;
--- a/fake/worker/target.h
+++ b/fake/worker/target.h
@@ -19,7 +19,7 @@
 struct TargetOptions {
   std::string id;
   std::size_t slots = 8;
-  std::int64_t memory_mb = 128 * 1024;
+  std::int64_t memory_mb = 131'072;
   int result_ms = 120'000;
   int reboot_ms = 1000;
 };
