--- a/test/fake/fake_test.cc
+++ b/test/fake/fake_test.cc
@@ -164,6 +164,7 @@
 // Guards against connections beyond the limit that reach the slots.
 BOOST_FIXTURE_TEST_CASE(ExcessConnectionIsRefused, Fixture) {
   std::vector<std::future<HttpResult>> open;
+  open.reserve(4);
   for (int i = 0; i < 4; ++i) {
     open.push_back(BeginRun("t", {{"run_ms", 60'000}}));
   }
--- a/test/load/load_test.cc
+++ b/test/load/load_test.cc
@@ -32,8 +32,8 @@
 
 // Guards against false alarms on a run without faults.
 BOOST_AUTO_TEST_CASE(CleanRunHasNoFaults) {
-  BOOST_TEST((FaultsOf(DoneAnswer("r"), DoneRuns("r")) == Faults{}));
-  BOOST_TEST((FaultsOf({.outcome = Outcome::kNotRun}, {}) == Faults{}));
+  BOOST_TEST(FaultsOf(DoneAnswer("r"), DoneRuns("r")).empty());
+  BOOST_TEST(FaultsOf({.outcome = Outcome::kNotRun}, {}).empty());
 }
 
 // Guards against passing a load in which a request never got an answer.
@@ -75,7 +75,7 @@
       (FaultsOf(DoneAnswer("r"), runs) == Faults{{Fault::kRanTwice, 1}}));
   runs.push_back(
       {.id = "r", .task = "t2", .team = "north", .outcome = "checkpointed"});
-  BOOST_TEST((FaultsOf(DoneAnswer("r"), runs) == Faults{}));
+  BOOST_TEST(FaultsOf(DoneAnswer("r"), runs).empty());
 }
 
 // Guards against missing an invented answer or a run under another team's key.
--- a/test/timeline/timeline_test.cc
+++ b/test/timeline/timeline_test.cc
@@ -9,6 +9,8 @@
 namespace kch::timeline {
 namespace {
 
+constexpr int kInstances = 4;
+
 Event At(std::string instance, std::uint64_t seq, std::int64_t time_us) {
   return {.wall_us = time_us,
           .mono_us = time_us,
@@ -83,7 +85,6 @@
 // the clocks of the instances are.
 BOOST_AUTO_TEST_CASE(CausesPrecedeEffectsInRandomHistories) {
   const bool held = rc::check([] {
-    constexpr int kInstances = 4;
     const auto clocks = *rc::gen::container<std::vector<std::int64_t>>(
         kInstances, rc::gen::inRange<std::int64_t>(-1'000'000, 1'000'000));
     std::vector<std::uint64_t> last(kInstances, 0);
@@ -93,7 +94,7 @@
       const auto i = *rc::gen::inRange<std::size_t>(0, kInstances);
       const auto peer = *rc::gen::inRange<std::size_t>(0, kInstances);
       Event event = At(std::string(1, static_cast<char>('a' + i)), ++last[i],
-                       100 * step + clocks[i]);
+                       std::int64_t{100} * step + clocks[i]);
       if (peer != i && last[peer] > 0) {
         event = After(event, std::string(1, static_cast<char>('a' + peer)),
                       *rc::gen::inRange<std::uint64_t>(1, last[peer] + 1));
