--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -18,6 +18,8 @@
 namespace kch::net {
 namespace {
 
+using SteadyClock = std::chrono::steady_clock;
+
 // A peer that acknowledges nothing for this long is gone, whatever the task.
 constexpr unsigned kUnacknowledgedMs = 3000;
 constexpr long kMaxIdleConnectionSeconds = 20;
@@ -176,6 +178,16 @@
     return number;
   }
 
+  void Delay(int delay_ms, std::function<void()> action) {
+    {
+      const std::lock_guard lock(this->mutex);
+      this->timers.emplace(
+          SteadyClock::now() + std::chrono::milliseconds(delay_ms),
+          std::move(action));
+    }
+    curl_multi_wakeup(this->multi);
+  }
+
   void Abort(std::uint64_t number) {
     {
       const std::lock_guard lock(this->mutex);
@@ -186,18 +198,42 @@
 
  private:
   void Run() {
-    constexpr int kPollMs = 1000;
     while (this->TakeOrders()) {
       int running = 0;
       curl_multi_perform(this->multi, &running);
       this->Collect();
-      curl_multi_poll(this->multi, nullptr, 0, kPollMs, nullptr);
+      curl_multi_poll(this->multi, nullptr, 0, this->RunTimers(), nullptr);
     }
     while (!this->active.empty()) {
       this->End(this->active.begin()->first, CURLE_ABORTED_BY_CALLBACK);
     }
   }
 
+  // Runs the actions that are due and returns the time to the next in ms.
+  int RunTimers() {
+    constexpr int kMaxPollMs = 1000;
+    std::vector<std::function<void()>> due;
+    const auto now = SteadyClock::now();
+    int wait_ms = kMaxPollMs;
+    {
+      const std::lock_guard lock(this->mutex);
+      while (!this->timers.empty() && this->timers.begin()->first <= now) {
+        due.push_back(std::move(this->timers.begin()->second));
+        this->timers.erase(this->timers.begin());
+      }
+      if (!this->timers.empty()) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+            this->timers.begin()->first - now);
+        wait_ms =
+            static_cast<int>(std::min<std::int64_t>(wait_ms, left.count()));
+      }
+    }
+    for (const auto& action : due) {
+      action();
+    }
+    return due.empty() ? wait_ms : 0;
+  }
+
   // Returns false once the client is to stop.
   bool TakeOrders() {
     std::vector<std::unique_ptr<Transfer>> starts;
@@ -266,6 +302,7 @@
   std::uint64_t last_number = 0;
   std::vector<std::unique_ptr<Transfer>> added;
   std::vector<std::uint64_t> aborted;
+  std::multimap<SteadyClock::time_point, std::function<void()>> timers;
 };
 
 Result<std::unique_ptr<HttpClient>> HttpClient::Create(const Options& options) {
@@ -287,6 +324,10 @@
   return this->impl->Send(std::move(call), std::move(done));
 }
 
+void HttpClient::Delay(int delay_ms, std::function<void()> action) {
+  this->impl->Delay(delay_ms, std::move(action));
+}
+
 void HttpClient::Abort(std::uint64_t call) {
   this->impl->Abort(call);
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -87,6 +87,8 @@
   std::uint64_t Send(HttpCall call, HttpDone done);
   /*! @brief Breaks a call off; it ends as kBroken unless it has ended. */
   void Abort(std::uint64_t call);
+  /*! @brief Calls back on the client's thread after a time. */
+  void Delay(int delay_ms, std::function<void()> action);
   /*! @brief Sends a call and waits for its end; not for control threads. */
   [[nodiscard]] HttpResult SendAndWait(HttpCall call);
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -10,6 +10,7 @@
 namespace {
 
 struct ServerTraits : restinio::default_traits_t {
+  // NOLINTNEXTLINE(readability-identifier-naming): RESTinio looks it up.
   using logger_t = restinio::null_logger_t;
 };
 using Server = restinio::http_server_t<ServerTraits>;
@@ -36,7 +37,7 @@
   source.header().for_each_field([&request](const auto& field) {
     request.headers[LowerCase(field.name())] = field.value();
   });
-  request.body = std::move(source.body());
+  request.body = source.body();
   return request;
 }
 
@@ -94,7 +95,7 @@
                     raw->port = acceptor.local_endpoint().port();
                   })
               .request_handler([handler = std::move(handler)](
-                                   restinio::request_handle_t request) {
+                                   const restinio::request_handle_t& request) {
                 HttpRequest converted = Convert(*request);
                 handler(std::move(converted), [request](HttpResponse response) {
                   Respond(*request, std::move(response));
