Make src/net and its test pass clang-tidy

scripts/test stopped at lint: local constants named like global ones, a text built from temporaries and arguments copied without need. The constants move to namespace scope; behaviour is unchanged.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -23,6 +23,9 @@
 // A peer that acknowledges nothing for this long is gone, whatever the task.
 constexpr unsigned kUnacknowledgedMs = 3000;
 constexpr long kMaxIdleConnectionSeconds = 20;
+constexpr int kMaxPollMs = 1000;
+constexpr int kFirstSuccess = 200;
+constexpr int kLastSuccess = 299;
 
 struct ListFree {
   void operator()(curl_slist* list) const { curl_slist_free_all(list); }
@@ -103,7 +106,10 @@
   }
   curl_slist* list = curl_slist_append(nullptr, "Expect:");
   for (const auto& [name, value] : call.headers) {
-    list = curl_slist_append(list, (name + ": " + value).c_str());
+    std::string line = name;
+    line += ": ";
+    line += value;
+    list = curl_slist_append(list, line.c_str());
   }
   transfer.headers.reset(list);
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
@@ -137,10 +143,8 @@
 }
 
 bool HttpResult::Success() const {
-  constexpr int kFirst = 200;
-  constexpr int kLast = 299;
-  return this->status == CallStatus::kAnswered && this->code >= kFirst &&
-         this->code <= kLast;
+  return this->status == CallStatus::kAnswered && this->code >= kFirstSuccess &&
+         this->code <= kLastSuccess;
 }
 
 class HttpClient::Impl {
@@ -211,7 +215,6 @@
 
   // Runs the actions that are due and returns the time to the next in ms.
   int RunTimers() {
-    constexpr int kMaxPollMs = 1000;
     std::vector<std::function<void()>> due;
     const auto now = SteadyClock::now();
     int wait_ms = kMaxPollMs;
--- a/src/net/settings.cc
+++ b/src/net/settings.cc
@@ -14,6 +14,8 @@
 namespace kch::net {
 namespace {
 
+constexpr int kExitBadSetting = 2;
+
 constexpr int kHelpIndex = 10001;
 constexpr int kVersionIndex = 10002;
 constexpr int kCheckIndex = 10003;
@@ -235,12 +237,11 @@
   return help;
 }
 
-Settings ParseOrExit(std::string program,
+Settings ParseOrExit(const std::string& program,
                      std::vector<Setting> declared,
                      int argc,
                      char** argv,
                      std::string_view version) {
-  constexpr int kBadSetting = 2;
   const std::vector<std::string> arguments(argv + std::min(argc, 1),
                                            argv + argc);
   auto settings = Settings::Create(
@@ -249,7 +250,7 @@
   if (!settings) {
     std::fprintf(stderr, "%s: %s\n", program.c_str(),
                  settings.error().Text().c_str());
-    std::exit(kBadSetting);
+    std::exit(kExitBadSetting);
   }
   switch (settings->action()) {
     case Action::kHelp:
--- a/src/net/settings.h
+++ b/src/net/settings.h
@@ -90,7 +90,7 @@
 
 /*! @brief Program entry: answers --help, --version and --check-settings,
  * exits 2 on a bad setting, else returns the settings. */
-[[nodiscard]] Settings ParseOrExit(std::string program,
+[[nodiscard]] Settings ParseOrExit(const std::string& program,
                                    std::vector<Setting> declared,
                                    int argc,
                                    char** argv,
--- a/test/net/http_test.cc
+++ b/test/net/http_test.cc
@@ -18,7 +18,8 @@
 // Guards against losing parts of a request between client and handler.
 BOOST_AUTO_TEST_CASE(RequestArrivesWhole) {
   const auto server =
-      HttpServer::Create({}, [](HttpRequest request, const HttpReply& reply) {
+      HttpServer::Create({}, [](const HttpRequest& request,
+                                const HttpReply& reply) {
         reply({.status = 201,
                .body = request.method + " " + request.path + " " +
                        std::string(request.Query("a")) + " " +
