--- a/src/engine/origin.cc
+++ b/src/engine/origin.cc
@@ -146,10 +146,10 @@
     reason = Reason::kNoScheduler;
   }
   // Passing the order on is all that this answer reports.
-  this->core.effects.emplace_back(ReplyCaller{
-      cancel.call,
-      {.kind = owner ? OutcomeKind::kDone : OutcomeKind::kNotRun,
-       .reason = reason}});
+  this->core.effects.emplace_back(
+      ReplyCaller{cancel.call,
+                  {.kind = owner ? OutcomeKind::kDone : OutcomeKind::kNotRun,
+                   .reason = reason}});
 }
 
 void Origin::OnStarted(const InstanceId& from, const Started& started) {
--- a/src/engine/scheduler.cc
+++ b/src/engine/scheduler.cc
@@ -328,7 +328,7 @@
 bool Scheduler::Place(Pool& pool, Work& work, const VmId& vm, Time now) {
   const config::Profile* profile = this->core.state().Find(work.job.profile);
   Attempt attempt{
-      .task = TaskId(work.job.id.str() + "/" + this->core.self().str() + "." +
+      .task = TaskId(work.job.id.str() + "-" + this->core.self().str() + "." +
                      std::to_string(this->core.holder().incarnation) + "." +
                      std::to_string(++this->last_attempt)),
       .vm = vm,
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -1,9 +1,12 @@
 #ifndef NET_NET_H_
 #define NET_NET_H_
 
+#include "net/event_log.h"
 #include "net/http.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/log.h"
+#include "net/metrics.h"
 #include "net/peer_bus.h"
 #include "net/settings.h"
 #include "net/store_client.h"
--- /dev/null
+++ b/test/engine/entry_test.cc
@@ -0,0 +1,152 @@
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "test/engine/fleet.h"
+
+namespace kch::engine::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+void SubmitMany(Fleet& fleet, int count, Duration run) {
+  for (int i = 0; i < count; ++i) {
+    fleet.Submit(i % 3, i % 2 == 0 ? "a" : "b", run);
+  }
+}
+
+bool AllAnswered(const Fleet& fleet) {
+  return fleet.Unanswered() == 0;
+}
+
+// Guards against a request that gets lost on the way between entries.
+BOOST_AUTO_TEST_CASE(EveryRequestIsAnswered) {
+  Fleet fleet({.seed = 1});
+  fleet.Configure(20, 20);
+  SubmitMany(fleet, 100, milliseconds(50));
+  BOOST_TEST(fleet.RunUntil([&] { return AllAnswered(fleet); }, seconds(20)));
+  BOOST_TEST(fleet.Outcomes()["done"] == 100);
+  BOOST_TEST(fleet.breach == "");
+}
+
+// Guards against losing the tasks of a scheduler that is killed: the entries
+// that hold the callers follow them on the workers.
+BOOST_AUTO_TEST_CASE(TasksOutliveTheirScheduler) {
+  Fleet fleet({.seed = 2});
+  fleet.Configure(20, 20);
+  const int scheduler = fleet.SchedulerSeenBy(0);
+  const int other = (scheduler + 1) % 3;
+  for (int i = 0; i < 10; ++i) {
+    fleet.Submit(other, "a", seconds(5));
+  }
+  fleet.Run(seconds(1));
+  BOOST_TEST(fleet.starts == 10U);
+  fleet.Kill(scheduler);
+  BOOST_TEST(fleet.RunUntil([&] { return AllAnswered(fleet); }, seconds(20)));
+  BOOST_TEST(fleet.Outcomes()["done"] == 10);
+  BOOST_TEST(fleet.starts == 10U);
+  BOOST_TEST(fleet.breach == "");
+}
+
+// Guards against work that stops because the store is down.
+BOOST_AUTO_TEST_CASE(WorkGoesOnDuringAStoreOutage) {
+  Fleet fleet({.seed = 3});
+  fleet.Configure(20, 20);
+  SubmitMany(fleet, 20, milliseconds(50));
+  fleet.Run(seconds(1));
+  fleet.SetStoreDown(true);
+  fleet.Run(seconds(5));
+  SubmitMany(fleet, 60, milliseconds(50));
+  BOOST_TEST(fleet.RunUntil([&] { return AllAnswered(fleet); }, seconds(20)));
+  BOOST_TEST(fleet.Outcomes()["done"] == 80);
+  BOOST_TEST(fleet.breach == "");
+}
+
+// Guards against a start by an entry that slept through a change (I3, I5).
+BOOST_AUTO_TEST_CASE(PausedEntryStartsNothingOutdated) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    Fleet fleet({.seed = seed});
+    fleet.Configure(20, 20);
+    for (int i = 0; i < 60; ++i) {
+      fleet.Submit(i % 3, "a", milliseconds(400));
+    }
+    fleet.Run(milliseconds(200));
+    const int paused = static_cast<int>(seed % 3);
+    fleet.Pause(paused);
+    const int writer = (paused + 1) % 3;
+    fleet.Change(writer, config::WithdrawKey{KeyId("ka")});
+    fleet.Change(writer, config::SetZone{{ZoneId("z1"), false}});
+    fleet.Run(seconds(8));
+    fleet.SetStoreDown(true);
+    fleet.Resume(paused);
+    fleet.Run(seconds(30));
+    BOOST_TEST(fleet.breach == "");
+  }
+}
+
+// Guards against a shutdown that cuts off a request (I10).
+BOOST_AUTO_TEST_CASE(ShutdownCutsOffNothing) {
+  Fleet fleet({.seed = 5});
+  fleet.Configure(20, 20);
+  for (int entry = 0; entry < 3; ++entry) {
+    SubmitMany(fleet, 60, milliseconds(300));
+    fleet.Run(milliseconds(200));
+    fleet.Shutdown(entry);
+    BOOST_TEST(fleet.RunUntil([&] { return AllAnswered(fleet); }, seconds(30)));
+    BOOST_TEST(
+        fleet.RunUntil([&] { return !fleet.alive(entry); }, seconds(30)));
+    fleet.Restart(entry);
+    fleet.Run(seconds(3));
+  }
+  BOOST_TEST(fleet.Outcomes()["done"] == 180);
+  BOOST_TEST(fleet.breach == "");
+}
+
+// Guards against a connection that went silent although the task has ended.
+BOOST_AUTO_TEST_CASE(SilentConnectionIsReplaced) {
+  Fleet fleet({.seed = 7});
+  fleet.Configure(20, 20);
+  for (int vm = 0; vm < 6; ++vm) {
+    fleet.worker(vm).fault = WorkerFault::kLoseEnds;
+  }
+  SubmitMany(fleet, 10, milliseconds(100));
+  BOOST_TEST(fleet.RunUntil([&] { return AllAnswered(fleet); }, seconds(15)));
+  BOOST_TEST(fleet.Outcomes()["done"] == 10);
+  BOOST_TEST(fleet.breach == "");
+}
+
+// Guards against sending all work to a worker that fails every task at once.
+BOOST_AUTO_TEST_CASE(FailingWorkerIsEjected) {
+  Fleet fleet({.seed = 8});
+  fleet.Configure(100, 100);
+  fleet.worker(0).fault = WorkerFault::kFailAll;
+  for (int round = 0; round < 50; ++round) {
+    SubmitMany(fleet, 6, milliseconds(100));
+    fleet.Run(milliseconds(100));
+  }
+  fleet.RunUntil([&] { return AllAnswered(fleet); }, seconds(10));
+  BOOST_TEST(fleet.Outcomes()["done"] > 290);
+  BOOST_TEST(fleet.breach == "");
+}
+
+// Guards against a limit that is exceeded while permits move (I4): all load
+// is on one team with a small limit and the schedulers change.
+BOOST_AUTO_TEST_CASE(LimitHoldsWhileSchedulersChange) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    Fleet fleet({.seed = seed, .drop = 0.05, .duplicate = 0.05});
+    fleet.Configure(5, 5);
+    for (int i = 0; i < 100; ++i) {
+      fleet.Submit(i % 3, "a", milliseconds(500));
+    }
+    fleet.Run(seconds(1));
+    const int victim = static_cast<int>(seed % 3);
+    fleet.Kill(victim);
+    fleet.Run(seconds(4));
+    fleet.Restart(victim);
+    fleet.Run(seconds(30));
+    BOOST_TEST(fleet.breach == "");
+  }
+}
+
+}  // namespace
+}  // namespace kch::engine::test
--- /dev/null
+++ b/test/engine/fake_worker.h
@@ -0,0 +1,54 @@
+#ifndef TEST_ENGINE_FAKE_WORKER_H_
+#define TEST_ENGINE_FAKE_WORKER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+#include "engine/engine.h"
+
+namespace kch::engine::test {
+
+/*! @brief What a worker does wrong. */
+enum class WorkerFault : std::uint8_t {
+  kNone,
+  kFailAll,   // every task fails at once
+  kRefuse,    // refuses every start
+  kLoseEnds,  // tasks run, but the waiting connection stays silent
+};
+
+/*! @brief One worker in virtual time: slots, leases, results, attach. */
+struct FakeWorker {
+  using Answer = std::function<void(AttemptResult)>;
+
+  struct Task {
+    TaskId id;
+    Job job;
+    bool running = true;
+    Time ends;
+    Time lease_ends;
+    AttemptResult result;
+    std::vector<Answer> waiting;
+  };
+
+  VmId vm;
+  ZoneId zone;
+  std::int64_t slots = 8;
+  WorkerFault fault = WorkerFault::kNone;
+  std::map<TaskId, Task> tasks;
+
+  [[nodiscard]] std::int64_t Running() const {
+    std::int64_t count = 0;
+    for (const auto& [id, task] : this->tasks) {
+      count += task.running ? 1 : 0;
+    }
+    return count;
+  }
+};
+
+}  // namespace kch::engine::test
+
+#endif  // TEST_ENGINE_FAKE_WORKER_H_
