--- a/src/config/proposer.h
+++ b/src/config/proposer.h
@@ -38,7 +38,8 @@
   std::optional<Object> current;  // absent if there is none
   std::uint64_t revision = 0;
 };
-/*! @brief Not applied. */
+/*! @brief Not applied by this attempt; after an Unknown, only an answer of
+ * another kind than kUnavailable settles an earlier attempt. */
 struct Rejected {
   Error error;
 };
