--- a/bench/maintain_bench.cc
+++ b/bench/maintain_bench.cc
@@ -253,7 +253,8 @@
 
 void PrintRollouts() {
   std::printf(
-      "roll-out time, 3 maintainers, reboot 60 s, median of 3 seeds (424: 1)\n"
+      "\nroll-out time, 3 maintainers, reboot 60 s, median of 3 seeds (424: "
+      "1)\n"
       "%5s %-10s %-8s %9s %9s %9s %7s %7s %9s %6s\n",
       "vms", "budget", "drain", "bound s", "took s", "naive s", "/bound",
       "/naive", "conflicts", "writes");
@@ -400,7 +401,7 @@
 
 void PrintSizes() {
   std::printf(
-      "\npool sizes, 5 pools of 10 VMs, 6 spare, 4 h, median of 3 seeds\n"
+      "pool sizes, 5 pools of 10 VMs, 6 spare, 4 h, median of 3 seeds\n"
       "%-8s %-12s %7s %7s %11s %15s\n",
       "demand", "policy", "move s", "moves", "spare VMs", "above capacity");
   for (const bool drift : {false, true}) {
@@ -417,6 +418,7 @@
                     drift ? "rising" : "steady",
                     naive ? "current" : "PlanSizes", move_s, runs[1].moves,
                     runs[1].spare_mean, runs[1].above * 100);
+        std::fflush(stdout);
       }
     }
   }
@@ -426,7 +428,7 @@
 }  // namespace kch::maintain
 
 int main() {
-  kch::maintain::PrintRollouts();
   kch::maintain::PrintSizes();
+  kch::maintain::PrintRollouts();
   return 0;
 }
