Fix what combined faults broke in the entry's decisions

A fleet in virtual time with kills, pauses, cuts, store outages, lost replies, limit changes, zones out and VMs leaving found these causes: - a request given up at one scheduler was answered not_run by the next although the first had run it: the sender now keeps that it may have run; - a checkpointed job counted as never started; - a job that returned to an entry which had ended it before was not taken over, and two callers of one task took it over twice; - a late copy of a submission started a request again after not_run; - jobs requeued during a shutdown stayed there; - a refusal for want of slots was retried at once on the same target; - a delegated start whose message was lost was waited for without end; - an entry with a silent watch kept an old pool record: generations are compared with peers and the scheduler reads its records each second; - a member could count for its peers' contact before it knew the accepted configuration, and a change could be called accepted with no majority.

--- a/src/engine/entry.cc
+++ b/src/engine/entry.cc
@@ -212,6 +212,9 @@
     return;
   }
   if (message.from_incarnation > known) {
+    if (known != 0) {
+      this->LosePeer(message.from, now);  // an earlier run, which has ended
+    }
     known = message.from_incarnation;
     this->links[message.from].received = 0;
     this->links[message.from].echoed = 0;
@@ -247,6 +250,7 @@
   }
   std::erase_if(idle, [](const auto& item) { return item.second == 0; });
   this->jobs.OnPeerUse(message.from, beat.contended, now);
+  this->jobs.OnPeerPools(beat.pools, now);
   if (beat.config_revision > this->core.follower.revision() &&
       now >= link.next_config_request) {
     link.next_config_request = now + kConfigRequestInterval;
@@ -277,6 +281,10 @@
     case StoreUser::kMembers:
       this->OnMembersReply(reply, now);
       break;
+    case StoreUser::kPools:
+      this->jobs.OnPoolReply(reply);
+      this->OnRecord(reply, now);
+      break;
   }
 }
 
@@ -289,6 +297,10 @@
     }
     this->probe_sent.reset();
     this->OnRecord(reply, now);
+    const std::uint64_t head =
+        this->latest_head ? this->latest_head->revision() : 0;
+    this->head_read |= reply.status == StoreStatus::kOk &&
+                       this->core.follower.revision() >= head;
     return;
   }
   this->base_pending = false;
@@ -426,16 +438,25 @@
 }
 
 // Answers an accepted change once it is in force everywhere, or after a bound
-// with the instances that have not reported it.
+// with the instances that have not reported it. Without a majority it is not
+// called accepted: if the store is lost now, the other instances could go on
+// under the old configuration, since they hear a majority of each other.
 void Entry::CheckForce(Time now) {
   std::erase_if(this->awaiting, [&](AwaitForce& item) {
     auto pending = this->InForce(item.revision, false);
     if (!pending.empty() && now < item.until) {
       return false;
     }
+    auto in_force = this->InForce(item.revision, true);
+    if (in_force.size() <= pending.size()) {
+      item.outcome = config::Unknown{
+          {ErrorKind::kUnknownOutcome,
+           "the change is stored but not in force at most instances",
+           "send the same change id again to learn its state"}};
+    }
     this->core.effects.emplace_back(
-        ReplyOperator{item.call, std::move(item.outcome),
-                      this->InForce(item.revision, true), std::move(pending)});
+        ReplyOperator{item.call, std::move(item.outcome), std::move(in_force),
+                      std::move(pending)});
     return true;
   });
 }
--- a/src/engine/entry.h
+++ b/src/engine/entry.h
@@ -132,6 +132,7 @@
   std::optional<Time> probe_sent;  // read of the head that proves contact
   Time next_probe;
   bool base_pending = false;
+  bool head_read = false;  // this run has applied a head from the store
   std::uint64_t heartbeat = 0;
   Time next_heartbeat;
   bool was_fresh = false;
--- a/src/engine/entry_peers.cc
+++ b/src/engine/entry_peers.cc
@@ -118,6 +118,11 @@
   }
   const auto own = record.members.find(this->core.self());
   const bool draining = this->stop_began.has_value();
+  // A member counts towards its peers' majority contact, so it must know every
+  // configuration that was accepted before it joins.
+  if (!this->head_read) {
+    return;
+  }
   if (own == record.members.end() ||
       own->second.incarnation != this->core.holder().incarnation ||
       own->second.draining != draining) {
--- a/src/engine/event.h
+++ b/src/engine/event.h
@@ -99,6 +99,7 @@
   kPermits,
   kClaims,
   kMembers,
+  kPools,
 };
 
 /*! @brief The reply to a StoreRequest; one that stays out is kUnknown. */
--- a/src/engine/origin.cc
+++ b/src/engine/origin.cc
@@ -170,13 +170,18 @@
   if (waiting.scheduler != from && answer.outcome.kind != OutcomeKind::kDone) {
     return;
   }
-  if (answer.outcome.kind == OutcomeKind::kNotRun &&
-      answer.outcome.reason == Reason::kShuttingDown &&
-      now < waiting.deadline) {
+  const bool not_run = answer.outcome.kind == OutcomeKind::kNotRun;
+  if (answer.outcome.reason == Reason::kShuttingDown &&
+      (not_run || waiting.job.repeatable) && now < waiting.deadline) {
     waiting.sent = false;
+    waiting.attempt.reset();
+    waiting.maybe_ran |= !not_run;
     this->Route(waiting, now);
     return;
   }
+  if (not_run && waiting.maybe_ran) {
+    answer.outcome.kind = OutcomeKind::kUnknown;
+  }
   if (waiting.scheduler && waiting.scheduler != from) {
     this->core.Send(*waiting.scheduler, CancelJob{waiting.job.id, {}});
   }
@@ -194,6 +199,7 @@
       this->scheduler.Adopt(waiting.job, *waiting.attempt, waiting.deadline,
                             now);
     } else {
+      waiting.maybe_ran = true;
       this->Route(waiting, now);
     }
   }
@@ -217,7 +223,8 @@
     }
   }
   for (const TaskId& id : late) {
-    const bool sent = this->pending.at(id).sent;
+    const Pending& waiting = this->pending.at(id);
+    const bool sent = waiting.sent || waiting.maybe_ran;
     this->Answer(id,
                  {.kind = sent ? OutcomeKind::kUnknown : OutcomeKind::kNotRun,
                   .reason = Reason::kNoScheduler,
--- a/src/engine/origin.h
+++ b/src/engine/origin.h
@@ -44,6 +44,9 @@
     Time deadline;
     std::optional<InstanceId> scheduler;
     bool sent = false;  // to any scheduler: it may run unless one says not
+    // A scheduler that may have started it was given up; only an answer that
+    // it did not run there could make a later "not run" true.
+    bool maybe_ran = false;
     std::optional<Attempt> attempt;
     Time next_send;
   };
--- a/src/engine/pool.h
+++ b/src/engine/pool.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -26,6 +27,9 @@
   PoolId id;
   std::uint64_t version = 0;  // of the record in the store
   maintain::PoolRecord record;
+  std::optional<Time> behind_since;  // a peer has a newer record
+  Time next_read;
+  bool reading = false;
   share::FairQueue queue;
   route::TargetSet targets;
   route::RetryBudget retries;
--- a/src/engine/scheduler.cc
+++ b/src/engine/scheduler.cc
@@ -130,7 +130,7 @@
 }
 
 share::Eligibility Scheduler::Check(const Work& work, Time now) const {
-  if (this->KeyPending(work.job)) {
+  if (this->KeyPending(work.job) || now < work.not_before) {
     return share::Eligibility::kTaskBlocked;
   }
   if (this->HasPermits(work.job) || this->DelegateFor(work.job, now)) {
@@ -157,8 +157,11 @@
     known = found == this->by_request.end() ? nullptr
                                             : this->FindWork(found->second);
   }
-  const bool runs_again = known != nullptr && known->job.id != job.id &&
-                          !job.attach_only &&
+  if (known != nullptr && known->refused.contains(listener)) {
+    return;  // a late copy of a submission that has been answered
+  }
+  const bool runs_again = known != nullptr && !job.attach_only &&
+                          !known->listeners.contains(listener) &&
                           known->state == WorkState::kFinished &&
                           known->outcome.kind == OutcomeKind::kNotRun;
   if (known != nullptr && !runs_again) {
@@ -208,6 +211,8 @@
   if (runs_again) {
     work->claimed = known->claimed;
     work->claim_token = known->claim_token;
+    work->refused = known->refused;
+    work->refused.insert(known->listeners.begin(), known->listeners.end());
   }
   work->job = std::move(job);
   if (!work->job.request.empty()) {
@@ -281,11 +286,16 @@
   }
 }
 
+bool Scheduler::MayStart(const Pool& pool, Time now) const {
+  return !this->core.stopping && this->core.Fresh(now) &&
+         !(pool.behind_since && now - *pool.behind_since > member::kFreshFor);
+}
+
 // Starts waiting jobs on free slots. Everything that may have changed since a
 // job arrived is checked here again: freshness, key, team, permits; zones and
 // leaving VMs are not usable in the pool's targets.
 void Scheduler::Dispatch(Pool& pool, Time now) {
-  if (this->core.stopping || !this->core.Fresh(now)) {
+  if (!this->MayStart(pool, now)) {
     return;
   }
   std::vector<std::pair<TaskId, Reason>> rejected;
@@ -388,8 +398,7 @@
   }
   const Pool* pool = this->FindPool(work.job.pool);
   const bool usable = pool->targets.Counters(work.attempt->vm, now).usable;
-  if (this->core.stopping || !this->core.Fresh(now) ||
-      this->Invalid(work.job) || !usable) {
+  if (!this->MayStart(*pool, now) || this->Invalid(work.job) || !usable) {
     this->Withdraw(work, now);
     return;
   }
@@ -418,16 +427,19 @@
 // next dispatch refuses it.
 void Scheduler::Withdraw(Work& work, Time now) {
   this->Release(work, route::TaskEnd::kCancelled, true, now);
+  this->Requeue(work, now);
+}
+
+// Puts a job back into the queue; during a shutdown its sender takes it back.
+void Scheduler::Requeue(Work& work, Time now) {
   if (this->core.stopping) {
     this->Finish(
-        work, {.kind = OutcomeKind::kNotRun, .reason = Reason::kShuttingDown},
+        work,
+        {.kind = work.maybe_sent ? OutcomeKind::kUnknown : OutcomeKind::kNotRun,
+         .reason = Reason::kShuttingDown},
         now);
     return;
   }
-  this->Requeue(work, now);
-}
-
-void Scheduler::Requeue(Work& work, Time now) {
   Pool* pool = this->FindPool(work.job.pool);
   this->Enqueue(*pool, work, now);
 }
--- a/src/engine/scheduler.h
+++ b/src/engine/scheduler.h
@@ -46,6 +46,10 @@
   void OnConfig(Time now);
   /*! @brief A peer reported its use of pools that have a backlog. */
   void OnPeerUse(const InstanceId& peer, std::vector<TeamUse> use, Time now);
+  /*! @brief A peer reported the generations of the pool records it follows. */
+  void OnPeerPools(const std::vector<PoolSeen>& pools, Time now);
+  /*! @brief A read of a pool record ended. */
+  void OnPoolReply(const StoreReply& reply);
   /*! @brief A peer is down: attempts it runs for this entry are followed. */
   void OnPeerDown(const InstanceId& peer, Time now);
   /*! @brief Begins the shutdown: queued jobs go back to their entries. */
@@ -102,6 +106,8 @@
   void TakeClaims(Time now);
   void TakeAdoptions(Time now);
   void PollTargets(Pool& pool, Time now);
+  void ReadRecord(Pool& pool, Time now);
+  [[nodiscard]] bool MayStart(const Pool& pool, Time now) const;
   void Preempt(Pool& pool, Time now);
   void CutExcess(Time now);
   void CheckRecovering(Time now);
--- a/src/engine/scheduler_attempt.cc
+++ b/src/engine/scheduler_attempt.cc
@@ -7,9 +7,11 @@
 namespace kch::engine {
 namespace {
 
-// A refusal means that this entry's count of free slots was wrong; the job
-// waits again. Beyond this many the pool's targets disagree for good.
-constexpr int kMaxRefusals = 8;
+// A refusal for want of slots means that another scheduler uses the target;
+// until the next report the same target would look free again.
+constexpr Duration kRefusalDelay = std::chrono::milliseconds(50);
+constexpr Duration kMaxRefusalDelay = std::chrono::seconds(1);
+constexpr std::string_view kSlotsFull = "slots_full";
 constexpr Duration kAttachInterval = std::chrono::milliseconds(500);
 
 bool Contains(const std::vector<permit::Subject>& subjects,
@@ -83,19 +85,25 @@
                    now);
       break;
     case AttemptStatus::kRefused:
-      this->Release(*work, route::TaskEnd::kRefused, true, now);
-      work->exclusions.vms.insert(vm);
-      if (++work->refusals <= kMaxRefusals && !work->cancelled &&
-          !this->core.stopping) {
-        this->Requeue(*work, now);
-      } else {
+      this->Release(*work,
+                    result.detail == kSlotsFull ? route::TaskEnd::kCancelled
+                                                : route::TaskEnd::kRefused,
+                    true, now);
+      pool->contacts[vm].next_poll = now;
+      if (work->cancelled) {
         this->Decide(*work, route::AttemptEnd::kNotRun, Reason::kTargetsRefused,
                      now);
+        break;
       }
+      // The deadline bounds how often a job that has not run is tried again.
+      work->not_before =
+          now + std::min(kMaxRefusalDelay, kRefusalDelay * ++work->refusals);
+      this->Requeue(*work, now);
       break;
     case AttemptStatus::kCheckpointed:
       this->Release(*work, route::TaskEnd::kCancelled, true, now);
       work->checkpoint = std::move(result.detail);
+      work->maybe_sent = true;
       if (work->cancelled) {
         this->Finish(
             *work, {.kind = OutcomeKind::kFailed, .reason = Reason::kCancelled},
@@ -225,7 +233,15 @@
                       Time deadline,
                       Time now) {
   Pool* pool = this->FindPool(job.pool);
-  if (pool == nullptr || this->FindWork(job.id) != nullptr) {
+  // This entry may have ended the job itself before another scheduler took it.
+  const Work* known = this->FindWork(job.id);
+  if (pool == nullptr ||
+      (known != nullptr && known->state != WorkState::kFinished)) {
+    return;
+  }
+  // Several callers of this entry may wait for one task.
+  if (Work* followed = this->WorkOf(attempt.task)) {
+    followed->listeners.insert({this->core.self(), job.id});
     return;
   }
   auto owned = std::make_unique<Work>();
@@ -312,7 +328,7 @@
     return;
   }
   Pool* pool = this->FindPool(order.job.pool);
-  if (this->core.stopping || pool == nullptr || !this->core.Fresh(now) ||
+  if (pool == nullptr || !this->MayStart(*pool, now) ||
       this->Invalid(order.job) ||
       !pool->targets.Counters(order.attempt.vm, now).usable) {
     refuse(AttemptStatus::kExpired, "the delegate may not start it");
--- a/src/engine/scheduler_tick.cc
+++ b/src/engine/scheduler_tick.cc
@@ -11,6 +11,7 @@
 constexpr Duration kReportSettle = std::chrono::seconds(2);
 // Reports in a row without a task before its connection is given up.
 constexpr int kAbsentReports = 2;
+constexpr Duration kRecordInterval = std::chrono::seconds(1);
 constexpr Duration kCutInterval = std::chrono::milliseconds(250);
 
 config::OnLimitCut OnCut(const config::State& state, const Job& job) {
@@ -36,6 +37,7 @@
   }
   pool->version = version;
   pool->record = record;
+  pool->behind_since.reset();
   std::erase_if(pool->contacts, [&record](const auto& entry) {
     return !record.vms.contains(entry.first);
   });
@@ -53,6 +55,39 @@
   this->Dispatch(*pool, now);
 }
 
+void Scheduler::OnPeerPools(const std::vector<PoolSeen>& pools, Time now) {
+  for (const PoolSeen& seen : pools) {
+    Pool* pool = this->FindPool(seen.pool);
+    if (pool != nullptr && seen.generation > pool->record.generation &&
+        !pool->behind_since) {
+      pool->behind_since = now;
+      pool->next_read = now;
+    }
+  }
+}
+
+void Scheduler::OnPoolReply(const StoreReply& reply) {
+  for (const auto& [id, pool] : this->known_pools) {
+    if (reply.key == maintain::KeyOf(id)) {
+      pool->reading = false;
+    }
+  }
+}
+
+// Reads the record of a pool that this entry schedules, or of one that a peer
+// knows better: a watch can be silent without an error.
+void Scheduler::ReadRecord(Pool& pool, Time now) {
+  if (pool.reading || now < pool.next_read) {
+    return;
+  }
+  const auto owner = this->core.membership.OwnerOf(pool.id, now);
+  if (pool.behind_since || (owner && *owner == this->core.self())) {
+    pool.next_read = now + kRecordInterval;
+    pool.reading = true;
+    this->core.Request(StoreUser::kPools, {StoreGet{maintain::KeyOf(pool.id)}});
+  }
+}
+
 void Scheduler::UpdateTargets(Pool& pool, Time now) {
   const config::State& state = this->core.state();
   std::vector<route::TargetVm> vms;
@@ -134,12 +169,16 @@
         work->renewed = now;
         work->absent_reports = 0;
       } else if (work->state == WorkState::kRunning &&
-                 work->permit == PermitPlace::kOwn &&
                  now - work->launched > kReportSettle &&
                  ++work->absent_reports == kAbsentReports) {
-        // The task has ended but its answer has not come: the connection went
-        // silent. The aborted call ends as broken and is recovered.
-        this->core.effects.emplace_back(AbortCall{work->attempt->task});
+        // The task has ended but its answer has not come: the connection, or
+        // the message of the peer that runs it, was lost. An aborted call ends
+        // as broken and is recovered.
+        if (work->permit == PermitPlace::kPeer) {
+          this->Recover(*work, now);
+        } else {
+          this->core.effects.emplace_back(AbortCall{work->attempt->task});
+        }
       }
     }
     this->Dispatch(*pool, now);
@@ -382,6 +421,9 @@
     const TaskId id = this->finished.begin()->second;
     this->finished.erase(this->finished.begin());
     const Work* work = this->FindWork(id);
+    if (work == nullptr || work->state != WorkState::kFinished) {
+      continue;  // taken up again after it had ended here
+    }
     this->kept_bytes -= work->outcome.body.size();
     const auto request = this->by_request.find(work->job.request);
     if (request != this->by_request.end() && request->second == id) {
@@ -422,6 +464,7 @@
     this->Dispatch(*pool, now);
     this->Preempt(*pool, now);
     this->PollTargets(*pool, now);
+    this->ReadRecord(*pool, now);
   }
   this->CutExcess(now);
   this->UpdateDemand(now);
--- a/src/engine/work.h
+++ b/src/engine/work.h
@@ -42,12 +42,15 @@
 struct Work {
   Job job;
   std::set<Listener> listeners;
+  // Submissions that were told that an earlier job of this request did not run.
+  std::set<Listener> refused;
   WorkState state = WorkState::kQueued;
   Time enqueued;
   Time deadline;
   // Attempts so far.
   std::optional<Attempt> attempt;
   int refusals = 0;
+  Time not_before;           // next start after a refusal
   std::set<VmId> failed_on;  // healthy targets
   route::Exclusions exclusions;
   route::AttemptEnd worst = route::AttemptEnd::kNotRun;
--- a/test/engine/entry_test.cc
+++ b/test/engine/entry_test.cc
@@ -102,6 +102,31 @@
   BOOST_TEST(fleet.breach == "");
 }
 
+// Guards against a second run of an unrepeatable request (I8): the scheduler
+// that ran it is gone with everything it knew, and the caller asks again.
+BOOST_AUTO_TEST_CASE(UnrepeatableRunsAtMostOnce) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    Fleet fleet({.seed = seed, .lose_reply = 0.2});
+    // More than the permits that stay with the scheduler that is killed.
+    fleet.Configure(60, 60);
+    const int scheduler = fleet.SchedulerSeenBy(0);
+    const auto submit_all = [&](int entry) {
+      for (int i = 0; i < 20; ++i) {
+        fleet.Submit(entry, "a", milliseconds(300), "r" + std::to_string(i),
+                     false);
+      }
+    };
+    submit_all(scheduler);
+    fleet.Run(milliseconds(seed * 20));
+    fleet.Kill(scheduler);
+    submit_all((scheduler + 1) % 3);
+    fleet.Run(seconds(4));
+    submit_all((scheduler + 2) % 3);
+    BOOST_TEST(fleet.RunUntil([&] { return AllAnswered(fleet); }, seconds(40)));
+    BOOST_TEST(fleet.breach == "");
+  }
+}
+
 // Guards against a connection that went silent although the task has ended.
 BOOST_AUTO_TEST_CASE(SilentConnectionIsReplaced) {
   Fleet fleet({.seed = 7});
