--- a/src/app/kchctl/runner.cc
+++ b/src/app/kchctl/runner.cc
@@ -7,6 +7,8 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <future>
+#include <memory>
 #include <thread>
 #include <utility>
 #include <variant>
@@ -25,6 +27,8 @@
 // A read is answered from memory at once, so a longer silence means that
 // another entry should be asked.
 constexpr int kReadMs = 3'000;
+// Time for entries to show that they run, before a call that may wait long.
+constexpr int kHealthMs = 1'000;
 // An entry answers a change within 5 s, and 2 s more for its peers' reports.
 constexpr int kChangeMs = 8'000;
 constexpr int kConnectMs = 1'000;
@@ -47,6 +51,24 @@
   return bytes;
 }
 
+Answer AnswerOf(net::HttpResult result) {
+  Answer answer{.code = result.code,
+                .body = std::move(result.body),
+                .error = std::move(result.error)};
+  switch (result.status) {
+    case net::CallStatus::kAnswered:
+      answer.reach = Reach::kAnswered;
+      break;
+    case net::CallStatus::kNotSent:
+      answer.reach = Reach::kNotSent;
+      break;
+    case net::CallStatus::kBroken:
+      answer.reach = Reach::kBroken;
+      break;
+  }
+  return answer;
+}
+
 std::string NewId() {
   constexpr std::size_t kIdBytes = 12;
   return "ctl-" + ctl::Hex(RandomBytes(kIdBytes));
@@ -64,6 +86,7 @@
 }
 
 ExitCode Runner::Run(const ctl::Command& command) {
+  this->PutLiveEntriesFirst();
   return std::visit([this](const auto& inner) { return this->Do(inner); },
                     command);
 }
@@ -85,10 +108,10 @@
   return ExitCode::kRefused;
 }
 
-Answer Runner::CallOnce(const std::string& server,
-                        const std::string& path,
-                        const std::string* body,
-                        int limit_ms) {
+net::HttpCall Runner::MakeCall(const std::string& server,
+                               const std::string& path,
+                               const std::string* body,
+                               int limit_ms) const {
   net::HttpCall call{
       .method = body == nullptr ? "GET" : "POST",
       .url = "http://" + server + path,
@@ -100,22 +123,48 @@
   if (body != nullptr) {
     call.headers.emplace_back("Content-Type", "application/json");
   }
-  net::HttpResult result = this->client.SendAndWait(std::move(call));
-  Answer answer{.code = result.code,
-                .body = std::move(result.body),
-                .error = std::move(result.error)};
-  switch (result.status) {
-    case net::CallStatus::kAnswered:
-      answer.reach = Reach::kAnswered;
-      break;
-    case net::CallStatus::kNotSent:
-      answer.reach = Reach::kNotSent;
-      break;
-    case net::CallStatus::kBroken:
-      answer.reach = Reach::kBroken;
-      break;
+  return call;
+}
+
+std::vector<Answer> Runner::CallEach(const Servers& servers,
+                                     const std::string& path,
+                                     int limit_ms) {
+  // All at once, so that silent entries cost one time limit and not one each.
+  std::vector<std::future<Answer>> pending;
+  for (const std::string& server : servers) {
+    // Shared, since set_value may still run when the answer has been taken.
+    const auto promise = std::make_shared<std::promise<Answer>>();
+    pending.push_back(promise->get_future());
+    this->client.Send(this->MakeCall(server, path, nullptr, limit_ms),
+                      [promise](net::HttpResult result) {
+                        promise->set_value(AnswerOf(std::move(result)));
+                      });
+  }
+  std::vector<Answer> answers;
+  for (std::future<Answer>& answer : pending) {
+    answers.push_back(answer.get());
   }
-  return answer;
+  return answers;
+}
+
+void Runner::PutLiveEntriesFirst() {
+  Servers& entries = this->settings.entries;
+  if (entries.size() < 2) {
+    return;
+  }
+  // After the loss of a zone a third of the entries may be silent, and a change
+  // sent to each in turn would come too late.
+  const std::vector<Answer> answers =
+      this->CallEach(entries, "/health", kHealthMs);
+  Servers sorted;
+  for (const bool live : {true, false}) {
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+      if ((answers[i].reach == Reach::kAnswered) == live) {
+        sorted.push_back(entries[i]);
+      }
+    }
+  }
+  entries = std::move(sorted);
 }
 
 Ending Runner::Call(const Servers& servers,
@@ -127,9 +176,9 @@
     if (attempts.NewRound()) {
       std::this_thread::sleep_for(kRoundPause);
     }
-    attempts.Record(
-        this->CallOnce(servers[*server], path, body,
-                       kind == CallKind::kRead ? kReadMs : kChangeMs));
+    attempts.Record(AnswerOf(this->client.SendAndWait(
+        this->MakeCall(servers[*server], path, body,
+                       kind == CallKind::kRead ? kReadMs : kChangeMs))));
   }
   return attempts.End();
 }
@@ -192,9 +241,10 @@
   const Servers& entries = this->settings.entries;
   std::vector<json> answers;
   Ending last;
+  std::vector<Answer> results = this->CallEach(entries, path, kReadMs);
   for (std::size_t i = 0; i < entries.size(); ++i) {
     ctl::Attempts attempts(1, CallKind::kRead);
-    attempts.Record(this->CallOnce(entries[i], path, nullptr, kReadMs));
+    attempts.Record(std::move(results[i]));
     Ending ending = attempts.End();
     ending.server = i;
     const ExitCode code = ctl::ExitCodeOf(ending);
--- a/src/app/kchctl/runner.h
+++ b/src/app/kchctl/runner.h
@@ -46,10 +46,15 @@
   [[nodiscard]] ctl::ExitCode Do(const ctl::AddVm& command);
 
   [[nodiscard]] int LeftMs() const;
-  [[nodiscard]] ctl::Answer CallOnce(const std::string& server,
-                                     const std::string& path,
-                                     const std::string* body,
-                                     int limit_ms);
+  [[nodiscard]] net::HttpCall MakeCall(const std::string& server,
+                                       const std::string& path,
+                                       const std::string* body,
+                                       int limit_ms) const;
+  // Reads the same path from all servers at once.
+  [[nodiscard]] std::vector<ctl::Answer> CallEach(const Servers& servers,
+                                                  const std::string& path,
+                                                  int limit_ms);
+  void PutLiveEntriesFirst();
   [[nodiscard]] ctl::Ending Call(const Servers& servers,
                                  const std::string& path,
                                  ctl::CallKind kind,
--- a/src/ctl/render.cc
+++ b/src/ctl/render.cc
@@ -174,10 +174,26 @@
                              [](const json& item) { return item.is_object(); });
 }
 
+// Whether a row holds a list or an object of its own, which no cell can show.
+bool HasNested(const json& list) {
+  return std::ranges::any_of(list, [](const json& item) {
+    return std::ranges::any_of(item, [](const json& member) {
+      return IsList(member) || (member.is_object() && !member.empty());
+    });
+  });
+}
+
 std::string JsonText(const json& value, const std::string& indent) {
-  if (IsList(value)) {
+  if (IsList(value) && !HasNested(value)) {
     return JsonTable(value, indent);
   }
+  if (IsList(value)) {
+    std::string text;
+    for (const json& item : value) {
+      text += (text.empty() ? "" : "\n") + JsonText(item, indent);
+    }
+    return text;
+  }
   if (!value.is_object()) {
     return indent + CellOf(value) + "\n";
   }
