Run maintenance as a process of its own

The decisions of src/maintain had no driver. kch-maintain gives them the store, the configuration, the entries' heartbeats, the workers' reports and the platform, and takes operators' orders and new VMs over HTTP. The check of the operators' key moves to src/config, where both binaries use it.

Registering a VM claims vm/<id> first and reads all other pools, because a claim outlives a move: without the reads a repeated registration would list a moved VM a second time. A new VM counts as maintained now, or it would be rebooted at once.

--- a/src/app/entry/http_api.cc
+++ b/src/app/entry/http_api.cc
@@ -14,35 +14,20 @@
 namespace kch::app {
 namespace {
 
+using net::BearerSecret;
+using net::ErrorResponse;
 using net::HttpReply;
 using net::HttpRequest;
 using net::HttpResponse;
+using net::JsonResponse;
 using nlohmann::json;
 
 constexpr std::string_view kRequests = "/v1/requests";
 constexpr std::string_view kRequestPrefix = "/v1/requests/";
 constexpr std::string_view kAdminPrefix = "/v1/admin/";
-constexpr std::string_view kBearer = "Bearer ";
 constexpr std::string_view kIdCharacters =
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:";
 
-HttpResponse JsonResponse(int status, const json& body) {
-  return {.status = status,
-          .body = body.dump(-1, ' ', false, json::error_handler_t::replace)};
-}
-
-HttpResponse ErrorResponse(int status, const Error& error) {
-  return JsonResponse(status, {{"error", NameOf(error.kind)},
-                               {"message", error.message},
-                               {"remedy", error.remedy}});
-}
-
-std::string_view Secret(const HttpRequest& request) {
-  const std::string_view header = request.Header("authorization");
-  return header.starts_with(kBearer) ? header.substr(kBearer.size())
-                                     : std::string_view();
-}
-
 // The HTTP status that matches an outcome. Reasons decide where the caller can
 // do something about a request that did not run.
 int StatusOf(const engine::Outcome& outcome) {
@@ -129,7 +114,7 @@
                                            std::size_t max_id) {
   engine::CallerRequest result;
   result.profile = ProfileId(std::string(request.Header("kch-queue")));
-  result.secret = Secret(request);
+  result.secret = BearerSecret(request);
   auto id = RequestIdOf(request.Header("kch-request"), max_id);
   if (!id) {
     return tl::make_unexpected(id.error());
@@ -318,7 +303,7 @@
   }
   engine::CancelRequest cancel;
   cancel.profile = ProfileId(std::string(request.Header("kch-queue")));
-  cancel.secret = Secret(request);
+  cancel.secret = BearerSecret(request);
   cancel.request_id = *std::move(id);
   this->driver.Call(std::move(cancel), [reply](const engine::Outcome& outcome) {
     if (outcome.kind == engine::OutcomeKind::kDone) {
@@ -330,18 +315,8 @@
 }
 
 bool HttpApi::IsOperator(const HttpRequest& request) const {
-  const std::string hash = config::HashSecret(std::string(Secret(request)));
-  const std::string& wanted = this->options.operator_key_sha256;
-  if (wanted.size() != hash.size()) {
-    return false;
-  }
-  // Takes the same time wherever the first difference is.
-  unsigned difference = 0;
-  for (std::size_t i = 0; i < hash.size(); ++i) {
-    difference |= static_cast<unsigned char>(hash[i]) ^
-                  static_cast<unsigned char>(wanted[i]);
-  }
-  return difference == 0;
+  return config::MatchesHash(BearerSecret(request),
+                             this->options.operator_key_sha256);
 }
 
 void HttpApi::Admin(HttpRequest request, HttpReply reply) {
--- a/src/config/authorize.cc
+++ b/src/config/authorize.cc
@@ -71,4 +71,18 @@
   return key->team;
 }
 
+bool MatchesHash(std::string_view secret, std::string_view sha256) {
+  const std::string hash = HashSecret(secret);
+  if (sha256.size() != hash.size()) {
+    return false;
+  }
+  // Takes the same time wherever the first difference is.
+  unsigned difference = 0;
+  for (std::size_t i = 0; i < hash.size(); ++i) {
+    difference |= static_cast<unsigned char>(hash[i]) ^
+                  static_cast<unsigned char>(sha256[i]);
+  }
+  return difference == 0;
+}
+
 }  // namespace kch::config
--- a/src/config/authorize.h
+++ b/src/config/authorize.h
@@ -21,6 +21,11 @@
 /*! @brief SHA-256 of a secret as lower-case hex, for Key::secret_sha256. */
 [[nodiscard]] std::string HashSecret(std::string_view secret);
 
+/*! @brief True if the secret has this SHA-256 in lower-case hex; an empty hash
+ * matches nothing. */
+[[nodiscard]] bool MatchesHash(std::string_view secret,
+                               std::string_view sha256);
+
 }  // namespace kch::config
 
 #endif  // CONFIG_AUTHORIZE_H_
--- a/src/maintain/maintain.h
+++ b/src/maintain/maintain.h
@@ -3,10 +3,12 @@
 
 #include "maintain/advance.h"
 #include "maintain/budget.h"
+#include "maintain/changes.h"
 #include "maintain/facts.h"
 #include "maintain/maintainer.h"
 #include "maintain/moves.h"
 #include "maintain/record.h"
+#include "maintain/registration.h"
 #include "maintain/rollout.h"
 #include "maintain/sizes.h"
 
--- /dev/null
+++ b/src/maintain/registration.h
@@ -0,0 +1,71 @@
+#ifndef MAINTAIN_REGISTRATION_H_
+#define MAINTAIN_REGISTRATION_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "base/id.h"
+#include "base/store.h"
+#include "maintain/record.h"
+
+namespace kch::maintain {
+
+/*! @brief Store key of the record that names the pool in which a VM was
+ * registered. */
+[[nodiscard]] std::string KeyOf(const VmId& vm);
+
+/*! @brief Lists a new VM as serving; a repeat with the same address changes
+ * nothing. The wall clock counts as its last maintenance. */
+[[nodiscard]] Result<PoolRecord> Register(const PoolRecord& record,
+                                          VmRow vm,
+                                          std::int64_t wall_s);
+
+/*! @brief Registers one VM: claims its record, then adds its row to the pool.
+ *
+ * The claim decides between operators who register a VM in two pools at once.
+ * A claim remains after the VM has moved, so all other pools are read too. */
+class Registration {
+ public:
+  /*! @brief What to do next: one operation, or the end. */
+  struct Next {
+    std::optional<StoreOp> operation;
+    std::optional<Result<void>> result;
+  };
+
+  /*! @brief `others` are the other pools of the configuration. */
+  Registration(PoolId pool,
+               VmRow vm,
+               std::vector<PoolId> others,
+               std::int64_t wall_s);
+
+  /*! @brief The first operation. */
+  [[nodiscard]] Next Begin();
+  /*! @brief Takes the reply to the latest operation. */
+  [[nodiscard]] Next OnReply(const StoreReply& reply);
+
+ private:
+  Next Claim();
+  Next OnClaim(const StoreReply& reply);
+  Next OnPool(const StoreReply& reply);
+  Next OnOther(const StoreReply& reply);
+  Next OnWritten(const StoreReply& reply);
+  Next ReadPool();
+  Next ReadOther();
+
+  PoolId pool;
+  VmRow vm;
+  std::vector<PoolId> others;
+  std::int64_t wall_s;
+  bool claimed = false;
+  PoolRecord record;
+  std::uint64_t version = 0;
+  std::size_t checked = 0;  // other pools that do not know the VM
+  int tries = 0;
+};
+
+}  // namespace kch::maintain
+
+#endif  // MAINTAIN_REGISTRATION_H_
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -1,6 +1,7 @@
 #ifndef NET_NET_H_
 #define NET_NET_H_
 
+#include "net/answer.h"
 #include "net/event_log.h"
 #include "net/http.h"
 #include "net/http_client.h"
