--- a/src/engine/core.h
+++ b/src/engine/core.h
@@ -16,6 +16,7 @@
 #include "member/member.h"
 #include "once/once.h"
 #include "permit/permit.h"
+#include "route/route.h"
 
 namespace kch::engine {
 
@@ -34,6 +35,11 @@
   Duration max_drain = std::chrono::hours(1);
   Duration release_timeout = std::chrono::seconds(10);
   std::int64_t max_waiting = 100'000;  // requests queued here, over all pools
+  route::TargetOptions routing;
+  // Baselines for measurements only. Each entry schedules what it accepts,
+  // with an equal part of every limit.
+  bool split_limits = false;
+  bool fifo = false;  // one queue per pool in order of arrival, no preemption
 };
 
 /*! @brief What the caller side and the scheduler side of an entry share. */
--- a/src/engine/origin.cc
+++ b/src/engine/origin.cc
@@ -95,7 +95,9 @@
 // member now ranks first: both could run the request otherwise.
 void Origin::Route(Pending& waiting, Time now) {
   waiting.next_send = now + this->core.settings.resubmit_after;
-  const auto owner = this->core.membership.OwnerOf(waiting.job.pool, now);
+  const auto owner = this->core.settings.split_limits
+                         ? std::optional(this->core.self())
+                         : this->core.membership.OwnerOf(waiting.job.pool, now);
   if (!owner) {
     waiting.scheduler.reset();
     return;
--- a/src/engine/scheduler.cc
+++ b/src/engine/scheduler.cc
@@ -1,6 +1,7 @@
 #include "engine/scheduler.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace kch::engine {
@@ -98,9 +99,30 @@
   return std::nullopt;
 }
 
+// Most permits this entry may use: unbounded, but for the baseline that splits
+// limits over the members.
+std::uint32_t Scheduler::OwnPart(const permit::Subject& subject) const {
+  const std::size_t members = this->core.membership.record().members.size();
+  if (!this->core.settings.split_limits || members == 0) {
+    return std::numeric_limits<std::uint32_t>::max();
+  }
+  const config::State& state = this->core.state();
+  std::uint32_t limit = 0;
+  if (subject.kind == permit::SubjectKind::kTeam) {
+    const config::Team* team = state.Find(TeamId(subject.name));
+    limit = team == nullptr ? 0 : team->limit;
+  } else {
+    const config::Profile* profile = state.Find(ProfileId(subject.name));
+    limit = profile == nullptr ? 0 : profile->capacity;
+  }
+  return std::max<std::uint32_t>(1, limit / members);
+}
+
 bool Scheduler::HasPermits(const Job& job) const {
   return std::ranges::all_of(this->SubjectsOf(job), [this](const auto& s) {
-    return this->core.permits.CanTake(s);
+    return this->core.permits.CanTake(s) &&
+           (!this->core.settings.split_limits ||
+            this->core.permits.Busy(s) < this->OwnPart(s));
   });
 }
 
@@ -192,7 +214,9 @@
   const Duration wait =
       pool->targets.Free(now) > 0
           ? Duration(0)
-          : pool->queue.ExpectedWait(job.team, pool->targets.slots(), now);
+          : pool->queue.ExpectedWait(
+                this->core.settings.fifo ? TeamId() : job.team,
+                pool->targets.slots(), now);
   if (now + wait > deadline ||
       pool->queue.waiting() >= this->core.settings.max_waiting) {
     refuse(OutcomeKind::kNotRun, Reason::kQueueFull,
@@ -266,6 +290,12 @@
   for (const permit::Subject& subject : work.queued_for) {
     ++this->queued[subject];
   }
+  if (this->core.settings.fifo) {
+    // One team and one profile with equal deadlines are served in order of
+    // arrival; Dispatch checks the deadlines.
+    pool.queue.Push({.task = work.job.id, .enqueued = work.enqueued}, now);
+    return;
+  }
   pool.queue.Push({.task = work.job.id,
                    .team = work.job.team,
                    .profile = work.job.profile,
@@ -291,6 +321,15 @@
   std::vector<std::pair<TaskId, Reason>> rejected;
   const auto eligible = [&](const share::Waiting& waiting) {
     const Work& work = *this->works.at(waiting.task);
+    if (this->core.settings.fifo) {
+      if (now > work.deadline) {
+        rejected.emplace_back(waiting.task, Reason::kDeadline);
+      }
+      return now <= work.deadline && !this->Invalid(work.job) &&
+                     this->HasPermits(work.job)
+                 ? share::Eligibility::kEligible
+                 : share::Eligibility::kTaskBlocked;
+    }
     if (!this->KeyPending(work.job)) {
       if (const auto reason = this->Invalid(work.job)) {
         rejected.emplace_back(waiting.task, *reason);
@@ -362,7 +401,9 @@
   work.absent_reports = 0;
   this->attempts[attempt.task] = work.job.id;
   pool.targets.Started(vm, work.job.id, now);
-  pool.queue.Started(work.job.id, work.job.team, profile->preemptible, now);
+  const bool fifo = this->core.settings.fifo;
+  pool.queue.Started(work.job.id, fifo ? TeamId() : work.job.team,
+                     profile->preemptible && !fifo, now);
   pool.tasks[vm].insert(work.job.id);
   if (work.job.repeatable || work.claimed) {
     this->Launch(work, now);
--- a/src/engine/scheduler.h
+++ b/src/engine/scheduler.h
@@ -81,6 +81,7 @@
   [[nodiscard]] std::vector<permit::Subject> SubjectsOf(const Job& job) const;
   [[nodiscard]] std::optional<Reason> Invalid(const Job& job) const;
   [[nodiscard]] bool KeyPending(const Job& job) const;
+  [[nodiscard]] std::uint32_t OwnPart(const permit::Subject& subject) const;
   [[nodiscard]] bool HasPermits(const Job& job) const;
   [[nodiscard]] std::optional<InstanceId> DelegateFor(const Job& job,
                                                       Time now) const;
--- a/src/engine/scheduler_tick.cc
+++ b/src/engine/scheduler_tick.cc
@@ -30,6 +30,7 @@
   if (added) {
     pool = std::make_unique<Pool>();
     pool->id = id;
+    pool->targets = route::TargetSet(this->core.settings.routing);
   }
   if (version <= pool->version) {
     return;
@@ -261,7 +262,8 @@
 
 void Scheduler::PollTargets(Pool& pool, Time now) {
   const auto owner = this->core.membership.OwnerOf(pool.id, now);
-  const bool owned = owner && *owner == this->core.self();
+  const bool owned = this->core.settings.split_limits ||
+                     (owner && *owner == this->core.self());
   for (auto& [vm, contact] : pool.contacts) {
     const auto row = pool.record.vms.find(vm);
     if (contact.polling || now < contact.next_poll ||
@@ -365,7 +367,8 @@
   }
   std::map<permit::Subject, std::uint32_t> next;
   for (auto& [subject, count] : wanted) {
-    count += this->core.permits.Busy(subject);
+    count = std::min(count + this->core.permits.Busy(subject),
+                     this->OwnPart(subject));
     const auto before = this->demanded.find(subject);
     if (before == this->demanded.end() || before->second != count) {
       this->core.Apply(this->core.permits.Demand(subject, count, now));
--- a/test/engine/fake_worker.h
+++ b/test/engine/fake_worker.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,14 +39,12 @@
   ZoneId zone;
   std::int64_t slots = 8;
   WorkerFault fault = WorkerFault::kNone;
+  PoolId pool;
   std::map<TaskId, Task> tasks;
+  std::set<TaskId> active;  // the running ones
 
   [[nodiscard]] std::int64_t Running() const {
-    std::int64_t count = 0;
-    for (const auto& [id, task] : this->tasks) {
-      count += task.running ? 1 : 0;
-    }
-    return count;
+    return static_cast<std::int64_t>(this->active.size());
   }
 };
 
--- a/test/engine/fleet.cc
+++ b/test/engine/fleet.cc
@@ -1,6 +1,7 @@
 #include "test/engine/fleet.h"
 
 #include <algorithm>
+#include <ctime>
 #include <utility>
 
 #include "maintain/record.h"
@@ -12,12 +13,33 @@
 // leave: the freshness bound plus the time to notice and to send.
 constexpr Duration kInForceBound = std::chrono::seconds(4);
 
-std::string KeyOf(const std::string& team) {
-  return "k" + team + ".secret";
+// Workers keep the result of a task for 2 minutes after its end.
+constexpr Duration kResultTtl = std::chrono::minutes(2);
+
+double ThreadSeconds() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) +
+         static_cast<double>(time.tv_nsec) * 1e-9;
 }
 
 }  // namespace
 
+Settings FleetOptions::DefaultSettings() {
+  Settings settings;
+  settings.longest_lease = std::chrono::seconds(10);
+  settings.lease_margin = std::chrono::seconds(2);
+  return settings;
+}
+
+std::string Fleet::SecretOf(const std::string& team) {
+  return "k" + team + ".secret";
+}
+
+std::size_t Fleet::CallerOf(const Job& job) {
+  return std::stoull(job.body);
+}
+
 // Performs each kind of effect on the fakes.
 struct FleetEffects {
   Fleet& fleet;
@@ -38,6 +60,9 @@
     caller.outcome = std::move(effect.outcome);
     caller.answered = this->fleet.clock;
     this->fleet.CheckAnswer(caller);
+    if (this->fleet.hooks.on_answer) {
+      this->fleet.hooks.on_answer(caller, found->second);
+    }
   }
   void operator()(ReplyOperator& effect) const {
     const auto found = this->node().operator_calls.find(effect.call);
@@ -51,6 +76,10 @@
       return;
     }
     const int target = static_cast<int>(to - this->fleet.nodes.begin());
+    ++this->node().counters.messages;
+    if (this->fleet.hooks.on_message) {
+      this->fleet.hooks.on_message(this->index, effect.message);
+    }
     const int copies =
         this->fleet.Chance(this->fleet.options.duplicate) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
@@ -97,30 +126,44 @@
 
 Fleet::Fleet(const FleetOptions& options)
     : random(options.seed), options(options) {
+  if (options.pool_vms.empty()) {
+    this->AddPool("p", options.vms);
+  }
+  for (std::size_t i = 0; i < options.pool_vms.size(); ++i) {
+    this->AddPool("p" + std::to_string(i), options.pool_vms[i]);
+  }
+  this->nodes.resize(options.entries);
+  for (int i = 0; i < options.entries; ++i) {
+    this->nodes[i].name = InstanceId("e" + std::to_string(i));
+    this->Start(i);
+  }
+}
+
+void Fleet::AddPool(const std::string& name, int vms) {
   maintain::PoolRecord record;
-  record.pool = PoolId("p");
+  record.pool = PoolId(name);
   record.generation = 1;
-  for (int i = 0; i < options.vms; ++i) {
-    const std::string number = std::to_string(i);
+  const bool several = !this->options.pool_vms.empty();
+  for (int i = 0; i < vms; ++i) {
+    const std::string number = std::to_string(this->workers.size());
+    const std::string zone = std::to_string(i % 3);
     FakeWorker worker;
     worker.vm = VmId("vm" + number);
-    worker.zone = ZoneId("z" + std::to_string(i % 3));
-    worker.slots = options.slots;
+    worker.zone = ZoneId("z" + zone);
+    worker.slots = this->options.slots;
+    worker.pool = record.pool;
     this->workers.push_back(worker);
-    record.vms[worker.vm] = {.id = worker.vm,
-                             .address = number,
-                             .zone = worker.zone,
-                             .rack = RackId("r" + std::to_string(i / 4)),
-                             .slots = static_cast<std::uint32_t>(options.slots),
-                             .cpus = 32,
-                             .memory_mb = 131'072};
-  }
-  this->store.Perform(StoreCas{"pool/p", 0, maintain::Encode(record)});
-  this->nodes.resize(options.entries);
-  for (int i = 0; i < options.entries; ++i) {
-    this->nodes[i].name = InstanceId("e" + std::to_string(i));
-    this->Start(i);
+    record.vms[worker.vm] = {
+        .id = worker.vm,
+        .address = number,
+        .zone = worker.zone,
+        .rack = RackId(several ? "r" + name + "-" + zone
+                               : "r" + std::to_string(i / 4)),
+        .slots = static_cast<std::uint32_t>(this->options.slots),
+        .cpus = 32,
+        .memory_mb = 131'072};
   }
+  this->store.Perform(StoreCas{"pool/" + name, 0, maintain::Encode(record)});
 }
 
 void Fleet::After(Duration delay, std::function<void()> action) {
@@ -170,9 +213,6 @@
   node.calls.clear();
   node.operator_calls.clear();
   node.aborted.clear();
-  Settings settings;
-  settings.longest_lease = std::chrono::seconds(10);
-  settings.lease_margin = std::chrono::seconds(2);
   node.entry = std::make_unique<Entry>(
       member::Member{.instance = node.name,
                      .incarnation = node.incarnation,
@@ -180,7 +220,7 @@
                      .zone = ZoneId("z" + std::to_string(index % 3)),
                      .peer_address = node.name.str(),
                      .http_address = node.name.str()},
-      std::vector<Seed>{}, settings, this->random(), this->clock);
+      std::vector<Seed>{}, this->options.settings, this->random(), this->clock);
   this->TickNode(index, node.incarnation);
 }
 
@@ -211,7 +251,17 @@
     return;
   }
   ++this->steps;
-  this->Perform(index, node.entry->Step(std::move(event), this->clock));
+  if (std::holds_alternative<StoreWatched>(event)) {
+    ++node.counters.watches;
+  }
+  if (!this->options.measure_cpu) {
+    this->Perform(index, node.entry->Step(std::move(event), this->clock));
+    return;
+  }
+  const double before = ThreadSeconds();
+  Effects effects = node.entry->Step(std::move(event), this->clock);
+  node.counters.step_seconds += ThreadSeconds() - before;
+  this->Perform(index, std::move(effects));
 }
 
 void Fleet::Perform(int index, Effects effects) {
@@ -223,6 +273,8 @@
 void Fleet::SendStore(int index, StoreRequest request) {
   const std::uint64_t incarnation = this->nodes[index].incarnation;
   const bool is_write = std::holds_alternative<StoreCas>(request.op);
+  NodeCounters& counters = this->nodes[index].counters;
+  ++(is_write ? counters.writes : counters.reads);
   this->After(this->Delay(), [this, index, incarnation, is_write,
                               request = std::move(request)] {
     const std::string key = std::visit(
@@ -235,11 +287,16 @@
       delay += std::chrono::milliseconds(100);
     } else {
       reply = this->store.Perform(request.op);
+      // An outage that the hook begins leaves this reply alone.
+      const bool was_down = this->store_down;
       if (reply.status == StoreStatus::kOk && is_write) {
+        if (this->hooks.on_write) {
+          this->hooks.on_write(key);
+        }
         this->NotifyWatches(key);
       }
-      const bool lost = this->store_down ||
-                        (is_write && this->Chance(this->options.lose_reply));
+      const bool lost =
+          was_down || (is_write && this->Chance(this->options.lose_reply));
       if (lost) {
         reply = {.key = key,
                  .is_write = is_write,
@@ -315,10 +372,10 @@
        {std::pair{"a", limit_a}, std::pair{"b", limit_b}}) {
     wanted.emplace_back(
         config::PutTeam{{.id = TeamId(team), .weight = 1, .limit = limit}});
-    wanted.emplace_back(
-        config::GrantKey{{.id = KeyId("k" + std::string(team)),
-                          .team = TeamId(team),
-                          .secret_sha256 = config::HashSecret(KeyOf(team))}});
+    wanted.emplace_back(config::GrantKey{
+        {.id = KeyId("k" + std::string(team)),
+         .team = TeamId(team),
+         .secret_sha256 = config::HashSecret(SecretOf(team))}});
   }
   config::Profile profile{.id = ProfileId("q"), .pool = PoolId("p")};
   profile.task_lease_ms = 10'000;
@@ -327,6 +384,10 @@
   profile.preemptible = true;
   profile.on_drain = config::OnDrain::kCheckpoint;
   wanted.emplace_back(config::PutProfile{profile});
+  this->Apply(wanted);
+}
+
+void Fleet::Apply(const std::vector<config::Change>& wanted) {
   for (const config::Change& change : wanted) {
     const std::size_t number = this->Change(0, change);
     this->RunUntil([&] { return this->changes[number].has_value(); },
@@ -357,7 +418,7 @@
   this->Deliver(entry, 0,
                 CallerRequest{.call = call,
                               .profile = ProfileId(profile),
-                              .secret = KeyOf(team),
+                              .secret = SecretOf(team),
                               .request_id = request_id,
                               .repeatable = repeatable,
                               .deadline_ms = deadline_ms,
@@ -447,7 +508,10 @@
     this->CheckStart(worker, start.job, !start.checkpoint.empty());
     FakeWorker::Task task{.id = id, .job = start.job};
     const std::string& body = start.job.body;
-    const Duration run(std::stoll(body.substr(body.find(' ') + 1)));
+    // A checkpoint holds the time that is left to run.
+    const Duration run(std::stoll(start.checkpoint.empty()
+                                      ? body.substr(body.find(' ') + 1)
+                                      : start.checkpoint));
     task.ends = this->clock + run;
     task.lease_ends =
         this->clock + std::chrono::milliseconds(start.attempt.lease_ms);
@@ -455,6 +519,11 @@
       task.waiting.emplace_back(answer);
     }
     worker.tasks[id] = task;
+    worker.active.insert(id);
+    ++this->running[start.job.team.str()];
+    if (this->hooks.on_start) {
+      this->hooks.on_start(worker, start.job, index);
+    }
     if (worker.fault == WorkerFault::kFailAll) {
       this->EndTask(worker, id, AttemptStatus::kFailed);
       return;
@@ -467,10 +536,10 @@
 }
 
 void Fleet::CheckLease(int vm, const TaskId& id) {
-  const FakeWorker::Task& task = this->workers[vm].tasks.at(id);
-  if (!task.running) {
+  if (!this->workers[vm].active.contains(id)) {
     return;
   }
+  const FakeWorker::Task& task = this->workers[vm].tasks.at(id);
   if (this->clock >= task.lease_ends) {
     this->EndTask(this->workers[vm], id, AttemptStatus::kFailed);
     return;
@@ -482,16 +551,24 @@
 void Fleet::EndTask(FakeWorker& worker,
                     const TaskId& id,
                     AttemptStatus status) {
-  FakeWorker::Task& task = worker.tasks.at(id);
-  if (!task.running) {
+  if (!worker.active.contains(id)) {
     return;
   }
+  FakeWorker::Task& task = worker.tasks.at(id);
   task.running = false;
+  worker.active.erase(id);
+  --this->running[task.job.team.str()];
+  if (this->hooks.on_end) {
+    this->hooks.on_end(worker, task.job, status);
+  }
+  this->After(kResultTtl, [this, vm = this->WorkerAt(worker.vm.str().substr(2)),
+                           id] { this->workers[vm].tasks.erase(id); });
   task.result = {.task = id, .status = status};
   if (status == AttemptStatus::kDone) {
     task.result.body = "answer to " + task.job.body;
   } else if (status == AttemptStatus::kCheckpointed) {
-    task.result.detail = "checkpoint";
+    const Duration left = std::max(Duration(0), task.ends - this->clock);
+    task.result.detail = std::to_string(left.count());
   }
   for (const auto& answer : std::exchange(task.waiting, {})) {
     answer(task.result);
@@ -533,10 +610,9 @@
             this->clock + std::chrono::milliseconds(poll.lease_ms);
       }
     }
-    for (const auto& [id, task] : worker.tasks) {
-      if (task.running) {
-        report.tasks.push_back({id, task.job.team, task.job.profile});
-      }
+    for (const TaskId& id : worker.active) {
+      const Job& job = worker.tasks.at(id).job;
+      report.tasks.push_back({id, job.team, job.profile});
     }
     this->After(this->Delay(), [this, index, incarnation, report] {
       this->Deliver(index, incarnation, report);
@@ -560,13 +636,8 @@
 }
 
 std::int64_t Fleet::Running(const std::string& team) const {
-  std::int64_t count = 0;
-  for (const FakeWorker& worker : this->workers) {
-    for (const auto& [id, task] : worker.tasks) {
-      count += task.running && task.job.team.str() == team ? 1 : 0;
-    }
-  }
-  return count;
+  const auto found = this->running.find(team);
+  return found == this->running.end() ? 0 : found->second;
 }
 
 std::size_t Fleet::Unanswered() const {
--- a/test/engine/fleet.h
+++ b/test/engine/fleet.h
@@ -31,6 +31,22 @@
   double drop = 0;        // of messages between entries
   double duplicate = 0;   // of messages between entries
   double lose_reply = 0;  // of store writes: effect without reply
+  // Sizes of the pools p0, p1, ... instead of the one pool p of `vms`.
+  std::vector<int> pool_vms;
+  bool measure_cpu = false;  // processor time of Step
+  Settings settings = DefaultSettings();
+
+  /*! @brief Settings with short leases, so that tests of expiry are short. */
+  static Settings DefaultSettings();
+};
+
+/*! @brief What an entry did so far. */
+struct NodeCounters {
+  std::uint64_t reads = 0;
+  std::uint64_t writes = 0;
+  std::uint64_t watches = 0;  // watch replies received
+  std::uint64_t messages = 0;
+  double step_seconds = 0;  // with FleetOptions::measure_cpu
 };
 
 /*! @brief A caller's request and what became of it. */
@@ -46,6 +62,18 @@
   Time answered;
 };
 
+/*! @brief What a measuring program wants to see; empty functions are skipped.
+ */
+struct FleetHooks {
+  // The caller's number comes first in a job's body; see CallerOf.
+  std::function<void(const FakeWorker&, const Job&, int entry)> on_start;
+  std::function<void(const FakeWorker&, const Job&, AttemptStatus)> on_end;
+  std::function<void(const Caller&, std::size_t number)> on_answer;
+  std::function<void(int entry, const Message&)> on_message;
+  // A write took effect; neither its reply nor a watch is out yet.
+  std::function<void(const std::string& key)> on_write;
+};
+
 /*! @brief Several entries over in-memory fakes in virtual time. One seeded
  * generator decides all delays and faults, so that a seed repeats a run. Every
  * start on a worker and every answer is checked against the invariants; the
@@ -65,6 +93,12 @@
   /*! @brief The standard configuration: zones z0-z2, pool p, teams a and b,
    * queue q (and `night`, preemptible) and keys. */
   void Configure(std::uint32_t limit_a, std::uint32_t limit_b);
+  /*! @brief Applies changes one after the other, then lets a second pass. */
+  void Apply(const std::vector<config::Change>& wanted);
+  /*! @brief The secret that Submit sends for a team. */
+  [[nodiscard]] static std::string SecretOf(const std::string& team);
+  /*! @brief Number of the caller whose request a job is. */
+  [[nodiscard]] static std::size_t CallerOf(const Job& job);
   /*! @brief Sends a request and returns its number. */
   std::size_t Submit(int entry,
                      const std::string& team,
@@ -85,6 +119,15 @@
   /*! @brief Store outage: operations fail, some of them after taking effect. */
   void SetStoreDown(bool down) { this->store_down = down; }
   FakeWorker& worker(int vm) { return this->workers[vm]; }
+  [[nodiscard]] int worker_count() const {
+    return static_cast<int>(this->workers.size());
+  }
+  [[nodiscard]] const NodeCounters& counters(int index) const {
+    return this->nodes[index].counters;
+  }
+  [[nodiscard]] std::size_t watches(int index) const {
+    return this->nodes[index].watches.size();
+  }
   /*! @brief Sets the state of a VM in the pool's record. */
   void SetVmState(int vm, maintain::VmState state);
 
@@ -105,6 +148,7 @@
   std::string breach;  // first broken invariant
   Random random;
   FakeStore store;
+  FleetHooks hooks;
   std::uint64_t starts = 0;
   std::uint64_t steps = 0;
 
@@ -121,6 +165,7 @@
     std::map<CallId, std::size_t> operator_calls;
     // Tasks whose connection was aborted; their answers are dropped.
     std::set<TaskId> aborted;
+    NodeCounters counters;
   };
   struct Scheduled {
     Time at;
@@ -135,6 +180,7 @@
   void After(Duration delay, std::function<void()> action);
   [[nodiscard]] Duration Delay();
   [[nodiscard]] bool Chance(double probability);
+  void AddPool(const std::string& name, int vms);
   void Start(int index);
   void TickNode(int index, std::uint64_t incarnation);
   void Deliver(int index, std::uint64_t incarnation, Event event);
@@ -159,6 +205,7 @@
   std::priority_queue<Scheduled, std::vector<Scheduled>, std::greater<>> queue;
   std::vector<Node> nodes;
   std::vector<FakeWorker> workers;
+  std::map<std::string, std::int64_t> running;  // by team
   std::set<std::pair<int, int>> cuts;
   bool store_down = false;
   CallId last_call = 0;
