Let a preempted job outlive its start deadline

A job that was checkpointed after its deadline ended as not_run although it had run (I7). The deadline bounds the start only, and a job that ran in part can no longer end as not run.

--- a/src/engine/scheduler_attempt.cc
+++ b/src/engine/scheduler_attempt.cc
@@ -96,6 +96,10 @@
     case AttemptStatus::kCheckpointed:
       this->Release(*work, route::TaskEnd::kCancelled, true, now);
       work->checkpoint = std::move(result.detail);
+      // It has run in part, so it can no longer end as not run, and it met its
+      // deadline, which bounds the start.
+      work->maybe_sent = true;
+      work->deadline = Time::max();
       if (work->cancelled) {
         this->Finish(
             *work, {.kind = OutcomeKind::kFailed, .reason = Reason::kCancelled},
--- a/test/engine/entry_test.cc
+++ b/test/engine/entry_test.cc
@@ -148,5 +148,24 @@
   }
 }
 
+// Guards against a false "not run" for a job that was preempted after its
+// deadline, which bounds only the start: it continues from its checkpoint (I7).
+BOOST_AUTO_TEST_CASE(PreemptedJobOutlivesItsDeadline) {
+  Fleet fleet({.seed = 7});
+  fleet.Configure(40, 40);
+  fleet.Run(seconds(2));
+  for (int i = 0; i < 24; ++i) {
+    fleet.Submit(i % 3, "a", seconds(20), "", true, "night", 3'000);
+  }
+  fleet.Run(seconds(6));
+  for (int i = 0; i < 12; ++i) {
+    fleet.Submit(i % 3, "b", seconds(4));
+  }
+  BOOST_TEST(fleet.RunUntil([&] { return AllAnswered(fleet); }, seconds(90)));
+  BOOST_TEST(fleet.starts > 36U);  // some were preempted
+  BOOST_TEST(fleet.Outcomes()["done"] == 36);
+  BOOST_TEST(fleet.breach == "");
+}
+
 }  // namespace
 }  // namespace kch::engine::test
