--- a/src/engine/scheduler.h
+++ b/src/engine/scheduler.h
@@ -85,6 +85,7 @@
   [[nodiscard]] std::vector<permit::Subject> SubjectsOf(const Job& job) const;
   [[nodiscard]] std::optional<Reason> Invalid(const Job& job) const;
   [[nodiscard]] bool KeyPending(const Job& job) const;
+  [[nodiscard]] std::uint32_t OwnPart(const permit::Subject& subject) const;
   [[nodiscard]] bool HasPermits(const Job& job) const;
   [[nodiscard]] std::optional<InstanceId> DelegateFor(const Job& job,
                                                       Time now) const;
@@ -113,6 +114,7 @@
   void CheckRecovering(Time now);
   void UpdateDemand(Time now);
   void ExpireResults(Time now);
+  [[nodiscard]] std::optional<Reason> RefusedAs(const TaskId& job) const;
   void UpdateTargets(Pool& pool, Time now);
   void UpdateElsewhere(Time now);
   void Order(Work& work, TaskOrder order);
@@ -126,6 +128,11 @@
   std::map<permit::Subject, std::uint32_t> queued;
   std::map<permit::Subject, std::uint32_t> demanded;
   std::multimap<Time, TaskId> finished;  // by the end of their retention
+  // Refused submissions, in two generations, so that a late copy of one does
+  // not run after its caller was told that it has not.
+  std::unordered_map<TaskId, Reason> refused;
+  std::unordered_map<TaskId, Reason> refused_before;
+  Time next_refused;
   std::deque<TaskId> kept_bodies;
   std::size_t kept_bytes = 0;
   std::vector<Lingering> lingering;
--- a/src/engine/scheduler_tick.cc
+++ b/src/engine/scheduler_tick.cc
@@ -12,6 +12,8 @@
 // Reports in a row without a task before its connection is given up.
 constexpr int kAbsentReports = 2;
 constexpr Duration kRecordInterval = std::chrono::seconds(1);
+// Longer than a message waits in a connection before that is replaced.
+constexpr Duration kRefusedGeneration = std::chrono::seconds(10);
 constexpr Duration kCutInterval = std::chrono::milliseconds(250);
 
 config::OnLimitCut OnCut(const config::State& state, const Job& job) {
@@ -31,6 +33,7 @@
   if (added) {
     pool = std::make_unique<Pool>();
     pool->id = id;
+    pool->targets = route::TargetSet(this->core.settings.routing);
   }
   if (version <= pool->version) {
     return;
@@ -300,7 +303,8 @@
 
 void Scheduler::PollTargets(Pool& pool, Time now) {
   const auto owner = this->core.membership.OwnerOf(pool.id, now);
-  const bool owned = owner && *owner == this->core.self();
+  const bool owned = this->core.settings.split_limits ||
+                     (owner && *owner == this->core.self());
   for (auto& [vm, contact] : pool.contacts) {
     const auto row = pool.record.vms.find(vm);
     if (contact.polling || now < contact.next_poll ||
@@ -404,7 +408,8 @@
   }
   std::map<permit::Subject, std::uint32_t> next;
   for (auto& [subject, count] : wanted) {
-    count += this->core.permits.Busy(subject);
+    count = std::min(count + this->core.permits.Busy(subject),
+                     this->OwnPart(subject));
     const auto before = this->demanded.find(subject);
     if (before == this->demanded.end() || before->second != count) {
       this->core.Apply(this->core.permits.Demand(subject, count, now));
@@ -437,7 +442,21 @@
   }
 }
 
+std::optional<Reason> Scheduler::RefusedAs(const TaskId& job) const {
+  for (const auto* generation : {&this->refused, &this->refused_before}) {
+    const auto found = generation->find(job);
+    if (found != generation->end()) {
+      return found->second;
+    }
+  }
+  return std::nullopt;
+}
+
 void Scheduler::Tick(Time now) {
+  if (now >= this->next_refused) {
+    this->next_refused = now + kRefusedGeneration;
+    this->refused_before = std::exchange(this->refused, {});
+  }
   this->core.Request(StoreUser::kClaims,
                      this->core.claims.Tick(now, this->core.wall_s));
   this->TakeClaims(now);
