--- a/test/engine/chaos_test.cc
+++ b/test/engine/chaos_test.cc
@@ -98,6 +98,15 @@
     }
     for (int vm = 0; vm < kVms; ++vm) {
       this->fleet.worker(vm).fault = WorkerFault::kNone;
+      this->fleet.SetVmState(vm, maintain::VmState::kServing);
+    }
+    this->fleet.Run(seconds(5));
+    // A preempted job may wait for as long as every zone is out of service.
+    for (int entry = 0; entry < kEntries; ++entry) {
+      for (int zone = 0; zone < 3 && this->fleet.alive(entry); ++zone) {
+        this->fleet.Change(
+            entry, config::SetZone{{ZoneId("z" + std::to_string(zone)), true}});
+      }
     }
   }
 
