--- a/src/app/maintain/driver.cc
+++ b/src/app/maintain/driver.cc
@@ -434,7 +434,9 @@
 void Driver::PollWorkers(Time now) {
   for (const auto& [pool, record] : this->maintainer.records()) {
     for (const auto& [id, vm] : record.vms) {
-      if (vm.state == maintain::VmState::kServing) {
+      // A lost VM returns to service only with a report of its worker.
+      if (vm.state == maintain::VmState::kServing &&
+          !record.ledger.contains(id)) {
         this->polls.erase(id);
         continue;
       }
