Follow the lint rules in kchctl

clang-tidy refused constants declared inside functions, a rounding by cast and a few copies. They move to namespace scope or are replaced; the behaviour is the same.

--- a/src/app/kchctl/runner.cc
+++ b/src/app/kchctl/runner.cc
@@ -32,6 +32,7 @@
 // An entry answers a change within 5 s, and 2 s more for its peers' reports.
 constexpr int kChangeMs = 8'000;
 constexpr int kConnectMs = 1'000;
+constexpr std::size_t kIdBytes = 12;
 constexpr auto kRoundPause = std::chrono::milliseconds(300);
 constexpr auto kPollPause = std::chrono::milliseconds(200);
 
@@ -70,7 +71,6 @@
 }
 
 std::string NewId() {
-  constexpr std::size_t kIdBytes = 12;
   return "ctl-" + ctl::Hex(RandomBytes(kIdBytes));
 }
 
@@ -131,6 +131,7 @@
                                      int limit_ms) {
   // All at once, so that silent entries cost one time limit and not one each.
   std::vector<std::future<Answer>> pending;
+  pending.reserve(servers.size());
   for (const std::string& server : servers) {
     // Shared, since set_value may still run when the answer has been taken.
     const auto promise = std::make_shared<std::promise<Answer>>();
@@ -141,6 +142,7 @@
                       });
   }
   std::vector<Answer> answers;
+  answers.reserve(pending.size());
   for (std::future<Answer>& answer : pending) {
     answers.push_back(answer.get());
   }
--- a/src/ctl/attempts.cc
+++ b/src/ctl/attempts.cc
@@ -12,6 +12,7 @@
 constexpr int kConflict = 409;
 constexpr int kServerError = 500;
 constexpr int kUnavailable = 503;
+constexpr unsigned kMaxPort = 65535;
 
 bool IsSuccess(int code) {
   return code >= kOk && code < kOk + 100;
@@ -29,7 +30,6 @@
           std::string_view::npos) {
     return false;
   }
-  constexpr unsigned kMaxPort = 65535;
   const std::string_view digits = text.substr(colon + 1);
   const char* end = digits.data() + digits.size();
   unsigned port = 0;
@@ -124,12 +124,18 @@
     const std::size_t end = std::min(text.find(',', begin), text.size());
     std::string item(text.substr(begin, end - begin));
     if (!IsServer(item)) {
-      return Fail(
-          ErrorKind::kInvalid,
-          flag + " has the value '" + std::string(text) +
-              "', allowed is host:port with a port from 1 to 65535, "
-              "or several separated by commas",
-          text.empty() ? "give " + flag : "correct '" + item + "' in " + flag);
+      std::string remedy = "give " + flag;
+      if (!text.empty()) {
+        remedy = "correct '";
+        remedy += item;
+        remedy += "' in ";
+        remedy += flag;
+      }
+      return Fail(ErrorKind::kInvalid,
+                  flag + " has the value '" + std::string(text) +
+                      "', allowed is host:port with a port from 1 to 65535, "
+                      "or several separated by commas",
+                  std::move(remedy));
     }
     if (std::ranges::find(servers, item) == servers.end()) {
       servers.push_back(std::move(item));
--- a/src/ctl/command.cc
+++ b/src/ctl/command.cc
@@ -23,6 +23,8 @@
           "correct " + std::string(argument)};
 }
 
+// A team, / and the longest request id.
+constexpr std::size_t kMaxExplainLength = 1200;
 constexpr std::string_view kNameRule =
     "1 to 48 of a-z 0-9 - _, the first a-z or 0-9";
 constexpr std::string_view kInstanceRule = "1 to 64 of a-z A-Z 0-9 - _ . :";
@@ -196,8 +198,7 @@
 
 Command ExplainId(Arguments& arguments) {
   const std::string& id = arguments.rest[0];
-  constexpr std::size_t kMaxLength = 1200;  // team, / and the longest id
-  if (id.empty() || id.size() > kMaxLength) {
+  if (id.empty() || id.size() > kMaxExplainLength) {
     arguments.Keep(BadArgument("ID", id.substr(0, 64), "1 to 1200 characters"));
   }
   return Explain{id};
--- a/src/ctl/edit.cc
+++ b/src/ctl/edit.cc
@@ -13,6 +13,12 @@
 
 using nlohmann::json;
 
+constexpr std::string_view kDigits = "0123456789abcdef";
+constexpr std::size_t kIdBytes = 4;  // of a key id that is made up
+// Characters that a query holds without an escape.
+constexpr std::string_view kPlain =
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.~";
+
 std::optional<std::uint64_t> ParseNumber(std::string_view text) {
   std::uint64_t value = 0;
   const char* end = text.data() + text.size();
@@ -211,7 +217,6 @@
 }
 
 std::string Hex(std::string_view bytes) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
   std::string hex;
   for (const char c : bytes) {
     const auto byte = static_cast<unsigned char>(c);
@@ -222,7 +227,6 @@
 }
 
 NewKey MakeKey(const GrantKey& grant, std::string_view random) {
-  constexpr std::size_t kIdBytes = 4;
   NewKey result;
   result.key.team = grant.team;
   result.key.id = grant.id;
@@ -239,8 +243,6 @@
 }
 
 std::string EncodeQuery(std::string_view text) {
-  constexpr std::string_view kPlain =
-      "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.~";
   std::string result;
   for (const char c : text) {
     if (kPlain.find(c) != std::string_view::npos) {
--- a/src/ctl/render.cc
+++ b/src/ctl/render.cc
@@ -1,7 +1,8 @@
 #include "ctl/render.h"
 
 #include <algorithm>
-#include <array>
+#include <cctype>
+#include <cmath>
 #include <map>
 #include <set>
 
@@ -25,7 +26,7 @@
 }
 
 std::string Percent(double share) {
-  return std::to_string(static_cast<int>(share * 100 + 0.5)) + "%";
+  return std::to_string(std::lround(share * 100)) + "%";
 }
 
 std::string Whole(double number) {
--- a/test/ctl/command_test.cc
+++ b/test/ctl/command_test.cc
@@ -20,7 +20,7 @@
   return words;
 }
 
-Result<Command> Parse(const std::string& line, CommandFlags flags = {}) {
+Result<Command> Parse(const std::string& line, const CommandFlags& flags = {}) {
   return ParseCommand(Split(line), flags);
 }
 
