Report an applied configuration at once

Operators waited for the next heartbeat to learn where a change is in force. Applying a revision now makes the next tick send heartbeats.

--- a/src/engine/entry.cc
+++ b/src/engine/entry.cc
@@ -374,6 +374,8 @@
   this->core.Note({.kind = TraceKind::kConfigApplied,
                    .text = "revision " + std::to_string(state.revision)});
   this->jobs.OnConfig(now);
+  // Operators wait for the reports that tell where the change is in force.
+  this->next_heartbeat = now;
 }
 
 void Entry::ApplyProposer(config::ProposerEffects changes, Time now) {
