--- a/src/app/maintain/driver.cc
+++ b/src/app/maintain/driver.cc
@@ -49,8 +49,8 @@
   maintain::Settings settings;
   settings.limits = options.limits;
   settings.read_interval = options.read_interval;
-  // Entries report no demand for idle pools, without which sizes cannot be
-  // planned.
+  // Heartbeats tell the use of pools with a backlog only, which is not the
+  // demand that sizes are planned from.
   settings.resize = false;
   return settings;
 }
@@ -219,7 +219,10 @@
   for (const auto& effect : this->maintainer.Step(event, Now())) {
     std::visit(EffectVisitor{*this}, effect);
   }
-  this->NoteChanges();
+  // Records change with replies of the store only.
+  if (std::holds_alternative<StoreReply>(event)) {
+    this->NoteChanges();
+  }
 }
 
 void Driver::OnTick() {
@@ -526,8 +529,7 @@
 void Driver::NoteChanges() {
   for (const auto& [pool, record] : this->maintainer.records()) {
     const auto [before, is_new] = this->noted.try_emplace(pool, record);
-    if (!is_new && before->second.generation == record.generation &&
-        before->second.ledger == record.ledger) {
+    if (!is_new && before->second.generation == record.generation) {
       continue;
     }
     const auto own = this->written.find(maintain::KeyOf(pool));
--- a/src/app/maintain/http_api.cc
+++ b/src/app/maintain/http_api.cc
@@ -102,9 +102,7 @@
   if (path == "status" && request.method == "GET") {
     this->driver.Inspect(
         [reply](const Driver& inner) { reply({.body = StatusJson(inner)}); });
-  } else if (path != "orders" && path != "vms") {
-    reply(NotFound(request));
-  } else if (request.method != "POST") {
+  } else if ((path != "orders" && path != "vms") || request.method != "POST") {
     reply(NotFound(request));
   } else if (!this->driver.ready()) {
     reply(ErrorResponse(
--- a/src/app/maintain/main.cc
+++ b/src/app/maintain/main.cc
@@ -20,9 +20,10 @@
 using kch::net::Text;
 using std::chrono::milliseconds;
 
+constexpr std::int64_t kMaxPort = 65535;
+constexpr std::int64_t kMaxMs = 600'000;
+
 std::vector<kch::net::Setting> Declared() {
-  constexpr std::int64_t kMaxPort = 65535;
-  constexpr std::int64_t kMaxMs = 600'000;
   return {
       RequiredText("name", "name of this instance, the same after a restart"),
       RequiredText("store", "host:port of the platform's store"),
--- a/src/app/maintain/requests.cc
+++ b/src/app/maintain/requests.cc
@@ -16,6 +16,7 @@
 
 constexpr std::size_t kMaxText = 128;
 constexpr std::size_t kMaxReason = 1024;
+constexpr std::uint64_t kMaxNumber = std::numeric_limits<std::int32_t>::max();
 // Ids become parts of store keys and of URLs.
 constexpr std::string_view kIdCharacters =
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:";
@@ -73,13 +74,12 @@
     if (!found && min == 0) {
       return 0;
     }
-    constexpr std::uint64_t kMax = std::numeric_limits<std::int32_t>::max();
     if (!found || !found->is_number_unsigned() ||
         found->get<std::uint64_t>() < min ||
-        found->get<std::uint64_t>() > kMax) {
+        found->get<std::uint64_t>() > kMaxNumber) {
       this->Complain(std::string(key) + " is not in its range",
                      "send a whole number from " + std::to_string(min) +
-                         " to " + std::to_string(kMax));
+                         " to " + std::to_string(kMaxNumber));
       return 0;
     }
     return found->get<std::uint32_t>();
--- a/test/app_maintain/rollout_test.cc
+++ b/test/app_maintain/rollout_test.cc
@@ -70,6 +70,7 @@
     flags.insert(flags.begin(), std::string(KCH_BUILD_DIR) + "/" + binary);
     flags.push_back("--ready-file=" + this->ready_file.string());
     std::vector<char*> argv;
+    argv.reserve(flags.size() + 1);
     for (auto& flag : flags) {
       argv.push_back(flag.data());
     }
--- a/test/maintain/registration_test.cc
+++ b/test/maintain/registration_test.cc
@@ -97,6 +97,7 @@
     Store store;
     std::vector<Registration> running{InPool("a"), InPool("b"), InPool("a")};
     std::vector<Registration::Next> next;
+    next.reserve(running.size());
     for (auto& registration : running) {
       next.push_back(registration.Begin());
     }
