--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -129,8 +129,10 @@
   curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   curl_off_t connect_us = 0;
   curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connect_us);
+  // libcurl sends a request again if a reused connection turns out closed. The
+  // bytes of the first try count even if the second one cannot connect.
   const bool never_connected =
-      code == CURLE_COULDNT_CONNECT || (request_bytes == 0 && connect_us == 0);
+      request_bytes == 0 && (code == CURLE_COULDNT_CONNECT || connect_us == 0);
   result.status = never_connected ? CallStatus::kNotSent : CallStatus::kBroken;
   result.error = curl_easy_strerror(code);
 }
