--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -62,6 +62,7 @@
                                    O_WRONLY | O_CREAT | O_TRUNC, 0600);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
   std::vector<char*> argv;
+  argv.reserve(arguments.size() + 1);
   for (const std::string& argument : arguments) {
     argv.push_back(const_cast<char*>(argument.c_str()));
   }
