Let the owner of a pool see and preempt tasks of its earlier schedulers

Urgent tasks waited 22 s and more in a pool full of preemptible jobs. The trace showed the cause: an entry joined and became the pool's scheduler, while the jobs ran on at the earlier one, which also kept its queue. The owner counted none of these tasks, so it saw an idle pool without free slots and preempted nobody.

The owner now takes the tasks in workers' reports into its queue's accounts and may checkpoint them. A scheduler that lost its pool hands jobs that wait 2 s, and jobs that were checkpointed, back to their entries, which pass them on with the checkpoint. Reports that list tasks of others no longer count lately ended tasks in their place, which offered slots that were taken. Preemption looks at the slots in use instead of those of ejected targets too.

--- a/src/engine/message.h
+++ b/src/engine/message.h
@@ -65,6 +65,7 @@
 struct Submit {
   Job job;
   std::int64_t deadline_ms = 0;  // left until the start is useless
+  std::string checkpoint;        // to continue from, if it ran before
 
   bool operator==(const Submit&) const = default;
 };
--- a/src/engine/origin.cc
+++ b/src/engine/origin.cc
@@ -116,8 +116,9 @@
 void Origin::Send(Pending& waiting, Time now) {
   waiting.next_send = now + this->core.settings.resubmit_after;
   waiting.sent = true;
-  this->core.Send(*waiting.scheduler,
-                  Submit{waiting.job, ToMs(waiting.deadline - now)});
+  this->core.Send(
+      *waiting.scheduler,
+      Submit{waiting.job, ToMs(waiting.deadline - now), waiting.checkpoint});
 }
 
 void Origin::OnCancel(CallId call) {
@@ -174,8 +175,11 @@
   }
   if (answer.outcome.kind == OutcomeKind::kNotRun &&
       answer.outcome.reason == Reason::kShuttingDown &&
-      now < waiting.deadline) {
-    waiting.sent = false;
+      (now < waiting.deadline || !answer.outcome.body.empty())) {
+    // The body holds the checkpoint of a job that has run in part.
+    waiting.checkpoint = std::move(answer.outcome.body);
+    waiting.attempt.reset();
+    waiting.sent = !waiting.checkpoint.empty();
     this->Route(waiting, now);
     return;
   }
--- a/src/engine/origin.h
+++ b/src/engine/origin.h
@@ -45,6 +45,7 @@
     std::optional<InstanceId> scheduler;
     bool sent = false;  // to any scheduler: it may run unless one says not
     std::optional<Attempt> attempt;
+    std::string checkpoint;  // of a scheduler that handed the job back
     Time next_send;
   };
 
--- a/src/engine/pool.h
+++ b/src/engine/pool.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -31,6 +32,10 @@
   route::RetryBudget retries;
   std::map<VmId, WorkerContact> contacts;
   std::map<VmId, std::set<TaskId>> tasks;  // of this entry, by VM
+  // Tasks that other schedulers of the pool started, by VM. The owner charges
+  // them to their teams and may preempt them.
+  std::map<VmId, std::set<TaskId>> others;
+  std::optional<Time> foreign_since;  // another entry has been the owner
 };
 
 }  // namespace kch::engine
--- a/src/engine/scheduler.cc
+++ b/src/engine/scheduler.cc
@@ -11,6 +11,7 @@
 // delegated to peers that hold permits instead of asking for a transfer.
 constexpr Duration kStoreSilent = std::chrono::seconds(1);
 constexpr std::int64_t kMinRetryAfterMs = 100;
+constexpr Duration kStaleSubmit = std::chrono::seconds(1);
 
 permit::Subject TeamSubject(const TeamId& team) {
   return {permit::SubjectKind::kTeam, team.str()};
@@ -183,7 +184,14 @@
                           !job.attach_only &&
                           known->state == WorkState::kFinished &&
                           known->outcome.kind == OutcomeKind::kNotRun;
-  if (known != nullptr && !runs_again) {
+  // The entry still takes this scheduler for the owner of the pool. A repeat
+  // that was on its way at the hand-back must not run the job here as well.
+  const bool returned =
+      known != nullptr && known->handed_back && !job.attach_only;
+  if (returned && now - *known->handed_back < kStaleSubmit) {
+    return;
+  }
+  if (known != nullptr && !runs_again && !returned) {
     known->listeners.insert(listener);
     this->Reply(*known);
     return;
@@ -211,14 +219,16 @@
     return;
   }
   const Time deadline = now + std::chrono::milliseconds(submit.deadline_ms);
+  const bool continues = !submit.checkpoint.empty();
   const Duration wait =
-      pool->targets.Free(now) > 0
+      continues || pool->targets.Free(now) > 0
           ? Duration(0)
           : pool->queue.ExpectedWait(
                 this->core.settings.fifo ? TeamId() : job.team,
                 pool->targets.slots(), now);
-  if (now + wait > deadline ||
-      pool->queue.waiting() >= this->core.settings.max_waiting) {
+  if (!continues &&
+      (now + wait > deadline ||
+       pool->queue.waiting() >= this->core.settings.max_waiting)) {
     refuse(OutcomeKind::kNotRun, Reason::kQueueFull,
            std::max(kMinRetryAfterMs, ToMs(now + wait - deadline)));
     return;
@@ -229,6 +239,12 @@
   work->enqueued = now;
   work->deadline = deadline;
   work->exclusions.allow_probe = job.repeatable;
+  if (!submit.checkpoint.empty()) {
+    work->checkpoint = std::move(submit.checkpoint);
+    work->maybe_sent = true;
+    work->worst = route::AttemptEnd::kUnknown;
+    work->deadline = Time::max();
+  }
   if (runs_again) {
     work->claimed = known->claimed;
     work->claim_token = known->claim_token;
--- a/src/engine/scheduler.h
+++ b/src/engine/scheduler.h
@@ -103,6 +103,13 @@
   void TakeClaims(Time now);
   void TakeAdoptions(Time now);
   void PollTargets(Pool& pool, Time now);
+  void NoteOwner(Pool& pool, Time now);
+  void NoteOthers(Pool& pool,
+                  const VmId& vm,
+                  const std::vector<ReportedTask>& reported,
+                  Time now);
+  void HandBack(Work& work, Time now);
+  void HandBackWaiting(Pool& pool, Time now);
   void Preempt(Pool& pool, Time now);
   void CutExcess(Time now);
   void CheckRecovering(Time now);
--- a/src/engine/scheduler_attempt.cc
+++ b/src/engine/scheduler_attempt.cc
@@ -85,8 +85,9 @@
     case AttemptStatus::kRefused:
       this->Release(*work, route::TaskEnd::kRefused, true, now);
       work->exclusions.vms.insert(vm);
-      if (++work->refusals <= kMaxRefusals && !work->cancelled &&
-          !this->core.stopping) {
+      // What has run in part is not given up for want of a slot.
+      if ((++work->refusals <= kMaxRefusals || !work->checkpoint.empty()) &&
+          !work->cancelled && !this->core.stopping) {
         this->Requeue(*work, now);
       } else {
         this->Decide(*work, route::AttemptEnd::kNotRun, Reason::kTargetsRefused,
@@ -99,11 +100,14 @@
       // It has run in part, so it can no longer end as not run, and it met its
       // deadline, which bounds the start.
       work->maybe_sent = true;
+      work->worst = route::AttemptEnd::kUnknown;
       work->deadline = Time::max();
       if (work->cancelled) {
         this->Finish(
             *work, {.kind = OutcomeKind::kFailed, .reason = Reason::kCancelled},
             now);
+      } else if (pool->foreign_since && !work->claimed) {
+        this->HandBack(*work, now);
       } else {
         this->Requeue(*work, now);
       }
--- a/src/engine/scheduler_tick.cc
+++ b/src/engine/scheduler_tick.cc
@@ -11,6 +11,11 @@
 constexpr Duration kReportSettle = std::chrono::seconds(2);
 // Reports in a row without a task before its connection is given up.
 constexpr int kAbsentReports = 2;
+// Jobs that wait longer at an entry that lost the pool go to the new owner.
+// Views of the owner differ for less than this while an entry joins.
+constexpr Duration kHandBackAfter = std::chrono::seconds(2);
+// Until the slot of a preempted task of another scheduler is seen free.
+constexpr Duration kPreemptPoll = std::chrono::milliseconds(100);
 constexpr Duration kCutInterval = std::chrono::milliseconds(250);
 
 config::OnLimitCut OnCut(const config::State& state, const Job& job) {
@@ -143,6 +148,7 @@
         this->core.effects.emplace_back(AbortCall{work->attempt->task});
       }
     }
+    this->NoteOthers(*pool, report.vm, report.tasks, now);
     this->Dispatch(*pool, now);
   }
 }
@@ -260,6 +266,92 @@
   }
 }
 
+// Follows whether another live entry owns the pool.
+void Scheduler::NoteOwner(Pool& pool, Time now) {
+  const auto owner = this->core.membership.OwnerOf(pool.id, now);
+  const bool elsewhere = !this->core.settings.split_limits && owner &&
+                         *owner != this->core.self() &&
+                         this->core.membership.StateOf(*owner, now) ==
+                             member::PeerState::kConnected;
+  if (!elsewhere) {
+    pool.foreign_since.reset();
+    return;
+  }
+  if (!pool.foreign_since) {
+    pool.foreign_since = now;
+  }
+  for (const auto& [vm, tasks] : std::exchange(pool.others, {})) {
+    for (const TaskId& task : tasks) {
+      pool.queue.Ended(task, now);
+    }
+  }
+}
+
+// Takes the tasks of other schedulers of an owned pool into its queue's
+// accounts, so that shares and preemption see all that fills the pool. A job
+// can run for hours after the entry that started it lost the pool.
+void Scheduler::NoteOthers(Pool& pool,
+                           const VmId& vm,
+                           const std::vector<ReportedTask>& reported,
+                           Time now) {
+  // A report may be older than the end of a task of this entry, whose id says
+  // who started it.
+  const std::string own = "-" + this->core.self().str() + "." +
+                          std::to_string(this->core.holder().incarnation) + ".";
+  std::vector<const ReportedTask*> others;
+  for (const ReportedTask& task : reported) {
+    if (!this->attempts.contains(task.task) &&
+        task.task.str().find(own) == std::string::npos) {
+      others.push_back(&task);
+    }
+  }
+  pool.targets.ReportOthers(vm, static_cast<std::int64_t>(others.size()));
+  if (pool.foreign_since || this->core.settings.split_limits) {
+    return;
+  }
+  std::set<TaskId> present;
+  for (const ReportedTask* task : others) {
+    present.insert(task->task);
+    const config::Profile* profile = this->core.state().Find(task->profile);
+    pool.queue.Started(task->task, task->team,
+                       profile != nullptr && profile->preemptible, now);
+  }
+  for (const TaskId& task : std::exchange(pool.others[vm], present)) {
+    if (!present.contains(task)) {
+      pool.queue.Ended(task, now);
+    }
+  }
+}
+
+// Returns a job to the entries that wait for it, which pass it to the owner of
+// the pool. A claimed job stays, since only this entry may start it.
+void Scheduler::HandBack(Work& work, Time now) {
+  work.handed_back = now;
+  this->Finish(work,
+               {.kind = OutcomeKind::kNotRun,
+                .reason = Reason::kShuttingDown,
+                .body = work.checkpoint},
+               now);
+}
+
+void Scheduler::HandBackWaiting(Pool& pool, Time now) {
+  if (!pool.foreign_since || now - *pool.foreign_since < kHandBackAfter ||
+      pool.queue.waiting() == 0) {
+    return;
+  }
+  std::vector<Work*> waiting;
+  for (const auto& [id, work] : this->works) {
+    if (work->state == WorkState::kQueued && work->job.pool == pool.id &&
+        !work->claimed && (!work->maybe_sent || !work->checkpoint.empty()) &&
+        now - work->enqueued >= kHandBackAfter) {
+      waiting.push_back(work.get());
+    }
+  }
+  for (Work* work : waiting) {
+    this->HandBack(*work, now);
+  }
+}
+
 void Scheduler::PollTargets(Pool& pool, Time now) {
   const auto owner = this->core.membership.OwnerOf(pool.id, now);
   const bool owned = this->core.settings.split_limits ||
@@ -292,6 +384,9 @@
     if (!owned && !busy) {
       continue;
     }
+    const auto others = pool.others.find(vm);
+    busy = busy || pool.queue.waiting() > 0 ||
+           (others != pool.others.end() && !others->second.empty());
     contact.next_poll = now + (busy ? this->core.settings.busy_poll_interval
                                     : this->core.settings.idle_poll_interval);
     contact.polling = true;
@@ -305,12 +400,33 @@
   if (pool.queue.waiting() == 0 || pool.targets.Free(now) > 0) {
     return;
   }
-  const auto choice = pool.queue.PickPreemption(now, pool.targets.slots());
+  // No slot is free, so those in use are all that can be shared now. The
+  // others belong to targets that are ejected, probed or ramped up.
+  const auto choice = pool.queue.PickPreemption(
+      now, std::min(pool.targets.slots(), pool.queue.running()));
   if (!choice) {
     return;
   }
   Work* work = this->FindWork(choice->task);
-  if (work == nullptr || work->stopping || !work->attempt) {
+  if (work == nullptr) {
+    // Its own scheduler gets the checkpoint and hands the job back.
+    for (const auto& [vm, tasks] : pool.others) {
+      const auto row = pool.record.vms.find(vm);
+      if (tasks.contains(choice->task) && row != pool.record.vms.end()) {
+        this->core.effects.emplace_back(OrderTask{
+            row->second.address, choice->task, TaskOrder::kCheckpoint});
+        this->core.Note({.kind = TraceKind::kTaskPreempted,
+                         .task = choice->task.str(),
+                         .vm = vm.str(),
+                         .team = choice->from.str(),
+                         .pool = pool.id.str(),
+                         .text = "for " + choice->to.str()});
+        pool.contacts[vm].next_poll = now + kPreemptPoll;
+      }
+    }
+    return;
+  }
+  if (work->stopping || !work->attempt) {
     return;
   }
   this->Order(*work, TaskOrder::kCheckpoint);
@@ -414,6 +530,8 @@
     return true;
   });
   for (const auto& [id, pool] : this->known_pools) {
+    this->NoteOwner(*pool, now);
+    this->HandBackWaiting(*pool, now);
     for (const share::Waiting& late : pool->queue.Expire(now)) {
       Work* work = this->FindWork(late.task);
       this->Finish(*work,
--- a/src/engine/work.h
+++ b/src/engine/work.h
@@ -45,6 +45,7 @@
   WorkState state = WorkState::kQueued;
   Time enqueued;
   Time deadline;
+  std::optional<Time> handed_back;  // to its entry, for another scheduler
   // Attempts so far.
   std::optional<Attempt> attempt;
   int refusals = 0;
--- a/src/route/target_set.cc
+++ b/src/route/target_set.cc
@@ -304,6 +304,16 @@
   target.correction = running - std::clamp(running, least, most);
 }
 
+// Tasks of this set that ended lately cannot stand for tasks of others, as the
+// bare number in a report would have it: that offered slots that are taken.
+void TargetSet::ReportOthers(const VmId& vm, std::int64_t others) {
+  const auto found = this->index.find(vm);
+  if (found != this->index.end()) {
+    Target& target = this->targets[found->second];
+    target.correction = std::max(target.correction, others);
+  }
+}
+
 TargetCounters TargetSet::Counters(const VmId& vm, Time now) const {
   TargetCounters counters;
   const auto found = this->index.find(vm);
--- a/src/route/target_set.h
+++ b/src/route/target_set.h
@@ -47,6 +47,9 @@
   /*! @brief Corrects the running count by a worker's report, which may
    * describe the state up to kMaxReportLag ago. */
   void Report(const VmId& vm, std::int64_t running, Time now);
+  /*! @brief Refines the last report by the number of tasks in it that were
+   * started elsewhere; these fill slots whatever this set has counted. */
+  void ReportOthers(const VmId& vm, std::int64_t others);
 
   /*! @brief Counters of a target; zeros for an unknown one. */
   [[nodiscard]] TargetCounters Counters(const VmId& vm, Time now) const;
--- a/src/wire/wire.cc
+++ b/src/wire/wire.cc
@@ -149,6 +149,7 @@
   void operator()(const engine::Submit& from) const {
     Put(from.job, *this->to.mutable_submit()->mutable_job());
     this->to.mutable_submit()->set_deadline_ms(from.deadline_ms);
+    this->to.mutable_submit()->set_checkpoint(from.checkpoint);
   }
   void operator()(const engine::Started& from) const {
     this->to.mutable_started()->set_job(from.job.str());
@@ -221,7 +222,8 @@
       return Take(from.heartbeat());
     case Envelope::kSubmit:
       return engine::Submit{Take(from.submit().job()),
-                            from.submit().deadline_ms()};
+                            from.submit().deadline_ms(),
+                            from.submit().checkpoint()};
     case Envelope::kStarted:
       return engine::Started{TaskId(from.started().job()),
                              Take(from.started().attempt())};
--- a/test/engine/fleet.cc
+++ b/test/engine/fleet.cc
@@ -329,6 +329,12 @@
 std::size_t Fleet::Change(int entry, config::Change change) {
   const std::size_t number = this->changes.size();
   this->changes.emplace_back();
+  // A zone may be used from the write of its return on, which comes before the
+  // reply.
+  if (const auto* zone = std::get_if<config::SetZone>(&change);
+      zone != nullptr && zone->zone.in_service) {
+    this->zone_out_since.erase(zone->zone.id);
+  }
   this->proposed.push_back(change);
   const CallId call = ++this->last_call;
   this->nodes[entry].operator_calls[call] = number;
