--- a/test/engine/entry_test.cc
+++ b/test/engine/entry_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
 
@@ -167,5 +168,40 @@
   BOOST_TEST(fleet.breach == "");
 }
 
+// Guards against a new scheduler of a pool that sees neither the tasks nor the
+// queue of the earlier one: a team below its share would wait for their end.
+BOOST_AUTO_TEST_CASE(NewOwnerPreemptsTasksOfTheEarlierOne) {
+  Fleet fleet({.seed = 8});
+  fleet.Configure(40, 40);
+  fleet.Run(seconds(2));
+  const int owner = fleet.SchedulerSeenBy(0);
+  const int other = (owner + 1) % 3;
+  fleet.Kill(owner);
+  fleet.Run(seconds(4));
+  BOOST_TEST_REQUIRE(fleet.SchedulerSeenBy(other) != owner);
+  for (int i = 0; i < 30; ++i) {
+    fleet.Submit(other, "a", seconds(40), "", true, "night", 600'000);
+  }
+  fleet.Run(seconds(2));
+  BOOST_TEST(fleet.Running("a") == 24);
+  fleet.Restart(owner);
+  BOOST_TEST_REQUIRE(fleet.RunUntil(
+      [&] { return fleet.SchedulerSeenBy(other) == owner; }, seconds(10)));
+  fleet.Run(seconds(4));
+  const std::size_t first = fleet.callers.size();
+  for (int i = 0; i < 4; ++i) {
+    fleet.Submit(other, "b", seconds(1));
+  }
+  BOOST_TEST(fleet.RunUntil(
+      [&] {
+        return std::all_of(fleet.callers.begin() + first, fleet.callers.end(),
+                           [](const Caller& c) { return c.outcome; });
+      },
+      seconds(6)));
+  BOOST_TEST(fleet.RunUntil([&] { return AllAnswered(fleet); }, seconds(200)));
+  BOOST_TEST(fleet.Outcomes()["done"] == 34);
+  BOOST_TEST(fleet.breach == "");
+}
+
 }  // namespace
 }  // namespace kch::engine::test
