--- a/test/engine/fleet.cc
+++ b/test/engine/fleet.cc
@@ -147,6 +147,12 @@
   for (int i = 0; i < vms; ++i) {
     const std::string number = std::to_string(this->workers.size());
     const std::string zone = std::to_string(i % 3);
+    std::string rack = "r";
+    if (several) {
+      rack.append(name).append("-").append(zone);
+    } else {
+      rack.append(std::to_string(i / 4));
+    }
     FakeWorker worker;
     worker.vm = VmId("vm" + number);
     worker.zone = ZoneId("z" + zone);
@@ -157,8 +163,7 @@
         .id = worker.vm,
         .address = number,
         .zone = worker.zone,
-        .rack = RackId(several ? "r" + name + "-" + zone
-                               : "r" + std::to_string(i / 4)),
+        .rack = RackId(rack),
         .slots = static_cast<std::uint32_t>(this->options.slots),
         .cpus = 32,
         .memory_mb = 131'072};
@@ -368,6 +373,7 @@
       [this] { return this->entry(0).membership().Fresh(this->clock); },
       std::chrono::seconds(5));
   std::vector<config::Change> wanted;
+  wanted.reserve(10);
   for (int i = 0; i < 3; ++i) {
     wanted.emplace_back(
         config::SetZone{{ZoneId("z" + std::to_string(i)), true}});
@@ -497,7 +503,8 @@
   this->After(this->Delay(), [this, index, incarnation, vm, start] {
     FakeWorker& worker = this->workers[vm];
     const TaskId id = start.attempt.task;
-    const auto answer = [this, index, incarnation, id](AttemptResult result) {
+    const auto answer = [this, index, incarnation,
+                         id](const AttemptResult& result) {
       this->After(this->Delay(), [this, index, incarnation, id, result] {
         if (!this->nodes[index].aborted.contains(id)) {
           this->Deliver(index, incarnation, AttemptEnded{result});
@@ -586,7 +593,8 @@
   const int vm = this->WorkerAt(attach.attempt.address);
   this->After(
       this->Delay(), [this, index, incarnation, vm, id = attach.attempt.task] {
-        const auto answer = [this, index, incarnation](AttemptResult result) {
+        const auto answer = [this, index,
+                             incarnation](const AttemptResult& result) {
           this->After(this->Delay(), [this, index, incarnation, result] {
             this->Deliver(index, incarnation, AttemptEnded{result});
           });
@@ -648,7 +656,7 @@
 
 std::size_t Fleet::Unanswered() const {
   return static_cast<std::size_t>(std::ranges::count_if(
-      this->callers, [this](const Caller& caller) { return !caller.outcome; }));
+      this->callers, [](const Caller& caller) { return !caller.outcome; }));
 }
 
 int Fleet::SchedulerSeenBy(int entry) const {
