--- a/src/app/entry/http_api.cc
+++ b/src/app/entry/http_api.cc
@@ -126,12 +126,12 @@
                 "send yes, send no, or leave it out for yes");
   }
   result.repeatable = repeatable != "no";
-  constexpr std::int64_t kMaxNeed = 1'000'000'000;
+  constexpr std::int64_t max_need = 1'000'000'000;
   const auto deadline =
       NumberHeader(request, "kch-deadline-ms", config::kMaxDeadlineMs);
-  const auto cpus = NumberHeader(request, "kch-cpus", kMaxNeed);
-  const auto memory = NumberHeader(request, "kch-memory-mb", kMaxNeed);
-  const auto accelerators = NumberHeader(request, "kch-accelerators", kMaxNeed);
+  const auto cpus = NumberHeader(request, "kch-cpus", max_need);
+  const auto memory = NumberHeader(request, "kch-memory-mb", max_need);
+  const auto accelerators = NumberHeader(request, "kch-accelerators", max_need);
   for (const auto* number : {&deadline, &cpus, &memory, &accelerators}) {
     if (!*number) {
       return tl::make_unexpected(number->error());
@@ -209,13 +209,13 @@
 void HttpApi::Handle(HttpRequest request, HttpReply reply) {
   this->metrics.Count("http_requests");
   if (request.path == kRequests && request.method == "POST") {
-    this->Submit(std::move(request), std::move(reply));
+    this->Submit(std::move(request), reply);
   } else if (request.path.starts_with(kRequestPrefix) &&
              request.method == "GET") {
-    this->Fetch(std::move(request), std::move(reply));
+    this->Fetch(std::move(request), reply);
   } else if (request.path.starts_with(kRequestPrefix) &&
              request.method == "DELETE") {
-    this->Cancel(std::move(request), std::move(reply));
+    this->Cancel(request, reply);
   } else if (request.path == "/health") {
     reply(JsonResponse(200, {{"alive", true}}));
   } else if (request.path == "/ready") {
@@ -229,7 +229,7 @@
                std::max<std::int64_t>(after.value_or(0), 0))),
            .content_type = "application/x-ndjson"});
   } else if (request.path.starts_with(kAdminPrefix)) {
-    this->Admin(std::move(request), std::move(reply));
+    this->Admin(request, reply);
   } else {
     reply(NotFound(request));
   }
@@ -247,7 +247,7 @@
   return body.dump();
 }
 
-void HttpApi::Submit(HttpRequest request, HttpReply reply) {
+void HttpApi::Submit(HttpRequest request, const HttpReply& reply) {
   const bool waits = request.Query("wait") != "0";
   auto parsed = ParseRequest(request, this->options.max_id_length);
   if (!parsed) {
@@ -276,7 +276,7 @@
   }
 }
 
-void HttpApi::Fetch(HttpRequest request, HttpReply reply) {
+void HttpApi::Fetch(HttpRequest request, const HttpReply& reply) {
   auto parsed = ParseRequest(request, this->options.max_id_length);
   auto id =
       RequestIdOf(std::string_view(request.path).substr(kRequestPrefix.size()),
@@ -293,7 +293,7 @@
                     });
 }
 
-void HttpApi::Cancel(HttpRequest request, HttpReply reply) {
+void HttpApi::Cancel(const HttpRequest& request, const HttpReply& reply) {
   auto id =
       RequestIdOf(std::string_view(request.path).substr(kRequestPrefix.size()),
                   this->options.max_id_length);
@@ -319,7 +319,7 @@
                              this->options.operator_key_sha256);
 }
 
-void HttpApi::Admin(HttpRequest request, HttpReply reply) {
+void HttpApi::Admin(const HttpRequest& request, const HttpReply& reply) {
   if (!this->IsOperator(request)) {
     reply(ErrorResponse(
         403, {ErrorKind::kForbidden, "the operators' key is missing or wrong",
@@ -328,7 +328,7 @@
   }
   const std::string path = request.path.substr(kAdminPrefix.size());
   if (path == "changes" && request.method == "POST") {
-    this->Change(request, std::move(reply));
+    this->Change(request, reply);
   } else if (path == "config" && request.method == "GET") {
     reply({.body = config::Encode(*this->driver.configuration())});
   } else if (path == "status" && request.method == "GET") {
@@ -345,17 +345,17 @@
   }
 }
 
-void HttpApi::Change(const HttpRequest& request, HttpReply reply) {
-  constexpr int kMaxDepth = 8;
+void HttpApi::Change(const HttpRequest& request, const HttpReply& reply) {
+  constexpr int max_depth = 8;
   int depth = 0;
   const json body = json::parse(
       request.body,
       [&depth](int level, json::parse_event_t /*event*/, json& /*parsed*/) {
         depth = std::max(depth, level);
-        return level <= kMaxDepth;
+        return level <= max_depth;
       },
       false);
-  if (!body.is_object() || !body.contains("change") || depth > kMaxDepth ||
+  if (!body.is_object() || !body.contains("change") || depth > max_depth ||
       !body.value("id", json("")).is_string() ||
       !(body.value("expected_revision", json(0)).is_number_unsigned() ||
         body.value("expected_revision", json(0)) == 0)) {
--- a/src/app/entry/http_api.h
+++ b/src/app/entry/http_api.h
@@ -31,11 +31,11 @@
   void Handle(net::HttpRequest request, net::HttpReply reply);
 
  private:
-  void Submit(net::HttpRequest request, net::HttpReply reply);
-  void Fetch(net::HttpRequest request, net::HttpReply reply);
-  void Cancel(net::HttpRequest request, net::HttpReply reply);
-  void Change(const net::HttpRequest& request, net::HttpReply reply);
-  void Admin(net::HttpRequest request, net::HttpReply reply);
+  void Submit(net::HttpRequest request, const net::HttpReply& reply);
+  void Fetch(net::HttpRequest request, const net::HttpReply& reply);
+  void Cancel(const net::HttpRequest& request, const net::HttpReply& reply);
+  void Change(const net::HttpRequest& request, const net::HttpReply& reply);
+  void Admin(const net::HttpRequest& request, const net::HttpReply& reply);
   [[nodiscard]] bool IsOperator(const net::HttpRequest& request) const;
   [[nodiscard]] std::string MetricsJson() const;
 
--- a/src/engine/origin.cc
+++ b/src/engine/origin.cc
@@ -116,8 +116,9 @@
 void Origin::Send(Pending& waiting, Time now) {
   waiting.next_send = now + this->core.settings.resubmit_after;
   waiting.sent = true;
-  this->core.Send(*waiting.scheduler,
-                  Submit{waiting.job, ToMs(waiting.deadline - now)});
+  this->core.Send(
+      *waiting.scheduler,
+      Submit{waiting.job, ToMs(waiting.deadline - now), waiting.checkpoint});
 }
 
 void Origin::OnCancel(CallId call) {
@@ -173,11 +174,16 @@
     return;
   }
   const bool not_run = answer.outcome.kind == OutcomeKind::kNotRun;
+  // A scheduler that gives a job back sends the checkpoint, if it has run in
+  // part, as the body.
+  const bool continues = not_run && !answer.outcome.body.empty();
   if (answer.outcome.reason == Reason::kShuttingDown &&
-      (not_run || waiting.job.repeatable) && now < waiting.deadline) {
+      (not_run || waiting.job.repeatable) &&
+      (now < waiting.deadline || continues)) {
+    waiting.checkpoint = std::move(answer.outcome.body);
     waiting.sent = false;
     waiting.attempt.reset();
-    waiting.maybe_ran |= !not_run;
+    waiting.maybe_ran |= !not_run || continues;
     this->Route(waiting, now);
     return;
   }
--- a/src/engine/origin.h
+++ b/src/engine/origin.h
@@ -48,6 +48,7 @@
     // it did not run there could make a later "not run" true.
     bool maybe_ran = false;
     std::optional<Attempt> attempt;
+    std::string checkpoint;  // of a scheduler that handed the job back
     Time next_send;
   };
 
--- a/src/engine/scheduler.h
+++ b/src/engine/scheduler.h
@@ -109,6 +109,13 @@
   void PollTargets(Pool& pool, Time now);
   void ReadRecord(Pool& pool, Time now);
   [[nodiscard]] bool MayStart(const Pool& pool, Time now) const;
+  void NoteOwner(Pool& pool, Time now);
+  void NoteOthers(Pool& pool,
+                  const VmId& vm,
+                  const std::vector<ReportedTask>& reported,
+                  Time now);
+  void HandBack(Work& work, Time now);
+  void HandBackWaiting(Pool& pool, Time now);
   void Preempt(Pool& pool, Time now);
   void CutExcess(Time now);
   void CheckRecovering(Time now);
--- a/src/engine/scheduler_attempt.cc
+++ b/src/engine/scheduler_attempt.cc
@@ -106,11 +106,14 @@
       // It has run in part, so it can no longer end as not run, and it met its
       // deadline, which bounds the start.
       work->maybe_sent = true;
+      work->worst = route::AttemptEnd::kUnknown;
       work->deadline = Time::max();
       if (work->cancelled) {
         this->Finish(
             *work, {.kind = OutcomeKind::kFailed, .reason = Reason::kCancelled},
             now);
+      } else if (pool->foreign_since && !work->claimed) {
+        this->HandBack(*work, now);
       } else {
         this->Requeue(*work, now);
       }
