--- a/src/app/entry/http_api.cc
+++ b/src/app/entry/http_api.cc
@@ -206,7 +206,7 @@
       store(store),
       options(std::move(options)) {}
 
-void HttpApi::Handle(HttpRequest request, HttpReply reply) {
+void HttpApi::Handle(HttpRequest request, const HttpReply& reply) {
   this->metrics.Count("http_requests");
   if (request.path == kRequests && request.method == "POST") {
     this->Submit(std::move(request), reply);
--- a/src/app/entry/http_api.h
+++ b/src/app/entry/http_api.h
@@ -28,7 +28,7 @@
           ApiOptions options);
 
   /*! @brief Handles a request; called on traffic threads. */
-  void Handle(net::HttpRequest request, net::HttpReply reply);
+  void Handle(net::HttpRequest request, const net::HttpReply& reply);
 
  private:
   void Submit(net::HttpRequest request, const net::HttpReply& reply);
--- a/src/app/entry/main.cc
+++ b/src/app/entry/main.cc
@@ -20,8 +20,8 @@
 using kch::net::Text;
 
 std::vector<kch::net::Setting> Declared() {
-  constexpr std::int64_t kMaxPort = 65535;
-  constexpr std::int64_t kMaxBody = 16 << 20;
+  constexpr std::int64_t max_port = 65535;
+  constexpr std::int64_t max_body = 16 << 20;
   return {
       RequiredText("name", "name of this instance, the same after a restart"),
       RequiredText("vm", "id of this VM in the platform's list"),
@@ -29,10 +29,10 @@
       RequiredText("store", "host:port of the platform's store"),
       RequiredText("platform", "host:port of the platform's VM list"),
       Text("address", "127.0.0.1", "IP number to listen on"),
-      Number("http-port", 0, 0, kMaxPort, "port for callers; 0: any"),
-      Number("peer-port", 0, 0, kMaxPort, "port of the peer bus; 0: any"),
+      Number("http-port", 0, 0, max_port, "port for callers; 0: any"),
+      Number("peer-port", 0, 0, max_port, "port of the peer bus; 0: any"),
       Number("http-threads", 2, 1, 64, "threads for callers"),
-      Number("max-body-bytes", 1 << 20, 1024, kMaxBody,
+      Number("max-body-bytes", 1 << 20, 1024, max_body,
              "largest request body in bytes"),
       Number("max-header-bytes", 8192, 256, 65536,
              "largest header value in bytes"),
@@ -144,12 +144,12 @@
            static_cast<std::size_t>(settings.number("max-body-bytes")),
        .max_header_bytes =
            static_cast<std::size_t>(settings.number("max-header-bytes"))},
-      [&](kch::net::HttpRequest request, kch::net::HttpReply reply) {
+      [&](kch::net::HttpRequest request, const kch::net::HttpReply& reply) {
         if (driver_now() == nullptr) {
           reply({.status = 503});
           return;
         }
-        api->Handle(std::move(request), std::move(reply));
+        api->Handle(std::move(request), reply);
       });
   if (!server) {
     return tl::make_unexpected(server.error());
--- a/src/engine/entry.cc
+++ b/src/engine/entry.cc
@@ -139,7 +139,7 @@
   }
 };
 
-Entry::Entry(member::Member self,
+Entry::Entry(const member::Member& self,
              std::vector<Seed> seeds,
              const Settings& settings,
              Random::result_type seed,
--- a/src/engine/entry.h
+++ b/src/engine/entry.h
@@ -26,7 +26,7 @@
  * performs the effects and passes what comes of them back as events. */
 class Entry {
  public:
-  Entry(member::Member self,
+  Entry(const member::Member& self,
         std::vector<Seed> seeds,
         const Settings& settings,
         Random::result_type seed,
--- a/src/engine/scheduler.cc
+++ b/src/engine/scheduler.cc
@@ -136,7 +136,9 @@
     return std::nullopt;
   }
   const auto subjects = this->SubjectsOf(job);
-  for (const auto& [peer, idle] : this->core.peer_idle) {
+  for (const auto& entry : this->core.peer_idle) {
+    const InstanceId& peer = entry.first;
+    const auto& idle = entry.second;
     if (this->core.membership.StateOf(peer, now) !=
         member::PeerState::kConnected) {
       continue;
--- a/src/engine/scheduler_tick.cc
+++ b/src/engine/scheduler_tick.cc
@@ -235,6 +235,7 @@
     }
   }
   std::vector<TeamUse> result;
+  result.reserve(use.size());
   for (const auto& [team, slots] : use) {
     result.push_back({team, slots});
   }
@@ -256,6 +257,7 @@
     ++use[foreign.attempt.vm];
   }
   std::vector<VmUse> result;
+  result.reserve(use.size());
   for (const auto& [vm, tasks] : use) {
     result.push_back({vm, tasks});
   }
@@ -264,6 +266,7 @@
 
 std::vector<PoolSeen> Scheduler::PoolsSeen() const {
   std::vector<PoolSeen> result;
+  result.reserve(this->known_pools.size());
   for (const auto& [id, pool] : this->known_pools) {
     result.push_back({id, pool->record.generation});
   }
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -39,7 +39,7 @@
 }  // namespace
 
 void StartLog(const std::string& instance) {
-  static const log4cplus::Initializer kInitializer;
+  static const log4cplus::Initializer initializer;
   log4cplus::SharedAppenderPtr appender(
       new log4cplus::ConsoleAppender(true, true));
   appender->setLayout(std::make_unique<JsonLayout>());
--- a/src/net/store_client.cc
+++ b/src/net/store_client.cc
@@ -134,10 +134,10 @@
                          "&wait=" + std::to_string(kWatchSeconds) + "s",
                   .timeout_ms = kWatchTimeoutMs,
                   .new_connection = failed};
-    this->client.Send(std::move(call),
-                      [self = this->shared_from_this()](HttpResult result) {
-                        self->OnAnswer(result);
-                      });
+    this->client.Send(std::move(call), [self = this->shared_from_this()](
+                                           const HttpResult& result) {
+      self->OnAnswer(result);
+    });
   }
 
   void OnAnswer(const HttpResult& result) {
--- a/src/wire/wire.cc
+++ b/src/wire/wire.cc
@@ -11,7 +11,6 @@
 namespace {
 
 using engine::Attempt;
-using engine::AttemptResult;
 using engine::Job;
 using engine::Message;
 using engine::Outcome;
