--- a/test/process/limit_test.cc
+++ b/test/process/limit_test.cc
@@ -6,7 +6,6 @@
 namespace kch::test {
 namespace {
 
-using load::Outcome;
 
 constexpr std::int64_t kInForceUs = 4'000'000;
 
