Wait for the first members before calling a change unknown

With no member known yet an accepted change was answered at once as unknown, so eight process tests failed at their first change.

--- a/src/engine/entry.cc
+++ b/src/engine/entry.cc
@@ -446,10 +446,12 @@
 void Entry::CheckForce(Time now) {
   std::erase_if(this->awaiting, [&](AwaitForce& item) {
     auto pending = this->InForce(item.revision, false);
-    if (!pending.empty() && now < item.until) {
+    auto in_force = this->InForce(item.revision, true);
+    // Without members this entry has not seen its own row yet.
+    const bool everywhere = pending.empty() && !in_force.empty();
+    if (!everywhere && now < item.until) {
       return false;
     }
-    auto in_force = this->InForce(item.revision, true);
     if (in_force.size() <= pending.size()) {
       item.outcome = config::Unknown{
           {ErrorKind::kUnknownOutcome,
--- a/test/engine/entry_test.cc
+++ b/test/engine/entry_test.cc
@@ -30,6 +30,18 @@
   BOOST_TEST(fleet.breach == "");
 }
 
+// Guards against an unknown outcome for a change that is proposed before the
+// entry has seen itself among the members.
+BOOST_AUTO_TEST_CASE(ChangeBeforeTheJoinIsAccepted) {
+  Fleet fleet({.seed = 4});
+  const std::size_t change =
+      fleet.Change(0, config::SetZone{{ZoneId("z0"), true}});
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.changes[change].has_value(); },
+                            seconds(5)));
+  BOOST_TEST(
+      std::holds_alternative<config::Accepted>(fleet.changes[change]->outcome));
+}
+
 // Guards against losing the tasks of a scheduler that is killed: the entries
 // that hold the callers follow them on the workers.
 BOOST_AUTO_TEST_CASE(TasksOutliveTheirScheduler) {
