--- a/src/engine/origin.cc
+++ b/src/engine/origin.cc
@@ -10,6 +10,7 @@
 // Advice to a caller whose request found no scheduler: peers settle who
 // schedules a pool within about two heartbeat timeouts.
 constexpr std::int64_t kNoSchedulerRetryMs = 2000;
+constexpr Duration kReroutePause = std::chrono::milliseconds(100);
 // How long after the deadline a scheduler's word is waited for. A scheduler
 // refuses at the deadline, so silence beyond this means that it is lost.
 constexpr Duration kOutcomeGrace = std::chrono::seconds(5);
@@ -184,6 +185,12 @@
     waiting.sent = false;
     waiting.attempt.reset();
     waiting.maybe_ran |= !not_run || continues;
+    if (this->core.membership.OwnerOf(waiting.job.pool, now) == from) {
+      // The news that it no longer schedules the pool is still on its way.
+      waiting.scheduler.reset();
+      waiting.next_send = now + kReroutePause;
+      return;
+    }
     this->Route(waiting, now);
     return;
   }
--- a/src/engine/scheduler.cc
+++ b/src/engine/scheduler.cc
@@ -207,7 +207,9 @@
   }
   if (known != nullptr && !runs_again && !returned) {
     known->listeners.insert(listener);
-    this->Reply(*known);
+    // Not to the others: each answer to a job handed back causes a submission,
+    // so that answers to all would multiply without end.
+    this->ReplyTo(*known, listener);
     return;
   }
   if (job.attach_only) {
@@ -514,12 +516,17 @@
 
 // Tells every entry that waits for the job where it stands.
 void Scheduler::Reply(const Work& work) {
-  for (const auto& [instance, id] : work.listeners) {
-    if (work.state == WorkState::kFinished) {
-      this->core.Send(instance, JobOutcome{id, work.outcome});
-    } else if (work.state == WorkState::kRunning && work.attempt) {
-      this->core.Send(instance, Started{id, *work.attempt});
-    }
+  for (const Listener& listener : work.listeners) {
+    this->ReplyTo(work, listener);
+  }
+}
+
+void Scheduler::ReplyTo(const Work& work, const Listener& listener) {
+  const auto& [instance, id] = listener;
+  if (work.state == WorkState::kFinished) {
+    this->core.Send(instance, JobOutcome{id, work.outcome});
+  } else if (work.state == WorkState::kRunning && work.attempt) {
+    this->core.Send(instance, Started{id, *work.attempt});
   }
 }
 
--- a/src/engine/scheduler.h
+++ b/src/engine/scheduler.h
@@ -103,6 +103,7 @@
   void Requeue(Work& work, Time now);
   void Finish(Work& work, Outcome outcome, Time now);
   void Reply(const Work& work);
+  void ReplyTo(const Work& work, const Listener& listener);
   void EndForeign(AttemptResult result, Time now);
   void TakeClaims(Time now);
   void TakeAdoptions(Time now);
