Keep the server's context alive for unanswered requests

AddressSanitizer: a reply handle that outlived its server freed a timer of a destroyed io_context (net test UnansweredRequestIsBroken); an entry holds such handles at its exit as well. Handles now share the context.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -57,14 +57,17 @@
 
 }  // namespace
 
+using ThreadPool = restinio::impl::ioctx_on_thread_pool_t<
+    restinio::impl::own_io_context_for_thread_pool_t>;
+
 class HttpServer::Impl {
  public:
-  explicit Impl(std::size_t threads) : pool(threads) {}
+  explicit Impl(std::size_t threads)
+      : pool(std::make_shared<ThreadPool>(threads)) {}
 
   std::uint16_t port = 0;
-  restinio::impl::ioctx_on_thread_pool_t<
-      restinio::impl::own_io_context_for_thread_pool_t>
-      pool;
+  // Shared with unanswered requests, whose timers need the context.
+  std::shared_ptr<ThreadPool> pool;
   std::unique_ptr<Server> server;
 };
 
@@ -75,7 +78,7 @@
   const auto timeout = std::chrono::milliseconds(options.request_timeout_ms);
   try {
     impl->server = std::make_unique<Server>(
-        restinio::external_io_context(impl->pool.io_context()),
+        restinio::external_io_context(impl->pool->io_context()),
         [&](auto& settings) {
           settings.address(options.address)
               .port(options.port)
@@ -94,17 +97,19 @@
                   [raw = impl.get()](asio::ip::tcp::acceptor& acceptor) {
                     raw->port = acceptor.local_endpoint().port();
                   })
-              .request_handler([handler = std::move(handler)](
+              .request_handler([handler = std::move(handler),
+                                weak = std::weak_ptr<ThreadPool>(impl->pool)](
                                    const restinio::request_handle_t& request) {
                 HttpRequest converted = Convert(*request);
-                handler(std::move(converted), [request](HttpResponse response) {
-                  Respond(*request, std::move(response));
-                });
+                handler(std::move(converted),
+                        [keep = weak.lock(), request](HttpResponse response) {
+                          Respond(*request, std::move(response));
+                        });
                 return restinio::request_accepted();
               });
         });
     impl->server->open_sync();
-    impl->pool.start();
+    impl->pool->start();
   } catch (const std::exception& error) {
     return Fail(ErrorKind::kUnavailable,
                 "cannot listen on " + options.address + ":" +
@@ -117,8 +122,8 @@
 HttpServer::HttpServer(std::unique_ptr<Impl> impl) : impl(std::move(impl)) {}
 
 HttpServer::~HttpServer() {
-  this->impl->pool.stop();
-  this->impl->pool.wait();
+  this->impl->pool->stop();
+  this->impl->pool->wait();
 }
 
 std::uint16_t HttpServer::port() const {
