--- /dev/null
+++ b/src/app/fleet/driver.cc
@@ -0,0 +1,345 @@
+#include "app/fleet/driver.h"
+
+#include <asio/post.hpp>
+#include <chrono>
+#include <csignal>
+#include <ctime>
+#include <utility>
+
+#include "app/fleet/effects.h"
+#include "app/fleet/keys.h"
+
+namespace kch::app {
+namespace {
+
+// Interval of timeouts and looks; half of the shortest of them.
+constexpr auto kTickInterval = std::chrono::milliseconds(50);
+// Without the fleet only ownership has to be watched.
+constexpr auto kIdleTickInterval = std::chrono::milliseconds(100);
+// Watches of the operators' records and of the owner; a silent connection is
+// noticed at the end of the wait.
+constexpr int kOperatorWaitMs = 1000;
+constexpr int kOwnerWaitMs = 2000;
+// A gap of this much between two ticks, beyond the time that the steady clock
+// counts, means that the machine was suspended.
+constexpr std::int64_t kSuspendedMs = 700;
+// The platform sends no new connections after two missed checks of one second.
+constexpr auto kBalancerTime = std::chrono::milliseconds(2600);
+
+Time Now() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+std::int64_t WallMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+// Counts the time in which the machine is suspended, unlike the steady clock.
+std::int64_t BootMs() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  constexpr std::int64_t ms_per_s = 1000;
+  constexpr std::int64_t ns_per_ms = 1'000'000;
+  return now.tv_sec * ms_per_s + now.tv_nsec / ns_per_ms;
+}
+
+// Spreads the candidates over the delay by their names.
+Duration CandidateDelay(const std::string& incarnation) {
+  constexpr std::size_t steps = 64;
+  return lead::kMaxCandidateDelay *
+         static_cast<int>(std::hash<std::string>()(incarnation) % steps) /
+         static_cast<int>(steps);
+}
+
+}  // namespace
+
+Driver::Driver(FleetOptions options, Parts parts)
+    : options(std::move(options)),
+      parts(parts),
+      timer(context),
+      signals(context, SIGTERM, SIGINT, SIGHUP),
+      ownership({.instance = this->options.instance,
+                 .incarnation = this->options.incarnation,
+                 .address = this->options.peer_address},
+                CandidateDelay(this->options.incarnation)) {}
+
+void Driver::Post(std::function<void()> event) {
+  asio::post(this->context, [this, event = std::move(event)] {
+    event();
+    // Events that are queued already are handled before the next decisions, so
+    // that one pass serves them all.
+    if (!this->turn_posted) {
+      this->turn_posted = true;
+      asio::post(this->context, [this] {
+        this->turn_posted = false;
+        this->Turn();
+      });
+    }
+  });
+}
+
+void Driver::PostFor(std::uint64_t fence, std::function<void()> event) {
+  this->Post([this, fence, event = std::move(event)] {
+    if (this->scheduler != nullptr && this->fence == fence) {
+      event();
+    }
+  });
+}
+
+void Driver::Turn() {
+  const Time now = Now();
+  this->ownership.Tick(now);
+  this->Perform(this->ownership.Take());
+  if (this->scheduler != nullptr && !this->takeover) {
+    const std::int64_t wall_ms = WallMs();
+    this->scheduler->Plan(now, wall_ms);
+    this->scheduler->Tick(now, wall_ms);
+    this->Perform(this->scheduler->Take());
+  }
+}
+
+void Driver::OnTick() {
+  const Time now = Now();
+  const std::int64_t boot_ms = BootMs();
+  if (this->last_boot_ms != 0) {
+    const std::int64_t counted = ToMs(now - this->last_tick);
+    if (boot_ms - this->last_boot_ms - counted > kSuspendedMs) {
+      this->OnWake();
+    }
+  }
+  this->last_boot_ms = boot_ms;
+  this->last_tick = now;
+  if (this->shutdown_begun) {
+    const Duration passed = now - *this->shutdown_begun;
+    const bool drained = passed >= kBalancerTime &&
+                         this->parts.front.open_requests() == 0;
+    if (drained || passed >= this->options.shutdown_time) {
+      net::LogEvent("stopped",
+                    {{"open_requests",
+                      std::to_string(this->parts.front.open_requests())},
+                     {"after_ms", std::to_string(ToMs(passed))}});
+      this->context.stop();
+      return;
+    }
+  }
+  this->Turn();
+  this->timer.expires_after(this->scheduler != nullptr ? kTickInterval
+                                                       : kIdleTickInterval);
+  this->timer.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      this->OnTick();
+    }
+  });
+}
+
+// While the machine was suspended its leases may have run out unnoticed.
+void Driver::OnWake() {
+  net::LogEvent("resumed", {});
+  if (this->scheduler != nullptr &&
+      !this->ownership.Certain(Now() - lead::kOwnerLease)) {
+    return;
+  }
+  if (this->scheduler != nullptr) {
+    this->ownership.OnSuperseded(Now());
+    this->Perform(this->ownership.Take());
+  }
+}
+
+void Driver::Run() {
+  net::LogEvent("started", {{"incarnation", this->options.incarnation},
+                            {"peer_address", this->options.peer_address}});
+  this->FollowOperators();
+  this->FollowOwner();
+  const std::function<void()> wait_for_signal = [this, &wait_for_signal] {
+    this->signals.async_wait(
+        [this, &wait_for_signal](const asio::error_code& error, int signal) {
+          if (!error) {
+            this->OnSignal(signal);
+            wait_for_signal();
+          }
+        });
+  };
+  wait_for_signal();
+  this->OnTick();
+  this->context.run();
+  for (const auto& view :
+       {this->operators, this->owner_view, this->intake, this->vm_view}) {
+    if (view != nullptr) {
+      view->Stop();
+    }
+  }
+}
+
+void Driver::OnSignal(int signal) {
+  if (signal == SIGHUP) {
+    // All settings are flags, which a running process keeps.
+    net::LogEvent("reload", {{"changed", "nothing"}});
+    return;
+  }
+  if (!this->shutdown_begun) {
+    this->BeginShutdown();
+  }
+}
+
+void Driver::BeginShutdown() {
+  this->shutdown_begun = Now();
+  this->is_ready = false;
+  net::LogEvent("stopping",
+                {{"owner", this->scheduler != nullptr ? "yes" : "no"}});
+  this->parts.front.BeginShutdown();
+  this->ownership.Resign(Now());
+  this->Perform(this->ownership.Take());
+}
+
+void Driver::FollowOperators() {
+  this->operators = platform::PrefixView::Create(
+      this->parts.client, this->parts.store, std::string(kOperatorPrefix),
+      kOperatorWaitMs,
+      {.on_put =
+           [this](const platform::Item& item) {
+             this->Post([this, item] { this->OnOperatorItem(item); });
+           },
+       .on_removed =
+           [this](const std::string& key) {
+             this->Post([this, key] { this->OnOperatorRemoval(key); });
+           },
+       .on_listed = [] {},
+       .on_reachable =
+           [this](bool reachable) {
+             this->parts.front.SetStoreReachable(reachable);
+             net::LogEvent(reachable ? "store_regained" : "store_lost", {});
+           }});
+}
+
+void Driver::OnOperatorItem(const platform::Item& item) {
+  if (item.key.starts_with(kZoneOutPrefix)) {
+    this->zones_out.insert(ZoneId(item.key.substr(kZoneOutPrefix.size())));
+    net::LogEvent("zone_out", {{"key", item.key},
+                               {"revision", std::to_string(item.revision)}});
+    if (this->scheduler != nullptr) {
+      this->scheduler->SetZonesOut(this->zones_out);
+    }
+    return;
+  }
+  if (item.key != kConfigKey) {
+    return;
+  }
+  auto config = platform::DecodeConfig(item.value);
+  if (!config) {
+    net::LogEvent("config_unreadable", {{"error", config.error().Text()}});
+    return;
+  }
+  if (config->version < this->config_version) {
+    net::LogEvent("config_older",
+                  {{"version", std::to_string(config->version)},
+                   {"in_force", std::to_string(this->config_version)}});
+    return;
+  }
+  this->config_version = config->version;
+  this->fleet_config = config->fleet;
+  net::LogEvent("config", {{"version", std::to_string(config->version)},
+                           {"revision", std::to_string(item.revision)},
+                           {"routes", std::to_string(config->routes.size())}});
+  this->parts.front.SetDirectory(
+      std::make_shared<const ingress::Directory>(*std::move(config)));
+  if (!this->shutdown_begun) {
+    this->is_ready = true;
+  }
+  if (this->scheduler != nullptr) {
+    this->scheduler->SetConfig(*this->fleet_config, Now());
+  }
+}
+
+void Driver::OnOperatorRemoval(const std::string& key) {
+  if (key.starts_with(kZoneOutPrefix)) {
+    this->zones_out.erase(ZoneId(key.substr(kZoneOutPrefix.size())));
+    net::LogEvent("zone_in", {{"key", key}});
+    if (this->scheduler != nullptr) {
+      this->scheduler->SetZonesOut(this->zones_out);
+    }
+  }
+}
+
+void Driver::FollowOwner() {
+  const auto seen = std::make_shared<bool>(false);
+  this->owner_view = platform::PrefixView::Create(
+      this->parts.client, this->parts.store, std::string(kOwnerKey),
+      kOwnerWaitMs,
+      {.on_put =
+           [this, seen](const platform::Item& item) {
+             *seen = true;
+             this->Post([this, item] { this->OnOwnerItem(item); });
+           },
+       .on_removed =
+           [this, seen](const std::string&) {
+             *seen = false;
+             this->Post([this] { this->OnOwnerItem(std::nullopt); });
+           },
+       .on_listed =
+           [this, seen] {
+             if (!*seen) {
+               this->Post([this] { this->OnOwnerItem(std::nullopt); });
+             }
+           },
+       .on_reachable = [](bool) {}});
+}
+
+void Driver::OnOwnerItem(const std::optional<platform::Item>& item) {
+  std::optional<lead::OwnerRecord> record;
+  if (item) {
+    auto decoded = lead::DecodeOwner(item->value, item->revision);
+    if (!decoded) {
+      net::LogEvent("owner_unreadable", {{"error", decoded.error().Text()}});
+      return;
+    }
+    record = *std::move(decoded);
+  }
+  this->parts.front.SetOwner(record ? record->address : "");
+  net::LogEvent("owner",
+                {{"instance", record ? record->instance : ""},
+                 {"fence", std::to_string(record ? record->revision : 0)}});
+  this->ownership.OnRecord(record, Now());
+  this->Perform(this->ownership.Take());
+}
+
+void Driver::AskJob(const jobs::JobId& job,
+                    std::function<void(JobAnswer)> done) {
+  this->Post([this, job, done = std::move(done)] {
+    const bool able = this->scheduler != nullptr && !this->takeover;
+    done(able ? JobAnswer{true, this->scheduler->View(job)} : JobAnswer{});
+  });
+}
+
+void Driver::AskPending(const jobs::QueueId& queue,
+                        std::function<void(PendingAnswer)> done) {
+  this->Post([this, queue, done = std::move(done)] {
+    const bool able = this->scheduler != nullptr && !this->takeover;
+    done(able ? PendingAnswer{true, this->scheduler->Pending(queue)}
+              : PendingAnswer{});
+  });
+}
+
+void Driver::TellCancel(const jobs::JobId& job) {
+  this->Post([this, job] {
+    if (this->scheduler != nullptr && !this->takeover) {
+      this->scheduler->CancelJob(job, Now());
+    }
+  });
+}
+
+void Driver::Perform(std::vector<lead::Effect> decided) {
+  for (lead::Effect& effect : decided) {
+    std::visit(LeadEffectVisitor{*this}, effect);
+  }
+}
+
+void Driver::Perform(std::vector<jobs::Effect> decided) {
+  for (jobs::Effect& effect : decided) {
+    std::visit(FleetEffectVisitor{*this, this->fence}, effect);
+  }
+}
+
+}  // namespace kch::app
--- /dev/null
+++ b/src/app/fleet/driver.h
@@ -0,0 +1,128 @@
+#ifndef APP_FLEET_DRIVER_H_
+#define APP_FLEET_DRIVER_H_
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "app/fleet/front.h"
+#include "jobs/jobs.h"
+#include "lead/lead.h"
+#include "platform/platform.h"
+
+namespace kch::app {
+
+/*! @brief Who this process is and how it may behave. */
+struct FleetOptions {
+  std::string instance;
+  std::string incarnation;
+  std::string peer_address;  // host:port of this process for others
+  jobs::Limits limits;
+  Duration shutdown_time{};  // from SIGTERM until the process must have ended
+};
+
+/*! @brief Runs the decisions of one process on the calling thread: ownership
+ * of the fleet and, while it lasts, the scheduler. */
+class Driver {
+ public:
+  struct Parts {
+    net::HttpClient& client;
+    platform::Store& store;
+    platform::VmClient& vms;
+    Front& front;
+    net::Metrics& metrics;
+  };
+
+  Driver(FleetOptions options, Parts parts);
+
+  /*! @brief Handles events until a shutdown is complete. */
+  void Run();
+  /*! @brief Whether callers should be sent here. Any thread. */
+  [[nodiscard]] bool ready() const { return this->is_ready; }
+
+  // Questions to this process's scheduler. Any thread.
+  void AskJob(const jobs::JobId& job, std::function<void(JobAnswer)> done);
+  void AskPending(const jobs::QueueId& queue,
+                  std::function<void(PendingAnswer)> done);
+  void TellCancel(const jobs::JobId& job);
+
+ private:
+  friend struct FleetEffectVisitor;
+  friend struct LeadEffectVisitor;
+
+  // What a scheduler needs before it may start work.
+  struct Takeover {
+    std::map<std::string, platform::Item> progress;
+    bool progress_known = false;
+    bool intake_known = false;
+    bool vms_known = false;
+    std::vector<jobs::JobSpec> early_jobs;
+    std::vector<jobs::JobId> early_cancels;
+  };
+
+  void Post(std::function<void()> event);
+  /*! @brief As Post, for a scheduler; dropped if another one came since. */
+  void PostFor(std::uint64_t fence, std::function<void()> event);
+  void Turn();
+  void OnTick();
+  void OnSignal(int signal);
+  void BeginShutdown();
+
+  void FollowOperators();
+  void FollowOwner();
+  void OnOperatorItem(const platform::Item& item);
+  void OnOperatorRemoval(const std::string& key);
+  void OnOwnerItem(const std::optional<platform::Item>& item);
+  void OnWake();
+
+  void Gain(std::uint64_t fence);
+  void Lose(const std::string& reason);
+  void ReadProgress(const std::string& after_key, std::uint64_t fence);
+  void FollowIntake(std::uint64_t fence);
+  void FollowVms(std::uint64_t fence);
+  void OnIntake(const platform::Item& item);
+  void AddJob(jobs::JobSpec spec, bool inherited);
+  void OnVmItem(const platform::Item& item);
+  void FinishTakeover();
+
+  void Perform(std::vector<lead::Effect> decided);
+  void Perform(std::vector<jobs::Effect> decided);
+
+  FleetOptions options;
+  Parts parts;
+  asio::io_context context;
+  asio::steady_timer timer;
+  asio::signal_set signals;
+  bool turn_posted = false;
+  std::int64_t last_boot_ms = 0;
+  Time last_tick;
+
+  std::uint64_t config_version = 0;
+  std::optional<jobs::FleetConfig> fleet_config;
+  std::set<ZoneId> zones_out;
+  lead::Ownership ownership;
+  std::unique_ptr<jobs::Scheduler> scheduler;
+  std::uint64_t fence = 0;
+  std::optional<Takeover> takeover;
+
+  std::shared_ptr<platform::PrefixView> operators;
+  std::shared_ptr<platform::PrefixView> owner_view;
+  std::shared_ptr<platform::PrefixView> intake;
+  std::shared_ptr<platform::PrefixView> vm_view;
+
+  std::optional<Time> shutdown_begun;
+  std::atomic<bool> is_ready = false;
+};
+
+}  // namespace kch::app
+
+#endif  // APP_FLEET_DRIVER_H_
--- /dev/null
+++ b/src/app/fleet/effects.cc
@@ -0,0 +1,252 @@
+#include "app/fleet/effects.h"
+
+#include <chrono>
+#include <utility>
+
+#include "app/fleet/keys.h"
+
+namespace kch::app {
+namespace {
+
+using platform::Outcome;
+
+// A record's write is repeated until it is known, so a lost call should not
+// delay the next steps of its jobs for long.
+constexpr int kWriteTimeoutMs = 700;
+constexpr int kClaimTimeoutMs = 800;
+
+Time Now() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+lead::Answer AnswerOf(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kOk:
+      return lead::Answer::kOk;
+    case Outcome::kMissing:
+    case Outcome::kForgotten:
+      return lead::Answer::kMissing;
+    case Outcome::kConflict:
+      return lead::Answer::kConflict;
+    case Outcome::kRefused:
+      return lead::Answer::kRefused;
+    case Outcome::kUnknown:
+      return lead::Answer::kUnknown;
+  }
+  return lead::Answer::kUnknown;
+}
+
+jobs::WriteAnswer WriteAnswerOf(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kOk:
+      return jobs::WriteAnswer::kWritten;
+    case Outcome::kConflict:
+      return jobs::WriteAnswer::kConflict;
+    case Outcome::kUnknown:
+      return jobs::WriteAnswer::kUnknown;
+    default:
+      return jobs::WriteAnswer::kUnavailable;
+  }
+}
+
+// Revisions in force of the records of a write that met a conflict; a record
+// that is not among the answer's items does not exist.
+jobs::WriteResult ConflictOf(const jobs::WriteRecords& write,
+                             const std::vector<platform::Item>& items) {
+  jobs::WriteResult result{.answer = jobs::WriteAnswer::kConflict};
+  for (const jobs::RecordWrite& record : write.records) {
+    std::uint64_t revision = 0;
+    for (const platform::Item& item : items) {
+      if (item.key == KeyOf(kProgressPrefix, record.job)) {
+        revision = item.revision;
+      }
+    }
+    result.revisions.emplace_back(record.job, revision);
+  }
+  return result;
+}
+
+bool StillOwner(const std::vector<platform::Item>& items, std::uint64_t fence) {
+  for (const platform::Item& item : items) {
+    if (item.key == kOwnerKey) {
+      return item.revision == fence;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+void LeadEffectVisitor::operator()(const lead::CreateLease& /*effect*/) const {
+  this->driver.parts.store.CreateLease(
+      ToMs(lead::kOwnerLease),
+      [&driver = this->driver](const platform::LeaseReply& reply) {
+        driver.Post([&driver, reply] {
+          driver.ownership.OnLease(AnswerOf(reply.outcome), reply.lease, Now());
+        });
+      });
+}
+
+void LeadEffectVisitor::operator()(const lead::ClaimRecord& effect) const {
+  platform::Transaction transaction;
+  transaction.conditions.push_back({std::string(kOwnerKey), effect.expected});
+  transaction.puts.push_back(
+      {std::string(kOwnerKey), lead::Encode(effect.record), effect.lease});
+  this->driver.parts.store.Write(
+      transaction, kClaimTimeoutMs,
+      [&driver = this->driver](const platform::WriteReply& reply) {
+        driver.Post([&driver, reply] {
+          driver.ownership.OnClaim(AnswerOf(reply.outcome), reply.revision,
+                                   Now());
+        });
+      });
+}
+
+void LeadEffectVisitor::operator()(const lead::ReadRecord& /*effect*/) const {
+  this->driver.parts.store.Get(
+      std::string(kOwnerKey),
+      [&driver = this->driver](const platform::GetReply& reply) {
+        if (reply.outcome == Outcome::kOk) {
+          driver.Post([&driver, reply] { driver.OnOwnerItem(reply.item); });
+        } else if (reply.outcome == Outcome::kMissing) {
+          driver.Post([&driver] { driver.OnOwnerItem(std::nullopt); });
+        }
+        // Otherwise the view of the record brings it.
+      });
+}
+
+void LeadEffectVisitor::operator()(const lead::RenewLease& effect) const {
+  this->driver.parts.store.RenewLease(
+      effect.lease, [&driver = this->driver, sent = Now()](Outcome outcome) {
+        driver.Post([&driver, sent, outcome] {
+          driver.ownership.OnRenewal(AnswerOf(outcome), sent, Now());
+        });
+      });
+}
+
+void LeadEffectVisitor::operator()(const lead::EndLease& effect) const {
+  this->driver.parts.store.EndLease(effect.lease, [](Outcome) {
+    // A lease that is not ended here runs out by itself.
+  });
+}
+
+void LeadEffectVisitor::operator()(const lead::Gained& effect) const {
+  this->driver.Gain(effect.fence);
+}
+
+void LeadEffectVisitor::operator()(const lead::Lost& effect) const {
+  this->driver.Lose(effect.reason);
+}
+
+void FleetEffectVisitor::operator()(const jobs::StartRun& effect) const {
+  this->driver.parts.metrics.Count("task_starts");
+  this->driver.parts.vms.Start(
+      effect, this->fence,
+      [&driver = this->driver, fence = this->fence, vm = effect.to.vm,
+       task = effect.task, run = effect.run](platform::StartReply reply) {
+        driver.PostFor(fence, [&driver, vm, task, run, reply] {
+          driver.scheduler->OnStart(vm, task, run, reply.answer, reply.clock_ms,
+                                    Now());
+        });
+      });
+}
+
+void FleetEffectVisitor::operator()(const jobs::StopRun& effect) const {
+  this->driver.parts.metrics.Count("task_stops");
+  this->driver.parts.vms.Stop(
+      effect, this->fence,
+      [&driver = this->driver, fence = this->fence, vm = effect.to.vm,
+       task = effect.task, run = effect.run](bool answered) {
+        driver.PostFor(fence, [&driver, vm, task, run, answered] {
+          driver.scheduler->OnStop(vm, task, run, answered, Now());
+        });
+      });
+}
+
+void FleetEffectVisitor::operator()(const jobs::PaceRun& effect) const {
+  this->driver.parts.vms.Pace(
+      effect, this->fence,
+      [&driver = this->driver, fence = this->fence, vm = effect.to.vm,
+       task = effect.task, run = effect.run](bool answered) {
+        driver.PostFor(fence, [&driver, vm, task, run, answered] {
+          driver.scheduler->OnPace(vm, task, run, answered);
+        });
+      });
+}
+
+void FleetEffectVisitor::operator()(const jobs::LookAt& effect) const {
+  this->driver.parts.metrics.Count("looks");
+  this->driver.parts.vms.Look(
+      effect, this->fence,
+      [&driver = this->driver, fence = this->fence, vm = effect.to.vm,
+       sent = Now()](platform::LookReply reply) {
+        driver.PostFor(fence, [&driver, vm, sent, reply = std::move(reply)] {
+          if (reply.outcome == platform::LookOutcome::kReport) {
+            driver.scheduler->OnReport(vm, reply.report, sent, Now());
+          } else {
+            driver.scheduler->OnNoReport(
+                vm, reply.outcome == platform::LookOutcome::kFenced,
+                reply.outcome == platform::LookOutcome::kOtherVm, Now());
+          }
+        });
+      });
+}
+
+void FleetEffectVisitor::operator()(const jobs::AskAdvice& effect) const {
+  net::LogEvent("advice_missing",
+                {{"job", effect.job.str()},
+                 {"remedy", "queues with advice are not served yet"}});
+}
+
+void FleetEffectVisitor::operator()(const jobs::WriteRecords& effect) const {
+  platform::Transaction transaction;
+  transaction.conditions.push_back({std::string(kOwnerKey), this->fence});
+  for (const jobs::RecordWrite& record : effect.records) {
+    const std::string key = KeyOf(kProgressPrefix, record.job);
+    transaction.conditions.push_back({key, record.expected});
+    if (record.erase) {
+      transaction.erasures.push_back(key);
+      transaction.erasures.push_back(KeyOf(kJobPrefix, record.job));
+      transaction.erasures.push_back(KeyOf(kCancelPrefix, record.job));
+    } else {
+      transaction.puts.push_back({key, record.value, 0});
+    }
+  }
+  this->driver.parts.metrics.Count("record_writes");
+  this->driver.parts.store.Write(
+      transaction, kWriteTimeoutMs,
+      [&driver = this->driver, fence = this->fence,
+       effect](const platform::WriteReply& reply) {
+        driver.PostFor(fence, [&driver, fence, effect, reply] {
+          jobs::WriteResult result{.answer = WriteAnswerOf(reply.outcome),
+                                   .revision = reply.revision};
+          if (reply.outcome == Outcome::kConflict) {
+            if (!StillOwner(reply.items, fence)) {
+              driver.ownership.OnSuperseded(Now());
+              driver.Perform(driver.ownership.Take());
+              return;
+            }
+            result = ConflictOf(effect, reply.items);
+          }
+          driver.scheduler->OnWritten(effect.id, result, Now());
+        });
+      });
+}
+
+void FleetEffectVisitor::operator()(const jobs::Superseded& effect) const {
+  net::LogEvent("fenced", {{"vm", effect.seen_at.str()},
+                           {"fence", std::to_string(this->fence)}});
+  // In an event of its own: the loss destroys the scheduler whose effects are
+  // being performed.
+  this->driver.PostFor(this->fence, [&driver = this->driver] {
+    driver.ownership.OnSuperseded(Now());
+    driver.Perform(driver.ownership.Take());
+  });
+}
+
+void FleetEffectVisitor::operator()(const jobs::Note& effect) const {
+  net::LogEvent(effect.event, effect.fields);
+}
+
+}  // namespace kch::app
--- /dev/null
+++ b/src/app/fleet/effects.h
@@ -0,0 +1,38 @@
+#ifndef APP_FLEET_EFFECTS_H_
+#define APP_FLEET_EFFECTS_H_
+
+#include "app/fleet/driver.h"
+
+namespace kch::app {
+
+/*! @brief Performs what ownership decided. */
+struct LeadEffectVisitor {
+  Driver& driver;
+
+  void operator()(const lead::CreateLease& effect) const;
+  void operator()(const lead::ClaimRecord& effect) const;
+  void operator()(const lead::ReadRecord& effect) const;
+  void operator()(const lead::RenewLease& effect) const;
+  void operator()(const lead::EndLease& effect) const;
+  void operator()(const lead::Gained& effect) const;
+  void operator()(const lead::Lost& effect) const;
+};
+
+/*! @brief Performs what the scheduler with a fence decided. */
+struct FleetEffectVisitor {
+  Driver& driver;
+  std::uint64_t fence;
+
+  void operator()(const jobs::StartRun& effect) const;
+  void operator()(const jobs::StopRun& effect) const;
+  void operator()(const jobs::PaceRun& effect) const;
+  void operator()(const jobs::LookAt& effect) const;
+  void operator()(const jobs::AskAdvice& effect) const;
+  void operator()(const jobs::WriteRecords& effect) const;
+  void operator()(const jobs::Superseded& effect) const;
+  void operator()(const jobs::Note& effect) const;
+};
+
+}  // namespace kch::app
+
+#endif  // APP_FLEET_EFFECTS_H_
--- /dev/null
+++ b/src/app/fleet/front.cc
@@ -0,0 +1,390 @@
+#include "app/fleet/front.h"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+#include "app/fleet/keys.h"
+
+namespace kch::app {
+namespace {
+
+using ingress::Admitted;
+using ingress::Refusal;
+using net::HttpResponse;
+using platform::Outcome;
+
+// The store answers within milliseconds. One that refuses for this long is
+// unlikely to recover within a caller's patience, and another instance may
+// reach it, so the caller is told early.
+constexpr auto kRefusedPatience = std::chrono::milliseconds(350);
+constexpr int kStoreRetryMs = 60;
+constexpr int kWriteTimeoutMs = 800;
+// Time that an answer needs to reach its caller.
+constexpr auto kAnswerMargin = std::chrono::milliseconds(200);
+constexpr auto kDefaultDeadline = std::chrono::milliseconds(3000);
+// Tells callers when a refused request is worth another try.
+constexpr const char* kRetryAfterSeconds = "1";
+
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+Time Now() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+std::int64_t WallMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string KeyIn(std::string_view authorization) {
+  constexpr std::string_view scheme = "Bearer ";
+  return authorization.starts_with(scheme)
+             ? std::string(authorization.substr(scheme.size()))
+             : std::string();
+}
+
+Time DeadlineOf(const net::HttpRequest& request) {
+  const std::string_view text = request.Header("deadline-ms");
+  std::int64_t ms = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), ms);
+  if (error != std::errc() || ms <= 0) {
+    return Now() + kDefaultDeadline;
+  }
+  return Now() + std::chrono::milliseconds(ms);
+}
+
+HttpResponse NotRun(int status, std::string_view reason) {
+  HttpResponse response{.status = status,
+                        .body = R"({"Error":")" + std::string(reason) + "\"}"};
+  if (status == kUnavailable || status == StatusOf(Refusal::kOverloaded)) {
+    response.headers.emplace_back("Retry-After", kRetryAfterSeconds);
+  }
+  return response;
+}
+
+HttpResponse Unknown() {
+  return {.status = kGatewayTimeout, .body = R"({"Error":"outcome_unknown"})"};
+}
+
+// An open queue's jobs belong to no team; other jobs exist for their team only.
+bool MayRead(const TeamId& owner, const TeamId& reader) {
+  return owner.empty() || owner == reader;
+}
+
+}  // namespace
+
+// Stores a job. A write without an answer may still be carried out, so from
+// then on the outcome is unknown unless a later try finds the record.
+struct Front::Submission : std::enable_shared_from_this<Submission> {
+  Front& front;
+  jobs::JobId job;
+  platform::Transaction transaction;
+  Time begun = Now();
+  Time deadline;
+  bool unknown = false;
+  Reply reply;
+
+  Submission(Front& front, jobs::JobId job, Time deadline, Reply reply)
+      : front(front),
+        job(std::move(job)),
+        deadline(deadline),
+        reply(std::move(reply)) {}
+
+  void Try() {
+    const auto left = ToMs(this->deadline - kAnswerMargin - Now());
+    this->front.parts.store.Write(
+        this->transaction,
+        static_cast<int>(std::clamp<std::int64_t>(left, 1, kWriteTimeoutMs)),
+        [self = this->shared_from_this()](const platform::WriteReply& result) {
+          self->OnWritten(result);
+        });
+  }
+
+  void OnWritten(const platform::WriteReply& result) {
+    switch (result.outcome) {
+      case Outcome::kOk:
+      case Outcome::kConflict:  // the same job was stored before
+        this->End("accepted", {.status = kOk, .body = "{}"});
+        return;
+      case Outcome::kUnknown:
+        this->unknown = true;
+        break;
+      default:
+        break;
+    }
+    const Time now = Now();
+    const bool refused_long =
+        !this->unknown && now - this->begun >= kRefusedPatience;
+    if (refused_long || now + kAnswerMargin >= this->deadline) {
+      if (this->unknown) {
+        this->End("outcome_unknown", Unknown());
+      } else {
+        this->End("store_refused", NotRun(kUnavailable, "store_down"));
+      }
+      return;
+    }
+    this->front.parts.client.Delay(
+        kStoreRetryMs, [self = this->shared_from_this()] { self->Try(); });
+  }
+
+  void End(std::string_view outcome, HttpResponse response) {
+    const double ms = ToSeconds(Now() - this->begun) * 1000;
+    this->front.parts.metrics.Delay("submit", ms);
+    this->front.parts.metrics.Count("submit_" + std::string(outcome));
+    net::LogEvent("submit", {{"job", this->job.str()},
+                             {"outcome", std::string(outcome)},
+                             {"ms", std::to_string(static_cast<int>(ms))}});
+    this->reply(std::move(response));
+  }
+};
+
+Front::Front(Parts parts) : parts(std::move(parts)), peer(this->parts.client) {}
+
+void Front::SetDirectory(std::shared_ptr<const ingress::Directory> next) {
+  this->directory = std::move(next);
+}
+
+void Front::SetOwner(std::string address) {
+  this->owner = std::make_shared<const std::string>(std::move(address));
+}
+
+std::string Front::OwnerAddress() const {
+  const auto address = this->owner.load();
+  return address == nullptr ? std::string() : *address;
+}
+
+void Front::Handle(net::HttpRequest request, net::HttpReply reply) {
+  ++*this->open;
+  Reply answer = [this, reply = std::move(reply),
+                  open = this->open](HttpResponse response) {
+    if (this->closing) {
+      response.headers.emplace_back("Connection", "close");
+    }
+    reply(std::move(response));
+    --*open;
+  };
+  const ingress::Call call{.method = request.method,
+                           .host = std::string(request.Header("host")),
+                           .path = request.path,
+                           .key = KeyIn(request.Header("authorization"))};
+  const auto current = this->directory.load();
+  if (current == nullptr) {
+    this->Refuse(call, Refusal::kNoConfig, 0, answer);
+    return;
+  }
+  const std::uint64_t version = current->config().version;
+  const auto admitted = current->Admit(call);
+  if (!admitted) {
+    this->Refuse(call, admitted.error(), version, answer);
+    return;
+  }
+  this->parts.metrics.Count("calls");
+  switch (admitted->verb) {
+    case ingress::Verb::kSubmit:
+      this->Submit(request, *admitted, version, std::move(answer));
+      break;
+    case ingress::Verb::kState:
+      this->ReportState(*admitted, std::move(answer));
+      break;
+    case ingress::Verb::kCancel:
+      this->Cancel(*admitted, std::move(answer));
+      break;
+    case ingress::Verb::kPending:
+      this->ReportPending(*admitted, std::move(answer));
+      break;
+  }
+}
+
+void Front::Refuse(const ingress::Call& call,
+                   Refusal refusal,
+                   std::uint64_t version,
+                   const Reply& reply) {
+  const std::string reason(NameOf(refusal));
+  this->parts.metrics.Count("refused_" + reason);
+  net::LogEvent("refuse", {{"path", call.path},
+                           {"host", call.host},
+                           {"reason", reason},
+                           {"config", std::to_string(version)}});
+  reply(NotRun(StatusOf(refusal), reason));
+}
+
+void Front::Submit(const net::HttpRequest& request,
+                   const Admitted& admitted,
+                   std::uint64_t version,
+                   Reply reply) {
+  const ingress::Call call{.method = request.method,
+                           .host = std::string(request.Header("host")),
+                           .path = request.path,
+                           .key = ""};
+  auto decoded = platform::DecodeJob(request.body);
+  if (decoded) {
+    decoded->id = admitted.job;
+    decoded->queue = *admitted.queue;
+    decoded->team = admitted.team;
+    decoded->accepted_ms = WallMs();
+  }
+  const auto checked =
+      decoded ? CheckSpec(*decoded)
+              : Result<void>(tl::unexpected(decoded.error()));
+  if (!checked) {
+    net::LogEvent("bad_job", {{"job", admitted.job.str()},
+                              {"error", checked.error().Text()}});
+    this->Refuse(call, Refusal::kBadJob, version, reply);
+    return;
+  }
+  if (!this->store_reachable) {
+    this->Refuse(call, Refusal::kStoreDown, version, reply);
+    return;
+  }
+  auto submission = std::make_shared<Submission>(
+      *this, admitted.job, DeadlineOf(request), std::move(reply));
+  const std::string key = KeyOf(kJobPrefix, admitted.job);
+  submission->transaction.conditions.push_back({key, 0});
+  submission->transaction.puts.push_back({key, EncodeSpec(*decoded), 0});
+  submission->Try();
+}
+
+void Front::AskOwner(const jobs::JobId& job,
+                     std::function<void(JobAnswer)> done) {
+  this->parts.ask_job(
+      job, [this, job, done = std::move(done)](JobAnswer answer) mutable {
+        const std::string address = this->OwnerAddress();
+        if (answer.answered || address.empty()) {
+          done(std::move(answer));
+          return;
+        }
+        this->peer.AskJob(address, job, std::move(done));
+      });
+}
+
+void Front::ReportState(const Admitted& admitted, Reply reply) {
+  this->AskOwner(admitted.job, [this, job = admitted.job, team = admitted.team,
+                                reply = std::move(reply)](JobAnswer answer) {
+    if (!answer.answered || !answer.job) {
+      // The owner may not have seen the job's record yet.
+      this->ReadState(job, team, reply);
+      return;
+    }
+    if (!MayRead(answer.job->team, team)) {
+      reply({.status = kGone});
+      return;
+    }
+    reply({.status = kOk, .body = platform::EncodeState(answer.job->state)});
+  });
+}
+
+void Front::ReadState(const jobs::JobId& job, const TeamId& team, Reply reply) {
+  this->parts.metrics.Count("state_reads");
+  this->parts.store.Get(
+      KeyOf(kJobPrefix, job),
+      [this, job, team,
+       reply = std::move(reply)](const platform::GetReply& accepted) {
+        if (accepted.outcome == Outcome::kMissing) {
+          net::LogEvent("state_gone", {{"job", job.str()}});
+          reply({.status = kGone});
+          return;
+        }
+        const auto spec = accepted.outcome == Outcome::kOk
+                              ? jobs::DecodeSpec(job, accepted.item.value)
+                              : Fail(ErrorKind::kUnavailable, "", "");
+        if (!spec) {
+          reply(NotRun(kUnavailable, "store_down"));
+          return;
+        }
+        if (!MayRead(spec->team, team)) {
+          reply({.status = kGone});
+          return;
+        }
+        this->parts.store.Get(
+            KeyOf(kProgressPrefix, job),
+            [reply](const platform::GetReply& progress) {
+              if (progress.outcome == Outcome::kMissing) {
+                reply({.status = kOk,
+                       .body = platform::EncodeState(jobs::JobState::kQueued)});
+                return;
+              }
+              const auto state =
+                  progress.outcome == Outcome::kOk
+                      ? jobs::DecodeState(progress.item.value)
+                      : Fail(ErrorKind::kUnavailable, "", "");
+              reply(state ? HttpResponse{.status = kOk,
+                                         .body = platform::EncodeState(*state)}
+                          : NotRun(kUnavailable, "store_down"));
+            });
+      });
+}
+
+void Front::Cancel(const Admitted& admitted, Reply reply) {
+  const jobs::JobId job = admitted.job;
+  this->parts.store.Get(
+      KeyOf(kJobPrefix, job),
+      [this, job, team = admitted.team,
+       reply = std::move(reply)](const platform::GetReply& accepted) {
+        if (accepted.outcome == Outcome::kMissing) {
+          reply({.status = kGone});
+          return;
+        }
+        const auto spec = accepted.outcome == Outcome::kOk
+                              ? jobs::DecodeSpec(job, accepted.item.value)
+                              : Fail(ErrorKind::kUnavailable, "", "");
+        if (!spec) {
+          reply(NotRun(kUnavailable, "store_down"));
+          return;
+        }
+        if (!MayRead(spec->team, team)) {
+          reply({.status = kGone});
+          return;
+        }
+        platform::Transaction transaction;
+        transaction.puts.push_back({KeyOf(kCancelPrefix, job), "{}", 0});
+        this->parts.store.Write(
+            transaction, kWriteTimeoutMs,
+            [this, job, reply](const platform::WriteReply& result) {
+              const bool stored = result.outcome == Outcome::kOk;
+              net::LogEvent("cancel",
+                            {{"job", job.str()},
+                             {"outcome", stored ? "stored" : "not_stored"}});
+              if (stored) {
+                this->parts.tell_cancel(job);
+                if (const std::string address = this->OwnerAddress();
+                    !address.empty()) {
+                  this->peer.TellCancel(address, job);
+                }
+                reply({.status = kOk, .body = "{}"});
+              } else if (result.outcome == Outcome::kUnknown) {
+                reply(Unknown());
+              } else {
+                reply(NotRun(kUnavailable, "store_down"));
+              }
+            });
+      });
+}
+
+void Front::ReportPending(const Admitted& admitted, Reply reply) {
+  const jobs::QueueId queue = admitted.queue->id;
+  const auto finish = [reply = std::move(reply)](const PendingAnswer& answer) {
+    reply(answer.answered
+              ? HttpResponse{.status = kOk,
+                             .body = platform::EncodePending(answer.jobs)}
+              : NotRun(kUnavailable, "no_owner"));
+  };
+  this->parts.ask_pending(
+      queue, [this, queue, finish](const PendingAnswer& answer) {
+        const std::string address = this->OwnerAddress();
+        if (answer.answered || address.empty()) {
+          finish(answer);
+          return;
+        }
+        this->peer.AskPending(address, queue, finish);
+      });
+}
+
+}  // namespace kch::app
--- /dev/null
+++ b/src/app/fleet/front.h
@@ -0,0 +1,77 @@
+#ifndef APP_FLEET_FRONT_H_
+#define APP_FLEET_FRONT_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "app/fleet/peer.h"
+#include "ingress/ingress.h"
+#include "platform/platform.h"
+
+namespace kch::app {
+
+/*! @brief Answers callers: admits, stores and cancels jobs, reports states. */
+class Front {
+ public:
+  /*! @brief What a front uses; all must outlive it. */
+  struct Parts {
+    net::HttpClient& client;
+    platform::Store& store;
+    net::Metrics& metrics;
+    // Asks the scheduler of this process; not answered if it has none.
+    std::function<void(const jobs::JobId&, std::function<void(JobAnswer)>)>
+        ask_job;
+    std::function<void(const jobs::QueueId&,
+                       std::function<void(PendingAnswer)>)>
+        ask_pending;
+    std::function<void(const jobs::JobId&)> tell_cancel;
+  };
+
+  explicit Front(Parts parts);
+
+  /*! @brief Handles a caller's request. Any thread. */
+  void Handle(net::HttpRequest request, net::HttpReply reply);
+  /*! @brief Puts a configuration in force. Any thread. */
+  void SetDirectory(std::shared_ptr<const ingress::Directory> directory);
+  /*! @brief The owner's address; empty if none is known. Any thread. */
+  void SetOwner(std::string address);
+  void SetStoreReachable(bool reachable) { this->store_reachable = reachable; }
+  /*! @brief From now on answers ask callers to close their connections. */
+  void BeginShutdown() { this->closing = true; }
+  /*! @brief Requests without an answer. */
+  [[nodiscard]] int open_requests() const { return *this->open; }
+
+ private:
+  struct Submission;
+  using Reply = std::function<void(net::HttpResponse)>;
+
+  void Refuse(const ingress::Call& call,
+              ingress::Refusal refusal,
+              std::uint64_t version,
+              const Reply& reply);
+  void Submit(const net::HttpRequest& request,
+              const ingress::Admitted& admitted,
+              std::uint64_t version,
+              Reply reply);
+  void ReportState(const ingress::Admitted& admitted, Reply reply);
+  void ReadState(const jobs::JobId& job, const TeamId& team, Reply reply);
+  void Cancel(const ingress::Admitted& admitted, Reply reply);
+  void ReportPending(const ingress::Admitted& admitted, Reply reply);
+  void AskOwner(const jobs::JobId& job, std::function<void(JobAnswer)> done);
+  [[nodiscard]] std::string OwnerAddress() const;
+
+  Parts parts;
+  Peer peer;
+  std::atomic<std::shared_ptr<const ingress::Directory>> directory;
+  std::atomic<std::shared_ptr<const std::string>> owner;
+  std::atomic<bool> store_reachable = true;
+  std::atomic<bool> closing = false;
+  std::shared_ptr<std::atomic<int>> open =
+      std::make_shared<std::atomic<int>>(0);
+};
+
+}  // namespace kch::app
+
+#endif  // APP_FLEET_FRONT_H_
--- /dev/null
+++ b/src/app/fleet/keys.h
@@ -0,0 +1,33 @@
+#ifndef APP_FLEET_KEYS_H_
+#define APP_FLEET_KEYS_H_
+
+#include <string>
+#include <string_view>
+
+#include "jobs/jobs.h"
+
+namespace kch::app {
+
+// Records of this system in the store. Jobs and cancellations share a prefix,
+// so that one watch follows both.
+inline constexpr std::string_view kOwnerKey = "kch/owner";
+inline constexpr std::string_view kIntakePrefix = "kch/in/";
+inline constexpr std::string_view kJobPrefix = "kch/in/job/";
+inline constexpr std::string_view kCancelPrefix = "kch/in/stop/";
+inline constexpr std::string_view kProgressPrefix = "kch/progress/";
+
+// Records of the platform.
+inline constexpr std::string_view kOperatorPrefix = "op/";
+inline constexpr std::string_view kConfigKey = "op/config";
+inline constexpr std::string_view kZoneOutPrefix = "op/evacuate/";
+inline constexpr std::string_view kWavePrefix = "op/wave/";
+inline constexpr std::string_view kVmPrefix = "servers/";
+
+[[nodiscard]] inline std::string KeyOf(std::string_view prefix,
+                                       const jobs::JobId& job) {
+  return std::string(prefix) + job.str();
+}
+
+}  // namespace kch::app
+
+#endif  // APP_FLEET_KEYS_H_
--- /dev/null
+++ b/src/app/fleet/main.cc
@@ -0,0 +1,192 @@
+#include <charconv>
+#include <memory>
+#include <string>
+
+#include "app/fleet/driver.h"
+
+namespace {
+
+using kch::Result;
+using kch::net::HttpRequest;
+using kch::net::HttpServer;
+using kch::net::Number;
+using kch::net::RequiredText;
+using kch::net::Settings;
+
+constexpr std::int64_t kMaxMs = 3'600'000;
+
+std::vector<kch::net::Setting> Declared() {
+  return {
+      RequiredText("name", "name of this instance, the same after a restart"),
+      RequiredText("store", "host:port of the platform's store"),
+      RequiredText("callers", "host:port to listen on for callers"),
+      RequiredText("readiness",
+                   "host:port to listen on for the load balancer's checks"),
+      RequiredText("peers",
+                   "host:port to listen on for other instances and metrics"),
+      Number("max-body-bytes", 1 << 18, 1024, 16 << 20,
+             "largest request body in bytes"),
+      Number("max-lease-ms", 6000, 1000, kMaxMs,
+             "longest lease that VMs grant, in ms"),
+      Number("heartbeat-ms", 1500, 100, kMaxMs,
+             "interval of VMs' registrations, in ms; a VM that misses three is "
+             "removed"),
+      Number("stop-grace-ms", 900, 0, kMaxMs,
+             "longest time until a stopped run has ended, in ms"),
+      Number("pace-delay-ms", 100, 0, kMaxMs,
+             "time until a paced run works at its new share, in ms"),
+      Number("harm-limit-ms", 4000, 0, kMaxMs,
+             "longest time of a serving task over its target, in ms"),
+      Number("shutdown-ms", 6000, 1000, kMaxMs,
+             "time from SIGTERM until the process is killed, in ms")};
+}
+
+std::string IncarnationNow(const std::string& name) {
+  return name + "-" +
+         std::to_string(
+             std::chrono::duration_cast<std::chrono::microseconds>(
+                 std::chrono::system_clock::now().time_since_epoch())
+                 .count());
+}
+
+kch::jobs::Limits LimitsFrom(const Settings& settings) {
+  using std::chrono::milliseconds;
+  kch::jobs::Limits limits;
+  // A lease that ends before a silent VM's registration is removed leaves no
+  // run behind on a VM that nobody knows; the slack covers a slow clock and the
+  // time of a stop.
+  constexpr std::int64_t missed_heartbeats = 3;
+  constexpr std::int64_t slack_ms = 400;
+  constexpr std::int64_t least_ms = 1500;
+  const std::int64_t lease_ms =
+      std::min(settings.number("max-lease-ms"),
+               missed_heartbeats * settings.number("heartbeat-ms") - slack_ms);
+  limits.lease = milliseconds(std::max(lease_ms, least_ms));
+  limits.stop_grace = milliseconds(settings.number("stop-grace-ms"));
+  limits.pace_delay = milliseconds(settings.number("pace-delay-ms"));
+  limits.harm_limit = milliseconds(settings.number("harm-limit-ms"));
+  return limits;
+}
+
+Result<std::unique_ptr<HttpServer>> Listen(const Settings& settings,
+                                           const std::string& name,
+                                           kch::net::HttpHandler handler) {
+  const std::string& text = settings.text(name);
+  const std::size_t colon = text.rfind(':');
+  std::uint16_t port = 0;
+  const char* const end = text.data() + text.size();
+  if (colon == std::string::npos ||
+      std::from_chars(text.data() + colon + 1, end, port).ptr != end) {
+    return kch::Fail(kch::ErrorKind::kInvalid,
+                     "--" + name + " is '" + text + "'",
+                     "give it as host:port, for example 127.0.0.1:8080");
+  }
+  return HttpServer::Create(
+      {.address = text.substr(0, colon),
+       .port = port,
+       .threads = 1,
+       .max_body_bytes =
+           static_cast<std::size_t>(settings.number("max-body-bytes")),
+       .max_header_bytes = 16U << 10U},
+      std::move(handler));
+}
+
+// Questions of other instances, and metrics.
+void HandlePeer(kch::app::Driver& driver,
+                const kch::net::Metrics& metrics,
+                const HttpRequest& request,
+                kch::net::HttpReply reply) {
+  constexpr std::string_view jobs = "/v1/jobs/";
+  constexpr std::string_view queues = "/v1/queues/";
+  constexpr std::string_view cancel = "/cancel";
+  const std::string_view path = request.path;
+  if (path == "/metrics") {
+    reply({.body = metrics.Json()});
+  } else if (path.starts_with(jobs) && path.ends_with(cancel)) {
+    driver.TellCancel(kch::jobs::JobId(std::string(
+        path.substr(jobs.size(), path.size() - jobs.size() - cancel.size()))));
+    reply({.body = "{}"});
+  } else if (path.starts_with(jobs)) {
+    driver.AskJob(
+        kch::jobs::JobId(std::string(path.substr(jobs.size()))),
+        [reply = std::move(reply)](const kch::app::JobAnswer& answer) {
+          answer.answered
+              ? reply({.body = kch::app::EncodeAnswer(answer.job)})
+              : reply({.status = 503});
+        });
+  } else if (path.starts_with(queues)) {
+    driver.AskPending(
+        kch::jobs::QueueId(std::string(path.substr(queues.size()))),
+        [reply = std::move(reply)](const kch::app::PendingAnswer& answer) {
+          answer.answered
+              ? reply({.body = kch::app::EncodeAnswer(answer.jobs)})
+              : reply({.status = 503});
+        });
+  } else {
+    reply({.status = 404});
+  }
+}
+
+int Run(const Settings& settings) {
+  const std::string name = settings.text("name");
+  kch::net::StartEventLog(name);
+  kch::net::Metrics metrics;
+  auto client = kch::net::HttpClient::Create({.max_connections_per_host = 48});
+  if (!client) {
+    kch::net::LogEvent("start_failed", {{"error", client.error().Text()}});
+    return 1;
+  }
+  kch::platform::Store store(**client, settings.text("store"));
+  kch::platform::VmClient vms(**client);
+  kch::app::Driver* control = nullptr;
+  kch::app::Front front(
+      {.client = **client,
+       .store = store,
+       .metrics = metrics,
+       .ask_job = [&control](const auto& job,
+                             auto done) { control->AskJob(job, done); },
+       .ask_pending = [&control](const auto& queue,
+                                 auto done) { control->AskPending(queue, done); },
+       .tell_cancel = [&control](const auto& job) { control->TellCancel(job); }});
+  kch::app::Driver driver(
+      {.instance = name,
+       .incarnation = IncarnationNow(name),
+       .peer_address = settings.text("peers"),
+       .limits = LimitsFrom(settings),
+       .shutdown_time = std::chrono::milliseconds(
+           settings.number("shutdown-ms") * 9 / 10)},
+      {.client = **client,
+       .store = store,
+       .vms = vms,
+       .front = front,
+       .metrics = metrics});
+  control = &driver;
+  auto peers = Listen(settings, "peers",
+                      [&](const HttpRequest& request, auto reply) {
+                        HandlePeer(driver, metrics, request, std::move(reply));
+                      });
+  auto readiness =
+      Listen(settings, "readiness",
+             [&driver](const HttpRequest& /*request*/, const auto& reply) {
+               reply({.status = driver.ready() ? 200 : 503});
+             });
+  auto callers = Listen(settings, "callers",
+                        [&front](HttpRequest request, auto reply) {
+                          front.Handle(std::move(request), std::move(reply));
+                        });
+  for (const auto* server : {&peers, &readiness, &callers}) {
+    if (!*server) {
+      kch::net::LogEvent("start_failed", {{"error", server->error().Text()}});
+      return 1;
+    }
+  }
+  driver.Run();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return Run(kch::net::ParseOrExit("kch-fleet", Declared(), argc, argv,
+                                   KCH_VERSION));
+}
--- /dev/null
+++ b/src/app/fleet/takeover.cc
@@ -0,0 +1,195 @@
+#include <chrono>
+#include <utility>
+
+#include "app/fleet/driver.h"
+#include "app/fleet/keys.h"
+
+// From a claimed fleet to a scheduler that knows all jobs and VMs.
+
+namespace kch::app {
+namespace {
+
+constexpr int kIntakeWaitMs = 1000;
+constexpr int kVmWaitMs = 1500;
+constexpr int kRetryMs = 100;
+
+Time Now() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+std::int64_t WallMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+void Driver::Gain(std::uint64_t gained) {
+  this->fence = gained;
+  this->scheduler = std::make_unique<jobs::Scheduler>(this->options.limits);
+  this->takeover.emplace();
+  net::LogEvent("owner_gained", {{"fence", std::to_string(gained)}});
+  if (this->fleet_config) {
+    this->scheduler->SetConfig(*this->fleet_config, Now());
+  }
+  this->scheduler->SetZonesOut(this->zones_out);
+  this->parts.front.SetOwner(this->options.peer_address);
+  this->ReadProgress("", gained);
+  this->FollowIntake(gained);
+  this->FollowVms(gained);
+}
+
+void Driver::Lose(const std::string& reason) {
+  net::LogEvent("owner_lost", {{"fence", std::to_string(this->fence)},
+                               {"reason", reason}});
+  this->intake->Stop();
+  this->vm_view->Stop();
+  this->takeover.reset();
+  this->scheduler.reset();
+}
+
+void Driver::ReadProgress(const std::string& after_key, std::uint64_t by) {
+  this->parts.store.List(
+      std::string(kProgressPrefix), after_key,
+      [this, after_key, by](const platform::ListReply& reply) {
+        if (reply.outcome != platform::Outcome::kOk) {
+          this->parts.client.Delay(kRetryMs, [this, after_key, by] {
+            this->PostFor(by, [this, after_key, by] {
+              this->ReadProgress(after_key, by);
+            });
+          });
+          return;
+        }
+        this->PostFor(by, [this, reply, by] {
+          for (const platform::Item& item : reply.items) {
+            this->takeover->progress[item.key] = item;
+          }
+          if (reply.more && !reply.items.empty()) {
+            this->ReadProgress(reply.items.back().key, by);
+            return;
+          }
+          this->takeover->progress_known = true;
+          this->FinishTakeover();
+        });
+      });
+}
+
+void Driver::FollowIntake(std::uint64_t by) {
+  this->intake = platform::PrefixView::Create(
+      this->parts.client, this->parts.store, std::string(kIntakePrefix),
+      kIntakeWaitMs,
+      {.on_put =
+           [this, by](const platform::Item& item) {
+             this->PostFor(by, [this, item] { this->OnIntake(item); });
+           },
+       .on_removed = [](const std::string&) {},
+       .on_listed =
+           [this, by] {
+             this->PostFor(by, [this] {
+               if (this->takeover) {
+                 this->takeover->intake_known = true;
+                 this->FinishTakeover();
+               }
+             });
+           },
+       .on_reachable = [](bool) {}});
+}
+
+void Driver::FollowVms(std::uint64_t by) {
+  this->vm_view = platform::PrefixView::Create(
+      this->parts.client, this->parts.store, std::string(kVmPrefix), kVmWaitMs,
+      {.on_put =
+           [this, by](const platform::Item& item) {
+             this->PostFor(by, [this, item] { this->OnVmItem(item); });
+           },
+       .on_removed =
+           [this, by](const std::string& key) {
+             this->PostFor(by, [this, key] {
+               this->scheduler->RemoveVm(VmId(key.substr(kVmPrefix.size())),
+                                         Now());
+             });
+           },
+       .on_listed =
+           [this, by] {
+             this->PostFor(by, [this] {
+               if (this->takeover) {
+                 this->takeover->vms_known = true;
+                 this->FinishTakeover();
+               }
+             });
+           },
+       .on_reachable = [](bool) {}});
+}
+
+void Driver::OnIntake(const platform::Item& item) {
+  if (item.key.starts_with(kCancelPrefix)) {
+    const jobs::JobId job(item.key.substr(kCancelPrefix.size()));
+    if (this->takeover) {
+      this->takeover->early_cancels.push_back(job);
+    } else {
+      this->scheduler->CancelJob(job, Now());
+    }
+    return;
+  }
+  if (!item.key.starts_with(kJobPrefix)) {
+    return;
+  }
+  auto spec = jobs::DecodeSpec(
+      jobs::JobId(item.key.substr(kJobPrefix.size())), item.value);
+  if (!spec) {
+    net::LogEvent("job_unreadable", {{"error", spec.error().Text()}});
+    return;
+  }
+  if (this->takeover) {
+    this->takeover->early_jobs.push_back(*std::move(spec));
+  } else {
+    this->AddJob(*std::move(spec), false);
+  }
+}
+
+void Driver::AddJob(jobs::JobSpec spec, bool inherited) {
+  const Time now = Now();
+  const std::int64_t age_ms =
+      std::max<std::int64_t>(0, WallMs() - spec.accepted_ms);
+  std::string progress;
+  std::uint64_t revision = 0;
+  if (this->takeover) {
+    const auto found =
+        this->takeover->progress.find(KeyOf(kProgressPrefix, spec.id));
+    if (found != this->takeover->progress.end()) {
+      progress = found->second.value;
+      revision = found->second.revision;
+    }
+  }
+  this->scheduler->AddJob(std::move(spec), progress, revision, inherited,
+                          now - std::chrono::milliseconds(age_ms), now);
+}
+
+void Driver::OnVmItem(const platform::Item& item) {
+  const VmId id(item.key.substr(kVmPrefix.size()));
+  auto vm = platform::DecodeVm(id, item.value);
+  if (!vm) {
+    net::LogEvent("vm_unreadable", {{"error", vm.error().Text()}});
+    return;
+  }
+  this->scheduler->SetVm(*vm, Now());
+}
+
+void Driver::FinishTakeover() {
+  if (!this->takeover->progress_known || !this->takeover->intake_known ||
+      !this->takeover->vms_known) {
+    return;
+  }
+  for (jobs::JobSpec& spec : this->takeover->early_jobs) {
+    this->AddJob(std::move(spec), true);
+  }
+  for (const jobs::JobId& job : this->takeover->early_cancels) {
+    this->scheduler->CancelJob(job, Now());
+  }
+  this->takeover.reset();
+  this->scheduler->BeginRecovery(Now());
+}
+
+}  // namespace kch::app
--- /dev/null
+++ b/src/ingress/directory.h
@@ -0,0 +1,103 @@
+#ifndef INGRESS_DIRECTORY_H_
+#define INGRESS_DIRECTORY_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "base/base.h"
+#include "jobs/model.h"
+
+namespace kch::ingress {
+
+/*! @brief Where callers reach a queue. */
+struct Route {
+  jobs::QueueId queue;
+  std::string host;
+  std::string prefix;      // paths of the queue begin with it
+  bool open = false;       // needs no key
+  std::int64_t timeout_ms = 0;  // longest time for an answer
+};
+
+/*! @brief Everything that an instance needs to admit a call. */
+struct Config {
+  std::uint64_t version = 0;
+  std::vector<Route> routes;
+  std::unordered_map<std::string, TeamId> teams_by_key;
+  jobs::FleetConfig fleet;
+};
+
+/*! @brief What a call asks for. */
+enum class Verb : std::uint8_t { kSubmit, kState, kCancel, kPending };
+
+/*! @brief A caller's request, without its body. */
+struct Call {
+  std::string method;
+  std::string host;
+  std::string path;
+  std::string key;  // empty: none was sent
+};
+
+/*! @brief Why a call is refused before it has any effect. */
+enum class Refusal : std::uint8_t {
+  kNoConfig,       // this instance has no configuration yet
+  kNoQueue,        // no route matches
+  kUnknownKey,     // the key is missing or not in force
+  kBadMethod,      // the path does not take this method
+  kBadJob,         // the job is malformed
+  kStoreDown,      // the store took nothing
+  kOverloaded,     // the job would end too late to be of use
+};
+
+/*! @brief An admitted call. */
+struct Admitted {
+  Verb verb = Verb::kState;
+  const Route* route = nullptr;
+  const jobs::Queue* queue = nullptr;
+  TeamId team;  // empty: an open queue was called without a key
+  jobs::JobId job;  // empty for kPending
+};
+
+/*! @brief Admits calls by one version of the configuration. */
+class Directory {
+ public:
+  explicit Directory(Config config);
+
+  /*! @brief The route of a host with the longest matching prefix. */
+  [[nodiscard]] const Route* Find(std::string_view host,
+                                  std::string_view path) const;
+  [[nodiscard]] tl::expected<Admitted, Refusal> Admit(const Call& call) const;
+  [[nodiscard]] const Config& config() const { return this->settings; }
+
+ private:
+  Config settings;
+  // Routes of a host, longest prefix first.
+  std::map<std::string, std::vector<const Route*>, std::less<>> by_host;
+};
+
+/*! @brief Status code of a refusal; 503 and 429 promise that nothing ran. */
+[[nodiscard]] int StatusOf(Refusal refusal);
+
+}  // namespace kch::ingress
+
+template <>
+struct kch::NameTable<kch::ingress::Refusal> {
+  static constexpr std::array<
+      std::pair<kch::ingress::Refusal, std::string_view>,
+      7>
+      kEntries{{{kch::ingress::Refusal::kNoConfig, "no_config"},
+                {kch::ingress::Refusal::kNoQueue, "no_queue"},
+                {kch::ingress::Refusal::kUnknownKey, "unknown_key"},
+                {kch::ingress::Refusal::kBadMethod, "bad_method"},
+                {kch::ingress::Refusal::kBadJob, "bad_job"},
+                {kch::ingress::Refusal::kStoreDown, "store_down"},
+                {kch::ingress::Refusal::kOverloaded, "overloaded"}}};
+};
+
+#endif  // INGRESS_DIRECTORY_H_
--- /dev/null
+++ b/src/ingress/ingress.h
@@ -0,0 +1,6 @@
+#ifndef INGRESS_INGRESS_H_
+#define INGRESS_INGRESS_H_
+
+#include "ingress/directory.h"
+
+#endif  // INGRESS_INGRESS_H_
--- /dev/null
+++ b/src/jobs/effect.h
@@ -0,0 +1,117 @@
+#ifndef JOBS_EFFECT_H_
+#define JOBS_EFFECT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "jobs/model.h"
+
+namespace kch::jobs {
+
+/*! @brief The VM that an order goes to. */
+struct Destination {
+  VmId vm;
+  std::string address;
+};
+
+/*! @brief Orders a VM to start a run. */
+struct StartRun {
+  Destination to;
+  TaskRef task;
+  std::int64_t run = 0;
+  std::string payload;
+  std::int64_t until_ms = 0;  // lease, on the VM's clock
+  std::string checkpoint;     // empty: from the beginning
+  std::string permit;         // of the advice service; empty: not needed
+};
+
+/*! @brief Orders a VM to stop a run, and to refuse it if it comes later. */
+struct StopRun {
+  Destination to;
+  TaskRef task;
+  std::int64_t run = 0;
+};
+
+/*! @brief Orders a VM to let a run work at a share. */
+struct PaceRun {
+  Destination to;
+  TaskRef task;
+  std::int64_t run = 0;
+  std::int32_t percent = 100;
+};
+
+/*! @brief Asks a VM for its report and renews its lease. */
+struct LookAt {
+  Destination to;
+  std::optional<std::int64_t> until_ms;  // nothing: only look
+  std::int64_t last_seen = 0;            // ends up to this one are recorded
+  std::int64_t wait_ms = 0;              // answer when a run ends, or then
+};
+
+/*! @brief Asks the advice service which VMs may run a step. */
+struct AskAdvice {
+  JobId job;
+  std::int32_t occurrence = 0;
+  std::int32_t step = 0;
+  std::vector<VmId> vms;
+};
+
+/*! @brief One record to write or erase. */
+struct RecordWrite {
+  JobId job;
+  std::uint64_t expected = 0;  // revision of the record; 0: absent
+  std::string value;           // unused if erased
+  bool erase = false;
+};
+
+/*! @brief Writes progress records, all or none, if this scheduler still owns
+ * the fleet. */
+struct WriteRecords {
+  std::uint64_t id = 0;
+  std::vector<RecordWrite> records;
+};
+
+/*! @brief Another scheduler has taken over: give nothing more in order. */
+struct Superseded {
+  VmId seen_at;
+};
+
+/*! @brief A decision to log. */
+struct Note {
+  std::string_view event;
+  std::vector<std::pair<std::string_view, std::string>> fields;
+};
+
+using Effect = std::variant<StartRun,
+                            StopRun,
+                            PaceRun,
+                            LookAt,
+                            AskAdvice,
+                            WriteRecords,
+                            Superseded,
+                            Note>;
+
+/*! @brief What became of a WriteRecords. */
+enum class WriteAnswer : std::uint8_t {
+  kWritten,
+  kConflict,     // a record had another revision; nothing was written
+  kUnknown,      // the write may still take effect
+  kUnavailable,  // no effect
+};
+
+/*! @brief A write's outcome with the revisions that the store reported. */
+struct WriteResult {
+  WriteAnswer answer = WriteAnswer::kUnavailable;
+  std::uint64_t revision = 0;  // of all records, if written
+  // On a conflict: the revisions in force; 0 for an absent record.
+  std::vector<std::pair<JobId, std::uint64_t>> revisions;
+};
+
+}  // namespace kch::jobs
+
+#endif  // JOBS_EFFECT_H_
--- /dev/null
+++ b/src/jobs/job.cc
@@ -0,0 +1,89 @@
+#include "jobs/job.h"
+
+#include <algorithm>
+
+namespace kch::jobs {
+namespace {
+
+// Longest path over the steps for which `counts` holds. A step's predecessors
+// have lower numbers, which the codec checks.
+template <typename Counts>
+std::int64_t LongestChain(const JobSpec& spec, const Counts& counts) {
+  std::vector<std::int64_t> until(spec.steps.size(), 0);
+  std::int64_t longest = 0;
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    for (const std::int32_t before : spec.steps[i].after) {
+      until[i] = std::max(until[i], until[static_cast<std::size_t>(before)]);
+    }
+    if (counts(i)) {
+      until[i] += spec.steps[i].estimate_ms;
+    }
+    longest = std::max(longest, until[i]);
+  }
+  return longest;
+}
+
+}  // namespace
+
+TaskRef Task::Ref() const {
+  return {this->job->spec.id, this->occurrence, this->step, this->index};
+}
+
+const StepSpec& Task::spec() const {
+  return this->job->spec.steps[static_cast<std::size_t>(this->step)];
+}
+
+bool Occurrence::Complete() const {
+  return std::ranges::all_of(
+      this->steps, [](const Step& step) { return step.Complete(); });
+}
+
+bool Job::Ready(const Occurrence& occurrence, std::int32_t step) const {
+  return std::ranges::all_of(
+      this->spec.steps[static_cast<std::size_t>(step)].after,
+      [&occurrence](std::int32_t before) {
+        return occurrence.steps[static_cast<std::size_t>(before)].Complete();
+      });
+}
+
+Time Job::DueAt(std::int32_t occurrence) const {
+  if (this->spec.schedule.times == 0) {
+    return this->arrived;
+  }
+  const std::int64_t wait_ms =
+      this->spec.DueMs(occurrence) - this->spec.accepted_ms;
+  return this->arrived +
+         std::chrono::milliseconds(std::max<std::int64_t>(0, wait_ms));
+}
+
+Occurrence& Job::Open(std::int32_t number) {
+  Occurrence& occurrence = this->open[number];
+  occurrence.number = number;
+  occurrence.steps.resize(this->spec.steps.size());
+  for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+    Step& step = occurrence.steps[s];
+    step.waiting = this->spec.steps[s].count;
+    step.tasks.resize(static_cast<std::size_t>(step.waiting));
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+      Task& task = step.tasks[i];
+      task.job = this;
+      task.occurrence = number;
+      task.step = static_cast<std::int32_t>(s);
+      task.index = static_cast<std::int32_t>(i);
+    }
+  }
+  this->next_occurrence = std::max(this->next_occurrence, number + 1);
+  return occurrence;
+}
+
+std::int64_t Job::ChainMs(const Occurrence& occurrence) const {
+  return LongestChain(this->spec, [&occurrence](std::size_t step) {
+    return !occurrence.steps[step].Complete();
+  });
+}
+
+std::int64_t Job::ChainMs() const {
+  return LongestChain(this->spec, [](std::size_t) { return true; });
+}
+
+}  // namespace kch::jobs
--- /dev/null
+++ b/src/jobs/job.h
@@ -0,0 +1,123 @@
+#ifndef JOBS_JOB_H_
+#define JOBS_JOB_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "jobs/model.h"
+
+namespace kch::jobs {
+
+/*! @brief Where a task is between its first start and its end. */
+enum class TaskPhase : std::uint8_t {
+  kWaiting,
+  kStarting,  // ordered; the VM has not confirmed it
+  kRunning,
+  kStopping,  // a stop is ordered; it occupies its VM until its end is listed
+  kDone,
+};
+
+struct Job;
+
+/*! @brief One task and its current run. */
+struct Task {
+  Job* job = nullptr;
+  std::int32_t occurrence = 0;
+  std::int32_t step = 0;
+  std::int32_t index = 0;
+
+  TaskPhase phase = TaskPhase::kWaiting;
+  std::int64_t run = 0;    // number of the current or last run
+  std::int64_t floor = 0;  // run numbers up to this one may be used already
+  std::int32_t failures = 0;
+  std::string checkpoint;
+  VmId vm;     // of the current run
+  VmId avoid;  // the VM on which the last run failed
+  Time ordered;               // when the start was sent
+  // When the latest order was answered or given up; unset while it is under
+  // way.
+  Time confirmed;
+  bool stop_unsent = false;   // the order to stop has to be sent again
+  std::uint64_t seen = 0;     // latest report that listed the run
+  Time away_since;            // endless tasks: since when it is not at work
+  std::int32_t percent = 0;
+  std::int64_t gauge = 0;
+  std::int32_t pace = 100;    // share of the work that it may do, in percent
+
+  [[nodiscard]] TaskRef Ref() const;
+  [[nodiscard]] const StepSpec& spec() const;
+  /*! @brief True while it occupies a VM. */
+  [[nodiscard]] bool Placed() const {
+    return this->phase == TaskPhase::kStarting ||
+           this->phase == TaskPhase::kRunning ||
+           this->phase == TaskPhase::kStopping;
+  }
+};
+
+/*! @brief A step of one occurrence. */
+struct Step {
+  std::vector<Task> tasks;
+  std::int32_t waiting = 0;
+  std::int32_t done = 0;
+  std::int32_t gang_failures = 0;
+  std::int64_t gang_failed_run = 0;  // latest run counted as failed
+
+  [[nodiscard]] bool Complete() const {
+    return this->done == static_cast<std::int32_t>(this->tasks.size());
+  }
+};
+
+/*! @brief One time that a job's steps run. */
+struct Occurrence {
+  std::int32_t number = 0;
+  std::vector<Step> steps;
+
+  [[nodiscard]] bool Complete() const;
+};
+
+/*! @brief A job and its progress. */
+struct Job {
+  JobSpec spec;
+  JobState state = JobState::kQueued;
+  std::map<std::int32_t, Occurrence> open;  // occurrences begun, not finished
+  std::set<std::int32_t> finished;
+  std::int32_t next_occurrence = 0;
+  bool inherited = false;  // accepted before this scheduler took over
+  bool begun = false;      // a task has started
+  Time arrived;
+  Time finished_at;  // of completed, failed and cancelled jobs
+
+  // The record in the store. `changes` counts changes that must be stored,
+  // `stored` is its value in the last stored record, `writing` the one in a
+  // write under way (0: none).
+  std::uint64_t changes = 0;
+  std::uint64_t stored = 0;
+  std::uint64_t writing = 0;
+  std::uint64_t revision = 0;  // of the stored record; 0: none
+  bool erasing = false;
+
+  [[nodiscard]] bool Ended() const {
+    return this->state == JobState::kCompleted ||
+           this->state == JobState::kFailed ||
+           this->state == JobState::kCancelled;
+  }
+  /*! @brief True if the steps that a step depends on are complete. */
+  [[nodiscard]] bool Ready(const Occurrence& occurrence,
+                           std::int32_t step) const;
+  /*! @brief When an occurrence was accepted or became due. */
+  [[nodiscard]] Time DueAt(std::int32_t occurrence) const;
+  /*! @brief Opens an occurrence with all tasks waiting. */
+  Occurrence& Open(std::int32_t number);
+  /*! @brief Longest estimated chain of steps that are not complete, in ms. */
+  [[nodiscard]] std::int64_t ChainMs(const Occurrence& occurrence) const;
+  /*! @brief Longest estimated chain of all steps, in ms. */
+  [[nodiscard]] std::int64_t ChainMs() const;
+};
+
+}  // namespace kch::jobs
+
+#endif  // JOBS_JOB_H_
--- /dev/null
+++ b/src/jobs/limits.h
@@ -0,0 +1,48 @@
+#ifndef JOBS_LIMITS_H_
+#define JOBS_LIMITS_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "base/time.h"
+
+namespace kch::jobs {
+
+/*! @brief Bounds and intervals of scheduling; the first four come from the
+ * deployment's settings. */
+struct Limits {
+  // Lease of everything that runs on a VM. It is shorter than the time after
+  // which a silent VM's registration is removed, so that no run outlives it.
+  Duration lease = std::chrono::milliseconds(4000);
+  // Longest time from an order to stop a run until the run has ended.
+  Duration stop_grace = std::chrono::milliseconds(900);
+  // A paced task works at its new share from this time on.
+  Duration pace_delay = std::chrono::milliseconds(100);
+  // Longest time that a serving task may stay over its target.
+  Duration harm_limit = std::chrono::milliseconds(4000);
+
+  // A VM answers a look at the latest after this time; half of the lease minus
+  // the time that a lost look costs.
+  Duration look_wait = std::chrono::milliseconds(1200);
+  // Looks at VMs whose paced and serving tasks have to be watched.
+  Duration watch_wait = std::chrono::milliseconds(400);
+  // Pause before a VM that did not answer is asked again.
+  Duration look_retry = std::chrono::milliseconds(250);
+  // Time that a new scheduler waits for the reports of all VMs.
+  Duration recovery_wait = std::chrono::milliseconds(700);
+  // First pause of a VM on which several runs failed; doubles up to the last.
+  Duration first_ejection = std::chrono::milliseconds(1500);
+  Duration last_ejection = std::chrono::milliseconds(12000);
+  // A finished job's state stays readable for this long. The platform's pages
+  // ask for 120 s; the rest covers clock differences between instances.
+  Duration retention = std::chrono::seconds(150);
+  // Keys in one transaction; the store accepts 32, one is the owner's record.
+  std::size_t write_batch = 30;
+};
+
+/*! @brief A VM's clock may run this much slower than ours. */
+inline constexpr double kSlowestVmClock = 0.98;
+
+}  // namespace kch::jobs
+
+#endif  // JOBS_LIMITS_H_
--- /dev/null
+++ b/src/jobs/model.cc
@@ -0,0 +1,79 @@
+#include "jobs/model.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace kch::jobs {
+
+Resources& Resources::operator+=(const Resources& other) {
+  this->cpu_m += other.cpu_m;
+  this->memory_mb += other.memory_mb;
+  this->gpus += other.gpus;
+  return *this;
+}
+
+Resources& Resources::operator-=(const Resources& other) {
+  this->cpu_m -= other.cpu_m;
+  this->memory_mb -= other.memory_mb;
+  this->gpus -= other.gpus;
+  return *this;
+}
+
+bool Resources::Within(const Resources& room) const {
+  return this->cpu_m <= room.cpu_m && this->memory_mb <= room.memory_mb &&
+         this->gpus <= room.gpus;
+}
+
+Resources operator+(Resources left, const Resources& right) {
+  return left += right;
+}
+
+Resources operator-(Resources left, const Resources& right) {
+  return left -= right;
+}
+
+Resources StepSpec::Occupies() const {
+  Resources occupied = this->need;
+  if (this->fills) {
+    occupied.cpu_m = 0;
+  }
+  return occupied;
+}
+
+std::int64_t JobSpec::DueMs(std::int32_t occurrence) const {
+  return this->schedule.first_ms +
+         std::int64_t{occurrence} * this->schedule.interval_ms;
+}
+
+bool JobSpec::Endless() const {
+  return std::ranges::any_of(
+      this->steps, [](const StepSpec& step) { return step.endless; });
+}
+
+std::string TaskRef::Name() const {
+  return this->job.str() + "." + std::to_string(this->occurrence) + "." +
+         std::to_string(this->step) + "." + std::to_string(this->index);
+}
+
+std::optional<TaskRef> TaskRef::Parse(std::string_view name) {
+  const std::size_t first = name.find('.');
+  if (first == std::string_view::npos || first == 0) {
+    return std::nullopt;
+  }
+  TaskRef ref{JobId(std::string(name.substr(0, first)))};
+  const char* at = name.data() + first;
+  const char* const end = name.data() + name.size();
+  for (std::int32_t* part : {&ref.occurrence, &ref.step, &ref.index}) {
+    if (at == end || *at != '.') {
+      return std::nullopt;
+    }
+    const auto [next, error] = std::from_chars(at + 1, end, *part);
+    if (error != std::errc() || *part < 0) {
+      return std::nullopt;
+    }
+    at = next;
+  }
+  return at == end ? std::optional(ref) : std::nullopt;
+}
+
+}  // namespace kch::jobs
--- /dev/null
+++ b/src/jobs/model.h
@@ -0,0 +1,252 @@
+#ifndef JOBS_MODEL_H_
+#define JOBS_MODEL_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/base.h"
+
+namespace kch::jobs {
+
+using JobId = Id<struct JobTag>;
+using QueueId = Id<struct QueueTag>;
+using WaveId = Id<struct WaveTag>;
+using MachineId = Id<struct MachineTag>;
+
+/*! @brief Amounts of what a VM offers and a task occupies. */
+struct Resources {
+  std::int64_t cpu_m = 0;  // thousandths of a core
+  std::int64_t memory_mb = 0;
+  std::int64_t gpus = 0;
+
+  bool operator==(const Resources&) const = default;
+  Resources& operator+=(const Resources& other);
+  Resources& operator-=(const Resources& other);
+  /*! @brief True if no amount exceeds that of `room`. */
+  [[nodiscard]] bool Within(const Resources& room) const;
+};
+
+[[nodiscard]] Resources operator+(Resources left, const Resources& right);
+[[nodiscard]] Resources operator-(Resources left, const Resources& right);
+
+/*! @brief A step of a job: equal tasks that run beside each other. */
+struct StepSpec {
+  std::int32_t count = 1;
+  Resources need;               // of each task
+  std::int64_t estimate_ms = 0;  // the submitter's rough estimate of a task
+  std::vector<std::int32_t> after;  // earlier steps that must be done first
+  std::string label;                // a VM must have it; empty: any VM
+  RackId near;                  // rack that holds the data; empty: none
+  std::int32_t max_per_vm = 0;  // tasks of the step on one VM; 0: no limit
+  bool saves = false;           // the tasks write checkpoints
+  bool gang = false;            // the tasks work only together
+  bool one_rack = false;        // the tasks are slow across racks
+  bool copies = false;          // a task may run more than once
+  bool endless = false;         // the tasks run until the job is cancelled
+  bool fills = false;           // uses processor time that others leave
+  std::string image;
+  std::int64_t target_ms = 0;    // bound of a serving task's tail latency
+  std::int32_t may_miss = 0;     // endless tasks that may be away at once
+
+  /*! @brief What a task takes of a VM's declared capacity. */
+  [[nodiscard]] Resources Occupies() const;
+};
+
+/*! @brief Times at which a job's steps run. */
+struct Schedule {
+  std::int64_t first_ms = 0;  // Unix time
+  std::int64_t interval_ms = 0;
+  std::int32_t times = 0;  // 0: once, at once
+};
+
+/*! @brief A queue of the configuration. */
+struct Queue {
+  QueueId id;
+  PoolId pool;
+  std::int32_t priority = 0;  // 0 comes first
+  std::int32_t max_attempts = 1;
+  double stretch = 1;          // objective over a job's longest chain
+  std::int64_t target_ms = 0;  // added to the objective
+  bool advised = false;        // an outside policy names the VMs that may run it
+};
+
+/*! @brief A job as its submitter handed it in. */
+struct JobSpec {
+  JobId id;
+  Queue queue;          // its terms when the job was accepted
+  TeamId team;          // empty: an open queue
+  std::string payload;  // given to each task unchanged
+  std::vector<StepSpec> steps;
+  Schedule schedule;
+  std::int64_t accepted_ms = 0;  // Unix time
+
+  /*! @brief Number of times the steps run. */
+  [[nodiscard]] std::int32_t Occurrences() const {
+    return this->schedule.times > 0 ? this->schedule.times : 1;
+  }
+  /*! @brief Unix time from which an occurrence may start; 0: at once. */
+  [[nodiscard]] std::int64_t DueMs(std::int32_t occurrence) const;
+  /*! @brief True if the job ends only by cancellation. */
+  [[nodiscard]] bool Endless() const;
+};
+
+/*! @brief Names one task. */
+struct TaskRef {
+  JobId job;
+  std::int32_t occurrence = 0;
+  std::int32_t step = 0;
+  std::int32_t index = 0;
+
+  auto operator<=>(const TaskRef&) const = default;
+  /*! @brief `JOB.OCCURRENCE.STEP.INDEX` */
+  [[nodiscard]] std::string Name() const;
+  /*! @brief Reads a name; nothing if it is malformed. */
+  [[nodiscard]] static std::optional<TaskRef> Parse(std::string_view name);
+};
+
+/*! @brief A job's state as its submitter sees it. */
+enum class JobState : std::uint8_t {
+  kQueued,
+  kRunning,
+  kCompleted,
+  kFailed,
+  kCancelled,
+};
+
+/*! @brief How a run of a task ended on its VM. */
+enum class RunEnd : std::uint8_t {
+  kDone,
+  kFailed,   // by its own fault or the VM's
+  kStopped,  // by an order
+  kExpired,  // its lease was not renewed
+  kBroken,   // another member of its gang ended
+  kAlone,    // its gang did not assemble in time
+};
+
+/*! @brief Answer of a VM to an order to start a run. */
+enum class StartAnswer : std::uint8_t {
+  kAccepted,
+  kFenced,      // another scheduler's higher fence was seen
+  kOldRun,      // this run or a later one ended there
+  kExpired,     // the order arrived after its lease
+  kNoRoom,      // the VM has no room
+  kNoPermit,    // the advice service's permit is missing or old
+  kInvalid,     // the VM does not understand the order
+  kUnhealthy,   // refused without effect; the VM is unwell
+  kOtherVm,     // another VM answers at that address
+  kNoAnswer,    // the order may still be carried out
+  kNotSent,     // the order never left
+};
+
+/*! @brief A team's weight and its limit over the whole fleet. */
+struct TeamLimit {
+  double weight = 1;
+  Resources maximum;  // 0: no limit
+};
+
+/*! @brief A pool of VMs. */
+struct PoolFacts {
+  bool guarded = false;  // its VMs refuse what does not fit
+  bool standby = false;  // its VMs are off
+};
+
+/*! @brief The part of the configuration that scheduling depends on. */
+struct FleetConfig {
+  std::uint64_t version = 0;
+  std::map<QueueId, Queue> queues;
+  std::map<TeamId, TeamLimit> teams;
+  std::map<PoolId, PoolFacts> pools;
+};
+
+/*! @brief What a VM's registration says about it. */
+struct VmFacts {
+  VmId id;
+  PoolId pool;
+  std::string address;
+  ZoneId zone;
+  RackId rack;
+  std::set<std::string> labels;
+  Resources capacity;
+  bool leaving = false;
+  std::int64_t boot_ms = 0;  // Unix time of its start; names the incarnation
+
+  bool operator==(const VmFacts&) const = default;
+};
+
+/*! @brief A run in a VM's report. */
+struct RunningRow {
+  std::string task;
+  std::int64_t run = 0;
+  std::string checkpoint;
+  std::int32_t percent = 0;  // 100: at work
+  std::int64_t gauge = 0;    // serving: tail in ms; else processor use
+};
+
+/*! @brief An ended run in a VM's report. */
+struct EndedRow {
+  std::int64_t number = 0;  // rises within an incarnation
+  std::string task;
+  std::int64_t run = 0;
+  RunEnd how = RunEnd::kDone;
+  std::string checkpoint;
+};
+
+/*! @brief A VM's own account of what runs and what ended on it. */
+struct VmReport {
+  std::int64_t clock_ms = 0;  // the VM's clock
+  std::int64_t boot_ms = 0;   // 0: not told
+  std::vector<RunningRow> running;
+  std::vector<EndedRow> ended;
+};
+
+}  // namespace kch::jobs
+
+template <>
+struct kch::NameTable<kch::jobs::JobState> {
+  static constexpr std::array<
+      std::pair<kch::jobs::JobState, std::string_view>,
+      5>
+      kEntries{{{kch::jobs::JobState::kQueued, "queued"},
+                {kch::jobs::JobState::kRunning, "running"},
+                {kch::jobs::JobState::kCompleted, "completed"},
+                {kch::jobs::JobState::kFailed, "failed"},
+                {kch::jobs::JobState::kCancelled, "cancelled"}}};
+};
+
+template <>
+struct kch::NameTable<kch::jobs::RunEnd> {
+  static constexpr std::array<std::pair<kch::jobs::RunEnd, std::string_view>, 6>
+      kEntries{{{kch::jobs::RunEnd::kDone, "done"},
+                {kch::jobs::RunEnd::kFailed, "failed"},
+                {kch::jobs::RunEnd::kStopped, "stopped"},
+                {kch::jobs::RunEnd::kExpired, "expired"},
+                {kch::jobs::RunEnd::kBroken, "broken"},
+                {kch::jobs::RunEnd::kAlone, "alone"}}};
+};
+
+template <>
+struct kch::NameTable<kch::jobs::StartAnswer> {
+  static constexpr std::array<
+      std::pair<kch::jobs::StartAnswer, std::string_view>,
+      11>
+      kEntries{{{kch::jobs::StartAnswer::kAccepted, "accepted"},
+                {kch::jobs::StartAnswer::kFenced, "fenced"},
+                {kch::jobs::StartAnswer::kOldRun, "old_run"},
+                {kch::jobs::StartAnswer::kExpired, "expired"},
+                {kch::jobs::StartAnswer::kNoRoom, "no_room"},
+                {kch::jobs::StartAnswer::kNoPermit, "no_permit"},
+                {kch::jobs::StartAnswer::kInvalid, "invalid"},
+                {kch::jobs::StartAnswer::kUnhealthy, "unhealthy"},
+                {kch::jobs::StartAnswer::kOtherVm, "other_vm"},
+                {kch::jobs::StartAnswer::kNoAnswer, "no_answer"},
+                {kch::jobs::StartAnswer::kNotSent, "not_sent"}}};
+};
+
+#endif  // JOBS_MODEL_H_
--- /dev/null
+++ b/src/jobs/rank.cc
@@ -0,0 +1,45 @@
+#include "jobs/rank.h"
+
+namespace kch::jobs {
+namespace {
+
+// A job that ends within this many objectives still has part of its worth.
+constexpr std::int64_t kLateObjectives = 3;
+
+}  // namespace
+
+Duration Objective(const Job& job, const Queue& queue) {
+  const double chain_ms = static_cast<double>(job.ChainMs());
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(queue.stretch * chain_ms) + queue.target_ms);
+}
+
+// On time, the step with the least slack goes first. At a peak more work comes
+// than the pool holds; jobs that miss their objective anyway would take the
+// room of those that can still meet it, so they go behind, short ones first.
+Rank RankStep(const Job& job,
+              const Occurrence& occurrence,
+              const Queue& queue,
+              Time due,
+              double slowness,
+              Time now) {
+  const auto left = std::chrono::milliseconds(static_cast<std::int64_t>(
+      slowness * static_cast<double>(job.ChainMs(occurrence))));
+  const Duration objective = Objective(job, queue);
+  const Time end = now + left;
+  Rank rank{.priority = queue.priority};
+  if (job.spec.Endless()) {
+    rank.key = ToMs(due.time_since_epoch());
+  } else if (end <= due + objective) {
+    rank.key = ToMs(due + objective - end);
+  } else if (end <= due + kLateObjectives * objective) {
+    rank.timeliness = Timeliness::kLate;
+    rank.key = ToMs(left);
+  } else {
+    rank.timeliness = Timeliness::kMissed;
+    rank.key = ToMs(due.time_since_epoch());
+  }
+  return rank;
+}
+
+}  // namespace kch::jobs
--- /dev/null
+++ b/src/jobs/rank.h
@@ -0,0 +1,41 @@
+#ifndef JOBS_RANK_H_
+#define JOBS_RANK_H_
+
+#include <cstdint>
+
+#include "base/time.h"
+#include "jobs/job.h"
+
+namespace kch::jobs {
+
+/*! @brief How useful it still is to start a step's tasks now. */
+enum class Timeliness : std::uint8_t {
+  kOnTime,  // the job can still meet its objective
+  kLate,    // it can still end within three times its objective
+  kMissed,  // it will end too late to be of use
+};
+
+/*! @brief Position of a ready step in its pool's order; less comes first. */
+struct Rank {
+  std::int32_t priority = 0;
+  Timeliness timeliness = Timeliness::kOnTime;
+  std::int64_t key = 0;  // on time: slack in ms; late: work left in ms
+
+  auto operator<=>(const Rank&) const = default;
+};
+
+/*! @brief Time from acceptance to the objective of a job's occurrence. */
+[[nodiscard]] Duration Objective(const Job& job, const Queue& queue);
+
+/*! @brief Ranks a ready step. `due` is when the occurrence was accepted or
+ * became due; `slowness` is measured run time over estimate. */
+[[nodiscard]] Rank RankStep(const Job& job,
+                            const Occurrence& occurrence,
+                            const Queue& queue,
+                            Time due,
+                            double slowness,
+                            Time now);
+
+}  // namespace kch::jobs
+
+#endif  // JOBS_RANK_H_
--- /dev/null
+++ b/src/jobs/record.cc
@@ -0,0 +1,303 @@
+#include "jobs/record.h"
+
+#include <nlohmann/json.hpp>
+
+namespace kch::jobs {
+namespace {
+
+using nlohmann::json;
+
+// Longest id: the platform's ids have 16 digits, our own interface allows more.
+constexpr std::size_t kMaxIdLength = 64;
+constexpr std::size_t kMaxSteps = 256;
+
+tl::unexpected<Error> Corrupt(const std::string& what) {
+  return Fail(ErrorKind::kCorrupt, what,
+              "read the record with kchctl and remove it if no instance wrote "
+              "it");
+}
+
+tl::unexpected<Error> Invalid(const std::string& what) {
+  return Fail(ErrorKind::kInvalid, what, "correct the job and submit it again");
+}
+
+void PutUnlessDefault(json& row, const char* name, std::int64_t value) {
+  if (value != 0) {
+    row[name] = value;
+  }
+}
+
+void PutUnlessDefault(json& row, const char* name, bool value) {
+  if (value) {
+    row[name] = true;
+  }
+}
+
+void PutUnlessDefault(json& row, const char* name, const std::string& value) {
+  if (!value.empty()) {
+    row[name] = value;
+  }
+}
+
+json EncodeStep(const StepSpec& step) {
+  json row{{"count", step.count}, {"estimate_ms", step.estimate_ms}};
+  PutUnlessDefault(row, "cpu_m", step.need.cpu_m);
+  PutUnlessDefault(row, "memory_mb", step.need.memory_mb);
+  PutUnlessDefault(row, "gpus", step.need.gpus);
+  if (!step.after.empty()) {
+    row["after"] = step.after;
+  }
+  PutUnlessDefault(row, "label", step.label);
+  PutUnlessDefault(row, "near", step.near.str());
+  PutUnlessDefault(row, "max_per_vm", std::int64_t{step.max_per_vm});
+  PutUnlessDefault(row, "saves", step.saves);
+  PutUnlessDefault(row, "gang", step.gang);
+  PutUnlessDefault(row, "one_rack", step.one_rack);
+  PutUnlessDefault(row, "copies", step.copies);
+  PutUnlessDefault(row, "endless", step.endless);
+  PutUnlessDefault(row, "fills", step.fills);
+  PutUnlessDefault(row, "image", step.image);
+  PutUnlessDefault(row, "target_ms", step.target_ms);
+  PutUnlessDefault(row, "may_miss", std::int64_t{step.may_miss});
+  return row;
+}
+
+StepSpec DecodeStep(const json& row) {
+  StepSpec step;
+  step.count = row.at("count");
+  step.estimate_ms = row.at("estimate_ms");
+  step.need = {row.value("cpu_m", std::int64_t{0}),
+               row.value("memory_mb", std::int64_t{0}),
+               row.value("gpus", std::int64_t{0})};
+  step.after = row.value("after", std::vector<std::int32_t>{});
+  step.label = row.value("label", "");
+  step.near = RackId(row.value("near", ""));
+  step.max_per_vm = row.value("max_per_vm", 0);
+  step.saves = row.value("saves", false);
+  step.gang = row.value("gang", false);
+  step.one_rack = row.value("one_rack", false);
+  step.copies = row.value("copies", false);
+  step.endless = row.value("endless", false);
+  step.fills = row.value("fills", false);
+  step.image = row.value("image", "");
+  step.target_ms = row.value("target_ms", std::int64_t{0});
+  step.may_miss = row.value("may_miss", 0);
+  return step;
+}
+
+// One character a task keeps the record of a wide step small.
+json EncodeOccurrence(const Occurrence& occurrence) {
+  json steps = json::array();
+  for (const Step& step : occurrence.steps) {
+    std::string done;
+    std::int64_t run = 0;
+    json failures = json::object();
+    json checkpoints = json::object();
+    for (const Task& task : step.tasks) {
+      done += task.phase == TaskPhase::kDone ? '1' : '0';
+      run = std::max({run, task.run, task.floor});
+      if (task.phase == TaskPhase::kDone) {
+        continue;
+      }
+      if (task.failures > 0) {
+        failures[std::to_string(task.index)] = task.failures;
+      }
+      if (!task.checkpoint.empty()) {
+        checkpoints[std::to_string(task.index)] = task.checkpoint;
+      }
+    }
+    json row{{"done", done}, {"run", run}};
+    if (!failures.empty()) {
+      row["failures"] = failures;
+    }
+    if (!checkpoints.empty()) {
+      row["checkpoints"] = checkpoints;
+    }
+    if (step.gang_failures > 0) {
+      row["gang_failures"] = step.gang_failures;
+      row["gang_failed_run"] = step.gang_failed_run;
+    }
+    steps.push_back(std::move(row));
+  }
+  return {{"number", occurrence.number}, {"steps", steps}};
+}
+
+void DecodeTasks(const json& row, Step& step) {
+  const std::string done = row.at("done");
+  if (done.size() != step.tasks.size()) {
+    throw std::invalid_argument("number of tasks differs from the job's");
+  }
+  const std::int64_t run = row.at("run");
+  for (Task& task : step.tasks) {
+    task.floor = run;
+    if (done[static_cast<std::size_t>(task.index)] == '1') {
+      task.phase = TaskPhase::kDone;
+      --step.waiting;
+      ++step.done;
+    }
+  }
+  if (const auto failures = row.find("failures"); failures != row.end()) {
+    for (const auto& [index, count] : failures->items()) {
+      step.tasks.at(std::stoul(index)).failures = count;
+    }
+  }
+  if (const auto saved = row.find("checkpoints"); saved != row.end()) {
+    for (const auto& [index, text] : saved->items()) {
+      step.tasks.at(std::stoul(index)).checkpoint = text;
+    }
+  }
+  step.gang_failures = row.value("gang_failures", 0);
+  step.gang_failed_run = row.value("gang_failed_run", std::int64_t{0});
+}
+
+}  // namespace
+
+Result<void> CheckSpec(const JobSpec& spec) {
+  if (spec.id.empty() || spec.id.str().size() > kMaxIdLength ||
+      spec.id.str().find_first_of("./") != std::string::npos) {
+    return Invalid("job id '" + spec.id.str() +
+                   "' must have 1 to 64 characters other than '.' and '/'");
+  }
+  if (spec.steps.empty() || spec.steps.size() > kMaxSteps) {
+    return Invalid("a job must have 1 to 256 steps");
+  }
+  std::int64_t tasks = 0;
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    const StepSpec& step = spec.steps[i];
+    const std::string name = "step " + std::to_string(i);
+    if (step.count < 1) {
+      return Invalid(name + " must have at least one task");
+    }
+    if (step.need.cpu_m < 0 || step.need.memory_mb < 0 || step.need.gpus < 0 ||
+        step.estimate_ms < 0 || step.max_per_vm < 0 || step.may_miss < 0) {
+      return Invalid(name + " has a negative amount");
+    }
+    for (const std::int32_t before : step.after) {
+      if (before < 0 || static_cast<std::size_t>(before) >= i) {
+        return Invalid(name + " may only depend on earlier steps");
+      }
+    }
+    tasks += step.count;
+  }
+  if (tasks > kMaxTasksPerJob) {
+    return Invalid("a job may have at most " + std::to_string(kMaxTasksPerJob) +
+                   " tasks");
+  }
+  if (spec.schedule.times < 0 || spec.schedule.interval_ms < 0) {
+    return Invalid("the schedule has a negative amount");
+  }
+  return {};
+}
+
+std::string EncodeSpec(const JobSpec& spec) {
+  json steps = json::array();
+  for (const StepSpec& step : spec.steps) {
+    steps.push_back(EncodeStep(step));
+  }
+  json record{{"queue", spec.queue.id.str()},
+              {"pool", spec.queue.pool.str()},
+              {"priority", spec.queue.priority},
+              {"max_attempts", spec.queue.max_attempts},
+              {"stretch", spec.queue.stretch},
+              {"target_ms", spec.queue.target_ms},
+              {"payload", spec.payload},
+              {"accepted_ms", spec.accepted_ms},
+              {"steps", steps}};
+  PutUnlessDefault(record, "team", spec.team.str());
+  PutUnlessDefault(record, "advised", spec.queue.advised);
+  if (spec.schedule.times > 0) {
+    record["first_ms"] = spec.schedule.first_ms;
+    record["interval_ms"] = spec.schedule.interval_ms;
+    record["times"] = spec.schedule.times;
+  }
+  return record.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<JobSpec> DecodeSpec(const JobId& id, std::string_view text) {
+  JobSpec spec;
+  try {
+    const json record = json::parse(text);
+    spec.id = id;
+    spec.queue = {.id = QueueId(record.at("queue").get<std::string>()),
+                  .pool = PoolId(record.at("pool").get<std::string>()),
+                  .priority = record.at("priority"),
+                  .max_attempts = record.at("max_attempts"),
+                  .stretch = record.at("stretch"),
+                  .target_ms = record.at("target_ms"),
+                  .advised = record.value("advised", false)};
+    spec.team = TeamId(record.value("team", ""));
+    spec.payload = record.at("payload");
+    spec.accepted_ms = record.at("accepted_ms");
+    for (const json& row : record.at("steps")) {
+      spec.steps.push_back(DecodeStep(row));
+    }
+    spec.schedule = {record.value("first_ms", std::int64_t{0}),
+                     record.value("interval_ms", std::int64_t{0}),
+                     record.value("times", 0)};
+  } catch (const std::exception& error) {
+    return Corrupt("job " + id.str() + " has an unreadable record: " +
+                   error.what());
+  }
+  if (auto checked = CheckSpec(spec); !checked) {
+    return tl::unexpected(checked.error());
+  }
+  return spec;
+}
+
+std::string EncodeProgress(const Job& job) {
+  json record{{"state", NameOf(job.state)}};
+  // An ended job's tasks are of no further use.
+  if (!job.Ended()) {
+    json open = json::array();
+    for (const auto& [number, occurrence] : job.open) {
+      open.push_back(EncodeOccurrence(occurrence));
+    }
+    record["open"] = open;
+    record["finished"] = job.finished;
+  }
+  return record.dump();
+}
+
+Result<void> DecodeProgress(std::string_view text, Job& job) {
+  try {
+    const json record = json::parse(text);
+    const auto state = FromName<JobState>(record.at("state").get<std::string>());
+    if (!state) {
+      return Corrupt("job " + job.spec.id.str() + " has an unknown state");
+    }
+    job.state = *state;
+    if (job.Ended()) {
+      return {};
+    }
+    job.finished = record.at("finished").get<std::set<std::int32_t>>();
+    for (const std::int32_t number : job.finished) {
+      job.next_occurrence = std::max(job.next_occurrence, number + 1);
+    }
+    for (const json& row : record.at("open")) {
+      Occurrence& occurrence = job.Open(row.at("number"));
+      const json& steps = row.at("steps");
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        DecodeTasks(steps.at(s), occurrence.steps[s]);
+      }
+    }
+  } catch (const std::exception& error) {
+    return Corrupt("progress of job " + job.spec.id.str() +
+                   " is unreadable: " + error.what());
+  }
+  return {};
+}
+
+Result<JobState> DecodeState(std::string_view text) {
+  const json record = json::parse(text, nullptr, false);
+  if (record.is_object()) {
+    const auto name = record.find("state");
+    if (name != record.end() && name->is_string()) {
+      if (const auto state = FromName<JobState>(name->get<std::string>())) {
+        return *state;
+      }
+    }
+  }
+  return Corrupt("a progress record has no readable state");
+}
+
+}  // namespace kch::jobs
--- /dev/null
+++ b/src/jobs/record.h
@@ -0,0 +1,34 @@
+#ifndef JOBS_RECORD_H_
+#define JOBS_RECORD_H_
+
+#include <string>
+#include <string_view>
+
+#include "base/base.h"
+#include "jobs/job.h"
+
+namespace kch::jobs {
+
+/*! @brief Most tasks that a job may have over all steps of an occurrence. */
+inline constexpr std::int32_t kMaxTasksPerJob = 20'000;
+
+/*! @brief Checks what a submitter handed in: counts, amounts, order of steps.
+ */
+[[nodiscard]] Result<void> CheckSpec(const JobSpec& spec);
+
+/*! @brief The record of an accepted job. */
+[[nodiscard]] std::string EncodeSpec(const JobSpec& spec);
+[[nodiscard]] Result<JobSpec> DecodeSpec(const JobId& id,
+                                         std::string_view text);
+
+/*! @brief The record of a job's progress: its state, the tasks done, attempts
+ * and checkpoints. */
+[[nodiscard]] std::string EncodeProgress(const Job& job);
+/*! @brief Enters a stored progress into a job that has none. */
+[[nodiscard]] Result<void> DecodeProgress(std::string_view text, Job& job);
+/*! @brief The state in a progress record, without the rest. */
+[[nodiscard]] Result<JobState> DecodeState(std::string_view text);
+
+}  // namespace kch::jobs
+
+#endif  // JOBS_RECORD_H_
--- /dev/null
+++ b/src/jobs/scheduler.cc
@@ -0,0 +1,372 @@
+#include "jobs/scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "jobs/record.h"
+
+namespace kch::jobs {
+
+Scheduler::Scheduler(const Limits& limits) : limits(limits) {}
+
+void Scheduler::NoteThat(
+    std::string_view event,
+    std::vector<std::pair<std::string_view, std::string>> fields) {
+  this->effects.emplace_back(Note{event, std::move(fields)});
+}
+
+Vm* Scheduler::FindVm(const VmId& id) {
+  const auto found = this->fleet.find(id);
+  return found == this->fleet.end() ? nullptr : found->second.get();
+}
+
+Job* Scheduler::FindJob(const JobId& id) {
+  const auto found = this->jobs.find(id);
+  return found == this->jobs.end() ? nullptr : found->second.get();
+}
+
+Task* Scheduler::FindTask(const TaskRef& ref) {
+  Job* job = this->FindJob(ref.job);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  const auto found = job->open.find(ref.occurrence);
+  if (found == job->open.end()) {
+    return nullptr;
+  }
+  auto& steps = found->second.steps;
+  if (static_cast<std::size_t>(ref.step) >= steps.size()) {
+    return nullptr;
+  }
+  auto& tasks = steps[static_cast<std::size_t>(ref.step)].tasks;
+  return static_cast<std::size_t>(ref.index) >= tasks.size()
+             ? nullptr
+             : &tasks[static_cast<std::size_t>(ref.index)];
+}
+
+Step& Scheduler::StepOf(const Task& task) {
+  return task.job->open.at(task.occurrence)
+      .steps[static_cast<std::size_t>(task.step)];
+}
+
+// A queue that was removed from the configuration keeps the terms under which
+// its jobs were accepted.
+const Queue& Scheduler::QueueOf(const Job& job) const {
+  const auto found = this->config.queues.find(job.spec.queue.id);
+  return found == this->config.queues.end() ? job.spec.queue : found->second;
+}
+
+Scheduler::Pool& Scheduler::PoolOf(const Job& job) {
+  return this->pools[this->QueueOf(job).pool];
+}
+
+TeamLimit Scheduler::LimitOf(const TeamId& team) const {
+  const auto found = this->config.teams.find(team);
+  return found == this->config.teams.end() ? TeamLimit{} : found->second;
+}
+
+void Scheduler::SetConfig(const FleetConfig& next, Time /*now*/) {
+  if (next.version < this->config.version) {
+    return;
+  }
+  this->config = next;
+  // A queue may have moved to another pool.
+  for (auto& [id, pool] : this->pools) {
+    pool.ready.clear();
+  }
+  for (auto& [id, job] : this->jobs) {
+    this->EnlistAll(*job);
+  }
+}
+
+void Scheduler::SetZonesOut(std::set<ZoneId> zones) {
+  this->zones_out = std::move(zones);
+}
+
+void Scheduler::SetVm(const VmFacts& facts, Time now) {
+  Vm* vm = this->FindVm(facts.id);
+  if (vm != nullptr && vm->facts.boot_ms != facts.boot_ms &&
+      facts.boot_ms != 0 && vm->facts.boot_ms != 0) {
+    this->LoseRuns(*vm, "vm_restarted", now);
+    this->DropVm(facts.id);
+    vm = nullptr;
+  }
+  if (vm == nullptr) {
+    vm = this->fleet.emplace(facts.id, std::make_unique<Vm>())
+             .first->second.get();
+    vm->next_look = now;
+    this->NoteThat("vm_added", {{"vm", facts.id.str()},
+                                {"pool", facts.pool.str()},
+                                {"zone", facts.zone.str()},
+                                {"address", facts.address}});
+  } else if (vm->facts.pool != facts.pool) {
+    this->pools[vm->facts.pool].vms.erase(vm);
+  }
+  const bool starts_leaving = facts.leaving && !vm->facts.leaving;
+  vm->facts = facts;
+  vm->registered = true;
+  this->pools[facts.pool].vms.insert(vm);
+  if (starts_leaving) {
+    this->NoteThat("vm_leaving", {{"vm", facts.id.str()},
+                                  {"runs", std::to_string(vm->runs.size())}});
+    // What ends by itself may do so while the VM drains; what never ends has
+    // to go elsewhere.
+    const std::vector<Task*> runs(vm->runs.begin(), vm->runs.end());
+    for (Task* task : runs) {
+      if (task->spec().endless) {
+        this->StopTask(*task, now);
+      }
+    }
+  }
+}
+
+void Scheduler::RemoveVm(const VmId& id, Time now) {
+  Vm* vm = this->FindVm(id);
+  if (vm == nullptr) {
+    return;
+  }
+  vm->registered = false;
+  this->NoteThat("vm_removed", {{"vm", id.str()},
+                                {"runs", std::to_string(vm->runs.size())}});
+  if (vm->runs.empty()) {
+    this->DropVm(id);
+  } else {
+    vm->next_look = now;
+  }
+}
+
+void Scheduler::DropVm(const VmId& id) {
+  const auto found = this->fleet.find(id);
+  if (found == this->fleet.end()) {
+    return;
+  }
+  this->pools[found->second->facts.pool].vms.erase(found->second.get());
+  this->fleet.erase(found);
+}
+
+void Scheduler::Cordon(const VmId& id, bool on) {
+  if (Vm* vm = this->FindVm(id)) {
+    vm->cordoned = on;
+  }
+}
+
+void Scheduler::StopRuns(const VmId& id, Time now) {
+  Vm* vm = this->FindVm(id);
+  if (vm == nullptr) {
+    return;
+  }
+  const std::vector<Task*> runs(vm->runs.begin(), vm->runs.end());
+  for (Task* task : runs) {
+    this->StopTask(*task, now);
+  }
+}
+
+void Scheduler::AddJob(JobSpec spec,
+                       std::string_view progress,
+                       std::uint64_t revision,
+                       bool inherited,
+                       Time arrived,
+                       Time now) {
+  const JobId id = spec.id;
+  if (this->jobs.contains(id)) {
+    return;
+  }
+  auto owned = std::make_unique<Job>();
+  Job& job = *owned;
+  job.spec = std::move(spec);
+  job.inherited = inherited;
+  job.arrived = arrived;
+  job.revision = revision;
+  if (!progress.empty()) {
+    if (auto entered = DecodeProgress(progress, job); !entered) {
+      // Running the job afresh could repeat finished tasks.
+      this->NoteThat("job_skipped",
+                     {{"job", id.str()}, {"error", entered.error().Text()}});
+      return;
+    }
+    job.begun = true;
+  }
+  this->jobs.emplace(id, std::move(owned));
+  if (!inherited) {
+    this->NoteThat("job_seen", {{"job", id.str()},
+                                {"queue", job.spec.queue.id.str()},
+                                {"team", job.spec.team.str()}});
+  }
+  if (job.Ended()) {
+    job.finished_at = now;
+    this->ended_jobs.emplace_back(now, id);
+    return;
+  }
+  if (job.spec.schedule.times > 0) {
+    this->scheduled.insert(id);
+  } else {
+    if (!job.begun) {
+      ++this->pending[job.spec.queue.id];
+    }
+    if (job.open.empty()) {
+      job.Open(0);
+    }
+  }
+  this->EnlistAll(job);
+  if (this->early_cancels.erase(id) > 0) {
+    this->CancelJob(id, now);
+  }
+}
+
+void Scheduler::CancelJob(const JobId& id, Time now) {
+  Job* job = this->FindJob(id);
+  if (job == nullptr) {
+    this->early_cancels.insert(id);
+    return;
+  }
+  if (!job->Ended()) {
+    this->EndJob(*job, JobState::kCancelled, now);
+  }
+}
+
+void Scheduler::OpenDue(Job& job, std::int64_t wall_ms) {
+  while (job.next_occurrence < job.spec.Occurrences() &&
+         job.spec.DueMs(job.next_occurrence) <= wall_ms) {
+    job.Open(job.next_occurrence);
+    this->EnlistAll(job);
+  }
+}
+
+void Scheduler::Enlist(Job& job,
+                       const Occurrence& occurrence,
+                       std::int32_t step) {
+  const Unit unit{&job, occurrence.number, step};
+  auto& ready = this->PoolOf(job).ready;
+  if (!job.Ended() &&
+      occurrence.steps[static_cast<std::size_t>(step)].waiting > 0 &&
+      job.Ready(occurrence, step)) {
+    ready.insert(unit);
+  } else {
+    ready.erase(unit);
+  }
+}
+
+void Scheduler::EnlistAll(Job& job) {
+  for (const auto& [number, occurrence] : job.open) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      this->Enlist(job, occurrence, static_cast<std::int32_t>(s));
+    }
+  }
+}
+
+void Scheduler::SetBegun(Job& job) {
+  if (job.begun) {
+    return;
+  }
+  job.begun = true;
+  if (job.spec.schedule.times == 0) {
+    --this->pending[job.spec.queue.id];
+  }
+  if (job.state == JobState::kQueued) {
+    job.state = JobState::kRunning;
+  }
+}
+
+void Scheduler::Place(Task& task, Vm& vm, Time now) {
+  task.vm = vm.facts.id;
+  task.ordered = now;
+  task.confirmed = Time();
+  vm.runs.insert(&task);
+  vm.used += task.spec().Occupies();
+  this->in_use[task.job->spec.team] += task.spec().need;
+  Step& step = this->StepOf(task);
+  --step.waiting;
+  this->SetBegun(*task.job);
+  this->Enlist(*task.job, task.job->open.at(task.occurrence), task.step);
+}
+
+void Scheduler::Release(Task& task) {
+  if (Vm* vm = this->FindVm(task.vm); vm != nullptr && vm->runs.erase(&task)) {
+    vm->used -= task.spec().Occupies();
+    this->in_use[task.job->spec.team] -= task.spec().need;
+  }
+}
+
+void Scheduler::Requeue(Task& task, Time now) {
+  this->Release(task);
+  if (task.phase != TaskPhase::kWaiting) {
+    task.phase = TaskPhase::kWaiting;
+    ++this->StepOf(task).waiting;
+  }
+  task.confirmed = Time();
+  task.stop_unsent = false;
+  task.away_since = now;
+  task.percent = 0;
+  task.pace = 100;
+  this->Enlist(*task.job, task.job->open.at(task.occurrence), task.step);
+}
+
+void Scheduler::Changed(Job& job) {
+  ++job.changes;
+  this->dirty.insert(job.spec.id);
+}
+
+void Scheduler::EndJob(Job& job, JobState state, Time now) {
+  if (!job.begun && job.spec.schedule.times == 0) {
+    --this->pending[job.spec.queue.id];
+    job.begun = true;
+  }
+  job.state = state;
+  job.finished_at = now;
+  this->ended_jobs.emplace_back(now, job.spec.id);
+  this->scheduled.erase(job.spec.id);
+  for (auto& [number, occurrence] : job.open) {
+    for (Step& step : occurrence.steps) {
+      for (Task& task : step.tasks) {
+        if (task.phase == TaskPhase::kStarting ||
+            task.phase == TaskPhase::kRunning) {
+          this->StopTask(task, now);
+        }
+      }
+    }
+  }
+  this->EnlistAll(job);
+  std::erase_if(this->advice,
+                [&job](const auto& row) { return row.first.job == &job; });
+  this->Changed(job);
+  switch (state) {
+    case JobState::kCompleted:
+      ++this->counted.completed_jobs;
+      break;
+    case JobState::kFailed:
+      ++this->counted.failed_jobs;
+      break;
+    default:
+      ++this->counted.cancelled_jobs;
+      break;
+  }
+  this->NoteThat("job_ended",
+                 {{"job", job.spec.id.str()},
+                  {"state", std::string(NameOf(state))},
+                  {"age_ms", std::to_string(ToMs(now - job.arrived))}});
+}
+
+std::optional<JobView> Scheduler::View(const JobId& id) const {
+  const auto found = this->jobs.find(id);
+  if (found == this->jobs.end()) {
+    return std::nullopt;
+  }
+  const Job& job = *found->second;
+  JobView view{job.state, job.spec.team, job.spec.queue.id};
+  // An end is shown once it is stored, so that no successor contradicts it.
+  if (job.Ended() && job.stored != job.changes) {
+    view.state = JobState::kRunning;
+  }
+  return view;
+}
+
+std::int64_t Scheduler::Pending(const QueueId& queue) const {
+  const auto found = this->pending.find(queue);
+  return found == this->pending.end() ? 0 : found->second;
+}
+
+std::vector<Effect> Scheduler::Take() {
+  return std::exchange(this->effects, {});
+}
+
+}  // namespace kch::jobs
--- /dev/null
+++ b/src/jobs/scheduler.h
@@ -0,0 +1,230 @@
+#ifndef JOBS_SCHEDULER_H_
+#define JOBS_SCHEDULER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "jobs/effect.h"
+#include "jobs/job.h"
+#include "jobs/limits.h"
+#include "jobs/vm.h"
+
+namespace kch::jobs {
+
+/*! @brief A job's state as stored, for its submitter. */
+struct JobView {
+  JobState state = JobState::kQueued;
+  TeamId team;
+  QueueId queue;
+};
+
+/*! @brief Counters for metrics. */
+struct Counters {
+  std::uint64_t starts = 0;
+  std::uint64_t done = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t lost = 0;
+  std::uint64_t refused_starts = 0;
+  std::uint64_t unanswered_starts = 0;
+  std::uint64_t ejections = 0;
+  std::uint64_t completed_jobs = 0;
+  std::uint64_t failed_jobs = 0;
+  std::uint64_t cancelled_jobs = 0;
+};
+
+/*! @brief Decides what runs where on the whole fleet.
+ *
+ * One instance at a time owns the fleet; its orders carry a fence that rises
+ * with each owner. Methods take what happened and the time; Take returns what
+ * to do. */
+class Scheduler {
+ public:
+  explicit Scheduler(const Limits& limits);
+  Scheduler(const Scheduler&) = delete;
+  Scheduler& operator=(const Scheduler&) = delete;
+
+  // Facts.
+  void SetConfig(const FleetConfig& config, Time now);
+  void SetZonesOut(std::set<ZoneId> zones);
+  /*! @brief A VM's registration appeared or changed. */
+  void SetVm(const VmFacts& facts, Time now);
+  /*! @brief A VM's registration was removed. */
+  void RemoveVm(const VmId& vm, Time now);
+  /*! @brief Forbids or allows new starts on a VM, before maintenance. */
+  void Cordon(const VmId& vm, bool on);
+
+  // Jobs.
+  /*! @brief Enters a job with its stored progress; `inherited` ones were
+   * accepted before this scheduler took over. */
+  void AddJob(JobSpec spec,
+              std::string_view progress,
+              std::uint64_t revision,
+              bool inherited,
+              Time arrived,
+              Time now);
+  void CancelJob(const JobId& job, Time now);
+  /*! @brief Ends the time in which facts and jobs of the predecessor are
+   * entered: looks at all VMs before anything starts. */
+  void BeginRecovery(Time now);
+
+  // Answers.
+  void OnReport(const VmId& vm, const VmReport& report, Time sent, Time now);
+  void OnNoReport(const VmId& vm, bool fenced, bool other_vm, Time now);
+  void OnStart(const VmId& vm,
+               const TaskRef& task,
+               std::int64_t run,
+               StartAnswer answer,
+               std::int64_t clock_ms,
+               Time now);
+  void OnStop(const VmId& vm,
+              const TaskRef& task,
+              std::int64_t run,
+              bool answered,
+              Time now);
+  void OnPace(const VmId& vm,
+              const TaskRef& task,
+              std::int64_t run,
+              bool answered);
+  void OnWritten(std::uint64_t write, const WriteResult& result, Time now);
+  /*! @brief VMs that may run a step, with their permits. */
+  void OnAdvice(const AskAdvice& asked,
+                std::map<VmId, std::string> permits,
+                Time valid_until,
+                Time now);
+
+  /*! @brief Places what can start; `wall_ms` is the Unix time. */
+  void Plan(Time now, std::int64_t wall_ms);
+  /*! @brief Looks, timeouts, retries and writes that are due. */
+  void Tick(Time now, std::int64_t wall_ms);
+  /*! @brief Removes and returns the effects decided so far. */
+  [[nodiscard]] std::vector<Effect> Take();
+
+  // Views.
+  [[nodiscard]] std::optional<JobView> View(const JobId& job) const;
+  /*! @brief Accepted jobs of a queue that have not begun. */
+  [[nodiscard]] std::int64_t Pending(const QueueId& queue) const;
+  [[nodiscard]] const std::map<VmId, std::unique_ptr<Vm>>& vms() const {
+    return this->fleet;
+  }
+  [[nodiscard]] const Counters& counters() const { return this->counted; }
+  [[nodiscard]] std::size_t job_count() const { return this->jobs.size(); }
+  [[nodiscard]] bool recovering() const { return this->in_recovery; }
+  /*! @brief Orders the end of every run on a VM, before maintenance. */
+  void StopRuns(const VmId& vm, Time now);
+
+ private:
+  // A step with waiting tasks.
+  struct Unit {
+    Job* job = nullptr;
+    std::int32_t occurrence = 0;
+    std::int32_t step = 0;
+
+    auto operator<=>(const Unit&) const = default;
+  };
+  struct Ranked;
+  struct Pool {
+    std::set<Vm*> vms;
+    std::set<Unit> ready;
+    Time inherited_after;  // inherited tasks start from this time on
+    // Run time over estimate of the pool's finished tasks, smoothed.
+    double slowness = 1;
+  };
+  struct Advice {
+    bool asked = false;
+    Time retry_at;
+    Time valid_until;
+    std::map<VmId, std::string> permits;
+  };
+
+  void NoteThat(std::string_view event,
+                std::vector<std::pair<std::string_view, std::string>> fields);
+  Vm* FindVm(const VmId& id);
+  Job* FindJob(const JobId& id);
+  Task* FindTask(const TaskRef& ref);
+  Step& StepOf(const Task& task);
+  const Queue& QueueOf(const Job& job) const;
+  Pool& PoolOf(const Job& job);
+  TeamLimit LimitOf(const TeamId& team) const;
+
+  // scheduler.cc
+  void OpenDue(Job& job, std::int64_t wall_ms);
+  void Enlist(Job& job, const Occurrence& occurrence, std::int32_t step);
+  void EnlistAll(Job& job);
+  void Place(Task& task, Vm& vm, Time now);
+  void Release(Task& task);  // frees what a placed task occupies
+  void Requeue(Task& task, Time now);
+  void Changed(Job& job);
+  void EndJob(Job& job, JobState state, Time now);
+  void SetBegun(Job& job);
+
+  // scheduler_report.cc
+  void Resolve(Vm& vm, Time sent, Time now);
+  void HandleRunning(Vm& vm, const RunningRow& row, Time now);
+  void HandleEnd(Vm& vm, const EndedRow& row, Time now);
+  void HandleDone(Task& task, Time now);
+  void HandleFailure(Task& task, Vm& vm, std::int64_t run, Time now);
+  void CompleteStep(Job& job, Occurrence& occurrence, Time now);
+  void StopTask(Task& task, Time now);
+  void SendStop(Task& task, const Vm& vm);
+  void StopStray(Vm& vm, const TaskRef& ref, std::int64_t run);
+  void LoseRuns(Vm& vm, std::string_view reason, Time now);
+  void Blame(Vm& vm, const Task& task, Time now);
+  void SetSilent(Vm& vm, Time now);
+  void OnFenced(const VmId& id);
+  void DropVm(const VmId& id);
+
+  // scheduler_plan.cc
+  void PlanPool(Pool& pool, Time now);
+  bool PlanUnit(const Unit& unit, Pool& pool, Time now);
+  bool PlanGang(const Unit& unit, Pool& pool, Time now);
+  Vm* ChooseVm(const Task& task, const Pool& pool, Time now);
+  bool Usable(const Vm& vm, Time now) const;
+  bool WithinLimit(const Job& job, const Resources& more) const;
+  void Start(Task& task, Vm& vm, std::int64_t run, Time now);
+  Advice* PermitsFor(const Unit& unit, const Pool& pool, Time now);
+
+  // scheduler_tick.cc
+  void FinishRecovery(Time now);
+  void LookAtVms(Time now);
+  void Look(Vm& vm, Time now);
+  void PaceVm(Vm& vm, Time now);
+  void WriteChanges(Time now);
+  void Acknowledge(Vm& vm, Time now);
+  void EraseOld(Time now);
+
+  Limits limits;
+  FleetConfig config;
+  std::set<ZoneId> zones_out;
+  std::map<VmId, std::unique_ptr<Vm>> fleet;
+  std::unordered_map<JobId, std::unique_ptr<Job>> jobs;
+  std::map<PoolId, Pool> pools;
+  std::map<TeamId, Resources> in_use;
+  std::map<QueueId, std::int64_t> pending;
+  std::set<JobId> scheduled;  // jobs with occurrences that are not open yet
+  std::unordered_set<JobId> early_cancels;  // cancelled before they were seen
+  std::map<Unit, Advice> advice;
+
+  bool in_recovery = false;
+  Time recovery_ends;
+  bool superseded = false;
+
+  std::set<JobId> dirty;  // jobs with changes to store
+  std::uint64_t last_write = 0;
+  std::map<std::uint64_t, std::vector<JobId>> writes;  // under way
+  Time write_retry;
+  std::deque<std::pair<Time, JobId>> ended_jobs;  // by the time of their end
+  Counters counted;
+  std::vector<Effect> effects;
+};
+
+}  // namespace kch::jobs
+
+#endif  // JOBS_SCHEDULER_H_
--- /dev/null
+++ b/src/jobs/scheduler_plan.cc
@@ -0,0 +1,337 @@
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "jobs/rank.h"
+#include "jobs/scheduler.h"
+
+// Which waiting task starts next and where.
+
+namespace kch::jobs {
+namespace {
+
+// VMs named in one question to the advice service, which takes time for each.
+constexpr std::size_t kAdvisedVms = 30;
+// The service takes one question at a time; a lost one is asked again.
+constexpr auto kAdviceRetry = std::chrono::milliseconds(1500);
+
+std::int64_t FreeShare(const Resources& free, const Resources& capacity) {
+  constexpr std::int64_t scale = 10'000;
+  const auto share = [](std::int64_t part, std::int64_t whole) {
+    return whole <= 0 ? scale : part * scale / whole;
+  };
+  return std::min(share(free.cpu_m, capacity.cpu_m),
+                  share(free.memory_mb, capacity.memory_mb));
+}
+
+}  // namespace
+
+struct Scheduler::Ranked {
+  Rank rank;
+  Unit unit;
+};
+
+bool Scheduler::Usable(const Vm& vm, Time now) const {
+  return vm.registered && vm.reported && vm.clock_known && !vm.silent &&
+         !vm.facts.leaving && !vm.cordoned && vm.ejected_until <= now &&
+         !this->zones_out.contains(vm.facts.zone);
+}
+
+bool Scheduler::WithinLimit(const Job& job, const Resources& more) const {
+  const auto found = this->config.teams.find(job.spec.team);
+  if (found == this->config.teams.end()) {
+    return true;
+  }
+  const Resources& most = found->second.maximum;
+  const auto used = this->in_use.find(job.spec.team);
+  const Resources total =
+      used == this->in_use.end() ? more : used->second + more;
+  const auto within = [](std::int64_t amount, std::int64_t limit) {
+    return limit == 0 || amount <= limit;
+  };
+  return within(total.cpu_m, most.cpu_m) &&
+         within(total.memory_mb, most.memory_mb) &&
+         within(total.gpus, most.gpus);
+}
+
+void Scheduler::Plan(Time now, std::int64_t wall_ms) {
+  if (this->in_recovery || this->superseded) {
+    return;
+  }
+  const std::vector<JobId> due(this->scheduled.begin(), this->scheduled.end());
+  for (const JobId& id : due) {
+    Job& job = *this->jobs.at(id);
+    this->OpenDue(job, wall_ms);
+    if (job.next_occurrence >= job.spec.Occurrences()) {
+      this->scheduled.erase(id);
+    }
+  }
+  for (auto& [id, pool] : this->pools) {
+    if (!pool.ready.empty() && !pool.vms.empty()) {
+      this->PlanPool(pool, now);
+    }
+  }
+}
+
+void Scheduler::PlanPool(Pool& pool, Time now) {
+  std::vector<Ranked> order;
+  order.reserve(pool.ready.size());
+  for (const Unit& unit : pool.ready) {
+    const Job& job = *unit.job;
+    if (job.inherited && now < pool.inherited_after) {
+      continue;
+    }
+    order.push_back({RankStep(job, job.open.at(unit.occurrence),
+                              this->QueueOf(job),
+                              job.DueAt(unit.occurrence), pool.slowness, now),
+                     unit});
+  }
+  std::ranges::sort(order, [](const Ranked& left, const Ranked& right) {
+    if (left.rank != right.rank) {
+      return left.rank < right.rank;
+    }
+    return left.unit.job->spec.id < right.unit.job->spec.id;
+  });
+  // A task for which no VM had room: larger ones need not be tried.
+  std::optional<Resources> too_large;
+  for (const Ranked& ranked : order) {
+    const StepSpec& step =
+        ranked.unit.job->spec.steps[static_cast<std::size_t>(ranked.unit.step)];
+    if (too_large && too_large->Within(step.Occupies())) {
+      continue;
+    }
+    const bool placed = step.gang ? this->PlanGang(ranked.unit, pool, now)
+                                  : this->PlanUnit(ranked.unit, pool, now);
+    const bool plain = step.label.empty() && step.max_per_vm == 0 &&
+                       !step.gang && !this->QueueOf(*ranked.unit.job).advised;
+    if (!placed && plain &&
+        this->WithinLimit(*ranked.unit.job, step.need)) {
+      too_large = step.Occupies();
+    }
+  }
+}
+
+// Starts as many waiting tasks as have room; false if one had to be left.
+bool Scheduler::PlanUnit(const Unit& unit, Pool& pool, Time now) {
+  Step& step = unit.job->open.at(unit.occurrence)
+                   .steps[static_cast<std::size_t>(unit.step)];
+  if (this->QueueOf(*unit.job).advised &&
+      this->PermitsFor(unit, pool, now) == nullptr) {
+    return true;
+  }
+  std::string started;
+  bool all = true;
+  for (Task& task : step.tasks) {
+    if (task.phase != TaskPhase::kWaiting) {
+      continue;
+    }
+    Vm* vm = this->WithinLimit(*unit.job, task.spec().need)
+                 ? this->ChooseVm(task, pool, now)
+                 : nullptr;
+    if (vm == nullptr) {
+      all = false;
+      break;
+    }
+    this->Start(task, *vm, std::max(task.run, task.floor) + 1, now);
+    started += (started.empty() ? "" : " ") + std::to_string(task.index) + "@" +
+               vm->facts.id.str();
+  }
+  if (!started.empty()) {
+    this->NoteThat("step_started",
+                   {{"job", unit.job->spec.id.str()},
+                    {"step", std::to_string(unit.occurrence) + "." +
+                                 std::to_string(unit.step)},
+                    {"tasks", started},
+                    {"left", std::to_string(step.waiting)},
+                    {"age_ms", std::to_string(ToMs(now - unit.job->arrived))},
+                    {"config", std::to_string(this->config.version)}});
+  }
+  return all;
+}
+
+// Starts all tasks of a gang or none, on one rack where it wants that.
+bool Scheduler::PlanGang(const Unit& unit, Pool& pool, Time now) {
+  Step& step = unit.job->open.at(unit.occurrence)
+                   .steps[static_cast<std::size_t>(unit.step)];
+  if (step.waiting != static_cast<std::int32_t>(step.tasks.size())) {
+    return true;  // members of the last run have not ended yet
+  }
+  if (this->QueueOf(*unit.job).advised &&
+      this->PermitsFor(unit, pool, now) == nullptr) {
+    return true;
+  }
+  const StepSpec& spec =
+      unit.job->spec.steps[static_cast<std::size_t>(unit.step)];
+  Resources total;
+  std::int64_t run = 0;
+  std::string checkpoint;
+  for (const Task& task : step.tasks) {
+    total += spec.need;
+    run = std::max({run, task.run, task.floor});
+    // The checkpoint of any member holds for all.
+    checkpoint = std::max(checkpoint, task.checkpoint);
+  }
+  if (!this->WithinLimit(*unit.job, total)) {
+    return false;
+  }
+  std::map<Vm*, std::int32_t> room;
+  std::map<RackId, std::int32_t> by_rack;
+  std::int32_t everywhere = 0;
+  const Advice* permits =
+      this->QueueOf(*unit.job).advised ? this->PermitsFor(unit, pool, now)
+                                       : nullptr;
+  for (Vm* vm : pool.vms) {
+    if (!this->Usable(*vm, now) ||
+        (!spec.label.empty() && !vm->facts.labels.contains(spec.label)) ||
+        (permits != nullptr && !permits->permits.contains(vm->facts.id))) {
+      continue;
+    }
+    Resources free = vm->Free();
+    std::int32_t fits = 0;
+    while (spec.Occupies().Within(free) && fits < spec.count &&
+           (spec.max_per_vm == 0 || fits < spec.max_per_vm)) {
+      free -= spec.Occupies();
+      ++fits;
+    }
+    room[vm] = fits;
+    by_rack[vm->facts.rack] += fits;
+    everywhere += fits;
+  }
+  if (everywhere < spec.count) {
+    return false;
+  }
+  std::optional<RackId> rack;
+  if (spec.one_rack || !spec.near.empty()) {
+    for (const auto& [id, fits] : by_rack) {
+      if (fits >= spec.count && (!rack || id == spec.near)) {
+        rack = id;
+      }
+    }
+  }
+  auto member = step.tasks.begin();
+  for (auto& [vm, fits] : room) {
+    if (rack && vm->facts.rack != *rack) {
+      continue;
+    }
+    for (; fits > 0 && member != step.tasks.end(); --fits, ++member) {
+      member->checkpoint = checkpoint;
+      this->Start(*member, *vm, run + 1, now);
+    }
+  }
+  this->NoteThat("gang_started", {{"job", unit.job->spec.id.str()},
+                                  {"step", std::to_string(unit.step)},
+                                  {"run", std::to_string(run + 1)},
+                                  {"tasks", std::to_string(spec.count)}});
+  return true;
+}
+
+// The VM with the most room, since estimates of run times are rough and an even
+// load leaves room on every VM. Serving tasks and tasks that fill disturb each
+// other and are kept apart where possible.
+Vm* Scheduler::ChooseVm(const Task& task, const Pool& pool, Time now) {
+  const StepSpec& spec = task.spec();
+  const Advice* permits = nullptr;
+  if (const auto found =
+          this->advice.find({task.job, task.occurrence, task.step});
+      found != this->advice.end()) {
+    permits = &found->second;
+  }
+  const auto score = [&](const Vm& vm) {
+    std::int32_t conflicts = 0;
+    for (const Task* other : vm.runs) {
+      const StepSpec& beside = other->spec();
+      conflicts += (spec.fills && beside.target_ms > 0) ||
+                   (spec.target_ms > 0 && beside.fills);
+    }
+    const bool other_rack =
+        !spec.near.empty() && vm.facts.rack != spec.near;
+    // After a failure, a VM that has just completed a run is the better test
+    // of whose fault it was.
+    const bool doubtful = task.failures > 0 &&
+                          (vm.facts.id == task.avoid || vm.failures_in_row > 0);
+    return std::tuple(doubtful, vm.facts.id == task.avoid, other_rack,
+                      conflicts, -FreeShare(vm.Free(), vm.facts.capacity));
+  };
+  Vm* best = nullptr;
+  for (Vm* vm : pool.vms) {
+    if (!this->Usable(*vm, now) || !spec.Occupies().Within(vm->Free()) ||
+        (!spec.label.empty() && !vm->facts.labels.contains(spec.label)) ||
+        (permits != nullptr && !permits->permits.contains(vm->facts.id))) {
+      continue;
+    }
+    if (spec.max_per_vm > 0) {
+      const auto beside =
+          std::ranges::count_if(vm->runs, [&task](const Task* other) {
+            return other->job == task.job && other->step == task.step &&
+                   other->occurrence == task.occurrence;
+          });
+      if (beside >= spec.max_per_vm) {
+        continue;
+      }
+    }
+    if (best == nullptr || score(*vm) < score(*best)) {
+      best = vm;
+    }
+  }
+  return best;
+}
+
+void Scheduler::Start(Task& task, Vm& vm, std::int64_t run, Time now) {
+  task.run = run;
+  this->Place(task, vm, now);
+  task.phase = TaskPhase::kStarting;
+  ++this->counted.starts;
+  std::string permit;
+  if (const auto found =
+          this->advice.find({task.job, task.occurrence, task.step});
+      found != this->advice.end()) {
+    permit = found->second.permits[vm.facts.id];
+  }
+  const std::int64_t until = vm.ClockAt(now) + ToMs(this->limits.lease);
+  vm.until_ms = std::max(vm.until_ms, until);
+  this->effects.emplace_back(StartRun{vm.Address(), task.Ref(), run,
+                                      task.job->spec.payload, until,
+                                      task.checkpoint, std::move(permit)});
+}
+
+// Permits in force for a step, or nothing while they are asked for.
+Scheduler::Advice* Scheduler::PermitsFor(const Unit& unit,
+                                         const Pool& pool,
+                                         Time now) {
+  Advice& row = this->advice[unit];
+  if (row.valid_until > now && !row.permits.empty()) {
+    return &row;
+  }
+  if (now < row.retry_at) {
+    return nullptr;
+  }
+  AskAdvice question{unit.job->spec.id, unit.occurrence, unit.step, {}};
+  for (const Vm* vm : pool.vms) {
+    if (this->Usable(*vm, now) && question.vms.size() < kAdvisedVms) {
+      question.vms.push_back(vm->facts.id);
+    }
+  }
+  if (!question.vms.empty()) {
+    row.asked = true;
+    row.retry_at = now + kAdviceRetry;
+    this->effects.emplace_back(std::move(question));
+  }
+  return nullptr;
+}
+
+void Scheduler::OnAdvice(const AskAdvice& asked,
+                         std::map<VmId, std::string> permits,
+                         Time valid_until,
+                         Time now) {
+  Job* job = this->FindJob(asked.job);
+  if (job == nullptr || job->Ended()) {
+    return;
+  }
+  Advice& row = this->advice[{job, asked.occurrence, asked.step}];
+  row.asked = false;
+  row.permits = std::move(permits);
+  row.valid_until = valid_until;
+  row.retry_at = row.permits.empty() ? now + kAdviceRetry : now;
+}
+
+}  // namespace kch::jobs
--- /dev/null
+++ b/src/jobs/scheduler_report.cc
@@ -0,0 +1,497 @@
+#include <algorithm>
+#include <utility>
+
+#include "jobs/scheduler.h"
+
+// What VMs report: runs that go on, ends, losses. A VM is the authority on what
+// runs on it; the scheduler only concludes that a run is absent from a report
+// that was asked for after the order to start it had been answered.
+
+namespace kch::jobs {
+namespace {
+
+// Failures of different jobs in a row, without a success, that eject a VM.
+constexpr std::int32_t kFailuresToEject = 2;
+// Doublings of the pause after which it no longer grows.
+constexpr std::int32_t kMaxEjectionDoublings = 4;
+
+}  // namespace
+
+void Scheduler::OnReport(const VmId& id,
+                         const VmReport& report,
+                         Time sent,
+                         Time now) {
+  Vm* vm = this->FindVm(id);
+  if (vm == nullptr) {
+    return;
+  }
+  vm->looking = false;
+  if (report.boot_ms != 0 && vm->facts.boot_ms != 0 &&
+      report.boot_ms != vm->facts.boot_ms) {
+    // It restarted under its id: clock and ends start anew, nothing runs.
+    this->LoseRuns(*vm, "vm_restarted", now);
+    VmFacts facts = vm->facts;
+    facts.boot_ms = report.boot_ms;
+    const bool registered = vm->registered;
+    this->DropVm(id);
+    this->SetVm(facts, now);
+    vm = this->FindVm(id);
+    vm->registered = registered;
+  }
+  if (vm->silent) {
+    this->NoteThat("vm_answers_again",
+                   {{"vm", id.str()},
+                    {"after_ms", std::to_string(ToMs(now - vm->silent_since))}});
+  }
+  vm->silent = false;
+  vm->clock_ms = report.clock_ms;
+  vm->clock_at = now;
+  vm->clock_known = true;
+  vm->reported = true;
+  ++vm->reports;
+  for (const EndedRow& row : report.ended) {
+    if (row.number > std::max(vm->last_seen, vm->unrecorded_end)) {
+      this->HandleEnd(*vm, row, now);
+      vm->unrecorded_end = row.number;
+    }
+  }
+  for (const RunningRow& row : report.running) {
+    this->HandleRunning(*vm, row, now);
+  }
+  this->Resolve(*vm, sent, now);
+  this->PaceVm(*vm, now);
+  this->Acknowledge(*vm, now);
+}
+
+void Scheduler::HandleRunning(Vm& vm, const RunningRow& row, Time now) {
+  const auto ref = TaskRef::Parse(row.task);
+  if (!ref) {
+    return;
+  }
+  Task* task = this->FindTask(*ref);
+  const bool own =
+      task != nullptr && task->run == row.run && vm.runs.contains(task);
+  if (!own) {
+    if (task == nullptr || task->job->Ended() ||
+        task->phase != TaskPhase::kWaiting || row.run < task->run) {
+      this->StopStray(vm, *ref, row.run);
+      return;
+    }
+    // A run of the predecessor, or one that was thought lost.
+    task->run = row.run;
+    this->Place(*task, vm, now);
+    task->phase = TaskPhase::kStarting;
+    this->NoteThat("run_adopted", {{"task", row.task},
+                                   {"run", std::to_string(row.run)},
+                                   {"vm", vm.facts.id.str()}});
+  }
+  if (task->phase == TaskPhase::kStarting) {
+    task->phase = TaskPhase::kRunning;
+    task->confirmed = now;
+  }
+  task->seen = vm.reports;
+  if (!row.checkpoint.empty()) {
+    task->checkpoint = row.checkpoint;
+  }
+  task->percent = row.percent;
+  task->gauge = row.gauge;
+}
+
+// Settles the runs that a report does not list, and repeats stops that had no
+// answer.
+void Scheduler::Resolve(Vm& vm, Time sent, Time now) {
+  const std::vector<Task*> runs(vm.runs.begin(), vm.runs.end());
+  for (Task* task : runs) {
+    const bool listed = task->seen == vm.reports;
+    // The report may be older than an order that was answered after `sent`.
+    const bool settled = task->confirmed != Time() && task->confirmed < sent;
+    switch (task->phase) {
+      case TaskPhase::kStarting:
+        // The order is lost or late; a stop bars it for good.
+        if (settled) {
+          this->StopTask(*task, now);
+        }
+        break;
+      case TaskPhase::kRunning:
+        if (!listed && settled) {
+          ++this->counted.lost;
+          this->NoteThat("run_lost", {{"task", task->Ref().Name()},
+                                      {"run", std::to_string(task->run)},
+                                      {"vm", vm.facts.id.str()},
+                                      {"reason", "not_in_report"}});
+          this->Requeue(*task, now);
+        }
+        break;
+      case TaskPhase::kStopping:
+      case TaskPhase::kDone:
+        if (task->stop_unsent) {
+          this->SendStop(*task, vm);
+        } else if (!listed && settled) {
+          if (task->phase == TaskPhase::kDone) {
+            this->Release(*task);
+          } else {
+            this->Requeue(*task, now);
+          }
+        }
+        break;
+      case TaskPhase::kWaiting:
+        break;
+    }
+  }
+}
+
+void Scheduler::HandleEnd(Vm& vm, const EndedRow& row, Time now) {
+  const auto ref = TaskRef::Parse(row.task);
+  Task* task = ref ? this->FindTask(*ref) : nullptr;
+  if (task == nullptr) {
+    return;
+  }
+  Job& job = *task->job;
+  const bool current = task->run == row.run && vm.runs.contains(task);
+  if (!current && task->phase == TaskPhase::kWaiting) {
+    task->run = std::max(task->run, row.run);
+  }
+  if (!row.checkpoint.empty() &&
+      (current || task->phase == TaskPhase::kWaiting)) {
+    task->checkpoint = row.checkpoint;
+  }
+  if (row.how == RunEnd::kDone) {
+    vm.failures_in_row = 0;
+    vm.ejections = 0;
+    vm.last_done = now;
+  }
+  if (job.Ended() || task->phase == TaskPhase::kDone) {
+    if (current) {
+      this->Release(*task);
+    }
+    return;
+  }
+  if (row.how != RunEnd::kDone && row.how != RunEnd::kStopped) {
+    this->NoteThat("run_ended", {{"task", row.task},
+                                 {"run", std::to_string(row.run)},
+                                 {"vm", vm.facts.id.str()},
+                                 {"how", std::string(NameOf(row.how))}});
+  }
+  if (row.how == RunEnd::kDone && !task->spec().endless) {
+    if (current) {
+      this->Release(*task);
+    } else if (task->Placed()) {
+      // A run that was thought lost ended; the present one is not needed.
+      this->StopTask(*task, now);
+    }
+    this->HandleDone(*task, now);
+    vm.unrecorded.emplace_back(job.spec.id, job.changes);
+    return;
+  }
+  if (row.how == RunEnd::kFailed) {
+    ++this->counted.failed;
+    this->HandleFailure(*task, vm, row.run, now);
+    if (!task->spec().endless) {
+      vm.unrecorded.emplace_back(job.spec.id, job.changes);
+    }
+  }
+  if (current) {
+    this->Requeue(*task, now);
+  }
+}
+
+void Scheduler::HandleDone(Task& task, Time now) {
+  Job& job = *task.job;
+  Occurrence& occurrence = job.open.at(task.occurrence);
+  Step& step = occurrence.steps[static_cast<std::size_t>(task.step)];
+  ++this->counted.done;
+  const auto finish = [&step](Task& done) {
+    if (done.phase == TaskPhase::kWaiting) {
+      --step.waiting;
+    }
+    done.phase = TaskPhase::kDone;
+    ++step.done;
+  };
+  if (task.spec().gang) {
+    // One member's end stands for all.
+    for (Task& member : step.tasks) {
+      if (member.phase != TaskPhase::kDone) {
+        if (&member != &task) {
+          this->Release(member);
+        }
+        finish(member);
+      }
+    }
+  } else {
+    finish(task);
+  }
+  this->Changed(job);
+  if (step.Complete()) {
+    this->CompleteStep(job, occurrence, now);
+  }
+}
+
+void Scheduler::CompleteStep(Job& job, Occurrence& occurrence, Time now) {
+  if (!occurrence.Complete()) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      this->Enlist(job, occurrence, static_cast<std::int32_t>(s));
+    }
+    return;
+  }
+  for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+    this->Enlist(job, occurrence, static_cast<std::int32_t>(s));
+  }
+  job.finished.insert(occurrence.number);
+  if (static_cast<std::int32_t>(job.finished.size()) ==
+      job.spec.Occurrences()) {
+    this->EndJob(job, JobState::kCompleted, now);
+  } else {
+    // The caller may still hold a task of it; it goes with the job.
+    this->Changed(job);
+  }
+}
+
+void Scheduler::HandleFailure(Task& task,
+                              Vm& vm,
+                              std::int64_t run,
+                              Time now) {
+  Job& job = *task.job;
+  task.avoid = vm.facts.id;
+  if (vm.last_failed_job != job.spec.id) {
+    ++vm.failures_in_row;
+    vm.last_failed_job = job.spec.id;
+    this->Blame(vm, task, now);
+  }
+  if (task.spec().endless) {
+    return;
+  }
+  std::int32_t failures = 0;
+  if (task.spec().gang) {
+    Step& step = this->StepOf(task);
+    if (step.gang_failed_run != run) {
+      step.gang_failed_run = run;
+      ++step.gang_failures;
+    }
+    failures = step.gang_failures;
+  } else {
+    failures = ++task.failures;
+  }
+  this->Changed(job);
+  if (failures >= this->QueueOf(job).max_attempts) {
+    this->EndJob(job, JobState::kFailed, now);
+  }
+}
+
+// A VM on which runs of several jobs failed in a row gets nothing for a while.
+void Scheduler::Blame(Vm& vm, const Task& task, Time now) {
+  if (vm.failures_in_row < kFailuresToEject || vm.ejected_until > now) {
+    return;
+  }
+  const Duration pause =
+      std::min(this->limits.last_ejection,
+               this->limits.first_ejection *
+                   (1 << std::min(vm.ejections, kMaxEjectionDoublings)));
+  ++vm.ejections;
+  vm.ejected_until = now + pause;
+  // One more failure after the pause ejects it again.
+  vm.failures_in_row = kFailuresToEject - 1;
+  vm.last_failed_job = JobId();
+  ++this->counted.ejections;
+  this->NoteThat("vm_ejected",
+                 {{"vm", vm.facts.id.str()},
+                  {"task", task.Ref().Name()},
+                  {"for_ms", std::to_string(ToMs(pause))},
+                  {"times", std::to_string(vm.ejections)}});
+}
+
+void Scheduler::StopTask(Task& task, Time now) {
+  Vm* vm = this->FindVm(task.vm);
+  if (vm == nullptr || !task.Placed()) {
+    return;
+  }
+  task.phase = TaskPhase::kStopping;
+  task.away_since = now;
+  this->SendStop(task, *vm);
+}
+
+void Scheduler::SendStop(Task& task, const Vm& vm) {
+  task.stop_unsent = false;
+  task.confirmed = Time();
+  this->effects.emplace_back(StopRun{vm.Address(), task.Ref(), task.run});
+}
+
+void Scheduler::StopStray(Vm& vm, const TaskRef& ref, std::int64_t run) {
+  this->NoteThat("stray_stopped", {{"task", ref.Name()},
+                                   {"run", std::to_string(run)},
+                                   {"vm", vm.facts.id.str()}});
+  this->effects.emplace_back(StopRun{vm.Address(), ref, run});
+}
+
+void Scheduler::OnStop(const VmId& id,
+                       const TaskRef& ref,
+                       std::int64_t run,
+                       bool answered,
+                       Time now) {
+  Vm* vm = this->FindVm(id);
+  if (vm == nullptr) {
+    return;
+  }
+  if (!answered) {
+    this->SetSilent(*vm, now);
+  }
+  Task* task = this->FindTask(ref);
+  if (task == nullptr || task->run != run || !vm->runs.contains(task) ||
+      (task->phase != TaskPhase::kStopping &&
+       task->phase != TaskPhase::kDone)) {
+    return;
+  }
+  task->stop_unsent = !answered;
+  if (answered) {
+    task->confirmed = now;
+  }
+  vm->next_look = std::min(vm->next_look, now);
+}
+
+void Scheduler::OnStart(const VmId& id,
+                        const TaskRef& ref,
+                        std::int64_t run,
+                        StartAnswer answer,
+                        std::int64_t clock_ms,
+                        Time now) {
+  Vm* vm = this->FindVm(id);
+  if (answer == StartAnswer::kFenced) {
+    this->OnFenced(id);
+    return;
+  }
+  if (vm == nullptr) {
+    return;
+  }
+  if (clock_ms > 0 && clock_ms >= vm->clock_ms) {
+    vm->clock_ms = clock_ms;
+    vm->clock_at = now;
+    vm->clock_known = true;
+  }
+  Task* task = this->FindTask(ref);
+  const bool current = task != nullptr && task->vm == id && task->run == run &&
+                       task->phase == TaskPhase::kStarting;
+  if (answer != StartAnswer::kAccepted) {
+    ++(answer == StartAnswer::kNoAnswer ? this->counted.unanswered_starts
+                                        : this->counted.refused_starts);
+    this->NoteThat("start_refused",
+                   {{"task", ref.Name()},
+                    {"run", std::to_string(run)},
+                    {"vm", id.str()},
+                    {"answer", std::string(NameOf(answer))}});
+  }
+  switch (answer) {
+    case StartAnswer::kAccepted:
+      if (current) {
+        task->phase = TaskPhase::kRunning;
+        task->confirmed = now;
+      }
+      vm->next_look = std::min(vm->next_look, now);
+      return;
+    case StartAnswer::kNoAnswer:
+      // A report that is asked for from now on tells whether it runs.
+      if (current) {
+        task->confirmed = now;
+      }
+      this->SetSilent(*vm, now);
+      vm->next_look = now;
+      return;
+    case StartAnswer::kNotSent:
+      this->SetSilent(*vm, now);
+      break;
+    case StartAnswer::kOldRun:
+      if (current) {
+        // The VM saw later runs than this scheduler knows of.
+        constexpr std::int64_t run_skip = 3;
+        task->run += run_skip;
+      }
+      break;
+    case StartAnswer::kExpired:
+      vm->clock_known = false;
+      vm->next_look = now;
+      break;
+    case StartAnswer::kNoRoom:
+      vm->ejected_until =
+          std::max(vm->ejected_until, now + this->limits.look_retry);
+      vm->next_look = now;
+      break;
+    case StartAnswer::kUnhealthy:
+      vm->ejected_until =
+          std::max(vm->ejected_until, now + this->limits.first_ejection);
+      break;
+    case StartAnswer::kNoPermit:
+      if (current) {
+        this->advice.erase({task->job, task->occurrence, task->step});
+      }
+      break;
+    case StartAnswer::kInvalid:
+      // The order will not be understood elsewhere either.
+      if (current) {
+        this->HandleFailure(*task, *vm, run, now);
+      }
+      break;
+    case StartAnswer::kOtherVm:
+      // The VM's address belongs to another one, so the VM is gone.
+      this->LoseRuns(*vm, "address_reused", now);
+      this->DropVm(id);
+      return;
+    case StartAnswer::kFenced:
+      return;
+  }
+  if (current) {
+    this->Requeue(*task, now);
+  }
+}
+
+void Scheduler::OnNoReport(const VmId& id,
+                           bool fenced,
+                           bool other_vm,
+                           Time now) {
+  Vm* vm = this->FindVm(id);
+  if (vm == nullptr) {
+    return;
+  }
+  vm->looking = false;
+  if (fenced) {
+    this->OnFenced(id);
+    return;
+  }
+  if (other_vm) {
+    this->LoseRuns(*vm, "address_reused", now);
+    this->DropVm(id);
+    return;
+  }
+  // The first lost look is repeated at once on another connection.
+  vm->next_look = vm->silent ? now + this->limits.look_retry : now;
+  this->SetSilent(*vm, now);
+}
+
+// Every further order with this fence would be refused as well.
+void Scheduler::OnFenced(const VmId& id) {
+  if (!this->superseded) {
+    this->superseded = true;
+    this->effects.emplace_back(Superseded{id});
+  }
+}
+
+void Scheduler::SetSilent(Vm& vm, Time now) {
+  if (vm.silent) {
+    return;
+  }
+  vm.silent = true;
+  vm.silent_since = now;
+  this->NoteThat("vm_silent", {{"vm", vm.facts.id.str()},
+                               {"runs", std::to_string(vm.runs.size())}});
+}
+
+void Scheduler::LoseRuns(Vm& vm, std::string_view reason, Time now) {
+  const std::vector<Task*> runs(vm.runs.begin(), vm.runs.end());
+  for (Task* task : runs) {
+    ++this->counted.lost;
+    this->NoteThat("run_lost", {{"task", task->Ref().Name()},
+                                {"run", std::to_string(task->run)},
+                                {"vm", vm.facts.id.str()},
+                                {"reason", std::string(reason)}});
+    this->Requeue(*task, now);
+  }
+}
+
+}  // namespace kch::jobs
--- /dev/null
+++ b/src/jobs/scheduler_tick.cc
@@ -0,0 +1,284 @@
+#include <algorithm>
+#include <utility>
+
+#include "jobs/record.h"
+#include "jobs/scheduler.h"
+
+// Looks at VMs, leases, records to write and jobs to forget.
+
+namespace kch::jobs {
+namespace {
+
+// Pause after the store refused a write.
+constexpr auto kWriteRetry = std::chrono::milliseconds(100);
+// Transactions under way at once; further changes join the next one.
+constexpr std::size_t kMaxWrites = 4;
+// Interval of looks while the end of a stopped run is awaited.
+constexpr auto kStopPoll = std::chrono::milliseconds(60);
+// The next look at a VM on which nothing runs.
+constexpr auto kNever = std::chrono::hours(24);
+
+}  // namespace
+
+void Scheduler::BeginRecovery(Time now) {
+  this->in_recovery = true;
+  this->recovery_ends = now + this->limits.recovery_wait;
+  for (auto& [id, vm] : this->fleet) {
+    vm->next_look = now;
+  }
+}
+
+void Scheduler::FinishRecovery(Time now) {
+  // Whatever the predecessor started on a VM that does not answer ends with its
+  // lease, which this scheduler does not know: the longest one bounds it.
+  const auto longest = std::chrono::duration_cast<Duration>(
+      this->limits.lease / kSlowestVmClock + this->limits.stop_grace);
+  std::size_t silent = 0;
+  for (auto& [id, vm] : this->fleet) {
+    if (!vm->reported) {
+      ++silent;
+      this->pools[vm->facts.pool].inherited_after = now + longest;
+    }
+  }
+  this->in_recovery = false;
+  this->NoteThat("recovered", {{"jobs", std::to_string(this->jobs.size())},
+                               {"vms", std::to_string(this->fleet.size())},
+                               {"silent", std::to_string(silent)}});
+}
+
+void Scheduler::Tick(Time now, std::int64_t /*wall_ms*/) {
+  if (this->superseded) {
+    return;
+  }
+  if (this->in_recovery) {
+    const bool complete = std::ranges::all_of(
+        this->fleet, [](const auto& row) { return row.second->reported; });
+    if (complete || now >= this->recovery_ends) {
+      this->FinishRecovery(now);
+    }
+  }
+  this->LookAtVms(now);
+  this->EraseOld(now);
+  this->WriteChanges(now);
+}
+
+void Scheduler::LookAtVms(Time now) {
+  std::vector<VmId> gone;
+  for (auto& [id, vm] : this->fleet) {
+    if (vm->silent || !vm->registered) {
+      const auto lease_end = vm->LeaseEnd(this->limits);
+      const bool expired = !lease_end || now >= *lease_end;
+      if (expired && !vm->runs.empty() && (vm->silent || vm->looking)) {
+        this->LoseRuns(*vm, "lease_expired", now);
+      }
+      if (!vm->registered && vm->runs.empty()) {
+        gone.push_back(id);
+        continue;
+      }
+    }
+    // Unrecorded ends would be returned again at once.
+    if (!vm->looking && now >= vm->next_look && vm->unrecorded.empty()) {
+      this->Look(*vm, now);
+    }
+  }
+  for (const VmId& id : gone) {
+    this->DropVm(id);
+  }
+}
+
+void Scheduler::Look(Vm& vm, Time now) {
+  LookAt look{.to = vm.Address(), .last_seen = vm.last_seen};
+  if (!vm.runs.empty() && vm.clock_known) {
+    look.until_ms = vm.ClockAt(now) + ToMs(this->limits.lease);
+    vm.until_ms = std::max(vm.until_ms, *look.until_ms);
+    const bool unsettled =
+        vm.silent || std::ranges::any_of(vm.runs, [](const Task* task) {
+          return task->phase == TaskPhase::kStopping ||
+                 task->phase == TaskPhase::kDone ||
+                 (task->phase == TaskPhase::kStarting &&
+                  task->confirmed != Time());
+        });
+    look.wait_ms = unsettled      ? 0
+                   : vm.mixed      ? ToMs(this->limits.watch_wait)
+                                  : ToMs(this->limits.look_wait);
+  }
+  vm.looking = true;
+  vm.look_sent = now;
+  vm.next_look = now + kNever;
+  this->effects.emplace_back(std::move(look));
+}
+
+// Ends are acknowledged with the next look, once their records are stored.
+void Scheduler::Acknowledge(Vm& vm, Time now) {
+  std::erase_if(vm.unrecorded, [this](const auto& wanted) {
+    const Job* job = this->FindJob(wanted.first);
+    return job == nullptr || job->stored >= wanted.second;
+  });
+  if (!vm.unrecorded.empty()) {
+    return;
+  }
+  const bool news = vm.unrecorded_end > vm.last_seen;
+  vm.last_seen = std::max(vm.last_seen, vm.unrecorded_end);
+  if (vm.looking) {
+    return;
+  }
+  if (!vm.runs.empty() || news) {
+    const bool unsettled =
+        std::ranges::any_of(vm.runs, [](const Task* task) {
+          return task->phase == TaskPhase::kStopping ||
+                 task->phase == TaskPhase::kDone;
+        });
+    vm.next_look =
+        std::min(vm.next_look, unsettled ? now + kStopPoll : now);
+  }
+}
+
+void Scheduler::PaceVm(Vm& vm, Time now) {
+  std::vector<Tail> tails;
+  std::vector<Task*> fills;
+  for (Task* task : vm.runs) {
+    if (task->phase != TaskPhase::kRunning) {
+      continue;
+    }
+    if (task->spec().target_ms > 0) {
+      tails.push_back({task->gauge, task->spec().target_ms});
+    } else if (task->spec().fills) {
+      fills.push_back(task);
+    }
+  }
+  vm.mixed = !tails.empty() && !fills.empty();
+  if (!vm.mixed) {
+    vm.pace = {};
+  } else if (vm.pace.Adjust(tails, now)) {
+    this->NoteThat("vm_paced",
+                   {{"vm", vm.facts.id.str()},
+                    {"percent", std::to_string(vm.pace.percent)},
+                    {"fills", std::to_string(fills.size())}});
+  }
+  for (Task* task : fills) {
+    if (task->pace != vm.pace.percent) {
+      task->pace = vm.pace.percent;
+      this->effects.emplace_back(
+          PaceRun{vm.Address(), task->Ref(), task->run, task->pace});
+    }
+  }
+}
+
+void Scheduler::OnPace(const VmId& id,
+                       const TaskRef& ref,
+                       std::int64_t run,
+                       bool answered) {
+  Vm* vm = this->FindVm(id);
+  Task* task = this->FindTask(ref);
+  if (vm != nullptr && task != nullptr && task->run == run &&
+      vm->runs.contains(task) && !answered) {
+    task->pace = -1;  // unknown; the next report sets it again
+  }
+}
+
+// One write per job is under way at a time, so a record's expected revision is
+// known but after a lost answer, which the next conflict repairs.
+void Scheduler::WriteChanges(Time now) {
+  if (now < this->write_retry) {
+    return;
+  }
+  while (!this->dirty.empty() && this->writes.size() < kMaxWrites) {
+    WriteRecords write{.id = ++this->last_write};
+    std::vector<JobId> included;
+    for (auto it = this->dirty.begin();
+         it != this->dirty.end() &&
+         write.records.size() < this->limits.write_batch;) {
+      Job* job = this->FindJob(*it);
+      if (job == nullptr) {
+        it = this->dirty.erase(it);
+        continue;
+      }
+      if (job->writing != 0) {
+        ++it;
+        continue;
+      }
+      job->writing = job->changes;
+      write.records.push_back({job->spec.id, job->revision,
+                               job->erasing ? "" : EncodeProgress(*job),
+                               job->erasing});
+      included.push_back(job->spec.id);
+      it = this->dirty.erase(it);
+    }
+    if (included.empty()) {
+      return;
+    }
+    this->writes.emplace(write.id, std::move(included));
+    this->effects.emplace_back(std::move(write));
+  }
+}
+
+void Scheduler::OnWritten(std::uint64_t id,
+                          const WriteResult& result,
+                          Time now) {
+  const auto found = this->writes.find(id);
+  if (found == this->writes.end()) {
+    return;
+  }
+  const std::vector<JobId> included = std::move(found->second);
+  this->writes.erase(found);
+  for (const auto& [job_id, revision] : result.revisions) {
+    if (Job* job = this->FindJob(job_id)) {
+      job->revision = revision;
+    }
+  }
+  const bool written = result.answer == WriteAnswer::kWritten;
+  if (!written && result.answer != WriteAnswer::kConflict) {
+    this->write_retry = now + kWriteRetry;
+  }
+  for (const JobId& job_id : included) {
+    Job* job = this->FindJob(job_id);
+    if (job == nullptr) {
+      continue;
+    }
+    if (written && job->erasing) {
+      this->jobs.erase(job_id);
+      continue;
+    }
+    if (written) {
+      job->stored = std::max(job->stored, job->writing);
+      job->revision = result.revision;
+    }
+    job->writing = 0;
+    if (!written || job->changes > job->stored) {
+      this->dirty.insert(job_id);
+    }
+  }
+  if (written) {
+    for (auto& [vm_id, vm] : this->fleet) {
+      if (!vm->unrecorded.empty()) {
+        this->Acknowledge(*vm, now);
+      }
+    }
+  }
+}
+
+// Ended jobs leave the store and memory once their submitters had time to ask.
+void Scheduler::EraseOld(Time now) {
+  while (!this->ended_jobs.empty() &&
+         now - this->ended_jobs.front().first >= this->limits.retention) {
+    const JobId id = this->ended_jobs.front().second;
+    this->ended_jobs.pop_front();
+    Job* job = this->FindJob(id);
+    if (job == nullptr || job->erasing) {
+      continue;
+    }
+    const bool placed = std::ranges::any_of(this->fleet, [job](const auto& row) {
+      return std::ranges::any_of(row.second->runs, [job](const Task* task) {
+        return task->job == job;
+      });
+    });
+    if (placed) {
+      this->ended_jobs.emplace_back(now, id);
+      return;
+    }
+    job->erasing = true;
+    this->Changed(*job);
+  }
+}
+
+}  // namespace kch::jobs
--- /dev/null
+++ b/src/jobs/vm.h
@@ -0,0 +1,65 @@
+#ifndef JOBS_VM_H_
+#define JOBS_VM_H_
+
+#include <cstdint>
+#include <optional>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "jobs/effect.h"
+#include "jobs/job.h"
+#include "jobs/limits.h"
+#include "jobs/pace.h"
+
+namespace kch::jobs {
+
+/*! @brief What a scheduler knows about one incarnation of a VM. */
+struct Vm {
+  VmFacts facts;
+  bool registered = true;  // its registration is in the store
+  Resources used;          // by placed tasks
+  std::unordered_set<Task*> runs;  // placed tasks
+
+  // The VM's clock as last read, and when the answer arrived.
+  std::int64_t clock_ms = 0;
+  Time clock_at;
+  bool clock_known = false;
+  std::int64_t until_ms = 0;  // latest lease sent, answered or not
+
+  bool reported = false;  // has answered this scheduler
+  std::uint64_t reports = 0;
+  std::int64_t last_seen = 0;  // ends up to this one are recorded
+  // Ends that wait for the records of these jobs: job and its change number.
+  std::vector<std::pair<JobId, std::uint64_t>> unrecorded;
+  std::int64_t unrecorded_end = 0;
+
+  bool looking = false;
+  Time look_sent;
+  Time next_look;
+  bool silent = false;  // the last order or look had no answer
+  Time silent_since;
+
+  // Ejection of a VM that fails what others complete.
+  std::int32_t failures_in_row = 0;
+  JobId last_failed_job;
+  Time last_done;
+  std::int32_t ejections = 0;
+  Time ejected_until;
+
+  bool mixed = false;  // serving and filling tasks run beside each other
+  Pace pace;           // of the filling tasks
+
+  bool cordoned = false;  // due for maintenance or a move: no new starts
+
+  [[nodiscard]] Destination Address() const;
+  [[nodiscard]] Resources Free() const;
+  /*! @brief The VM's clock at a time on ours, at most 2% ahead of it. */
+  [[nodiscard]] std::int64_t ClockAt(Time now) const;
+  /*! @brief When every lease sent has surely expired, on our clock. */
+  [[nodiscard]] std::optional<Time> LeaseEnd(const Limits& limits) const;
+};
+
+}  // namespace kch::jobs
+
+#endif  // JOBS_VM_H_
--- /dev/null
+++ b/src/lead/lead.h
@@ -0,0 +1,6 @@
+#ifndef LEAD_LEAD_H_
+#define LEAD_LEAD_H_
+
+#include "lead/ownership.h"
+
+#endif  // LEAD_LEAD_H_
--- /dev/null
+++ b/src/lead/ownership.h
@@ -0,0 +1,136 @@
+#ifndef LEAD_OWNERSHIP_H_
+#define LEAD_OWNERSHIP_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/base.h"
+
+namespace kch::lead {
+
+/*! @brief Lease of the owner's record. A successor takes over at the latest
+ * this long after the owner's last renewal, well within the lease of what runs
+ * on VMs. */
+inline constexpr Duration kOwnerLease = std::chrono::milliseconds(2000);
+/*! @brief Interval of renewals; three may be lost before the lease ends. */
+inline constexpr Duration kRenewInterval = std::chrono::milliseconds(450);
+/*! @brief Pause before a failed store call is repeated. */
+inline constexpr Duration kRetryInterval = std::chrono::milliseconds(250);
+/*! @brief Candidates wait up to this long, so that they seldom collide. */
+inline constexpr Duration kMaxCandidateDelay = std::chrono::milliseconds(120);
+
+/*! @brief The owner's record in the store. */
+struct OwnerRecord {
+  std::string instance;
+  std::string incarnation;  // differs between starts of one instance
+  std::string address;      // host:port for other instances
+  std::uint64_t revision = 0;  // of its creation; the fence of all orders
+
+  bool operator==(const OwnerRecord&) const = default;
+};
+
+[[nodiscard]] std::string Encode(const OwnerRecord& record);
+[[nodiscard]] Result<OwnerRecord> DecodeOwner(std::string_view text,
+                                              std::uint64_t revision);
+
+/*! @brief Creates a lease of kOwnerLease. */
+struct CreateLease {};
+/*! @brief Writes the owner's record under a lease if it has a revision. */
+struct ClaimRecord {
+  std::uint64_t lease = 0;
+  std::uint64_t expected = 0;
+  OwnerRecord record;
+};
+/*! @brief Reads the owner's record, after a claim without an answer. */
+struct ReadRecord {};
+struct RenewLease {
+  std::uint64_t lease = 0;
+};
+/*! @brief Ends a lease and with it the record. */
+struct EndLease {
+  std::uint64_t lease = 0;
+};
+/*! @brief This instance owns the fleet from now on. */
+struct Gained {
+  std::uint64_t fence = 0;
+};
+/*! @brief It no longer does, or must assume so. */
+struct Lost {
+  std::string reason;
+};
+
+using Effect = std::variant<CreateLease,
+                            ClaimRecord,
+                            ReadRecord,
+                            RenewLease,
+                            EndLease,
+                            Gained,
+                            Lost>;
+
+/*! @brief How a store call ended. */
+enum class Answer : std::uint8_t { kOk, kRefused, kConflict, kMissing, kUnknown };
+
+/*! @brief Decides when to claim, renew and give up the fleet. */
+class Ownership {
+ public:
+  /*! @brief `delay` spreads the candidates; up to kMaxCandidateDelay. */
+  Ownership(OwnerRecord self, Duration delay);
+
+  /*! @brief The record as read or watched; nothing if absent. */
+  void OnRecord(const std::optional<OwnerRecord>& seen, Time now);
+  void OnLease(Answer answer, std::uint64_t lease, Time now);
+  void OnClaim(Answer answer, std::uint64_t revision, Time now);
+  void OnRenewal(Answer answer, Time sent, Time now);
+  /*! @brief A VM or instance has seen a later owner. */
+  void OnSuperseded(Time now);
+  /*! @brief Gives the fleet up for a shutdown and claims no more. */
+  void Resign(Time now);
+  void Tick(Time now);
+  [[nodiscard]] std::vector<Effect> Take();
+
+  [[nodiscard]] bool owner() const { return this->state == State::kOwner; }
+  /*! @brief True if no successor can exist yet. */
+  [[nodiscard]] bool Certain(Time now) const {
+    return this->owner() && now < this->valid_until;
+  }
+  [[nodiscard]] std::uint64_t fence() const { return this->record.revision; }
+  /*! @brief The owner as last seen. */
+  [[nodiscard]] const std::optional<OwnerRecord>& seen() const {
+    return this->current;
+  }
+
+ private:
+  enum class State : std::uint8_t {
+    kFollower,
+    kLeasing,   // a lease is being created
+    kClaiming,  // the record is being written
+    kChecking,  // the claim had no answer; the record is being read
+    kOwner,
+    kResigned,
+  };
+
+  void Follow(Time retry);
+  void Own(std::uint64_t revision, Time now);
+  void Lose(const std::string& reason, Time now);
+
+  OwnerRecord record;
+  Duration delay;
+  State state = State::kFollower;
+  std::optional<OwnerRecord> current;
+  bool looked = false;  // the record has been read at least once
+  Time next_try;
+  bool waiting = false;  // next_try is set
+  std::uint64_t lease = 0;
+  Time lease_sent;
+  Time valid_until;
+  Time next_renewal;
+  bool renewing = false;
+  std::vector<Effect> effects;
+};
+
+}  // namespace kch::lead
+
+#endif  // LEAD_OWNERSHIP_H_
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -5,7 +5,11 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
+#include <poll.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <chrono>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -31,6 +35,73 @@
   }
 };
 
+// Lines a second, and the burst, that a process writes at most: enough for the
+// decisions of a busy scheduler at a fraction of a percent of a core.
+constexpr double kLinesPerSecond = 300;
+constexpr double kLineBurst = 600;
+
+// Writes to standard output without ever waiting for its reader: a pipe that
+// polls as writable takes PIPE_BUF bytes at once.
+class BoundedAppender : public log4cplus::Appender {
+ public:
+  ~BoundedAppender() override { this->destructorImpl(); }
+  void close() override { this->closed = true; }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::duration<double> passed = now - this->last;
+    this->last = now;
+    this->budget =
+        std::min(kLineBurst, this->budget + passed.count() * kLinesPerSecond);
+    if (this->budget < 1) {
+      ++this->left_out;
+      return;
+    }
+    this->budget -= 1;
+    std::string line;
+    if (this->left_out > 0) {
+      line = R"({"event":"lines_left_out","count":)" +
+             std::to_string(this->left_out) + "}\n";
+    }
+    line += this->formatEvent(event);
+    pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    const bool room = poll(&output, 1, 0) == 1 &&
+                      (output.revents & POLLOUT) != 0;
+    if (room && write(STDOUT_FILENO, line.data(), line.size()) > 0) {
+      this->left_out = 0;
+    } else {
+      ++this->left_out;
+    }
+  }
+
+ private:
+  std::chrono::steady_clock::time_point last;
+  double budget = kLineBurst;
+  std::uint64_t left_out = 0;
+};
+
+// Adds the time and the instance to an event that is JSON already.
+class EventLayout : public log4cplus::Layout {
+ public:
+  void formatAndAppend(
+      log4cplus::tostream& output,
+      const log4cplus::spi::InternalLoggingEvent& event) override {
+    const std::string& text = event.getMessage();
+    output << "{\"wall_ms\":"
+           << std::chrono::duration_cast<std::chrono::milliseconds>(
+                  event.getTimestamp().time_since_epoch())
+                  .count()
+           << ",\"instance\":"
+           << nlohmann::json(event.getLoggerName()).dump() << ',';
+    if (text.starts_with('{')) {
+      output << std::string_view(text).substr(1) << '\n';
+    } else {
+      output << nlohmann::json{{"text", text}}.dump().substr(1) << '\n';
+    }
+  }
+};
+
 log4cplus::Logger& Target() {
   static log4cplus::Logger logger = log4cplus::Logger::getRoot();
   return logger;
@@ -38,17 +109,44 @@
 
 }  // namespace
 
-void StartLog(const std::string& instance) {
-  static const log4cplus::Initializer initializer;
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(true, true));
-  appender->setLayout(std::make_unique<JsonLayout>());
+namespace {
+
+void Install(const std::string& instance,
+             log4cplus::SharedAppenderPtr appender,
+             std::unique_ptr<log4cplus::Layout> layout) {
+  appender->setLayout(std::move(layout));
   Target() = log4cplus::Logger::getInstance(instance);
   Target().removeAllAppenders();
   Target().setAdditivity(false);
   Target().addAppender(std::move(appender));
 }
 
+}  // namespace
+
+void StartLog(const std::string& instance) {
+  static const log4cplus::Initializer initializer;
+  Install(instance,
+          log4cplus::SharedAppenderPtr(
+              new log4cplus::ConsoleAppender(true, true)),
+          std::make_unique<JsonLayout>());
+}
+
+void StartEventLog(const std::string& instance) {
+  static const log4cplus::Initializer initializer;
+  Install(instance, log4cplus::SharedAppenderPtr(new BoundedAppender()),
+          std::make_unique<EventLayout>());
+}
+
+void LogEvent(std::string_view event, const LogFields& fields) {
+  nlohmann::ordered_json line{{"event", event}};
+  for (const auto& [name, value] : fields) {
+    line[std::string(name)] = value;
+  }
+  Target().log(log4cplus::INFO_LOG_LEVEL,
+               line.dump(-1, ' ', false,
+                         nlohmann::json::error_handler_t::replace));
+}
+
 void Log(LogLevel level, const std::string& text) {
   switch (level) {
     case LogLevel::kInfo:
