Keep transactions within the store's limit of 32 entries

Cause: a write of 15 to 30 progress records had up to 61 entries, which the store refuses with 400. A candidate also claimed over another owner's record when that record appeared while its lease was being created.

Change: batches count conditions, writes and erasures. A candidate looks at the record again once it has its lease.

--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -67,6 +67,23 @@
   return result;
 }
 
+void LogFailedWrite(const jobs::WriteRecords& write,
+                    const platform::WriteReply& reply) {
+  std::string expected;
+  for (const jobs::RecordWrite& record : write.records) {
+    expected +=
+        record.job.str() + "@" + std::to_string(record.expected) + " ";
+  }
+  std::string found;
+  for (const platform::Item& item : reply.items) {
+    found += item.key + "@" + std::to_string(item.revision) + " ";
+  }
+  net::LogEvent("write_failed",
+                {{"outcome", std::string(NameOf(AnswerOf(reply.outcome)))},
+                 {"expected", expected},
+                 {"found", found}});
+}
+
 bool StillOwner(const std::vector<platform::Item>& items, std::uint64_t fence) {
   for (const platform::Item& item : items) {
     if (item.key == kOwnerKey) {
@@ -219,6 +236,9 @@
       [&driver = this->driver, fence = this->fence,
        effect](const platform::WriteReply& reply) {
         driver.PostFor(fence, [&driver, fence, effect, reply] {
+          if (reply.outcome != Outcome::kOk) {
+            LogFailedWrite(effect, reply);
+          }
           jobs::WriteResult result{.answer = WriteAnswerOf(reply.outcome),
                                    .revision = reply.revision};
           if (reply.outcome == Outcome::kConflict) {
--- a/src/jobs/limits.h
+++ b/src/jobs/limits.h
@@ -36,10 +36,17 @@
   // A finished job's state stays readable for this long. The platform's pages
   // ask for 120 s; the rest covers clock differences between instances.
   Duration retention = std::chrono::seconds(150);
-  // Keys in one transaction; the store accepts 32, one is the owner's record.
-  std::size_t write_batch = 30;
+  // Conditions, writes and erasures in one transaction: the store accepts 32,
+  // one is the condition on the owner's record.
+  std::size_t write_entries = 31;
 };
 
+/*! @brief Entries of a transaction for one record: its condition and its
+ * write. */
+inline constexpr std::size_t kEntriesPerWrite = 2;
+/*! @brief For an erased job: a condition and the erasure of its three records.
+ */
+inline constexpr std::size_t kEntriesPerErasure = 4;
 /*! @brief A VM's clock may run this much slower than ours. */
 inline constexpr double kSlowestVmClock = 0.98;
 
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -185,9 +185,10 @@
   while (!this->dirty.empty() && this->writes.size() < kMaxWrites) {
     WriteRecords write{.id = ++this->last_write};
     std::vector<JobId> included;
+    std::size_t entries = 0;
     for (auto it = this->dirty.begin();
          it != this->dirty.end() &&
-         write.records.size() < this->limits.write_batch;) {
+         entries + kEntriesPerErasure <= this->limits.write_entries;) {
       Job* job = this->FindJob(*it);
       if (job == nullptr) {
         it = this->dirty.erase(it);
@@ -198,6 +199,7 @@
         continue;
       }
       job->writing = job->changes;
+      entries += job->erasing ? kEntriesPerErasure : kEntriesPerWrite;
       write.records.push_back({job->spec.id, job->revision,
                                job->erasing ? "" : EncodeProgress(*job),
                                job->erasing});
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -105,6 +105,13 @@
     this->Follow(now + kRetryInterval + this->delay);
     return;
   }
+  if (this->current && this->current->instance != this->record.instance) {
+    // Another candidate was faster; its record must not be overwritten.
+    this->effects.emplace_back(EndLease{id});
+    this->state = State::kFollower;
+    this->waiting = false;
+    return;
+  }
   this->lease = id;
   this->state = State::kClaiming;
   this->effects.emplace_back(ClaimRecord{
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -1,9 +1,12 @@
 #ifndef LEAD_OWNERSHIP_H_
 #define LEAD_OWNERSHIP_H_
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -133,4 +136,14 @@
 
 }  // namespace kch::lead
 
+template <>
+struct kch::NameTable<kch::lead::Answer> {
+  static constexpr std::array<std::pair<kch::lead::Answer, std::string_view>, 5>
+      kEntries{{{kch::lead::Answer::kOk, "ok"},
+                {kch::lead::Answer::kRefused, "refused"},
+                {kch::lead::Answer::kConflict, "conflict"},
+                {kch::lead::Answer::kMissing, "missing"},
+                {kch::lead::Answer::kUnknown, "unknown"}}};
+};
+
 #endif  // LEAD_OWNERSHIP_H_
