Maintain machines in waves

Change: a planner drains machines whose pools can spare them, moves tasks that never end off them within their budget, orders the upkeep under the owner's fence and records what has begun.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -1,5 +1,6 @@
 #include "app/fleet/driver.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <chrono>
 #include <csignal>
@@ -99,6 +100,32 @@
     this->scheduler->Tick(now, wall_ms);
     this->Perform(this->scheduler->Take());
   }
+  // Orders to machines are irreversible, so they need certain ownership.
+  if (this->planner != nullptr && !this->takeover &&
+      this->ownership.Certain(now)) {
+    this->planner->Tick(now, [this](const VmId& vm) { return this->LoadOf(vm); });
+    this->Perform(this->planner->Take());
+    this->Perform(this->scheduler->Take());
+  }
+}
+
+std::optional<upkeep::VmLoad> Driver::LoadOf(const VmId& id) const {
+  const auto& vms = this->scheduler->vms();
+  const auto found = vms.find(id);
+  if (found == vms.end()) {
+    return std::nullopt;
+  }
+  const jobs::Vm& vm = *found->second;
+  return upkeep::VmLoad{
+      .runs = vm.runs.size() + vm.strays.size(),
+      .endless = static_cast<std::size_t>(
+          std::ranges::count_if(vm.runs,
+                                [](const jobs::Task* task) {
+                                  return task->spec().endless;
+                                })),
+      .answers = !vm.silent,
+      .pool_use_without =
+          this->scheduler->PoolUse(vm.facts.pool, id, Now())};
 }
 
 void Driver::OnTick() {
@@ -224,6 +251,10 @@
     }
     return;
   }
+  if (item.key.starts_with(kWavePrefix)) {
+    this->OnWave(item);
+    return;
+  }
   if (item.key != kConfigKey) {
     return;
   }
@@ -253,7 +284,30 @@
   }
 }
 
+void Driver::OnWave(const platform::Item& item) {
+  auto wave = platform::DecodeWave(item.value);
+  if (!wave) {
+    net::LogEvent("wave_unreadable", {{"error", wave.error().Text()}});
+    return;
+  }
+  net::LogEvent("wave", {{"key", item.key},
+                         {"machines", std::to_string(wave->machines.size())},
+                         {"most_away", std::to_string(wave->most_away)}});
+  const auto seen =
+      this->waves.emplace(item.key, SeenWave{*wave, Now()}).first;
+  seen->second.order = *std::move(wave);
+  if (this->planner != nullptr) {
+    this->planner->SetWave(seen->second.order, seen->second.since);
+  }
+}
+
 void Driver::OnOperatorRemoval(const std::string& key) {
+  if (const auto wave = this->waves.find(key); wave != this->waves.end()) {
+    if (this->planner != nullptr) {
+      this->planner->RemoveWave(wave->second.order.id);
+    }
+    this->waves.erase(wave);
+  }
   if (key.starts_with(kZoneOutPrefix)) {
     this->zones_out.erase(ZoneId(key.substr(kZoneOutPrefix.size())));
     net::LogEvent("zone_in", {{"key", key}});
@@ -336,6 +390,12 @@
   }
 }
 
+void Driver::Perform(std::vector<upkeep::Effect> decided) {
+  for (upkeep::Effect& effect : decided) {
+    std::visit(UpkeepEffectVisitor{*this, this->fence}, effect);
+  }
+}
+
 void Driver::Perform(std::vector<jobs::Effect> decided) {
   for (jobs::Effect& effect : decided) {
     std::visit(FleetEffectVisitor{*this, this->fence}, effect);
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -18,6 +18,7 @@
 #include "jobs/jobs.h"
 #include "lead/lead.h"
 #include "platform/platform.h"
+#include "upkeep/upkeep.h"
 
 namespace kch::app {
 
@@ -27,6 +28,7 @@
   std::string incarnation;
   std::string peer_address;  // host:port of this process for others
   jobs::Limits limits;
+  upkeep::Limits upkeep_limits;
   Duration shutdown_time{};  // from SIGTERM until the process must have ended
 };
 
@@ -38,6 +40,7 @@
     net::HttpClient& client;
     platform::Store& store;
     platform::VmClient& vms;
+    platform::MachineClient& machines;
     Front& front;
     net::Metrics& metrics;
   };
@@ -58,6 +61,13 @@
  private:
   friend struct FleetEffectVisitor;
   friend struct LeadEffectVisitor;
+  friend struct UpkeepEffectVisitor;
+
+  // A wave as the operators wrote it, and when this process first saw it.
+  struct SeenWave {
+    upkeep::WaveOrder order;
+    Time since;
+  };
 
   // What a scheduler needs before it may start work.
   struct Takeover {
@@ -65,6 +75,7 @@
     bool progress_known = false;
     bool intake_known = false;
     bool vms_known = false;
+    bool waves_known = false;
     std::vector<jobs::JobSpec> early_jobs;
     std::vector<jobs::JobId> early_cancels;
   };
@@ -87,6 +98,8 @@
   void Gain(std::uint64_t fence);
   void Lose(const std::string& reason);
   void ReadProgress(const std::string& after_key, std::uint64_t fence);
+  void ReadWaves(std::uint64_t fence);
+  void OnWave(const platform::Item& item);
   void FollowIntake(std::uint64_t fence);
   void FollowVms(std::uint64_t fence);
   void OnIntake(const platform::Item& item);
@@ -96,6 +109,8 @@
 
   void Perform(std::vector<lead::Effect> decided);
   void Perform(std::vector<jobs::Effect> decided);
+  void Perform(std::vector<upkeep::Effect> decided);
+  [[nodiscard]] std::optional<upkeep::VmLoad> LoadOf(const VmId& vm) const;
 
   FleetOptions options;
   Parts parts;
@@ -113,6 +128,8 @@
   std::unique_ptr<jobs::Scheduler> scheduler;
   std::uint64_t fence = 0;
   std::optional<Takeover> takeover;
+  std::map<std::string, SeenWave> waves;  // by key
+  std::unique_ptr<upkeep::Planner> planner;
 
   std::shared_ptr<platform::PrefixView> operators;
   std::shared_ptr<platform::PrefixView> owner_view;
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "app/fleet/keys.h"
+#include "app/fleet/wave_record.h"
 
 namespace kch::app {
 namespace {
@@ -14,6 +15,7 @@
 // delay the next steps of its jobs for long.
 constexpr int kWriteTimeoutMs = 700;
 constexpr int kClaimTimeoutMs = 800;
+constexpr int kWaveRetryMs = 300;
 
 Time Now() {
   return std::chrono::time_point_cast<Duration>(
@@ -269,4 +271,77 @@
   net::LogEvent(effect.event, effect.fields);
 }
 
+void UpkeepEffectVisitor::operator()(
+    const upkeep::ReadMachines& /*effect*/) const {
+  this->driver.parts.machines.List(
+      [&driver = this->driver, fence = this->fence](auto list) {
+        driver.PostFor(fence, [&driver, list = std::move(list)] {
+          if (list) {
+            driver.planner->OnMachines(*list, Now());
+          } else {
+            driver.planner->OnNoMachines(Now());
+          }
+        });
+      });
+}
+
+void UpkeepEffectVisitor::operator()(const upkeep::SetCordon& effect) const {
+  this->driver.scheduler->Cordon(effect.vm, effect.on);
+}
+
+void UpkeepEffectVisitor::operator()(const upkeep::Evict& effect) const {
+  this->driver.scheduler->EvictEndless(effect.vm, Now());
+}
+
+void UpkeepEffectVisitor::operator()(const upkeep::OrderUpkeep& effect) const {
+  this->driver.parts.metrics.Count("upkeep_orders");
+  this->driver.parts.machines.Upkeep(
+      effect, this->fence,
+      [&driver = this->driver, fence = this->fence,
+       effect](upkeep::OrderAnswer answer) {
+        driver.PostFor(fence, [&driver, effect, answer] {
+          driver.planner->OnOrder(effect.machine, effect.wave, answer, Now());
+        });
+      });
+}
+
+void UpkeepEffectVisitor::operator()(const upkeep::VmEnded& effect) const {
+  this->driver.scheduler->EndVm(effect.vm, Now());
+}
+
+// The state may be written again at any time, so a lost write is repaired by
+// the next one; the last one is repeated until it is known.
+void UpkeepEffectVisitor::operator()(const upkeep::SaveWave& effect) const {
+  platform::Transaction transaction;
+  transaction.conditions.push_back({std::string(kOwnerKey), this->fence});
+  transaction.puts.push_back(
+      {std::string(kWaveRecordPrefix) + effect.wave.str(),
+       EncodeBegun(effect.begun), 0});
+  transaction.puts.push_back(
+      {std::string(kWaveStatePrefix) + effect.wave.str(),
+       platform::EncodeWaveState(effect.completed), 0});
+  this->driver.parts.store.Write(
+      transaction, kWriteTimeoutMs,
+      [&driver = this->driver, fence = this->fence,
+       effect](const platform::WriteReply& reply) {
+        if (reply.outcome == Outcome::kOk || !effect.completed) {
+          return;
+        }
+        driver.parts.client.Delay(kWaveRetryMs, [&driver, fence, effect] {
+          driver.PostFor(fence, [&driver, fence, effect] {
+            UpkeepEffectVisitor{driver, fence}(effect);
+          });
+        });
+      });
+}
+
+void UpkeepEffectVisitor::operator()(const upkeep::Note& effect) const {
+  net::LogEvent(effect.event, effect.fields);
+}
+
+void UpkeepEffectVisitor::operator()(
+    const upkeep::Superseded& /*effect*/) const {
+  FleetEffectVisitor{this->driver, this->fence}(jobs::Superseded{});
+}
+
 }  // namespace kch::app
--- a/src/app/fleet/effects.h
+++ b/src/app/fleet/effects.h
@@ -33,6 +33,21 @@
   void operator()(const jobs::Note& effect) const;
 };
 
+/*! @brief Performs what the planner of upkeep decided. */
+struct UpkeepEffectVisitor {
+  Driver& driver;
+  std::uint64_t fence;
+
+  void operator()(const upkeep::ReadMachines& effect) const;
+  void operator()(const upkeep::SetCordon& effect) const;
+  void operator()(const upkeep::Evict& effect) const;
+  void operator()(const upkeep::OrderUpkeep& effect) const;
+  void operator()(const upkeep::VmEnded& effect) const;
+  void operator()(const upkeep::SaveWave& effect) const;
+  void operator()(const upkeep::Note& effect) const;
+  void operator()(const upkeep::Superseded& effect) const;
+};
+
 }  // namespace kch::app
 
 #endif  // APP_FLEET_EFFECTS_H_
--- a/src/app/fleet/keys.h
+++ b/src/app/fleet/keys.h
@@ -15,12 +15,14 @@
 inline constexpr std::string_view kJobPrefix = "kch/in/job/";
 inline constexpr std::string_view kCancelPrefix = "kch/in/stop/";
 inline constexpr std::string_view kProgressPrefix = "kch/progress/";
+inline constexpr std::string_view kWaveRecordPrefix = "kch/wave/";
 
 // Records of the platform.
 inline constexpr std::string_view kOperatorPrefix = "op/";
 inline constexpr std::string_view kConfigKey = "op/config";
 inline constexpr std::string_view kZoneOutPrefix = "op/evacuate/";
 inline constexpr std::string_view kWavePrefix = "op/wave/";
+inline constexpr std::string_view kWaveStatePrefix = "status/wave/";
 inline constexpr std::string_view kVmPrefix = "servers/";
 
 [[nodiscard]] inline std::string KeyOf(std::string_view prefix,
--- a/src/app/fleet/main.cc
+++ b/src/app/fleet/main.cc
@@ -37,6 +37,11 @@
              "time until a paced run works at its new share, in ms"),
       Number("harm-limit-ms", 4000, 0, kMaxMs,
              "longest time of a serving task over its target, in ms"),
+      RequiredText("machines",
+                   "host:port of the platform's machine list and orders"),
+      Number("handover-ms", 3000, 0, kMaxMs,
+             "time between two instances' orders to one machine, in ms"),
+      kch::net::Text("upkeep-s", "2", "time that upkeep takes, in s"),
       Number("shutdown-ms", 6000, 1000, kMaxMs,
              "time from SIGTERM until the process is killed, in ms")};
 }
@@ -68,6 +73,22 @@
   return limits;
 }
 
+kch::Result<kch::upkeep::Limits> UpkeepLimitsFrom(const Settings& settings) {
+  kch::upkeep::Limits limits;
+  limits.handover =
+      std::chrono::milliseconds(settings.number("handover-ms"));
+  const std::string& text = settings.text("upkeep-s");
+  double seconds = 0;
+  const char* const end = text.data() + text.size();
+  if (std::from_chars(text.data(), end, seconds).ptr != end || seconds <= 0) {
+    return kch::Fail(kch::ErrorKind::kInvalid, "--upkeep-s is '" + text + "'",
+                     "give it as a positive number of seconds");
+  }
+  limits.away = std::chrono::duration_cast<kch::Duration>(
+      std::chrono::duration<double>(seconds));
+  return limits;
+}
+
 Result<std::unique_ptr<HttpServer>> Listen(const Settings& settings,
                                            const std::string& name,
                                            kch::net::HttpHandler handler) {
@@ -138,6 +159,14 @@
   }
   kch::platform::Store store(**client, settings.text("store"));
   kch::platform::VmClient vms(**client);
+  kch::platform::MachineClient machines(**client, settings.text("machines"),
+                                        name);
+  const auto upkeep_limits = UpkeepLimitsFrom(settings);
+  if (!upkeep_limits) {
+    kch::net::LogEvent("start_failed",
+                       {{"error", upkeep_limits.error().Text()}});
+    return 2;
+  }
   kch::app::Driver* control = nullptr;
   kch::app::Front front(
       {.client = **client,
@@ -153,11 +182,13 @@
        .incarnation = IncarnationNow(name),
        .peer_address = settings.text("peers"),
        .limits = LimitsFrom(settings),
+       .upkeep_limits = *upkeep_limits,
        .shutdown_time = std::chrono::milliseconds(
            settings.number("shutdown-ms") * 9 / 10)},
       {.client = **client,
        .store = store,
        .vms = vms,
+       .machines = machines,
        .front = front,
        .metrics = metrics});
   control = &driver;
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -3,6 +3,7 @@
 
 #include "app/fleet/driver.h"
 #include "app/fleet/keys.h"
+#include "app/fleet/wave_record.h"
 
 // From a claimed fleet to a scheduler that knows all jobs and VMs.
 
@@ -35,7 +36,11 @@
     this->scheduler->SetConfig(*this->fleet_config, Now());
   }
   this->scheduler->SetZonesOut(this->zones_out);
+  this->planner = std::make_unique<upkeep::Planner>(
+      this->options.upkeep_limits,
+      Now() + this->options.upkeep_limits.handover);
   this->parts.front.SetOwner(this->options.peer_address);
+  this->ReadWaves(gained);
   this->ReadProgress("", gained);
   this->FollowIntake(gained);
   this->FollowVms(gained);
@@ -47,9 +52,36 @@
   this->intake->Stop();
   this->vm_view->Stop();
   this->takeover.reset();
+  this->planner.reset();
   this->scheduler.reset();
 }
 
+// Machines that a predecessor took out already are not drained again.
+void Driver::ReadWaves(std::uint64_t by) {
+  this->parts.store.List(
+      std::string(kWaveRecordPrefix), "",
+      [this, by](const platform::ListReply& reply) {
+        if (reply.outcome != platform::Outcome::kOk) {
+          this->parts.client.Delay(kRetryMs, [this, by] {
+            this->PostFor(by, [this, by] { this->ReadWaves(by); });
+          });
+          return;
+        }
+        this->PostFor(by, [this, reply] {
+          for (const platform::Item& item : reply.items) {
+            this->planner->SetBegun(
+                jobs::WaveId(item.key.substr(kWaveRecordPrefix.size())),
+                DecodeBegun(item.value));
+          }
+          for (const auto& [key, wave] : this->waves) {
+            this->planner->SetWave(wave.order, wave.since);
+          }
+          this->takeover->waves_known = true;
+          this->FinishTakeover();
+        });
+      });
+}
+
 void Driver::ReadProgress(const std::string& after_key, std::uint64_t by) {
   this->parts.store.List(
       std::string(kProgressPrefix), after_key,
@@ -179,7 +211,7 @@
 
 void Driver::FinishTakeover() {
   if (!this->takeover->progress_known || !this->takeover->intake_known ||
-      !this->takeover->vms_known) {
+      !this->takeover->vms_known || !this->takeover->waves_known) {
     return;
   }
   for (jobs::JobSpec& spec : this->takeover->early_jobs) {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -50,6 +50,11 @@
 
   [[nodiscard]] TaskRef Ref() const;
   [[nodiscard]] const StepSpec& spec() const;
+  /*! @brief True if it runs and its VM reports it at full work. */
+  [[nodiscard]] bool AtWork() const {
+    constexpr std::int32_t all = 100;
+    return this->phase == TaskPhase::kRunning && this->percent == all;
+  }
   /*! @brief True while it occupies a VM. */
   [[nodiscard]] bool Placed() const {
     return this->phase == TaskPhase::kStarting ||
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -150,15 +150,74 @@
   }
 }
 
-void Scheduler::StopRuns(const VmId& id, Time now) {
+void Scheduler::EvictEndless(const VmId& id, Time now) {
   Vm* vm = this->FindVm(id);
-  if (vm == nullptr) {
+  if (vm == nullptr || vm->silent) {
     return;
   }
   const std::vector<Task*> runs(vm->runs.begin(), vm->runs.end());
   for (Task* task : runs) {
-    this->StopTask(*task, now);
+    if (task->phase != TaskPhase::kRunning || !task->spec().endless) {
+      continue;
+    }
+    const Step& step = this->StepOf(*task);
+    const auto away = std::ranges::count_if(step.tasks, [](const Task& other) {
+      return !other.AtWork();
+    });
+    const std::int32_t may_miss = std::max(1, task->spec().may_miss);
+    const bool counts = task->AtWork();
+    if (counts && away >= may_miss) {
+      continue;
+    }
+    const Pool& pool = this->PoolOf(*task->job);
+    if (this->ChooseVm(*task, pool, now) != nullptr) {
+      this->NoteThat("run_evicted", {{"task", task->Ref().Name()},
+                                     {"vm", id.str()},
+                                     {"away", std::to_string(away)},
+                                     {"may_miss", std::to_string(may_miss)}});
+      this->StopTask(*task, now);
+    }
+  }
+}
+
+void Scheduler::EndVm(const VmId& id, Time now) {
+  if (Vm* vm = this->FindVm(id)) {
+    this->LoseRuns(*vm, "upkeep", now);
+    this->DropVm(id);
+  }
+}
+
+double Scheduler::PoolUse(const PoolId& id,
+                          const VmId& without,
+                          Time now) const {
+  const auto found = this->pools.find(id);
+  if (found == this->pools.end()) {
+    return 0;
+  }
+  Resources used;
+  Resources capacity;
+  for (const Vm* vm : found->second.vms) {
+    used += vm->used;
+    if (vm->facts.id != without && this->Usable(*vm, now)) {
+      capacity += vm->facts.capacity;
+    }
+  }
+  for (const Unit& unit : found->second.ready) {
+    const Step& step = unit.job->open.at(unit.occurrence)
+                           .steps[static_cast<std::size_t>(unit.step)];
+    const Resources need =
+        unit.job->spec.steps[static_cast<std::size_t>(unit.step)].Occupies();
+    for (std::int32_t i = 0; i < step.waiting; ++i) {
+      used += need;
+    }
   }
+  const auto share = [](std::int64_t part, std::int64_t whole) {
+    constexpr double full = 10;
+    return whole <= 0 ? full
+                      : static_cast<double>(part) / static_cast<double>(whole);
+  };
+  return std::max(share(used.cpu_m, capacity.cpu_m),
+                  share(used.memory_mb, capacity.memory_mb));
 }
 
 void Scheduler::AddJob(JobSpec spec,
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -117,8 +117,15 @@
   [[nodiscard]] const Counters& counters() const { return this->counted; }
   [[nodiscard]] std::size_t job_count() const { return this->jobs.size(); }
   [[nodiscard]] bool recovering() const { return this->in_recovery; }
-  /*! @brief Orders the end of every run on a VM, before maintenance. */
-  void StopRuns(const VmId& vm, Time now);
+  /*! @brief Stops tasks that never end on a VM, so that they start elsewhere,
+   * as far as the steps may miss them and other VMs have room. */
+  void EvictEndless(const VmId& vm, Time now);
+  /*! @brief A VM ends by an order: everything on it has ended. */
+  void EndVm(const VmId& vm, Time now);
+  /*! @brief Used and wanted over usable capacity of a pool, without some VM. */
+  [[nodiscard]] double PoolUse(const PoolId& pool,
+                               const VmId& without,
+                               Time now) const;
 
  private:
   // A step with waiting tasks.
--- /dev/null
+++ b/test/upkeep/planner_test.cc
@@ -0,0 +1,176 @@
+#include <boost/test/unit_test.hpp>
+
+#include "upkeep/upkeep.h"
+
+namespace kch::upkeep {
+namespace {
+
+constexpr std::int64_t kStepMs = 50;
+
+// Machines of one pool in virtual time: an ordered machine is away for 2 s and
+// comes back as another VM.
+struct Site {
+  Time now{std::chrono::seconds(100)};
+  Planner planner{Limits{}, now};
+  std::map<MachineId, Machine> machines;
+  std::map<VmId, VmLoad> loads;
+  std::map<MachineId, Time> away_until;
+  std::map<MachineId, int> orders;
+  std::size_t most_away = 0;
+  bool completed = false;
+  std::size_t begun_at_completion = 0;
+  bool loses_answers = false;
+
+  Site(int count, double use) {
+    for (int i = 0; i < count; ++i) {
+      const std::string name = std::to_string(i);
+      const VmId vm("vm" + name);
+      this->machines[MachineId("m" + name)] = {.id = MachineId("m" + name),
+                                               .pool = PoolId("p"),
+                                               .vm = vm};
+      this->loads[vm] = {.runs = 0, .pool_use_without = use};
+    }
+  }
+
+  void Order(int count, int most, int seconds) {
+    WaveOrder wave{.id = WaveId("1"),
+                   .most_away = most,
+                   .length = std::chrono::seconds(seconds)};
+    for (int i = 0; i < count; ++i) {
+      wave.machines.insert(MachineId("m" + std::to_string(i)));
+    }
+    this->planner.SetWave(wave, this->now);
+  }
+
+  std::vector<Machine> List() const {
+    std::vector<Machine> list;
+    for (const auto& [id, machine] : this->machines) {
+      list.push_back(machine);
+    }
+    return list;
+  }
+
+  void Perform(const Effect& effect) {
+    if (std::holds_alternative<ReadMachines>(effect)) {
+      this->planner.OnMachines(this->List(), this->now);
+    } else if (const auto* order = std::get_if<OrderUpkeep>(&effect)) {
+      Machine& machine = this->machines.at(order->machine);
+      if (++this->orders[order->machine] == 1) {
+        machine.state = MachineState::kUpkeep;
+        this->away_until[order->machine] =
+            this->now + std::chrono::seconds(2);
+      }
+      this->planner.OnOrder(order->machine, order->wave,
+                            this->loses_answers ? OrderAnswer::kUnknown
+                                                : OrderAnswer::kDone,
+                            this->now);
+    } else if (const auto* saved = std::get_if<SaveWave>(&effect)) {
+      if (saved->completed) {
+        this->completed = true;
+        this->begun_at_completion = saved->begun.size();
+      }
+    }
+  }
+
+  void Run(std::int64_t ms) {
+    const Time end = this->now + std::chrono::milliseconds(ms);
+    while (this->now < end) {
+      this->now += std::chrono::milliseconds(kStepMs);
+      std::size_t away = 0;
+      for (auto& [id, until] : this->away_until) {
+        Machine& machine = this->machines.at(id);
+        if (this->now < until) {
+          ++away;
+        } else if (machine.state == MachineState::kUpkeep) {
+          machine.state = MachineState::kUp;
+          machine.vm = VmId(machine.vm.str() + "x");
+        }
+      }
+      this->most_away = std::max(this->most_away, away);
+      this->planner.Tick(this->now, [this](const VmId& vm) {
+        const auto found = this->loads.find(vm);
+        return found == this->loads.end() ? std::nullopt
+                                          : std::optional(found->second);
+      });
+      for (const Effect& effect : this->planner.Take()) {
+        this->Perform(effect);
+      }
+    }
+  }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(PlannerTest)
+
+BOOST_AUTO_TEST_CASE(MaintainsEveryMachineAFewAtATime) {
+  Site site(12, 0.1);
+  site.Order(12, 3, 40);
+  site.Run(20'000);
+  BOOST_TEST(site.completed);
+  BOOST_TEST(site.begun_at_completion == 12);
+  BOOST_TEST(site.most_away == 3);
+}
+
+// A busy pool keeps its machines until the time left forces their upkeep.
+BOOST_AUTO_TEST_CASE(BusyPoolWaitsUntilTimePresses) {
+  Site site(4, 0.95);
+  site.Order(4, 2, 30);
+  site.Run(10'000);
+  BOOST_TEST(site.orders.empty());
+  site.Run(20'000);
+  BOOST_TEST(site.completed);
+}
+
+BOOST_AUTO_TEST_CASE(MachineWithEndlessTasksIsNotOrdered) {
+  Site site(1, 0.1);
+  site.loads.at(VmId("vm0")) = {.runs = 2, .endless = 1};
+  site.Order(1, 1, 5);
+  site.Run(10'000);
+  BOOST_TEST(site.orders.empty());
+  BOOST_TEST(!site.completed);
+  site.loads.at(VmId("vm0")) = {.runs = 1, .endless = 0};
+  site.Run(1000);
+  BOOST_TEST(site.completed);
+}
+
+// An order without an answer may be carried out at any time: its machine counts
+// as away, and the order is repeated.
+BOOST_AUTO_TEST_CASE(UnansweredOrdersCountAsAway) {
+  Site site(6, 0.1);
+  site.loses_answers = true;
+  site.Order(6, 2, 60);
+  site.Run(5000);
+  BOOST_TEST(site.orders.size() == 2);
+  BOOST_TEST(!site.completed);
+  site.loses_answers = false;
+  site.Run(15'000);
+  BOOST_TEST(site.completed);
+  BOOST_TEST(site.most_away <= 2);
+}
+
+BOOST_AUTO_TEST_CASE(SuccessorWaitsAndKeepsWhatHasBegun) {
+  Site site(4, 0.1);
+  site.planner = Planner(Limits{}, site.now + std::chrono::seconds(3));
+  site.planner.SetBegun(WaveId("1"), {MachineId("m0"), MachineId("m1")});
+  site.Order(4, 4, 30);
+  site.Run(2900);
+  BOOST_TEST(site.orders.empty());
+  site.Run(5000);
+  BOOST_TEST(site.completed);
+  BOOST_TEST(site.orders.size() == 2);
+  BOOST_TEST(site.begun_at_completion == 4);
+}
+
+BOOST_AUTO_TEST_CASE(MachineThatLeftTheFleetDoesNotHoldUpItsWave) {
+  Site site(3, 0.1);
+  site.machines.erase(MachineId("m2"));
+  site.Order(3, 1, 30);
+  site.Run(15'000);
+  BOOST_TEST(site.completed);
+  BOOST_TEST(site.begun_at_completion == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace kch::upkeep
