Count only the others of a step that are away before an eviction

Change: whether the task is at work no longer matters, the others decide. Test EvictionCountsTheOthersThatAreAway.

--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -160,13 +160,15 @@
     if (task->phase != TaskPhase::kRunning || !task->spec().endless) {
       continue;
     }
+    // Whether the task itself is at work may be known late, so only the others
+    // count.
     const Step& step = this->StepOf(*task);
-    const auto away = std::ranges::count_if(step.tasks, [](const Task& other) {
-      return !other.AtWork();
-    });
+    const auto away =
+        std::ranges::count_if(step.tasks, [task](const Task& other) {
+          return &other != task && !other.AtWork();
+        });
     const std::int32_t may_miss = std::max(1, task->spec().may_miss);
-    const bool counts = task->AtWork();
-    if (counts && away >= may_miss) {
+    if (away >= may_miss) {
       continue;
     }
     const Pool& pool = this->PoolOf(*task->job);
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -269,6 +269,45 @@
   BOOST_TEST(vm.runs.at("filling.0.0.0").percent == 100);
 }
 
+// A task that the last report showed below full work was evicted although
+// another of its step was away, since it seemed to be away itself.
+BOOST_AUTO_TEST_CASE(EvictionCountsTheOthersThatAreAway) {
+  FleetSim sim;
+  WithVms(sim, 3);
+  JobSpec job = EndlessJob("a", 2);
+  job.steps[0].may_miss = 1;
+  job.steps[0].max_per_vm = 1;
+  sim.Submit(job);
+  sim.Run(500);
+  for (auto& [id, vm] : sim.vms) {
+    for (auto& [name, run] : vm->runs) {
+      run.percent = 40;
+    }
+  }
+  sim.Run(1500);
+  for (const auto& [id, vm] : sim.vms) {
+    sim.scheduler->Cordon(VmId(id), !vm->runs.empty());
+    sim.scheduler->EvictEndless(VmId(id), sim.now);
+  }
+  sim.Run(400);
+  BOOST_TEST(sim.starts() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(EvictedTaskStartsElsewhere) {
+  FleetSim sim;
+  WithVms(sim, 2);
+  sim.Submit(EndlessJob("a", 1));
+  sim.Run(1500);
+  const std::string from =
+      sim.vms.at("vm0")->runs.empty() ? "vm1" : "vm0";
+  sim.scheduler->Cordon(VmId(from), true);
+  sim.scheduler->EvictEndless(VmId(from), sim.now);
+  sim.Run(400);
+  BOOST_TEST(sim.vms.at(from)->runs.empty());
+  BOOST_TEST(sim.Runs("a.0.0.0"));
+  BOOST_TEST(Breaches(sim) == "");
+}
+
 BOOST_AUTO_TEST_CASE(CancelledJobStops) {
   FleetSim sim;
   WithVms(sim, 1);
