Test the scheduler with random faults in virtual time

The test found, each fixed here (seed in brackets): - The end of a second member of a gang, or of a run thought lost, was acknowledged before the job's record was stored, so a takeover could repeat the task [36, 47]. - A VM that refused an order as late lost its clock, and with it the bound of its leases, so its runs started elsewhere at once [14]. - Acknowledgements with the numbers of a VM's earlier incarnation dropped ends of the new one that nobody had seen [12, 59]. - An order to start that was under way while its VM restarted was carried out by the new incarnation beside the task's next run [27]. - Decisions depended on where tasks lie in memory; they now follow names.

--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -1,6 +1,7 @@
 #include "jobs/job.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace kch::jobs {
 namespace {
@@ -33,6 +34,13 @@
   return this->job->spec.steps[static_cast<std::size_t>(this->step)];
 }
 
+bool ByRef::operator()(const Task* left, const Task* right) const {
+  const auto place = [](const Task& task) {
+    return std::tie(task.job->spec.id, task.occurrence, task.step, task.index);
+  };
+  return place(*left) < place(*right);
+}
+
 bool Occurrence::Complete() const {
   return std::ranges::all_of(
       this->steps, [](const Step& step) { return step.Complete(); });
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -63,6 +63,12 @@
   }
 };
 
+/*! @brief Orders tasks by their names, so that decisions do not depend on where
+ * tasks lie in memory. */
+struct ByRef {
+  bool operator()(const Task* left, const Task* right) const;
+};
+
 /*! @brief A step of one occurrence. */
 struct Step {
   std::vector<Task> tasks;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -1,6 +1,7 @@
 #include "jobs/scheduler.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "jobs/record.h"
@@ -9,6 +10,11 @@
 
 Scheduler::Scheduler(const Limits& limits) : limits(limits) {}
 
+bool Scheduler::Unit::operator<(const Unit& other) const {
+  return std::tie(this->job->spec.id, this->occurrence, this->step) <
+         std::tie(other.job->spec.id, other.occurrence, other.step);
+}
+
 void Scheduler::NoteThat(
     std::string_view event,
     std::vector<std::pair<std::string_view, std::string>> fields) {
@@ -87,9 +93,8 @@
   Vm* vm = this->FindVm(facts.id);
   if (vm != nullptr && vm->facts.boot_ms != facts.boot_ms &&
       facts.boot_ms != 0 && vm->facts.boot_ms != 0) {
-    this->LoseRuns(*vm, "vm_restarted", now);
-    this->DropVm(facts.id);
-    vm = nullptr;
+    this->RestartVm(*vm, facts, now);
+    return;
   }
   if (vm == nullptr) {
     vm = this->fleet.emplace(facts.id, std::make_unique<Vm>())
@@ -100,12 +105,12 @@
                                 {"zone", facts.zone.str()},
                                 {"address", facts.address}});
   } else if (vm->facts.pool != facts.pool) {
-    this->pools[vm->facts.pool].vms.erase(vm);
+    this->pools[vm->facts.pool].vms.erase(facts.id);
   }
   const bool starts_leaving = facts.leaving && !vm->facts.leaving;
   vm->facts = facts;
   vm->registered = true;
-  this->pools[facts.pool].vms.insert(vm);
+  this->pools[facts.pool].vms[facts.id] = vm;
   if (starts_leaving) {
     this->NoteThat("vm_leaving", {{"vm", facts.id.str()},
                                   {"runs", std::to_string(vm->runs.size())}});
@@ -120,6 +125,30 @@
   }
 }
 
+// Everything on the earlier incarnation has ended. An order to start that is
+// still under way would be carried out by the new one, which knows no fence, so
+// such a task starts elsewhere only once a stop has barred it.
+void Scheduler::RestartVm(Vm& vm, const VmFacts& facts, Time now) {
+  std::vector<Task*> ordered;
+  for (Task* task : vm.runs) {
+    if (task->phase == TaskPhase::kStarting) {
+      ordered.push_back(task);
+    }
+  }
+  const VmFacts next = facts;
+  this->LoseRuns(vm, "vm_restarted", now);
+  this->DropVm(next.id);
+  this->SetVm(next, now);
+  Vm& restarted = *this->FindVm(next.id);
+  for (Task* task : ordered) {
+    if (task->phase == TaskPhase::kWaiting && !task->job->Ended()) {
+      this->Place(*task, restarted, now);
+      task->phase = TaskPhase::kStarting;
+      this->StopTask(*task, now);
+    }
+  }
+}
+
 void Scheduler::RemoveVm(const VmId& id, Time now) {
   Vm* vm = this->FindVm(id);
   if (vm == nullptr) {
@@ -140,7 +169,7 @@
   if (found == this->fleet.end()) {
     return;
   }
-  this->pools[found->second->facts.pool].vms.erase(found->second.get());
+  this->pools[found->second->facts.pool].vms.erase(id);
   this->fleet.erase(found);
 }
 
@@ -198,7 +227,7 @@
   }
   Resources used;
   Resources capacity;
-  for (const Vm* vm : found->second.vms) {
+  for (const auto& [vm_id, vm] : found->second.vms) {
     used += vm->used;
     if (vm->facts.id != without && this->Usable(*vm, now)) {
       capacity += vm->facts.capacity;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -134,11 +134,11 @@
     std::int32_t occurrence = 0;
     std::int32_t step = 0;
 
-    auto operator<=>(const Unit&) const = default;
+    bool operator<(const Unit& other) const;
   };
   struct Ranked;
   struct Pool {
-    std::set<Vm*> vms;
+    std::map<VmId, Vm*> vms;
     std::set<Unit> ready;
     Time inherited_after;  // inherited tasks start from this time on
     // Run time over estimate of the pool's finished tasks, smoothed.
@@ -176,6 +176,7 @@
   void Resolve(Vm& vm, Time sent, Time now);
   void HandleRunning(Vm& vm, const RunningRow& row, Time now);
   void HandleEnd(Vm& vm, const EndedRow& row, Time now);
+  void AwaitRecord(Vm& vm, const Job& job);
   void HandleDone(Task& task, Time now);
   void HandleFailure(Task& task, Vm& vm, std::int64_t run, Time now);
   void CompleteStep(Job& job, Occurrence& occurrence, Time now);
@@ -183,6 +184,7 @@
   void SendStop(Task& task, const Vm& vm);
   void StopStray(Vm& vm, const TaskRef& ref, std::int64_t run, Time now);
   void ForgetStrays(Vm& vm, std::uint64_t listed_in);
+  void RestartVm(Vm& vm, const VmFacts& facts, Time now);
   void LoseRuns(Vm& vm, std::string_view reason, Time now);
   void Blame(Vm& vm, const Task& task, Time now);
   void SetSilent(Vm& vm, Time now);
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -32,7 +32,7 @@
 };
 
 bool Scheduler::Usable(const Vm& vm, Time now) const {
-  return vm.registered && vm.reported && vm.clock_known && !vm.silent &&
+  return vm.registered && vm.reported && vm.clock_known && !vm.clock_doubtful && !vm.silent &&
          !vm.unknown_stray &&
          !vm.facts.leaving && !vm.cordoned && vm.ejected_until <= now &&
          !this->zones_out.contains(vm.facts.zone);
@@ -175,13 +175,13 @@
   if (!this->WithinLimit(*unit.job, total)) {
     return false;
   }
-  std::map<Vm*, std::int32_t> room;
+  std::vector<std::pair<Vm*, std::int32_t>> room;
   std::map<RackId, std::int32_t> by_rack;
   std::int32_t everywhere = 0;
   const Advice* permits =
       this->QueueOf(*unit.job).advised ? this->PermitsFor(unit, pool, now)
                                        : nullptr;
-  for (Vm* vm : pool.vms) {
+  for (const auto& [vm_id, vm] : pool.vms) {
     if (!this->Usable(*vm, now) ||
         (!spec.label.empty() && !vm->facts.labels.contains(spec.label)) ||
         (permits != nullptr && !permits->permits.contains(vm->facts.id))) {
@@ -194,7 +194,7 @@
       free -= spec.Occupies();
       ++fits;
     }
-    room[vm] = fits;
+    room.emplace_back(vm, fits);
     by_rack[vm->facts.rack] += fits;
     everywhere += fits;
   }
@@ -254,7 +254,7 @@
                       conflicts, -FreeShare(vm.Free(), vm.facts.capacity));
   };
   Vm* best = nullptr;
-  for (Vm* vm : pool.vms) {
+  for (const auto& [vm_id, vm] : pool.vms) {
     if (!this->Usable(*vm, now) || !spec.Occupies().Within(vm->Free()) ||
         (!spec.label.empty() && !vm->facts.labels.contains(spec.label)) ||
         (permits != nullptr && !permits->permits.contains(vm->facts.id))) {
@@ -307,7 +307,7 @@
     return nullptr;
   }
   AskAdvice question{unit.job->spec.id, unit.occurrence, unit.step, {}};
-  for (const Vm* vm : pool.vms) {
+  for (const auto& [vm_id, vm] : pool.vms) {
     if (this->Usable(*vm, now) && question.vms.size() < kAdvisedVms) {
       question.vms.push_back(vm->facts.id);
     }
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -29,12 +29,10 @@
   if (report.boot_ms != 0 && vm->facts.boot_ms != 0 &&
       report.boot_ms != vm->facts.boot_ms) {
     // It restarted under its id: clock and ends start anew, nothing runs.
-    this->LoseRuns(*vm, "vm_restarted", now);
     VmFacts facts = vm->facts;
     facts.boot_ms = report.boot_ms;
     const bool registered = vm->registered;
-    this->DropVm(id);
-    this->SetVm(facts, now);
+    this->RestartVm(*vm, facts, now);
     vm = this->FindVm(id);
     vm->registered = registered;
   }
@@ -47,6 +45,7 @@
   vm->clock_ms = report.clock_ms;
   vm->clock_at = now;
   vm->clock_known = true;
+  vm->clock_doubtful = false;
   vm->reported = true;
   ++vm->reports;
   for (const EndedRow& row : report.ended) {
@@ -165,6 +164,9 @@
     if (current) {
       this->Release(*task);
     }
+    // Known already, but perhaps not stored yet: a successor must still find
+    // the end in the VM's list.
+    this->AwaitRecord(vm, job);
     return;
   }
   if (row.how != RunEnd::kDone && row.how != RunEnd::kStopped) {
@@ -181,21 +183,26 @@
       this->StopTask(*task, now);
     }
     this->HandleDone(*task, now);
-    vm.unrecorded.emplace_back(job.spec.id, job.changes);
+    this->AwaitRecord(vm, job);
     return;
   }
   if (row.how == RunEnd::kFailed) {
     ++this->counted.failed;
     this->HandleFailure(*task, vm, row.run, now);
-    if (!task->spec().endless) {
-      vm.unrecorded.emplace_back(job.spec.id, job.changes);
-    }
+    this->AwaitRecord(vm, job);
   }
   if (current) {
     this->Requeue(*task, now);
   }
 }
 
+// The ends of a VM are acknowledged once the job's present state is stored.
+void Scheduler::AwaitRecord(Vm& vm, const Job& job) {
+  if (job.stored < job.changes) {
+    vm.unrecorded.emplace_back(job.spec.id, job.changes);
+  }
+}
+
 void Scheduler::HandleDone(Task& task, Time now) {
   Job& job = *task.job;
   Occurrence& occurrence = job.open.at(task.occurrence);
@@ -449,7 +456,7 @@
       }
       break;
     case StartAnswer::kExpired:
-      vm->clock_known = false;
+      vm->clock_doubtful = true;
       vm->next_look = now;
       break;
     case StartAnswer::kNoRoom:
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -13,6 +13,9 @@
 constexpr auto kWriteRetry = std::chrono::milliseconds(100);
 // Transactions under way at once; further changes join the next one.
 constexpr std::size_t kMaxWrites = 4;
+// Within this time of a VM's last answer it cannot have restarted and run a
+// task.
+constexpr auto kFreshReport = std::chrono::milliseconds(250);
 // Interval of looks while the end of a stopped run is awaited.
 constexpr auto kStopPoll = std::chrono::milliseconds(60);
 // The next look at a VM on which nothing runs.
@@ -91,7 +94,11 @@
 }
 
 void Scheduler::Look(Vm& vm, Time now) {
-  LookAt look{.to = vm.Address(), .last_seen = vm.last_seen};
+  // A VM that has restarted under its id numbers its ends anew, and a number of
+  // before would acknowledge ends that nobody has seen. So acknowledgements go
+  // only to a VM that has just shown that it is still the same.
+  const bool fresh = now - vm.clock_at <= kFreshReport;
+  LookAt look{.to = vm.Address(), .last_seen = fresh ? vm.last_seen : 0};
   if (vm.silent) {
     // A renewal that may or may not arrive would move the time after which its
     // runs may start elsewhere.
@@ -100,6 +107,7 @@
     vm.until_ms = std::max(vm.until_ms, *look.until_ms);
     const bool unsettled =
         !vm.unrecorded.empty() || !vm.strays.empty() ||
+        (!fresh && vm.acknowledged < vm.last_seen) ||
         std::ranges::any_of(vm.runs, [](const Task* task) {
           return task->phase == TaskPhase::kStopping ||
                  task->phase == TaskPhase::kDone ||
@@ -110,6 +118,7 @@
                    : vm.mixed      ? ToMs(this->limits.watch_wait)
                                   : ToMs(this->limits.look_wait);
   }
+  vm.acknowledged = std::max(vm.acknowledged, look.last_seen);
   vm.looking = true;
   vm.look_sent = now;
   vm.next_look = now + kNever;
@@ -125,11 +134,11 @@
   if (!vm.unrecorded.empty()) {
     return;
   }
-  const bool news = vm.unrecorded_end > vm.last_seen;
   vm.last_seen = std::max(vm.last_seen, vm.unrecorded_end);
   if (vm.looking) {
     return;
   }
+  const bool news = vm.last_seen > vm.acknowledged;
   if (!vm.runs.empty() || !vm.strays.empty() || news) {
     const bool unsettled =
         !vm.strays.empty() ||
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 #include <optional>
-#include <unordered_set>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -31,7 +31,7 @@
   VmFacts facts;
   bool registered = true;  // its registration is in the store
   Resources used;          // by placed tasks
-  std::unordered_set<Task*> runs;  // placed tasks
+  std::set<Task*, ByRef> runs;     // placed tasks
   std::vector<Stray> strays;
   // A stray of unknown size runs here, so nothing is known to fit.
   bool unknown_stray = false;
@@ -40,11 +40,13 @@
   std::int64_t clock_ms = 0;
   Time clock_at;
   bool clock_known = false;
+  bool clock_doubtful = false;  // it refused an order as late
   std::int64_t until_ms = 0;  // latest lease sent, answered or not
 
   bool reported = false;  // has answered this scheduler
   std::uint64_t reports = 0;
   std::int64_t last_seen = 0;  // ends up to this one are recorded
+  std::int64_t acknowledged = 0;  // the latest number sent to the VM
   // Ends that wait for the records of these jobs: job and its change number.
   std::vector<std::pair<JobId, std::uint64_t>> unrecorded;
   std::int64_t unrecorded_end = 0;
--- /dev/null
+++ b/test/jobs/chaos_test.cc
@@ -0,0 +1,171 @@
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+#include "test/jobs/fleet_sim.h"
+
+// Random faults in virtual time, together and in series. While they last no
+// task may run twice, over capacity, over a team's limit or out of order; once
+// they are over every job must end and every endless task must run.
+
+namespace kch::jobs::test {
+namespace {
+
+constexpr int kVms = 8;
+constexpr std::int64_t kFaultyMs = 25'000;
+constexpr std::int64_t kCalmMs = 40'000;
+
+class Chaos {
+ public:
+  explicit Chaos(std::uint64_t seed) : random(seed) {
+    this->sim.config.teams[TeamId("t")] = {.maximum = {20'000, 0, 0}};
+    ++this->sim.config.version;
+    this->sim.scheduler->SetConfig(this->sim.config, this->sim.now);
+    for (int i = 0; i < kVms; ++i) {
+      this->sim.AddVm(this->NameOf(i), "p", {8000, 100'000, 0},
+                      "r" + std::to_string(i / 2));
+    }
+  }
+
+  void Run() {
+    const Time end = this->sim.now + std::chrono::milliseconds(kFaultyMs);
+    while (this->sim.now < end) {
+      this->Act();
+      this->sim.Run(this->Draw(20, 400));
+    }
+    this->Heal();
+    this->sim.Run(kCalmMs);
+  }
+
+  FleetSim sim;
+  std::vector<std::string> endless;
+  std::set<std::string> finite;
+
+ private:
+  int Draw(int low, int high) {
+    return std::uniform_int_distribution<int>(low, high)(this->random);
+  }
+  static std::string NameOf(int vm) { return "vm" + std::to_string(vm); }
+  SimVm& AnyVm() { return *this->sim.vms.at(NameOf(this->Draw(0, kVms - 1))); }
+
+  void Act() {
+    switch (this->Draw(0, 13)) {
+      case 0:
+        this->AnyVm().dark = true;
+        break;
+      case 1:
+      case 2:
+        for (auto& [id, vm] : this->sim.vms) {
+          vm->dark = false;
+        }
+        break;
+      case 3:
+        this->AnyVm().loses_answers = true;
+        break;
+      case 4:
+        for (auto& [id, vm] : this->sim.vms) {
+          vm->loses_answers = false;
+        }
+        break;
+      case 5:
+        this->sim.store.down = !this->sim.store.down;
+        break;
+      case 6:
+        this->sim.store.loses_answers = !this->sim.store.loses_answers;
+        break;
+      case 7:
+        this->sim.Takeover();
+        break;
+      case 8:
+        this->Reboot(this->AnyVm());
+        break;
+      case 9:
+        if (!this->finite.empty() && this->Draw(0, 2) == 0) {
+          this->sim.Cancel(*this->finite.begin());
+          this->finite.erase(this->finite.begin());
+        }
+        break;
+      default:
+        this->Submit();
+        break;
+    }
+  }
+
+  // The VM starts again under its id and knows nothing of before.
+  void Reboot(SimVm& vm) {
+    vm.runs.clear();
+    vm.ended.clear();
+    vm.barred.clear();
+    vm.fence = 0;
+    vm.until_ms = 0;
+    vm.last_number = 0;
+    ++vm.facts.boot_ms;
+    this->sim.scheduler->SetVm(vm.facts, this->sim.now);
+  }
+
+  void Submit() {
+    const std::string id = "job" + std::to_string(++this->last_job);
+    JobSpec job = SimpleJob(id, "q", this->Draw(1, 6), this->Draw(200, 3000),
+                            this->Draw(50, 1500));
+    job.team = this->Draw(0, 1) == 0 ? TeamId("t") : TeamId();
+    if (this->endless.size() < 3 && this->Draw(0, 3) == 0) {
+      job.steps[0].endless = true;
+      job.steps[0].may_miss = 1;
+      job.steps[0].max_per_vm = this->Draw(0, 1) == 0 ? 0 : 2;
+      job.steps[0].need.cpu_m = 500;
+      job.team = TeamId();
+      for (int i = 0; i < job.steps[0].count; ++i) {
+        this->endless.push_back(id + ".0.0." + std::to_string(i));
+      }
+    } else {
+      for (int s = this->Draw(0, 2); s > 0; --s) {
+        job.steps.push_back(job.steps[0]);
+        job.steps.back().after = {
+            static_cast<std::int32_t>(job.steps.size()) - 2};
+      }
+      job.steps.back().gang = this->Draw(0, 4) == 0;
+      this->finite.insert(id);
+    }
+    this->sim.Submit(job);
+  }
+
+  void Heal() {
+    this->sim.store.down = false;
+    this->sim.store.loses_answers = false;
+    for (auto& [id, vm] : this->sim.vms) {
+      vm->dark = false;
+      vm->loses_answers = false;
+    }
+  }
+
+  std::mt19937_64 random;
+  int last_job = 0;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(ChaosTest)
+
+BOOST_AUTO_TEST_CASE(NothingIsLostOrRepeated) {
+  constexpr std::uint64_t seeds = 400;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    Chaos chaos(seed);
+    chaos.Run();
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      for (const std::string& breach : chaos.sim.breaches) {
+        BOOST_ERROR(breach);
+      }
+      for (const std::string& job : chaos.finite) {
+        const JobState state = chaos.sim.StateOf(job);
+        BOOST_TEST((state == JobState::kCompleted),
+                   job << " is " << NameOf(state));
+      }
+      for (const std::string& task : chaos.endless) {
+        BOOST_TEST(chaos.sim.Runs(task), task << " does not run");
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace kch::jobs::test
