Move idle machines to pools with a backlog

Change: a mover takes idle machines of calm pools, and standing-by ones under a deeper backlog, to pools with a backlog.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -103,10 +103,31 @@
   // Orders to machines are irreversible, so they need certain ownership.
   if (this->planner != nullptr && !this->takeover &&
       this->ownership.Certain(now)) {
-    this->planner->Tick(now, [this](const VmId& vm) { return this->LoadOf(vm); });
-    this->Perform(this->planner->Take());
-    this->Perform(this->scheduler->Take());
+    this->TickMachines(now);
+  }
+}
+
+void Driver::TickMachines(Time now) {
+  const auto load_of = [this](const VmId& vm) { return this->LoadOf(vm); };
+  this->planner->Tick(now, load_of);
+  this->Perform(this->planner->Take());
+  if (this->fleet_config && !this->scheduler->recovering()) {
+    std::map<PoolId, upkeep::PoolDemand> pools;
+    for (const auto& [id, facts] : this->fleet_config->pools) {
+      const auto demand = this->scheduler->DemandOf(id, now);
+      pools[id] = {.capacity = demand.capacity,
+                   .used = demand.used,
+                   .waiting = demand.waiting,
+                   .standby = facts.standby};
+    }
+    this->mover->Tick(this->planner->machines(), this->planner->claimed(),
+                      pools, load_of, now);
+    if (!this->mover->moving().empty()) {
+      this->planner->ReadSoon(now);
+    }
+    this->Perform(this->mover->Take());
   }
+  this->Perform(this->scheduler->Take());
 }
 
 std::optional<upkeep::VmLoad> Driver::LoadOf(const VmId& id) const {
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -29,6 +29,7 @@
   std::string peer_address;  // host:port of this process for others
   jobs::Limits limits;
   upkeep::Limits upkeep_limits;
+  upkeep::MoveLimits move_limits;
   Duration shutdown_time{};  // from SIGTERM until the process must have ended
 };
 
@@ -110,6 +111,7 @@
   void Perform(std::vector<lead::Effect> decided);
   void Perform(std::vector<jobs::Effect> decided);
   void Perform(std::vector<upkeep::Effect> decided);
+  void TickMachines(Time now);
   [[nodiscard]] std::optional<upkeep::VmLoad> LoadOf(const VmId& vm) const;
 
   FleetOptions options;
@@ -130,6 +132,7 @@
   std::optional<Takeover> takeover;
   std::map<std::string, SeenWave> waves;  // by key
   std::unique_ptr<upkeep::Planner> planner;
+  std::unique_ptr<upkeep::Mover> mover;
 
   std::shared_ptr<platform::PrefixView> operators;
   std::shared_ptr<platform::PrefixView> owner_view;
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -305,6 +305,18 @@
       });
 }
 
+void UpkeepEffectVisitor::operator()(const upkeep::OrderMove& effect) const {
+  this->driver.parts.metrics.Count("move_orders");
+  this->driver.parts.machines.Move(
+      effect, this->fence,
+      [&driver = this->driver, fence = this->fence,
+       effect](upkeep::OrderAnswer answer) {
+        driver.PostFor(fence, [&driver, effect, answer] {
+          driver.mover->OnOrder(effect.machine, answer, Now());
+        });
+      });
+}
+
 void UpkeepEffectVisitor::operator()(const upkeep::VmEnded& effect) const {
   this->driver.scheduler->EndVm(effect.vm, Now());
 }
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -39,6 +39,8 @@
   this->planner = std::make_unique<upkeep::Planner>(
       this->options.upkeep_limits,
       Now() + this->options.upkeep_limits.handover);
+  this->mover = std::make_unique<upkeep::Mover>(
+      this->options.move_limits, Now() + this->options.move_limits.handover);
   this->parts.front.SetOwner(this->options.peer_address);
   this->ReadWaves(gained);
   this->ReadProgress("", gained);
@@ -53,6 +55,7 @@
   this->vm_view->Stop();
   this->takeover.reset();
   this->planner.reset();
+  this->mover.reset();
   this->scheduler.reset();
 }
 
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -218,19 +218,16 @@
   }
 }
 
-double Scheduler::PoolUse(const PoolId& id,
-                          const VmId& without,
-                          Time now) const {
+Scheduler::Demand Scheduler::DemandOf(const PoolId& id, Time now) const {
+  Demand demand;
   const auto found = this->pools.find(id);
   if (found == this->pools.end()) {
-    return 0;
+    return demand;
   }
-  Resources used;
-  Resources capacity;
   for (const auto& [vm_id, vm] : found->second.vms) {
-    used += vm->used;
-    if (vm->facts.id != without && this->Usable(*vm, now)) {
-      capacity += vm->facts.capacity;
+    demand.used += vm->used;
+    if (this->Usable(*vm, now)) {
+      demand.capacity += vm->facts.capacity;
     }
   }
   for (const Unit& unit : found->second.ready) {
@@ -239,16 +236,28 @@
     const Resources need =
         unit.job->spec.steps[static_cast<std::size_t>(unit.step)].Occupies();
     for (std::int32_t i = 0; i < step.waiting; ++i) {
-      used += need;
+      demand.waiting += need;
     }
   }
+  return demand;
+}
+
+double Scheduler::PoolUse(const PoolId& id,
+                          const VmId& without,
+                          Time now) const {
+  Demand demand = this->DemandOf(id, now);
+  const auto vm = this->fleet.find(without);
+  if (vm != this->fleet.end() && this->Usable(*vm->second, now)) {
+    demand.capacity -= vm->second->facts.capacity;
+  }
+  const Resources wanted = demand.used + demand.waiting;
   const auto share = [](std::int64_t part, std::int64_t whole) {
     constexpr double full = 10;
     return whole <= 0 ? full
                       : static_cast<double>(part) / static_cast<double>(whole);
   };
-  return std::max(share(used.cpu_m, capacity.cpu_m),
-                  share(used.memory_mb, capacity.memory_mb));
+  return std::max(share(wanted.cpu_m, demand.capacity.cpu_m),
+                  share(wanted.memory_mb, demand.capacity.memory_mb));
 }
 
 void Scheduler::AddJob(JobSpec spec,
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -122,6 +122,13 @@
   void EvictEndless(const VmId& vm, Time now);
   /*! @brief A VM ends by an order: everything on it has ended. */
   void EndVm(const VmId& vm, Time now);
+  /*! @brief What a pool offers, uses and lacks. */
+  struct Demand {
+    Resources capacity;  // of usable VMs
+    Resources used;
+    Resources waiting;  // of tasks that could start at once
+  };
+  [[nodiscard]] Demand DemandOf(const PoolId& pool, Time now) const;
   /*! @brief Used and wanted over usable capacity of a pool, without some VM. */
   [[nodiscard]] double PoolUse(const PoolId& pool,
                                const VmId& without,
--- /dev/null
+++ b/src/upkeep/mover.cc
@@ -0,0 +1,208 @@
+#include "upkeep/mover.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kch::upkeep {
+namespace {
+
+// The scarcer of processors and memory, as a share of the capacity.
+double Share(const jobs::Resources& part, const jobs::Resources& whole) {
+  const auto ratio = [](std::int64_t amount, std::int64_t of) {
+    if (amount <= 0) {
+      return 0.0;
+    }
+    constexpr double nothing_there = 100;
+    return of <= 0 ? nothing_there
+                   : static_cast<double>(amount) / static_cast<double>(of);
+  };
+  return std::max(ratio(part.cpu_m, whole.cpu_m),
+                  ratio(part.memory_mb, whole.memory_mb));
+}
+
+}  // namespace
+
+Mover::Mover(const MoveLimits& limits, Time start)
+    : limits(limits), start(start) {}
+
+std::set<MachineId> Mover::moving() const {
+  std::set<MachineId> ids;
+  for (const auto& [id, move] : this->moves) {
+    ids.insert(id);
+  }
+  return ids;
+}
+
+void Mover::Finish(const MachineList& machines, Time now) {
+  for (auto row = this->moves.begin(); row != this->moves.end();) {
+    const Move& move = row->second;
+    const auto machine = machines.find(row->first);
+    const bool arrived = machine != machines.end() &&
+                         machine->second.pool == move.to &&
+                         machine->second.state == MachineState::kUp;
+    const bool overdue = now - move.ordered > 4 * this->limits.away;
+    if (move.done && (arrived || overdue || machine == machines.end())) {
+      this->settled[row->first] = now + this->limits.settle;
+      row = this->moves.erase(row);
+    } else {
+      ++row;
+    }
+  }
+}
+
+// Idle machines of pools that can spare them, those of the calmest pool first;
+// machines that stand by come last, since they cost while they are in use.
+std::vector<const Machine*> Mover::Donors(
+    const MachineList& machines,
+    const std::set<MachineId>& busy,
+    const std::map<PoolId, PoolDemand>& pools,
+    const LoadOf& load_of,
+    const PoolId& to,
+    bool wake,
+    Time now) const {
+  struct Candidate {
+    bool standby = false;
+    double use = 0;
+    const Machine* machine = nullptr;
+  };
+  std::vector<Candidate> candidates;
+  for (const auto& [id, machine] : machines) {
+    const auto settled_at = this->settled.find(id);
+    const auto pool = pools.find(machine.pool);
+    if (machine.pool == to || machine.state != MachineState::kUp ||
+        busy.contains(id) || this->moves.contains(id) ||
+        pool == pools.end() ||
+        (settled_at != this->settled.end() && now < settled_at->second)) {
+      continue;
+    }
+    if (pool->second.standby) {
+      if (wake) {
+        candidates.push_back({true, 0, &machine});
+      }
+      continue;
+    }
+    const auto load = load_of(machine.vm);
+    if (!load || !load->answers || load->runs > 0 ||
+        load->pool_use_without > this->limits.give_use) {
+      continue;
+    }
+    candidates.push_back({false, load->pool_use_without, &machine});
+  }
+  std::ranges::sort(candidates, [](const Candidate& left,
+                                   const Candidate& right) {
+    return std::tie(left.standby, left.use, left.machine->id) <
+           std::tie(right.standby, right.use, right.machine->id);
+  });
+  std::vector<const Machine*> donors;
+  std::map<PoolId, jobs::Resources> given;
+  for (const Candidate& candidate : candidates) {
+    const PoolDemand& pool = pools.at(candidate.machine->pool);
+    jobs::Resources& gone = given[candidate.machine->pool];
+    const jobs::Resources left =
+        pool.capacity - gone - candidate.machine->capacity;
+    if (!candidate.standby &&
+        Share(pool.used + pool.waiting, left) > this->limits.give_use) {
+      continue;
+    }
+    gone += candidate.machine->capacity;
+    donors.push_back(candidate.machine);
+  }
+  return donors;
+}
+
+void Mover::Tick(const MachineList& machines,
+                 const std::set<MachineId>& busy,
+                 const std::map<PoolId, PoolDemand>& pools,
+                 const LoadOf& load_of,
+                 Time now) {
+  if (now < this->start) {
+    return;
+  }
+  this->Finish(machines, now);
+  for (auto& [id, move] : this->moves) {
+    if (!move.done && !move.order_sent && now >= move.retry_at) {
+      move.order_sent = true;
+      this->effects.emplace_back(OrderMove{id, move.to});
+    }
+  }
+  for (const auto& [id, pool] : pools) {
+    if (pool.standby) {
+      continue;
+    }
+    jobs::Resources capacity = pool.capacity;
+    for (const auto& [machine, move] : this->moves) {
+      if (move.to == id) {
+        capacity += move.capacity;
+      }
+    }
+    const double backlog = Share(pool.waiting, capacity);
+    if (backlog < this->limits.take_backlog) {
+      continue;
+    }
+    const std::vector<const Machine*> donors =
+        this->Donors(machines, busy, pools, load_of, id,
+                     backlog >= this->limits.wake_backlog, now);
+    jobs::Resources missing = pool.used + pool.waiting - capacity;
+    for (const Machine* machine : donors) {
+      if (missing.cpu_m <= 0 && missing.memory_mb <= 0) {
+        break;
+      }
+      missing -= machine->capacity;
+      this->moves[machine->id] = {.to = id,
+                                  .vm = machine->vm,
+                                  .capacity = machine->capacity,
+                                  .ordered = now};
+      if (!machine->vm.empty()) {
+        this->effects.emplace_back(SetCordon{machine->vm, true});
+      }
+      this->effects.emplace_back(OrderMove{machine->id, id});
+      this->effects.emplace_back(
+          Note{"machine_move",
+               {{"machine", machine->id.str()},
+                {"from", machine->pool.str()},
+                {"to", id.str()},
+                {"backlog", std::to_string(backlog)}}});
+    }
+  }
+}
+
+void Mover::OnOrder(const MachineId& id, OrderAnswer answer, Time now) {
+  const auto found = this->moves.find(id);
+  if (found == this->moves.end()) {
+    return;
+  }
+  Move& move = found->second;
+  move.order_sent = false;
+  this->effects.emplace_back(
+      Note{"move_order",
+           {{"machine", id.str()}, {"answer", std::string(NameOf(answer))}}});
+  switch (answer) {
+    case OrderAnswer::kDone:
+      move.done = true;
+      if (!move.vm.empty()) {
+        this->effects.emplace_back(VmEnded{move.vm});
+      }
+      return;
+    case OrderAnswer::kFenced:
+      this->effects.emplace_back(Superseded{});
+      return;
+    case OrderAnswer::kUnknown:
+      // It may be carried out at any time, so the VM stays closed and the order
+      // is repeated until the answer tells.
+      move.retry_at = now + this->limits.order_retry;
+      return;
+    default:
+      if (!move.vm.empty()) {
+        this->effects.emplace_back(SetCordon{move.vm, false});
+      }
+      this->settled[id] = now + this->limits.settle;
+      this->moves.erase(found);
+      return;
+  }
+}
+
+std::vector<Effect> Mover::Take() {
+  return std::exchange(this->effects, {});
+}
+
+}  // namespace kch::upkeep
--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -15,8 +15,8 @@
 }
 
 const Machine* Planner::Find(const MachineId& id) const {
-  const auto found = this->machines.find(id);
-  return found == this->machines.end() ? nullptr : &found->second;
+  const auto found = this->list.find(id);
+  return found == this->list.end() ? nullptr : &found->second;
 }
 
 void Planner::SetWave(const WaveOrder& order, Time since) {
@@ -52,10 +52,10 @@
   }
 }
 
-void Planner::OnMachines(const std::vector<Machine>& list, Time now) {
-  this->machines.clear();
-  for (const Machine& machine : list) {
-    this->machines[machine.id] = machine;
+void Planner::OnMachines(const std::vector<Machine>& machines, Time now) {
+  this->list.clear();
+  for (const Machine& machine : machines) {
+    this->list[machine.id] = machine;
   }
   this->listed = true;
   this->reading = false;
@@ -125,9 +125,7 @@
 }
 
 void Planner::Tick(Time now, const LoadOf& load_of) {
-  const bool open = std::ranges::any_of(
-      this->waves, [](const auto& wave) { return !wave.second.completed; });
-  if (!open || now < this->start) {
+  if (now < this->start) {
     return;
   }
   if (!this->reading && now >= this->next_read) {
@@ -144,6 +142,22 @@
   }
 }
 
+std::set<MachineId> Planner::claimed() const {
+  std::set<MachineId> ids;
+  for (const auto& [wave_id, wave] : this->waves) {
+    for (const auto& [id, item] : wave.items) {
+      if (item.stage != Stage::kDone) {
+        ids.insert(id);
+      }
+    }
+  }
+  return ids;
+}
+
+void Planner::ReadSoon(Time now) {
+  this->next_read = std::min(this->next_read, now + this->limits.read_busy);
+}
+
 bool Planner::Pressed(const Wave& wave, Time now) const {
   const auto left =
       std::ranges::count_if(wave.items, [](const auto& item) {
--- a/src/upkeep/upkeep.h
+++ b/src/upkeep/upkeep.h
@@ -1,6 +1,9 @@
 #ifndef UPKEEP_UPKEEP_H_
 #define UPKEEP_UPKEEP_H_
 
+#include "upkeep/effect.h"
+#include "upkeep/machine.h"
+#include "upkeep/mover.h"
 #include "upkeep/planner.h"
 
 #endif  // UPKEEP_UPKEEP_H_
