--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -259,6 +259,9 @@
            [this](bool reachable) {
              this->parts.front.SetStoreReachable(reachable);
              net::LogEvent(reachable ? "store_regained" : "store_lost", {});
+             if (reachable) {
+               this->Post([this] { this->store_regained = Now(); });
+             }
            }});
 }
 
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -77,6 +77,8 @@
     bool intake_known = false;
     bool vms_known = false;
     bool waves_known = false;
+    bool kept_known = false;
+    std::vector<jobs::VmFacts> kept_vms;
     std::vector<jobs::JobSpec> early_jobs;
     std::vector<jobs::JobId> early_cancels;
   };
@@ -99,6 +101,11 @@
   void Gain(std::uint64_t fence);
   void Lose(const std::string& reason);
   void ReadProgress(const std::string& after_key, std::uint64_t fence);
+  void ReadAll(
+      std::string_view prefix,
+      std::uint64_t fence,
+      std::function<void(const std::vector<platform::Item>&)> use);
+  void ReadKeptVms(std::uint64_t fence);
   void ReadWaves(std::uint64_t fence);
   void OnWave(const platform::Item& item);
   void FollowIntake(std::uint64_t fence);
@@ -130,6 +137,7 @@
   std::unique_ptr<jobs::Scheduler> scheduler;
   std::uint64_t fence = 0;
   std::optional<Takeover> takeover;
+  Time store_regained;  // unset: it was never away
   std::map<std::string, SeenWave> waves;  // by key
   std::unique_ptr<upkeep::Planner> planner;
   std::unique_ptr<upkeep::Mover> mover;
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -137,7 +137,8 @@
 
 void LeadEffectVisitor::operator()(const lead::RenewLease& effect) const {
   this->driver.parts.store.RenewLease(
-      effect.lease, [&driver = this->driver, sent = Now()](Outcome outcome) {
+      effect.lease, static_cast<int>(ToMs(lead::kRenewTimeout)),
+      [&driver = this->driver, sent = Now()](Outcome outcome) {
         driver.Post([&driver, sent, outcome] {
           driver.ownership.OnRenewal(AnswerOf(outcome), sent, Now());
         });
@@ -256,6 +257,33 @@
       });
 }
 
+void FleetEffectVisitor::operator()(const jobs::KeepVm& effect) const {
+  platform::Transaction transaction;
+  transaction.puts.push_back({std::string(kKeptVmPrefix) + effect.vm.id.str(),
+                              jobs::EncodeVm(effect.vm), 0});
+  this->WriteKept(std::move(transaction));
+}
+
+void FleetEffectVisitor::operator()(const jobs::ForgetVm& effect) const {
+  platform::Transaction transaction;
+  transaction.erasures.push_back(std::string(kKeptVmPrefix) + effect.vm.str());
+  this->WriteKept(std::move(transaction));
+}
+
+// A lost write costs little: a record too many makes a successor ask a VM in
+// vain, and one too few matters only if the owner is lost at the same time.
+void FleetEffectVisitor::WriteKept(platform::Transaction transaction) const {
+  transaction.conditions.push_back({std::string(kOwnerKey), this->fence});
+  this->driver.parts.store.Write(
+      transaction, kWriteTimeoutMs, [](const platform::WriteReply& reply) {
+        if (reply.outcome != Outcome::kOk) {
+          net::LogEvent("kept_vm_not_stored",
+                        {{"outcome", std::string(NameOf(AnswerOf(
+                                         reply.outcome)))}});
+        }
+      });
+}
+
 void FleetEffectVisitor::operator()(const jobs::Superseded& effect) const {
   net::LogEvent("fenced", {{"vm", effect.seen_at.str()},
                            {"fence", std::to_string(this->fence)}});
--- a/src/app/fleet/effects.h
+++ b/src/app/fleet/effects.h
@@ -21,7 +21,7 @@
 /*! @brief Performs what the scheduler with a fence decided. */
 struct FleetEffectVisitor {
   Driver& driver;
-  std::uint64_t fence;
+  std::uint64_t fence = 0;
 
   void operator()(const jobs::StartRun& effect) const;
   void operator()(const jobs::StopRun& effect) const;
@@ -29,8 +29,13 @@
   void operator()(const jobs::LookAt& effect) const;
   void operator()(const jobs::AskAdvice& effect) const;
   void operator()(const jobs::WriteRecords& effect) const;
+  void operator()(const jobs::KeepVm& effect) const;
+  void operator()(const jobs::ForgetVm& effect) const;
   void operator()(const jobs::Superseded& effect) const;
   void operator()(const jobs::Note& effect) const;
+
+ private:
+  void WriteKept(platform::Transaction transaction) const;
 };
 
 /*! @brief Performs what the planner of upkeep decided. */
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -42,6 +42,7 @@
   this->mover = std::make_unique<upkeep::Mover>(
       this->options.move_limits, Now() + this->options.move_limits.handover);
   this->parts.front.SetOwner(this->options.peer_address);
+  this->ReadKeptVms(gained);
   this->ReadWaves(gained);
   this->ReadProgress("", gained);
   this->FollowIntake(gained);
@@ -59,29 +60,61 @@
   this->scheduler.reset();
 }
 
-// Machines that a predecessor took out already are not drained again.
-void Driver::ReadWaves(std::uint64_t by) {
+// Reads all records under a prefix and calls `use` with them; repeated until
+// the store answers.
+void Driver::ReadAll(std::string_view prefix,
+                     std::uint64_t by,
+                     std::function<void(const std::vector<platform::Item>&)>
+                         use) {
   this->parts.store.List(
-      std::string(kWaveRecordPrefix), "",
-      [this, by](const platform::ListReply& reply) {
+      std::string(prefix), "",
+      [this, prefix, by,
+       use = std::move(use)](const platform::ListReply& reply) mutable {
         if (reply.outcome != platform::Outcome::kOk) {
-          this->parts.client.Delay(kRetryMs, [this, by] {
-            this->PostFor(by, [this, by] { this->ReadWaves(by); });
-          });
+          this->parts.client.Delay(
+              kRetryMs, [this, prefix, by, use = std::move(use)] {
+                this->PostFor(by, [this, prefix, by, use] {
+                  this->ReadAll(prefix, by, use);
+                });
+              });
           return;
         }
-        this->PostFor(by, [this, reply] {
-          for (const platform::Item& item : reply.items) {
-            this->planner->SetBegun(
-                jobs::WaveId(item.key.substr(kWaveRecordPrefix.size())),
-                DecodeBegun(item.value));
-          }
-          for (const auto& [key, wave] : this->waves) {
-            this->planner->SetWave(wave.order, wave.since);
-          }
-          this->takeover->waves_known = true;
-          this->FinishTakeover();
-        });
+        this->PostFor(by, [use = std::move(use), reply] { use(reply.items); });
+      });
+}
+
+void Driver::ReadKeptVms(std::uint64_t by) {
+  this->ReadAll(kKeptVmPrefix, by,
+                [this](const std::vector<platform::Item>& items) {
+                  for (const platform::Item& item : items) {
+                    const VmId id(item.key.substr(kKeptVmPrefix.size()));
+                    const auto vm = jobs::DecodeKeptVm(id, item.value);
+                    if (vm) {
+                      this->takeover->kept_vms.push_back(*vm);
+                    } else {
+                      net::LogEvent("vm_unreadable",
+                                    {{"error", vm.error().Text()}});
+                    }
+                  }
+                  this->takeover->kept_known = true;
+                  this->FinishTakeover();
+                });
+}
+
+// Machines that a predecessor took out already are not drained again.
+void Driver::ReadWaves(std::uint64_t by) {
+  this->ReadAll(
+      kWaveRecordPrefix, by, [this](const std::vector<platform::Item>& items) {
+        for (const platform::Item& item : items) {
+          this->planner->SetBegun(
+              jobs::WaveId(item.key.substr(kWaveRecordPrefix.size())),
+              DecodeBegun(item.value));
+        }
+        for (const auto& [key, wave] : this->waves) {
+          this->planner->SetWave(wave.order, wave.since);
+        }
+        this->takeover->waves_known = true;
+        this->FinishTakeover();
       });
 }
 
@@ -214,9 +247,13 @@
 
 void Driver::FinishTakeover() {
   if (!this->takeover->progress_known || !this->takeover->intake_known ||
-      !this->takeover->vms_known || !this->takeover->waves_known) {
+      !this->takeover->vms_known || !this->takeover->waves_known ||
+      !this->takeover->kept_known) {
     return;
   }
+  for (const jobs::VmFacts& vm : this->takeover->kept_vms) {
+    this->scheduler->SetKeptVm(vm, Now());
+  }
   for (jobs::JobSpec& spec : this->takeover->early_jobs) {
     this->AddJob(std::move(spec), true);
   }
@@ -224,7 +261,13 @@
     this->scheduler->CancelJob(job, Now());
   }
   this->takeover.reset();
-  this->scheduler->BeginRecovery(Now());
+  // Registrations that lapsed while the store was away come back within this
+  // time of its return.
+  constexpr auto registration_return = std::chrono::milliseconds(2200);
+  this->scheduler->BeginRecovery(
+      Now(), this->store_regained == Time()
+                 ? Time()
+                 : this->store_regained + registration_return);
 }
 
 }  // namespace kch::app
--- a/src/jobs/effect.h
+++ b/src/jobs/effect.h
@@ -76,6 +76,16 @@
   std::vector<RecordWrite> records;
 };
 
+/*! @brief Stores that a VM without a registration may still run tasks, so that
+ * a successor asks it. */
+struct KeepVm {
+  VmFacts vm;
+};
+/*! @brief Erases what KeepVm stored. */
+struct ForgetVm {
+  VmId vm;
+};
+
 /*! @brief Another scheduler has taken over: give nothing more in order. */
 struct Superseded {
   VmId seen_at;
@@ -93,6 +103,8 @@
                             LookAt,
                             AskAdvice,
                             WriteRecords,
+                            KeepVm,
+                            ForgetVm,
                             Superseded,
                             Note>;
 
--- a/src/jobs/record.cc
+++ b/src/jobs/record.cc
@@ -287,6 +287,37 @@
   return {};
 }
 
+std::string EncodeVm(const VmFacts& vm) {
+  return json{{"pool", vm.pool.str()},
+              {"address", vm.address},
+              {"zone", vm.zone.str()},
+              {"rack", vm.rack.str()},
+              {"labels", vm.labels},
+              {"cpu_m", vm.capacity.cpu_m},
+              {"memory_mb", vm.capacity.memory_mb},
+              {"gpus", vm.capacity.gpus},
+              {"boot_ms", vm.boot_ms}}
+      .dump();
+}
+
+Result<VmFacts> DecodeKeptVm(const VmId& id, std::string_view text) {
+  try {
+    const json row = json::parse(text);
+    return VmFacts{.id = id,
+                   .pool = PoolId(row.at("pool").get<std::string>()),
+                   .address = row.at("address"),
+                   .zone = ZoneId(row.at("zone").get<std::string>()),
+                   .rack = RackId(row.at("rack").get<std::string>()),
+                   .labels = row.at("labels").get<std::set<std::string>>(),
+                   .capacity = {row.at("cpu_m"), row.at("memory_mb"),
+                                row.at("gpus")},
+                   .boot_ms = row.at("boot_ms")};
+  } catch (const std::exception& error) {
+    return Corrupt("the record of VM " + id.str() + " is unreadable: " +
+                   error.what());
+  }
+}
+
 Result<JobState> DecodeState(std::string_view text) {
   const json record = json::parse(text, nullptr, false);
   if (record.is_object()) {
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -99,6 +99,7 @@
   if (vm == nullptr) {
     vm = this->fleet.emplace(facts.id, std::make_unique<Vm>())
              .first->second.get();
+    vm->added = now;
     vm->next_look = now;
     this->NoteThat("vm_added", {{"vm", facts.id.str()},
                                 {"pool", facts.pool.str()},
@@ -110,6 +111,10 @@
   const bool starts_leaving = facts.leaving && !vm->facts.leaving;
   vm->facts = facts;
   vm->registered = true;
+  if (vm->kept) {
+    vm->kept = false;
+    this->effects.emplace_back(ForgetVm{facts.id});
+  }
   this->pools[facts.pool].vms[facts.id] = vm;
   if (starts_leaving) {
     this->NoteThat("vm_leaving", {{"vm", facts.id.str()},
@@ -157,11 +162,25 @@
   vm->registered = false;
   this->NoteThat("vm_removed", {{"vm", id.str()},
                                 {"runs", std::to_string(vm->runs.size())}});
-  if (vm->runs.empty() && vm->strays.empty()) {
+  // One that has not reported yet may run tasks of the predecessor.
+  if (vm->reported && vm->runs.empty() && vm->strays.empty()) {
     this->DropVm(id);
   } else {
     vm->next_look = now;
+    vm->kept = true;
+    this->effects.emplace_back(KeepVm{vm->facts});
+  }
+}
+
+void Scheduler::SetKeptVm(const VmFacts& facts, Time now) {
+  if (this->FindVm(facts.id) != nullptr) {
+    this->effects.emplace_back(ForgetVm{facts.id});
+    return;
   }
+  this->SetVm(facts, now);
+  Vm& vm = *this->FindVm(facts.id);
+  vm.registered = false;
+  vm.kept = true;
 }
 
 void Scheduler::DropVm(const VmId& id) {
@@ -169,6 +188,9 @@
   if (found == this->fleet.end()) {
     return;
   }
+  if (found->second->kept) {
+    this->effects.emplace_back(ForgetVm{id});
+  }
   this->pools[found->second->facts.pool].vms.erase(id);
   this->fleet.erase(found);
 }
@@ -179,6 +201,14 @@
   }
 }
 
+// A VM that does not answer may have lost its tasks long before their lease
+// tells so.
+bool Scheduler::AtWork(const Task& task, Time now) const {
+  const auto vm = this->fleet.find(task.vm);
+  return task.AtWork() && vm != this->fleet.end() && !vm->second->silent &&
+         now - vm->second->clock_at <= 2 * this->limits.look_wait;
+}
+
 void Scheduler::EvictEndless(const VmId& id, Time now) {
   Vm* vm = this->FindVm(id);
   if (vm == nullptr || vm->silent) {
@@ -193,8 +223,8 @@
     // count.
     const Step& step = this->StepOf(*task);
     const auto away =
-        std::ranges::count_if(step.tasks, [task](const Task& other) {
-          return &other != task && !other.AtWork();
+        std::ranges::count_if(step.tasks, [this, task, now](const Task& other) {
+          return &other != task && !this->AtWork(other, now);
         });
     const std::int32_t may_miss = std::max(1, task->spec().may_miss);
     if (away >= may_miss) {
@@ -388,6 +418,9 @@
 
 void Scheduler::Requeue(Task& task, Time now) {
   this->Release(task);
+  if (task.phase == TaskPhase::kDone) {
+    return;  // only a run that was no longer needed has ended
+  }
   if (task.phase != TaskPhase::kWaiting) {
     task.phase = TaskPhase::kWaiting;
     ++this->StepOf(task).waiting;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -58,6 +58,9 @@
   void SetVm(const VmFacts& facts, Time now);
   /*! @brief A VM's registration was removed. */
   void RemoveVm(const VmId& vm, Time now);
+  /*! @brief A VM that a predecessor stored as one that may run tasks without
+   * being registered. */
+  void SetKeptVm(const VmFacts& facts, Time now);
   /*! @brief Forbids or allows new starts on a VM, before maintenance. */
   void Cordon(const VmId& vm, bool on);
 
@@ -72,8 +75,9 @@
               Time now);
   void CancelJob(const JobId& job, Time now);
   /*! @brief Ends the time in which facts and jobs of the predecessor are
-   * entered: looks at all VMs before anything starts. */
-  void BeginRecovery(Time now);
+   * entered: looks at all VMs before anything starts, and waits until
+   * `not_before` for registrations that lapsed while the store was away. */
+  void BeginRecovery(Time now, Time not_before = {});
 
   // Answers.
   void OnReport(const VmId& vm, const VmReport& report, Time sent, Time now);
@@ -178,6 +182,8 @@
   void Changed(Job& job);
   void EndJob(Job& job, JobState state, Time now);
   void SetBegun(Job& job);
+  Duration LongestLease() const;
+  bool AtWork(const Task& task, Time now) const;
 
   // scheduler_report.cc
   void Resolve(Vm& vm, Time sent, Time now);
@@ -199,6 +205,7 @@
   void DropVm(const VmId& id);
 
   // scheduler_plan.cc
+  void CountHidden(Time now);
   void PlanPool(Pool& pool, Time now);
   bool PlanUnit(const Unit& unit, Pool& pool, Time now);
   bool PlanGang(const Unit& unit, Pool& pool, Time now);
@@ -224,6 +231,7 @@
   std::unordered_map<JobId, std::unique_ptr<Job>> jobs;
   std::map<PoolId, Pool> pools;
   std::map<TeamId, Resources> in_use;
+  std::map<TeamId, Resources> hidden;  // may run on VMs that have not reported
   std::map<QueueId, std::int64_t> pending;
   std::set<JobId> scheduled;  // jobs with occurrences that are not open yet
   std::unordered_set<JobId> early_cancels;  // cancelled before they were seen
@@ -231,6 +239,7 @@
 
   bool in_recovery = false;
   Time recovery_ends;
+  Time recovery_not_before;
   bool superseded = false;
 
   std::set<JobId> dirty;  // jobs with changes to store
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -44,9 +44,13 @@
     return true;
   }
   const Resources& most = found->second.maximum;
-  const auto used = this->in_use.find(job.spec.team);
-  const Resources total =
-      used == this->in_use.end() ? more : used->second + more;
+  Resources total = more;
+  for (const auto* amounts : {&this->in_use, &this->hidden}) {
+    if (const auto amount = amounts->find(job.spec.team);
+        amount != amounts->end()) {
+      total += amount->second;
+    }
+  }
   const auto within = [](std::int64_t amount, std::int64_t limit) {
     return limit == 0 || amount <= limit;
   };
@@ -55,10 +59,46 @@
          within(total.gpus, most.gpus);
 }
 
+// Inherited tasks that were not found anywhere may run on VMs of their pool that
+// have not reported; up to the room of these VMs they count for their teams.
+void Scheduler::CountHidden(Time now) {
+  this->hidden.clear();
+  for (const auto& [id, pool] : this->pools) {
+    if (now >= pool.inherited_after) {
+      continue;
+    }
+    Resources room;
+    for (const auto& [vm_id, vm] : pool.vms) {
+      if (!vm->reported) {
+        room += vm->facts.capacity;
+      }
+    }
+    std::map<TeamId, Resources> wanted;
+    for (const Unit& unit : pool.ready) {
+      if (!unit.job->inherited) {
+        continue;
+      }
+      const Step& step = unit.job->open.at(unit.occurrence)
+                             .steps[static_cast<std::size_t>(unit.step)];
+      const StepSpec& spec =
+          unit.job->spec.steps[static_cast<std::size_t>(unit.step)];
+      for (std::int32_t i = 0; i < step.waiting; ++i) {
+        wanted[unit.job->spec.team] += spec.need;
+      }
+    }
+    for (const auto& [team, need] : wanted) {
+      this->hidden[team] += {std::min(need.cpu_m, room.cpu_m),
+                             std::min(need.memory_mb, room.memory_mb),
+                             std::min(need.gpus, room.gpus)};
+    }
+  }
+}
+
 void Scheduler::Plan(Time now, std::int64_t wall_ms) {
   if (this->in_recovery || this->superseded) {
     return;
   }
+  this->CountHidden(now);
   const std::vector<JobId> due(this->scheduled.begin(), this->scheduled.end());
   for (const JobId& id : due) {
     Job& job = *this->jobs.at(id);
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -23,24 +23,30 @@
 
 }  // namespace
 
-void Scheduler::BeginRecovery(Time now) {
+// Whatever a predecessor started on a VM that does not answer ends with its
+// lease, which this scheduler does not know: the longest one bounds it.
+Duration Scheduler::LongestLease() const {
+  return std::chrono::duration_cast<Duration>(
+      this->limits.lease / kSlowestVmClock + this->limits.stop_grace);
+}
+
+void Scheduler::BeginRecovery(Time now, Time not_before) {
   this->in_recovery = true;
-  this->recovery_ends = now + this->limits.recovery_wait;
+  this->recovery_not_before = not_before;
+  this->recovery_ends =
+      std::max(not_before, now + this->limits.recovery_wait);
   for (auto& [id, vm] : this->fleet) {
     vm->next_look = now;
   }
 }
 
 void Scheduler::FinishRecovery(Time now) {
-  // Whatever the predecessor started on a VM that does not answer ends with its
-  // lease, which this scheduler does not know: the longest one bounds it.
-  const auto longest = std::chrono::duration_cast<Duration>(
-      this->limits.lease / kSlowestVmClock + this->limits.stop_grace);
   std::size_t silent = 0;
   for (auto& [id, vm] : this->fleet) {
     if (!vm->reported) {
       ++silent;
-      this->pools[vm->facts.pool].inherited_after = now + longest;
+      this->pools[vm->facts.pool].inherited_after =
+          now + this->LongestLease();
     }
   }
   this->in_recovery = false;
@@ -56,7 +62,8 @@
   if (this->in_recovery) {
     const bool complete = std::ranges::all_of(
         this->fleet, [](const auto& row) { return row.second->reported; });
-    if (complete || now >= this->recovery_ends) {
+    if ((complete && now >= this->recovery_not_before) ||
+        now >= this->recovery_ends) {
       this->FinishRecovery(now);
     }
   }
@@ -74,7 +81,10 @@
       if (expired && vm->silent) {
         this->LoseRuns(*vm, "lease_expired", now);
       }
-      if (!vm->registered && vm->runs.empty() && vm->strays.empty()) {
+      const bool known_empty =
+          vm->reported || now >= vm->added + this->LongestLease();
+      if (!vm->registered && known_empty && vm->runs.empty() &&
+          vm->strays.empty()) {
         gone.push_back(id);
         continue;
       }
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -30,6 +30,8 @@
 struct Vm {
   VmFacts facts;
   bool registered = true;  // its registration is in the store
+  bool kept = false;       // a record tells successors of it
+  Time added;
   Resources used;          // by placed tasks
   std::set<Task*, ByRef> runs;     // placed tasks
   std::vector<Stray> strays;
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -154,7 +154,7 @@
   } else {
     // With the store away nobody can take over, so the owner goes on: its
     // fence stays the highest until a successor has written its record.
-    this->next_renewal = now + kRetryInterval;
+    this->next_renewal = now + kRenewRetry;
   }
 }
 
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -18,9 +18,13 @@
  * this long after the owner's last renewal, well within the lease of what runs
  * on VMs. */
 inline constexpr Duration kOwnerLease = std::chrono::milliseconds(2000);
-/*! @brief Interval of renewals; three may be lost before the lease ends. */
-inline constexpr Duration kRenewInterval = std::chrono::milliseconds(450);
-/*! @brief Pause before a failed store call is repeated. */
+/*! @brief Interval of renewals. */
+inline constexpr Duration kRenewInterval = std::chrono::milliseconds(400);
+/*! @brief A renewal without an answer for this long is repeated, so that four
+ * in a row may be lost before the lease ends. */
+inline constexpr Duration kRenewTimeout = std::chrono::milliseconds(300);
+inline constexpr Duration kRenewRetry = std::chrono::milliseconds(80);
+/*! @brief Pause before a failed claim is repeated. */
 inline constexpr Duration kRetryInterval = std::chrono::milliseconds(250);
 /*! @brief Candidates wait up to this long, so that they seldom collide. */
 inline constexpr Duration kMaxCandidateDelay = std::chrono::milliseconds(120);
--- a/test/jobs/chaos_test.cc
+++ b/test/jobs/chaos_test.cc
@@ -48,7 +48,7 @@
   SimVm& AnyVm() { return *this->sim.vms.at(NameOf(this->Draw(0, kVms - 1))); }
 
   void Act() {
-    switch (this->Draw(0, 13)) {
+    switch (this->Draw(0, 15)) {
       case 0:
         this->AnyVm().dark = true;
         break;
@@ -79,6 +79,14 @@
         this->Reboot(this->AnyVm());
         break;
       case 9:
+        this->sim.Deregister(NameOf(this->Draw(0, kVms - 1)));
+        break;
+      case 10:
+        for (int i = 0; i < kVms; ++i) {
+          this->sim.Register(NameOf(i));
+        }
+        break;
+      case 11:
         if (!this->finite.empty() && this->Draw(0, 2) == 0) {
           this->sim.Cancel(*this->finite.begin());
           this->finite.erase(this->finite.begin());
@@ -99,7 +107,7 @@
     vm.until_ms = 0;
     vm.last_number = 0;
     ++vm.facts.boot_ms;
-    this->sim.scheduler->SetVm(vm.facts, this->sim.now);
+    this->sim.Register(vm.facts.id.str());
   }
 
   void Submit() {
@@ -134,6 +142,7 @@
     for (auto& [id, vm] : this->sim.vms) {
       vm->dark = false;
       vm->loses_answers = false;
+      this->sim.Register(id);
     }
   }
 
--- a/test/jobs/fleet_sim.cc
+++ b/test/jobs/fleet_sim.cc
@@ -385,6 +385,12 @@
   void operator()(const WriteRecords& write) const {
     this->sim.Write(write, this->by);
   }
+  void operator()(const KeepVm& effect) const {
+    this->sim.kept.insert(effect.vm.id.str());
+  }
+  void operator()(const ForgetVm& effect) const {
+    this->sim.kept.erase(effect.vm.str());
+  }
   void operator()(const Superseded& /*effect*/) const {}
   void operator()(const Note& note) const { this->sim.notes.push_back(note); }
 };
@@ -431,7 +437,11 @@
   this->scheduler = std::make_unique<Scheduler>(this->limits);
   this->scheduler->SetConfig(this->config, this->now);
   for (const auto& [id, vm] : this->vms) {
-    this->scheduler->SetVm(vm->facts, this->now);
+    if (!this->unregistered.contains(id)) {
+      this->scheduler->SetVm(vm->facts, this->now);
+    } else if (this->kept.contains(id)) {
+      this->scheduler->SetKeptVm(vm->facts, this->now);
+    }
   }
   for (const auto& [id, spec] : this->submitted) {
     const auto record = this->store.records.find(id);
@@ -446,7 +456,13 @@
   this->scheduler->BeginRecovery(this->now);
 }
 
+void FleetSim::Register(const std::string& vm) {
+  this->unregistered.erase(vm);
+  this->scheduler->SetVm(this->vms.at(vm)->facts, this->now);
+}
+
 void FleetSim::Deregister(const std::string& vm) {
+  this->unregistered.insert(vm);
   this->scheduler->RemoveVm(VmId(vm), this->now);
 }
 
--- a/test/jobs/fleet_sim.h
+++ b/test/jobs/fleet_sim.h
@@ -77,8 +77,9 @@
   bool RunUntil(const std::function<bool()>& done, std::int64_t most_ms);
   // Replaces the scheduler by one that knows only the store and the VMs.
   void Takeover();
-  // A dark VM's registration is removed, as after missed heartbeats.
+  // A VM's registration is removed, as after missed heartbeats, or returns.
   void Deregister(const std::string& vm);
+  void Register(const std::string& vm);
 
   [[nodiscard]] JobState StateOf(const std::string& job) const;
   [[nodiscard]] std::int64_t starts() const { return this->start_count; }
@@ -92,6 +93,8 @@
   std::vector<std::string> breaches;
   std::map<JobId, JobSpec> submitted;
   std::set<JobId> cancelled;
+  std::set<std::string> unregistered;
+  std::set<std::string> kept;  // VMs stored for successors
   std::vector<Note> notes;
   Time now{std::chrono::seconds(1000)};
 
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -159,6 +159,25 @@
   BOOST_TEST(Breaches(sim) == "");
 }
 
+// A VM cut off from the store runs on while the scheduler renews its lease. A
+// successor did not know of it and started its tasks elsewhere.
+BOOST_AUTO_TEST_CASE(TakeoverKnowsVmsWithoutRegistration) {
+  FleetSim sim;
+  WithVms(sim, 2);
+  sim.Submit(EndlessJob("a", 4));
+  sim.Run(500);
+  sim.Deregister("vm0");
+  sim.Run(3000);
+  BOOST_TEST(!sim.vms.at("vm0")->runs.empty());
+  sim.Takeover();
+  sim.Run(1500);
+  sim.Register("vm0");
+  sim.Run(8000);
+  BOOST_TEST(sim.starts() == 4);
+  BOOST_TEST(sim.kept.empty());
+  BOOST_TEST(Breaches(sim) == "");
+}
+
 BOOST_AUTO_TEST_CASE(LostAnswersToStartsDoNotRepeatTasks) {
   FleetSim sim;
   WithVms(sim, 2);
@@ -293,6 +312,30 @@
   BOOST_TEST(sim.starts() == 2);
 }
 
+// The tasks of a VM that had just crashed still counted as at work.
+BOOST_AUTO_TEST_CASE(EvictionCountsTasksOfASilentVmAsAway) {
+  FleetSim sim;
+  WithVms(sim, 3);
+  JobSpec job = EndlessJob("a", 2);
+  job.steps[0].may_miss = 1;
+  job.steps[0].max_per_vm = 1;
+  sim.Submit(job);
+  sim.Run(1500);
+  std::vector<std::string> hosts;
+  for (const auto& [id, vm] : sim.vms) {
+    if (!vm->runs.empty()) {
+      hosts.push_back(id);
+    }
+  }
+  BOOST_REQUIRE(hosts.size() == 2);
+  sim.vms.at(hosts[0])->dark = true;
+  sim.Run(2500);
+  sim.scheduler->Cordon(VmId(hosts[1]), true);
+  sim.scheduler->EvictEndless(VmId(hosts[1]), sim.now);
+  sim.Run(400);
+  BOOST_TEST(!sim.vms.at(hosts[1])->runs.empty());
+}
+
 BOOST_AUTO_TEST_CASE(EvictedTaskStartsElsewhere) {
   FleetSim sim;
   WithVms(sim, 2);
