--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -139,14 +139,11 @@
   const jobs::Vm& vm = *found->second;
   return upkeep::VmLoad{
       .runs = vm.runs.size() + vm.strays.size(),
-      .endless = static_cast<std::size_t>(
-          std::ranges::count_if(vm.runs,
-                                [](const jobs::Task* task) {
-                                  return task->spec().endless;
-                                })),
+      .endless = static_cast<std::size_t>(std::ranges::count_if(
+          vm.runs,
+          [](const jobs::Task* task) { return task->spec().endless; })),
       .answers = !vm.silent,
-      .pool_use_without =
-          this->scheduler->PoolUse(vm.facts.pool, id, Now())};
+      .pool_use_without = this->scheduler->PoolUse(vm.facts.pool, id, Now())};
 }
 
 void Driver::OnTick() {
@@ -162,13 +159,13 @@
   this->last_tick = now;
   if (this->shutdown_begun) {
     const Duration passed = now - *this->shutdown_begun;
-    const bool drained = passed >= kBalancerTime &&
-                         this->parts.front.open_requests() == 0;
+    const bool drained =
+        passed >= kBalancerTime && this->parts.front.open_requests() == 0;
     if (drained || passed >= this->options.shutdown_time) {
-      net::LogEvent("stopped",
-                    {{"open_requests",
-                      std::to_string(this->parts.front.open_requests())},
-                     {"after_ms", std::to_string(ToMs(passed))}});
+      net::LogEvent(
+          "stopped",
+          {{"open_requests", std::to_string(this->parts.front.open_requests())},
+           {"after_ms", std::to_string(ToMs(passed))}});
       this->context.stop();
       return;
     }
@@ -317,8 +314,7 @@
   net::LogEvent("wave", {{"key", item.key},
                          {"machines", std::to_string(wave->machines.size())},
                          {"most_away", std::to_string(wave->most_away)}});
-  const auto seen =
-      this->waves.emplace(item.key, SeenWave{*wave, Now()}).first;
+  const auto seen = this->waves.emplace(item.key, SeenWave{*wave, Now()}).first;
   seen->second.order = *std::move(wave);
   if (this->planner != nullptr) {
     this->planner->SetWave(seen->second.order, seen->second.since);
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -33,6 +33,19 @@
   Duration shutdown_time{};  // from SIGTERM until the process must have ended
 };
 
+/*! @brief What a scheduler needs before it may start work. */
+struct Takeover {
+  std::map<std::string, platform::Item> progress;
+  bool progress_known = false;
+  bool intake_known = false;
+  bool vms_known = false;
+  bool waves_known = false;
+  bool kept_known = false;
+  std::vector<jobs::VmFacts> kept_vms;
+  std::vector<jobs::JobSpec> early_jobs;
+  std::vector<jobs::JobId> early_cancels;
+};
+
 /*! @brief Runs the decisions of one process on the calling thread: ownership
  * of the fleet and, while it lasts, the scheduler. */
 class Driver {
@@ -70,19 +83,6 @@
     Time since;
   };
 
-  // What a scheduler needs before it may start work.
-  struct Takeover {
-    std::map<std::string, platform::Item> progress;
-    bool progress_known = false;
-    bool intake_known = false;
-    bool vms_known = false;
-    bool waves_known = false;
-    bool kept_known = false;
-    std::vector<jobs::VmFacts> kept_vms;
-    std::vector<jobs::JobSpec> early_jobs;
-    std::vector<jobs::JobId> early_cancels;
-  };
-
   void Post(std::function<void()> event);
   /*! @brief As Post, for a scheduler; dropped if another one came since. */
   void PostFor(std::uint64_t fence, std::function<void()> event);
@@ -101,10 +101,9 @@
   void Gain(std::uint64_t fence);
   void Lose(const std::string& reason);
   void ReadProgress(const std::string& after_key, std::uint64_t fence);
-  void ReadAll(
-      std::string_view prefix,
-      std::uint64_t fence,
-      std::function<void(const std::vector<platform::Item>&)> use);
+  void ReadAll(std::string_view prefix,
+               std::uint64_t fence,
+               std::function<void(const std::vector<platform::Item>&)> use);
   void ReadKeptVms(std::uint64_t fence);
   void ReadWaves(std::uint64_t fence);
   void OnWave(const platform::Item& item);
@@ -137,7 +136,7 @@
   std::unique_ptr<jobs::Scheduler> scheduler;
   std::uint64_t fence = 0;
   std::optional<Takeover> takeover;
-  Time store_regained;  // unset: it was never away
+  Time store_regained;                    // unset: it was never away
   std::map<std::string, SeenWave> waves;  // by key
   std::unique_ptr<upkeep::Planner> planner;
   std::unique_ptr<upkeep::Mover> mover;
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -73,8 +73,7 @@
                     const platform::WriteReply& reply) {
   std::string expected;
   for (const jobs::RecordWrite& record : write.records) {
-    expected +=
-        record.job.str() + "@" + std::to_string(record.expected) + " ";
+    expected += record.job.str() + "@" + std::to_string(record.expected) + " ";
   }
   std::string found;
   for (const platform::Item& item : reply.items) {
@@ -277,9 +276,9 @@
   this->driver.parts.store.Write(
       transaction, kWriteTimeoutMs, [](const platform::WriteReply& reply) {
         if (reply.outcome != Outcome::kOk) {
-          net::LogEvent("kept_vm_not_stored",
-                        {{"outcome", std::string(NameOf(AnswerOf(
-                                         reply.outcome)))}});
+          net::LogEvent(
+              "kept_vm_not_stored",
+              {{"outcome", std::string(NameOf(AnswerOf(reply.outcome)))}});
         }
       });
 }
@@ -357,9 +356,8 @@
   transaction.puts.push_back(
       {std::string(kWaveRecordPrefix) + effect.wave.str(),
        EncodeBegun(effect.begun), 0});
-  transaction.puts.push_back(
-      {std::string(kWaveStatePrefix) + effect.wave.str(),
-       platform::EncodeWaveState(effect.completed), 0});
+  transaction.puts.push_back({std::string(kWaveStatePrefix) + effect.wave.str(),
+                              platform::EncodeWaveState(effect.completed), 0});
   this->driver.parts.store.Write(
       transaction, kWriteTimeoutMs,
       [&driver = this->driver, fence = this->fence,
--- a/src/app/fleet/front.cc
+++ b/src/app/fleet/front.cc
@@ -161,7 +161,7 @@
   return address == nullptr ? std::string() : *address;
 }
 
-void Front::Handle(net::HttpRequest request, net::HttpReply reply) {
+void Front::Handle(const net::HttpRequest& request, net::HttpReply reply) {
   ++*this->open;
   Reply answer = [this, reply = std::move(reply),
                   open = this->open](HttpResponse response) {
@@ -231,9 +231,8 @@
     decoded->team = admitted.team;
     decoded->accepted_ms = WallMs();
   }
-  const auto checked =
-      decoded ? CheckSpec(*decoded)
-              : Result<void>(tl::unexpected(decoded.error()));
+  const auto checked = decoded ? CheckSpec(*decoded)
+                               : Result<void>(tl::unexpected(decoded.error()));
   if (!checked) {
     net::LogEvent("bad_job", {{"job", admitted.job.str()},
                               {"error", checked.error().Text()}});
@@ -284,9 +283,8 @@
 void Front::ReadState(const jobs::JobId& job, const TeamId& team, Reply reply) {
   this->parts.metrics.Count("state_reads");
   this->parts.store.Get(
-      KeyOf(kJobPrefix, job),
-      [this, job, team,
-       reply = std::move(reply)](const platform::GetReply& accepted) {
+      KeyOf(kJobPrefix, job), [this, job, team, reply = std::move(reply)](
+                                  const platform::GetReply& accepted) {
         if (accepted.outcome == Outcome::kMissing) {
           net::LogEvent("state_gone", {{"job", job.str()}});
           reply({.status = kGone});
@@ -311,10 +309,9 @@
                        .body = platform::EncodeState(jobs::JobState::kQueued)});
                 return;
               }
-              const auto state =
-                  progress.outcome == Outcome::kOk
-                      ? jobs::DecodeState(progress.item.value)
-                      : Fail(ErrorKind::kUnavailable, "", "");
+              const auto state = progress.outcome == Outcome::kOk
+                                     ? jobs::DecodeState(progress.item.value)
+                                     : Fail(ErrorKind::kUnavailable, "", "");
               reply(state ? HttpResponse{.status = kOk,
                                          .body = platform::EncodeState(*state)}
                           : NotRun(kUnavailable, "store_down"));
@@ -376,15 +373,15 @@
                              .body = platform::EncodePending(answer.jobs)}
               : NotRun(kUnavailable, "no_owner"));
   };
-  this->parts.ask_pending(
-      queue, [this, queue, finish](const PendingAnswer& answer) {
-        const std::string address = this->OwnerAddress();
-        if (answer.answered || address.empty()) {
-          finish(answer);
-          return;
-        }
-        this->peer.AskPending(address, queue, finish);
-      });
+  this->parts.ask_pending(queue,
+                          [this, queue, finish](const PendingAnswer& answer) {
+                            const std::string address = this->OwnerAddress();
+                            if (answer.answered || address.empty()) {
+                              finish(answer);
+                              return;
+                            }
+                            this->peer.AskPending(address, queue, finish);
+                          });
 }
 
 }  // namespace kch::app
--- a/src/app/fleet/front.h
+++ b/src/app/fleet/front.h
@@ -32,7 +32,7 @@
   explicit Front(Parts parts);
 
   /*! @brief Handles a caller's request. Any thread. */
-  void Handle(net::HttpRequest request, net::HttpReply reply);
+  void Handle(const net::HttpRequest& request, net::HttpReply reply);
   /*! @brief Puts a configuration in force. Any thread. */
   void SetDirectory(std::shared_ptr<const ingress::Directory> directory);
   /*! @brief The owner's address; empty if none is known. Any thread. */
--- a/src/app/fleet/main.cc
+++ b/src/app/fleet/main.cc
@@ -48,10 +48,9 @@
 
 std::string IncarnationNow(const std::string& name) {
   return name + "-" +
-         std::to_string(
-             std::chrono::duration_cast<std::chrono::microseconds>(
-                 std::chrono::system_clock::now().time_since_epoch())
-                 .count());
+         std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(
+                            std::chrono::system_clock::now().time_since_epoch())
+                            .count());
 }
 
 kch::jobs::Limits LimitsFrom(const Settings& settings) {
@@ -75,8 +74,7 @@
 
 kch::Result<kch::upkeep::Limits> UpkeepLimitsFrom(const Settings& settings) {
   kch::upkeep::Limits limits;
-  limits.handover =
-      std::chrono::milliseconds(settings.number("handover-ms"));
+  limits.handover = std::chrono::milliseconds(settings.number("handover-ms"));
   const std::string& text = settings.text("upkeep-s");
   double seconds = 0;
   const char* const end = text.data() + text.size();
@@ -102,14 +100,13 @@
                      "--" + name + " is '" + text + "'",
                      "give it as host:port, for example 127.0.0.1:8080");
   }
-  return HttpServer::Create(
-      {.address = text.substr(0, colon),
-       .port = port,
-       .threads = 1,
-       .max_body_bytes =
-           static_cast<std::size_t>(settings.number("max-body-bytes")),
-       .max_header_bytes = 16U << 10U},
-      std::move(handler));
+  return HttpServer::Create({.address = text.substr(0, colon),
+                             .port = port,
+                             .threads = 1,
+                             .max_body_bytes = static_cast<std::size_t>(
+                                 settings.number("max-body-bytes")),
+                             .max_header_bytes = 16U << 10U},
+                            std::move(handler));
 }
 
 // Questions of other instances, and metrics.
@@ -131,17 +128,15 @@
     driver.AskJob(
         kch::jobs::JobId(std::string(path.substr(jobs.size()))),
         [reply = std::move(reply)](const kch::app::JobAnswer& answer) {
-          answer.answered
-              ? reply({.body = kch::app::EncodeAnswer(answer.job)})
-              : reply({.status = 503});
+          answer.answered ? reply({.body = kch::app::EncodeAnswer(answer.job)})
+                          : reply({.status = 503});
         });
   } else if (path.starts_with(queues)) {
     driver.AskPending(
         kch::jobs::QueueId(std::string(path.substr(queues.size()))),
         [reply = std::move(reply)](const kch::app::PendingAnswer& answer) {
-          answer.answered
-              ? reply({.body = kch::app::EncodeAnswer(answer.jobs)})
-              : reply({.status = 503});
+          answer.answered ? reply({.body = kch::app::EncodeAnswer(answer.jobs)})
+                          : reply({.status = 503});
         });
   } else {
     reply({.status = 404});
@@ -149,7 +144,7 @@
 }
 
 int Run(const Settings& settings) {
-  const std::string name = settings.text("name");
+  const std::string& name = settings.text("name");
   kch::net::StartEventLog(name);
   kch::net::Metrics metrics;
   auto client = kch::net::HttpClient::Create({.max_connections_per_host = 48});
@@ -174,37 +169,38 @@
        .metrics = metrics,
        .ask_job = [&control](const auto& job,
                              auto done) { control->AskJob(job, done); },
-       .ask_pending = [&control](const auto& queue,
-                                 auto done) { control->AskPending(queue, done); },
-       .tell_cancel = [&control](const auto& job) { control->TellCancel(job); }});
-  kch::app::Driver driver(
-      {.instance = name,
-       .incarnation = IncarnationNow(name),
-       .peer_address = settings.text("peers"),
-       .limits = LimitsFrom(settings),
-       .upkeep_limits = *upkeep_limits,
-       .move_limits = {.handover = upkeep_limits->handover},
-       .shutdown_time = std::chrono::milliseconds(
-           settings.number("shutdown-ms") * 9 / 10)},
-      {.client = **client,
-       .store = store,
-       .vms = vms,
-       .machines = machines,
-       .front = front,
-       .metrics = metrics});
+       .ask_pending = [&control](
+                          const auto& queue,
+                          auto done) { control->AskPending(queue, done); },
+       .tell_cancel =
+           [&control](const auto& job) { control->TellCancel(job); }});
+  kch::app::Driver driver({.instance = name,
+                           .incarnation = IncarnationNow(name),
+                           .peer_address = settings.text("peers"),
+                           .limits = LimitsFrom(settings),
+                           .upkeep_limits = *upkeep_limits,
+                           .move_limits = {.handover = upkeep_limits->handover},
+                           .shutdown_time = std::chrono::milliseconds(
+                               settings.number("shutdown-ms") * 9 / 10)},
+                          {.client = **client,
+                           .store = store,
+                           .vms = vms,
+                           .machines = machines,
+                           .front = front,
+                           .metrics = metrics});
   control = &driver;
-  auto peers = Listen(settings, "peers",
-                      [&](const HttpRequest& request, auto reply) {
-                        HandlePeer(driver, metrics, request, std::move(reply));
-                      });
+  auto peers =
+      Listen(settings, "peers", [&](const HttpRequest& request, auto reply) {
+        HandlePeer(driver, metrics, request, std::move(reply));
+      });
   auto readiness =
       Listen(settings, "readiness",
              [&driver](const HttpRequest& /*request*/, const auto& reply) {
                reply({.status = driver.ready() ? 200 : 503});
              });
   auto callers = Listen(settings, "callers",
-                        [&front](HttpRequest request, auto reply) {
-                          front.Handle(std::move(request), std::move(reply));
+                        [&front](const HttpRequest& request, auto reply) {
+                          front.Handle(request, std::move(reply));
                         });
   for (const auto* server : {&peers, &readiness, &callers}) {
     if (!*server) {
@@ -219,6 +215,6 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  return Run(kch::net::ParseOrExit("kch-fleet", Declared(), argc, argv,
-                                   KCH_VERSION));
+  return Run(
+      kch::net::ParseOrExit("kch-fleet", Declared(), argc, argv, KCH_VERSION));
 }
--- a/src/app/fleet/peer.cc
+++ b/src/app/fleet/peer.cc
@@ -38,24 +38,24 @@
 void Peer::AskJob(const std::string& address,
                   const jobs::JobId& job,
                   std::function<void(JobAnswer)> done) {
-  this->client.Send(
-      MakeCall(address, "/v1/jobs/" + job.str()),
-      [done = std::move(done)](const net::HttpResult& result) {
-        JobAnswer answer;
-        const json body = json::parse(result.body, nullptr, false);
-        if (result.Success() && body.is_object()) {
-          answer.answered = true;
-          if (body.value("known", false)) {
-            const auto state =
-                FromName<jobs::JobState>(body.value("state", ""));
-            answer.answered = state.has_value();
-            answer.job = {state.value_or(jobs::JobState::kQueued),
-                          TeamId(body.value("team", "")),
-                          jobs::QueueId(body.value("queue", ""))};
-          }
-        }
-        done(std::move(answer));
-      });
+  this->client.Send(MakeCall(address, "/v1/jobs/" + job.str()),
+                    [done = std::move(done)](const net::HttpResult& result) {
+                      JobAnswer answer;
+                      const json body =
+                          json::parse(result.body, nullptr, false);
+                      if (result.Success() && body.is_object()) {
+                        answer.answered = true;
+                        if (body.value("known", false)) {
+                          const auto state =
+                              FromName<jobs::JobState>(body.value("state", ""));
+                          answer.answered = state.has_value();
+                          answer.job = {state.value_or(jobs::JobState::kQueued),
+                                        TeamId(body.value("team", "")),
+                                        jobs::QueueId(body.value("queue", ""))};
+                        }
+                      }
+                      done(std::move(answer));
+                    });
 }
 
 void Peer::AskPending(const std::string& address,
@@ -64,7 +64,8 @@
   this->client.Send(MakeCall(address, "/v1/queues/" + queue.str()),
                     [done = std::move(done)](const net::HttpResult& result) {
                       PendingAnswer answer;
-                      const json body = json::parse(result.body, nullptr, false);
+                      const json body =
+                          json::parse(result.body, nullptr, false);
                       if (result.Success() && body.is_object()) {
                         answer = {true, body.value("pending", std::int64_t{0})};
                       }
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -50,8 +50,8 @@
 }
 
 void Driver::Lose(const std::string& reason) {
-  net::LogEvent("owner_lost", {{"fence", std::to_string(this->fence)},
-                               {"reason", reason}});
+  net::LogEvent("owner_lost",
+                {{"fence", std::to_string(this->fence)}, {"reason", reason}});
   this->intake->Stop();
   this->vm_view->Stop();
   this->takeover.reset();
@@ -62,21 +62,21 @@
 
 // Reads all records under a prefix and calls `use` with them; repeated until
 // the store answers.
-void Driver::ReadAll(std::string_view prefix,
-                     std::uint64_t by,
-                     std::function<void(const std::vector<platform::Item>&)>
-                         use) {
+void Driver::ReadAll(
+    std::string_view prefix,
+    std::uint64_t by,
+    std::function<void(const std::vector<platform::Item>&)> use) {
   this->parts.store.List(
       std::string(prefix), "",
       [this, prefix, by,
        use = std::move(use)](const platform::ListReply& reply) mutable {
         if (reply.outcome != platform::Outcome::kOk) {
-          this->parts.client.Delay(
-              kRetryMs, [this, prefix, by, use = std::move(use)] {
-                this->PostFor(by, [this, prefix, by, use] {
-                  this->ReadAll(prefix, by, use);
-                });
-              });
+          this->parts.client.Delay(kRetryMs,
+                                   [this, prefix, by, use = std::move(use)] {
+                                     this->PostFor(by, [this, prefix, by, use] {
+                                       this->ReadAll(prefix, by, use);
+                                     });
+                                   });
           return;
         }
         this->PostFor(by, [use = std::move(use), reply] { use(reply.items); });
@@ -84,40 +84,39 @@
 }
 
 void Driver::ReadKeptVms(std::uint64_t by) {
-  this->ReadAll(kKeptVmPrefix, by,
-                [this](const std::vector<platform::Item>& items) {
-                  for (const platform::Item& item : items) {
-                    const VmId id(item.key.substr(kKeptVmPrefix.size()));
-                    const auto vm = jobs::DecodeKeptVm(id, item.value);
-                    if (vm) {
-                      this->takeover->kept_vms.push_back(*vm);
-                    } else {
-                      net::LogEvent("vm_unreadable",
-                                    {{"error", vm.error().Text()}});
-                    }
-                  }
-                  this->takeover->kept_known = true;
-                  this->FinishTakeover();
-                });
-}
-
-// Machines that a predecessor took out already are not drained again.
-void Driver::ReadWaves(std::uint64_t by) {
   this->ReadAll(
-      kWaveRecordPrefix, by, [this](const std::vector<platform::Item>& items) {
+      kKeptVmPrefix, by, [this](const std::vector<platform::Item>& items) {
         for (const platform::Item& item : items) {
-          this->planner->SetBegun(
-              jobs::WaveId(item.key.substr(kWaveRecordPrefix.size())),
-              DecodeBegun(item.value));
-        }
-        for (const auto& [key, wave] : this->waves) {
-          this->planner->SetWave(wave.order, wave.since);
+          const VmId id(item.key.substr(kKeptVmPrefix.size()));
+          const auto vm = jobs::DecodeKeptVm(id, item.value);
+          if (vm) {
+            this->takeover->kept_vms.push_back(*vm);
+          } else {
+            net::LogEvent("vm_unreadable", {{"error", vm.error().Text()}});
+          }
         }
-        this->takeover->waves_known = true;
+        this->takeover->kept_known = true;
         this->FinishTakeover();
       });
 }
 
+// Machines that a predecessor took out already are not drained again.
+void Driver::ReadWaves(std::uint64_t by) {
+  this->ReadAll(kWaveRecordPrefix, by,
+                [this](const std::vector<platform::Item>& items) {
+                  for (const platform::Item& item : items) {
+                    this->planner->SetBegun(
+                        jobs::WaveId(item.key.substr(kWaveRecordPrefix.size())),
+                        DecodeBegun(item.value));
+                  }
+                  for (const auto& [key, wave] : this->waves) {
+                    this->planner->SetWave(wave.order, wave.since);
+                  }
+                  this->takeover->waves_known = true;
+                  this->FinishTakeover();
+                });
+}
+
 void Driver::ReadProgress(const std::string& after_key, std::uint64_t by) {
   this->parts.store.List(
       std::string(kProgressPrefix), after_key,
@@ -204,8 +203,8 @@
   if (!item.key.starts_with(kJobPrefix)) {
     return;
   }
-  auto spec = jobs::DecodeSpec(
-      jobs::JobId(item.key.substr(kJobPrefix.size())), item.value);
+  auto spec = jobs::DecodeSpec(jobs::JobId(item.key.substr(kJobPrefix.size())),
+                               item.value);
   if (!spec) {
     net::LogEvent("job_unreadable", {{"error", spec.error().Text()}});
     return;
--- a/src/app/fleet/wave_record.cc
+++ b/src/app/fleet/wave_record.cc
@@ -18,8 +18,7 @@
   std::set<jobs::MachineId> begun;
   const auto record = nlohmann::json::parse(text, nullptr, false);
   if (record.is_object()) {
-    for (const auto& machine :
-         record.value("begun", nlohmann::json::array())) {
+    for (const auto& machine : record.value("begun", nlohmann::json::array())) {
       if (machine.is_string()) {
         begun.insert(jobs::MachineId(machine.get<std::string>()));
       }
--- a/src/ingress/directory.h
+++ b/src/ingress/directory.h
@@ -20,8 +20,8 @@
 struct Route {
   jobs::QueueId queue;
   std::string host;
-  std::string prefix;      // paths of the queue begin with it
-  bool open = false;       // needs no key
+  std::string prefix;           // paths of the queue begin with it
+  bool open = false;            // needs no key
   std::int64_t timeout_ms = 0;  // longest time for an answer
 };
 
@@ -46,13 +46,13 @@
 
 /*! @brief Why a call is refused before it has any effect. */
 enum class Refusal : std::uint8_t {
-  kNoConfig,       // this instance has no configuration yet
-  kNoQueue,        // no route matches
-  kUnknownKey,     // the key is missing or not in force
-  kBadMethod,      // the path does not take this method
-  kBadJob,         // the job is malformed
-  kStoreDown,      // the store took nothing
-  kOverloaded,     // the job would end too late to be of use
+  kNoConfig,    // this instance has no configuration yet
+  kNoQueue,     // no route matches
+  kUnknownKey,  // the key is missing or not in force
+  kBadMethod,   // the path does not take this method
+  kBadJob,      // the job is malformed
+  kStoreDown,   // the store took nothing
+  kOverloaded,  // the job would end too late to be of use
 };
 
 /*! @brief An admitted call. */
@@ -60,7 +60,7 @@
   Verb verb = Verb::kState;
   const Route* route = nullptr;
   const jobs::Queue* queue = nullptr;
-  TeamId team;  // empty: an open queue was called without a key
+  TeamId team;      // empty: an open queue was called without a key
   jobs::JobId job;  // empty for kPending
 };
 
@@ -88,16 +88,15 @@
 
 template <>
 struct kch::NameTable<kch::ingress::Refusal> {
-  static constexpr std::array<
-      std::pair<kch::ingress::Refusal, std::string_view>,
-      7>
-      kEntries{{{kch::ingress::Refusal::kNoConfig, "no_config"},
-                {kch::ingress::Refusal::kNoQueue, "no_queue"},
-                {kch::ingress::Refusal::kUnknownKey, "unknown_key"},
-                {kch::ingress::Refusal::kBadMethod, "bad_method"},
-                {kch::ingress::Refusal::kBadJob, "bad_job"},
-                {kch::ingress::Refusal::kStoreDown, "store_down"},
-                {kch::ingress::Refusal::kOverloaded, "overloaded"}}};
+  static constexpr std::
+      array<std::pair<kch::ingress::Refusal, std::string_view>, 7>
+          kEntries{{{kch::ingress::Refusal::kNoConfig, "no_config"},
+                    {kch::ingress::Refusal::kNoQueue, "no_queue"},
+                    {kch::ingress::Refusal::kUnknownKey, "unknown_key"},
+                    {kch::ingress::Refusal::kBadMethod, "bad_method"},
+                    {kch::ingress::Refusal::kBadJob, "bad_job"},
+                    {kch::ingress::Refusal::kStoreDown, "store_down"},
+                    {kch::ingress::Refusal::kOverloaded, "overloaded"}}};
 };
 
 #endif  // INGRESS_DIRECTORY_H_
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -42,8 +42,8 @@
 }
 
 bool Occurrence::Complete() const {
-  return std::ranges::all_of(
-      this->steps, [](const Step& step) { return step.Complete(); });
+  return std::ranges::all_of(this->steps,
+                             [](const Step& step) { return step.Complete(); });
 }
 
 bool Job::Ready(const Occurrence& occurrence, std::int32_t step) const {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -34,19 +34,22 @@
   std::int64_t run = 0;    // number of the current or last run
   std::int64_t floor = 0;  // run numbers up to this one may be used already
   std::int32_t failures = 0;
+  // The latest run counted in `failures`. A successor sees the end of a run
+  // again if it was recorded but not acknowledged.
+  std::int64_t failed_run = 0;
   std::string checkpoint;
-  VmId vm;     // of the current run
-  VmId avoid;  // the VM on which the last run failed
-  Time ordered;               // when the start was sent
+  VmId vm;       // of the current run
+  VmId avoid;    // the VM on which the last run failed
+  Time ordered;  // when the start was sent
   // When the latest order was answered or given up; unset while it is under
   // way.
   Time confirmed;
-  bool stop_unsent = false;   // the order to stop has to be sent again
-  std::uint64_t seen = 0;     // latest report that listed the run
-  Time away_since;            // endless tasks: since when it is not at work
+  bool stop_unsent = false;  // the order to stop has to be sent again
+  std::uint64_t seen = 0;    // latest report that listed the run
+  Time away_since;           // endless tasks: since when it is not at work
   std::int32_t percent = 0;
   std::int64_t gauge = 0;
-  std::int32_t pace = 100;    // share of the work that it may do, in percent
+  std::int32_t pace = 100;  // share of the work that it may do, in percent
 
   [[nodiscard]] TaskRef Ref() const;
   [[nodiscard]] const StepSpec& spec() const;
--- a/src/jobs/model.cc
+++ b/src/jobs/model.cc
@@ -46,8 +46,8 @@
 }
 
 bool JobSpec::Endless() const {
-  return std::ranges::any_of(
-      this->steps, [](const StepSpec& step) { return step.endless; });
+  return std::ranges::any_of(this->steps,
+                             [](const StepSpec& step) { return step.endless; });
 }
 
 std::string TaskRef::Name() const {
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -39,21 +39,21 @@
 /*! @brief A step of a job: equal tasks that run beside each other. */
 struct StepSpec {
   std::int32_t count = 1;
-  Resources need;               // of each task
-  std::int64_t estimate_ms = 0;  // the submitter's rough estimate of a task
+  Resources need;                   // of each task
+  std::int64_t estimate_ms = 0;     // the submitter's rough estimate of a task
   std::vector<std::int32_t> after;  // earlier steps that must be done first
   std::string label;                // a VM must have it; empty: any VM
-  RackId near;                  // rack that holds the data; empty: none
-  std::int32_t max_per_vm = 0;  // tasks of the step on one VM; 0: no limit
-  bool saves = false;           // the tasks write checkpoints
-  bool gang = false;            // the tasks work only together
-  bool one_rack = false;        // the tasks are slow across racks
-  bool copies = false;          // a task may run more than once
-  bool endless = false;         // the tasks run until the job is cancelled
-  bool fills = false;           // uses processor time that others leave
+  RackId near;                      // rack that holds the data; empty: none
+  std::int32_t max_per_vm = 0;      // tasks of the step on one VM; 0: no limit
+  bool saves = false;               // the tasks write checkpoints
+  bool gang = false;                // the tasks work only together
+  bool one_rack = false;            // the tasks are slow across racks
+  bool copies = false;              // a task may run more than once
+  bool endless = false;             // the tasks run until the job is cancelled
+  bool fills = false;               // uses processor time that others leave
   std::string image;
-  std::int64_t target_ms = 0;    // bound of a serving task's tail latency
-  std::int32_t may_miss = 0;     // endless tasks that may be away at once
+  std::int64_t target_ms = 0;  // bound of a serving task's tail latency
+  std::int32_t may_miss = 0;   // endless tasks that may be away at once
 
   /*! @brief What a task takes of a VM's declared capacity. */
   [[nodiscard]] Resources Occupies() const;
@@ -74,7 +74,7 @@
   std::int32_t max_attempts = 1;
   double stretch = 1;          // objective over a job's longest chain
   std::int64_t target_ms = 0;  // added to the objective
-  bool advised = false;        // an outside policy names the VMs that may run it
+  bool advised = false;  // an outside policy names the VMs that may run it
 };
 
 /*! @brief A job as its submitter handed it in. */
@@ -133,16 +133,16 @@
 /*! @brief Answer of a VM to an order to start a run. */
 enum class StartAnswer : std::uint8_t {
   kAccepted,
-  kFenced,      // another scheduler's higher fence was seen
-  kOldRun,      // this run or a later one ended there
-  kExpired,     // the order arrived after its lease
-  kNoRoom,      // the VM has no room
-  kNoPermit,    // the advice service's permit is missing or old
-  kInvalid,     // the VM does not understand the order
-  kUnhealthy,   // refused without effect; the VM is unwell
-  kOtherVm,     // another VM answers at that address
-  kNoAnswer,    // the order may still be carried out
-  kNotSent,     // the order never left
+  kFenced,     // another scheduler's higher fence was seen
+  kOldRun,     // this run or a later one ended there
+  kExpired,    // the order arrived after its lease
+  kNoRoom,     // the VM has no room
+  kNoPermit,   // the advice service's permit is missing or old
+  kInvalid,    // the VM does not understand the order
+  kUnhealthy,  // refused without effect; the VM is unwell
+  kOtherVm,    // another VM answers at that address
+  kNoAnswer,   // the order may still be carried out
+  kNotSent,    // the order never left
 };
 
 /*! @brief A team's weight and its limit over the whole fleet. */
@@ -210,9 +210,8 @@
 
 template <>
 struct kch::NameTable<kch::jobs::JobState> {
-  static constexpr std::array<
-      std::pair<kch::jobs::JobState, std::string_view>,
-      5>
+  static constexpr std::array<std::pair<kch::jobs::JobState, std::string_view>,
+                              5>
       kEntries{{{kch::jobs::JobState::kQueued, "queued"},
                 {kch::jobs::JobState::kRunning, "running"},
                 {kch::jobs::JobState::kCompleted, "completed"},
@@ -233,20 +232,19 @@
 
 template <>
 struct kch::NameTable<kch::jobs::StartAnswer> {
-  static constexpr std::array<
-      std::pair<kch::jobs::StartAnswer, std::string_view>,
-      11>
-      kEntries{{{kch::jobs::StartAnswer::kAccepted, "accepted"},
-                {kch::jobs::StartAnswer::kFenced, "fenced"},
-                {kch::jobs::StartAnswer::kOldRun, "old_run"},
-                {kch::jobs::StartAnswer::kExpired, "expired"},
-                {kch::jobs::StartAnswer::kNoRoom, "no_room"},
-                {kch::jobs::StartAnswer::kNoPermit, "no_permit"},
-                {kch::jobs::StartAnswer::kInvalid, "invalid"},
-                {kch::jobs::StartAnswer::kUnhealthy, "unhealthy"},
-                {kch::jobs::StartAnswer::kOtherVm, "other_vm"},
-                {kch::jobs::StartAnswer::kNoAnswer, "no_answer"},
-                {kch::jobs::StartAnswer::kNotSent, "not_sent"}}};
+  static constexpr std::
+      array<std::pair<kch::jobs::StartAnswer, std::string_view>, 11>
+          kEntries{{{kch::jobs::StartAnswer::kAccepted, "accepted"},
+                    {kch::jobs::StartAnswer::kFenced, "fenced"},
+                    {kch::jobs::StartAnswer::kOldRun, "old_run"},
+                    {kch::jobs::StartAnswer::kExpired, "expired"},
+                    {kch::jobs::StartAnswer::kNoRoom, "no_room"},
+                    {kch::jobs::StartAnswer::kNoPermit, "no_permit"},
+                    {kch::jobs::StartAnswer::kInvalid, "invalid"},
+                    {kch::jobs::StartAnswer::kUnhealthy, "unhealthy"},
+                    {kch::jobs::StartAnswer::kOtherVm, "other_vm"},
+                    {kch::jobs::StartAnswer::kNoAnswer, "no_answer"},
+                    {kch::jobs::StartAnswer::kNotSent, "not_sent"}}};
 };
 
 #endif  // JOBS_MODEL_H_
--- a/src/jobs/pace.cc
+++ b/src/jobs/pace.cc
@@ -29,8 +29,8 @@
   const std::int32_t before = this->percent;
   if (worst > kLowerAbove) {
     if (this->changed == Time() || now - this->changed >= kMeasureTime) {
-      this->percent = this->percent / 2 < kSmallestShare ? 0
-                                                         : this->percent / 2;
+      this->percent =
+          this->percent / 2 < kSmallestShare ? 0 : this->percent / 2;
     }
   } else if (worst < kRaiseBelow && this->percent < kFullShare &&
              now - this->changed >= kRaiseInterval) {
--- a/src/jobs/record.cc
+++ b/src/jobs/record.cc
@@ -100,7 +100,7 @@
         continue;
       }
       if (task.failures > 0) {
-        failures[std::to_string(task.index)] = task.failures;
+        failures[std::to_string(task.index)] = {task.failures, task.failed_run};
       }
       if (!task.checkpoint.empty()) {
         checkpoints[std::to_string(task.index)] = task.checkpoint;
@@ -137,8 +137,10 @@
     }
   }
   if (const auto failures = row.find("failures"); failures != row.end()) {
-    for (const auto& [index, count] : failures->items()) {
-      step.tasks.at(std::stoul(index)).failures = count;
+    for (const auto& [index, counted] : failures->items()) {
+      Task& task = step.tasks.at(std::stoul(index));
+      task.failures = counted.at(0);
+      task.failed_run = counted.at(1);
     }
   }
   if (const auto saved = row.find("checkpoints"); saved != row.end()) {
@@ -235,8 +237,8 @@
                      record.value("interval_ms", std::int64_t{0}),
                      record.value("times", 0)};
   } catch (const std::exception& error) {
-    return Corrupt("job " + id.str() + " has an unreadable record: " +
-                   error.what());
+    return Corrupt("job " + id.str() +
+                   " has an unreadable record: " + error.what());
   }
   if (auto checked = CheckSpec(spec); !checked) {
     return tl::unexpected(checked.error());
@@ -261,7 +263,8 @@
 Result<void> DecodeProgress(std::string_view text, Job& job) {
   try {
     const json record = json::parse(text);
-    const auto state = FromName<JobState>(record.at("state").get<std::string>());
+    const auto state =
+        FromName<JobState>(record.at("state").get<std::string>());
     if (!state) {
       return Corrupt("job " + job.spec.id.str() + " has an unknown state");
     }
@@ -303,18 +306,18 @@
 Result<VmFacts> DecodeKeptVm(const VmId& id, std::string_view text) {
   try {
     const json row = json::parse(text);
-    return VmFacts{.id = id,
-                   .pool = PoolId(row.at("pool").get<std::string>()),
-                   .address = row.at("address"),
-                   .zone = ZoneId(row.at("zone").get<std::string>()),
-                   .rack = RackId(row.at("rack").get<std::string>()),
-                   .labels = row.at("labels").get<std::set<std::string>>(),
-                   .capacity = {row.at("cpu_m"), row.at("memory_mb"),
-                                row.at("gpus")},
-                   .boot_ms = row.at("boot_ms")};
+    return VmFacts{
+        .id = id,
+        .pool = PoolId(row.at("pool").get<std::string>()),
+        .address = row.at("address"),
+        .zone = ZoneId(row.at("zone").get<std::string>()),
+        .rack = RackId(row.at("rack").get<std::string>()),
+        .labels = row.at("labels").get<std::set<std::string>>(),
+        .capacity = {row.at("cpu_m"), row.at("memory_mb"), row.at("gpus")},
+        .boot_ms = row.at("boot_ms")};
   } catch (const std::exception& error) {
-    return Corrupt("the record of VM " + id.str() + " is unreadable: " +
-                   error.what());
+    return Corrupt("the record of VM " + id.str() +
+                   " is unreadable: " + error.what());
   }
 }
 
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -160,8 +160,8 @@
     return;
   }
   vm->registered = false;
-  this->NoteThat("vm_removed", {{"vm", id.str()},
-                                {"runs", std::to_string(vm->runs.size())}});
+  this->NoteThat("vm_removed",
+                 {{"vm", id.str()}, {"runs", std::to_string(vm->runs.size())}});
   // One that has not reported yet may run tasks of the predecessor.
   if (vm->reported && vm->runs.empty() && vm->strays.empty()) {
     this->DropVm(id);
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -32,10 +32,9 @@
 };
 
 bool Scheduler::Usable(const Vm& vm, Time now) const {
-  return vm.registered && vm.reported && vm.clock_known && !vm.clock_doubtful && !vm.silent &&
-         !vm.unknown_stray &&
-         !vm.facts.leaving && !vm.cordoned && vm.ejected_until <= now &&
-         !this->zones_out.contains(vm.facts.zone);
+  return vm.registered && vm.reported && vm.clock_known && !vm.clock_doubtful &&
+         !vm.silent && !vm.unknown_stray && !vm.facts.leaving && !vm.cordoned &&
+         vm.ejected_until <= now && !this->zones_out.contains(vm.facts.zone);
 }
 
 bool Scheduler::WithinLimit(const Job& job, const Resources& more) const {
@@ -59,8 +58,9 @@
          within(total.gpus, most.gpus);
 }
 
-// Inherited tasks that were not found anywhere may run on VMs of their pool that
-// have not reported; up to the room of these VMs they count for their teams.
+// Inherited tasks that were not found anywhere may run on VMs of their pool
+// that have not reported; up to the room of these VMs they count for their
+// teams.
 void Scheduler::CountHidden(Time now) {
   this->hidden.clear();
   for (const auto& [id, pool] : this->pools) {
@@ -122,10 +122,10 @@
     if (job.inherited && now < pool.inherited_after) {
       continue;
     }
-    order.push_back({RankStep(job, job.open.at(unit.occurrence),
-                              this->QueueOf(job),
-                              job.DueAt(unit.occurrence), pool.slowness, now),
-                     unit});
+    order.push_back(
+        {RankStep(job, job.open.at(unit.occurrence), this->QueueOf(job),
+                  job.DueAt(unit.occurrence), pool.slowness, now),
+         unit});
   }
   std::ranges::sort(order, [](const Ranked& left, const Ranked& right) {
     if (left.rank != right.rank) {
@@ -145,8 +145,7 @@
                                   : this->PlanUnit(ranked.unit, pool, now);
     const bool plain = step.label.empty() && step.max_per_vm == 0 &&
                        !step.gang && !this->QueueOf(*ranked.unit.job).advised;
-    if (!placed && plain &&
-        this->WithinLimit(*ranked.unit.job, step.need)) {
+    if (!placed && plain && this->WithinLimit(*ranked.unit.job, step.need)) {
       too_large = step.Occupies();
     }
   }
@@ -218,9 +217,9 @@
   std::vector<std::pair<Vm*, std::int32_t>> room;
   std::map<RackId, std::int32_t> by_rack;
   std::int32_t everywhere = 0;
-  const Advice* permits =
-      this->QueueOf(*unit.job).advised ? this->PermitsFor(unit, pool, now)
-                                       : nullptr;
+  const Advice* permits = this->QueueOf(*unit.job).advised
+                              ? this->PermitsFor(unit, pool, now)
+                              : nullptr;
   for (const auto& [vm_id, vm] : pool.vms) {
     if (!this->Usable(*vm, now) ||
         (!spec.label.empty() && !vm->facts.labels.contains(spec.label)) ||
@@ -284,8 +283,7 @@
       conflicts += (spec.fills && beside.target_ms > 0) ||
                    (spec.target_ms > 0 && beside.fills);
     }
-    const bool other_rack =
-        !spec.near.empty() && vm.facts.rack != spec.near;
+    const bool other_rack = !spec.near.empty() && vm.facts.rack != spec.near;
     // After a failure, a VM that has just completed a run is the better test
     // of whose fault it was.
     const bool doubtful = task.failures > 0 &&
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -37,9 +37,10 @@
     vm->registered = registered;
   }
   if (vm->silent) {
-    this->NoteThat("vm_answers_again",
-                   {{"vm", id.str()},
-                    {"after_ms", std::to_string(ToMs(now - vm->silent_since))}});
+    this->NoteThat(
+        "vm_answers_again",
+        {{"vm", id.str()},
+         {"after_ms", std::to_string(ToMs(now - vm->silent_since))}});
   }
   vm->silent = false;
   vm->clock_ms = report.clock_ms;
@@ -254,10 +255,7 @@
   }
 }
 
-void Scheduler::HandleFailure(Task& task,
-                              Vm& vm,
-                              std::int64_t run,
-                              Time now) {
+void Scheduler::HandleFailure(Task& task, Vm& vm, std::int64_t run, Time now) {
   Job& job = *task.job;
   task.avoid = vm.facts.id;
   if (vm.last_failed_job != job.spec.id) {
@@ -271,13 +269,17 @@
   std::int32_t failures = 0;
   if (task.spec().gang) {
     Step& step = this->StepOf(task);
-    if (step.gang_failed_run != run) {
+    if (run > step.gang_failed_run) {
       step.gang_failed_run = run;
       ++step.gang_failures;
     }
     failures = step.gang_failures;
   } else {
-    failures = ++task.failures;
+    if (run > task.failed_run) {
+      task.failed_run = run;
+      ++task.failures;
+    }
+    failures = task.failures;
   }
   this->Changed(job);
   if (failures >= this->QueueOf(job).max_attempts) {
@@ -300,11 +302,10 @@
   vm.failures_in_row = kFailuresToEject - 1;
   vm.last_failed_job = JobId();
   ++this->counted.ejections;
-  this->NoteThat("vm_ejected",
-                 {{"vm", vm.facts.id.str()},
-                  {"task", task.Ref().Name()},
-                  {"for_ms", std::to_string(ToMs(pause))},
-                  {"times", std::to_string(vm.ejections)}});
+  this->NoteThat("vm_ejected", {{"vm", vm.facts.id.str()},
+                                {"task", task.Ref().Name()},
+                                {"for_ms", std::to_string(ToMs(pause))},
+                                {"times", std::to_string(vm.ejections)}});
 }
 
 void Scheduler::StopTask(Task& task, Time now) {
@@ -423,11 +424,10 @@
   if (answer != StartAnswer::kAccepted) {
     ++(answer == StartAnswer::kNoAnswer ? this->counted.unanswered_starts
                                         : this->counted.refused_starts);
-    this->NoteThat("start_refused",
-                   {{"task", ref.Name()},
-                    {"run", std::to_string(run)},
-                    {"vm", id.str()},
-                    {"answer", std::string(NameOf(answer))}});
+    this->NoteThat("start_refused", {{"task", ref.Name()},
+                                     {"run", std::to_string(run)},
+                                     {"vm", id.str()},
+                                     {"answer", std::string(NameOf(answer))}});
   }
   switch (answer) {
     case StartAnswer::kAccepted:
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -33,8 +33,7 @@
 void Scheduler::BeginRecovery(Time now, Time not_before) {
   this->in_recovery = true;
   this->recovery_not_before = not_before;
-  this->recovery_ends =
-      std::max(not_before, now + this->limits.recovery_wait);
+  this->recovery_ends = std::max(not_before, now + this->limits.recovery_wait);
   for (auto& [id, vm] : this->fleet) {
     vm->next_look = now;
   }
@@ -45,8 +44,7 @@
   for (auto& [id, vm] : this->fleet) {
     if (!vm->reported) {
       ++silent;
-      this->pools[vm->facts.pool].inherited_after =
-          now + this->LongestLease();
+      this->pools[vm->facts.pool].inherited_after = now + this->LongestLease();
     }
   }
   this->in_recovery = false;
@@ -115,18 +113,17 @@
   } else if ((!vm.runs.empty() || !vm.strays.empty()) && vm.clock_known) {
     look.until_ms = vm.ClockAt(now) + ToMs(this->limits.lease);
     vm.until_ms = std::max(vm.until_ms, *look.until_ms);
-    const bool unsettled =
-        !vm.unrecorded.empty() || !vm.strays.empty() ||
-        (!fresh && vm.acknowledged < vm.last_seen) ||
-        std::ranges::any_of(vm.runs, [](const Task* task) {
-          return task->phase == TaskPhase::kStopping ||
-                 task->phase == TaskPhase::kDone ||
-                 (task->phase == TaskPhase::kStarting &&
-                  task->confirmed != Time());
-        });
-    look.wait_ms = unsettled      ? 0
-                   : vm.mixed      ? ToMs(this->limits.watch_wait)
-                                  : ToMs(this->limits.look_wait);
+    const bool unsettled = !vm.unrecorded.empty() || !vm.strays.empty() ||
+                           (!fresh && vm.acknowledged < vm.last_seen) ||
+                           std::ranges::any_of(vm.runs, [](const Task* task) {
+                             return task->phase == TaskPhase::kStopping ||
+                                    task->phase == TaskPhase::kDone ||
+                                    (task->phase == TaskPhase::kStarting &&
+                                     task->confirmed != Time());
+                           });
+    look.wait_ms = unsettled  ? 0
+                   : vm.mixed ? ToMs(this->limits.watch_wait)
+                              : ToMs(this->limits.look_wait);
   }
   vm.acknowledged = std::max(vm.acknowledged, look.last_seen);
   vm.looking = true;
@@ -150,14 +147,12 @@
   }
   const bool news = vm.last_seen > vm.acknowledged;
   if (!vm.runs.empty() || !vm.strays.empty() || news) {
-    const bool unsettled =
-        !vm.strays.empty() ||
-        std::ranges::any_of(vm.runs, [](const Task* task) {
-          return task->phase == TaskPhase::kStopping ||
-                 task->phase == TaskPhase::kDone;
-        });
-    vm.next_look =
-        std::min(vm.next_look, unsettled ? now + kStopPoll : now);
+    const bool unsettled = !vm.strays.empty() ||
+                           std::ranges::any_of(vm.runs, [](const Task* task) {
+                             return task->phase == TaskPhase::kStopping ||
+                                    task->phase == TaskPhase::kDone;
+                           });
+    vm.next_look = std::min(vm.next_look, unsettled ? now + kStopPoll : now);
   }
 }
 
@@ -178,10 +173,9 @@
   if (!vm.mixed) {
     vm.pace = {};
   } else if (vm.pace.Adjust(tails, now)) {
-    this->NoteThat("vm_paced",
-                   {{"vm", vm.facts.id.str()},
-                    {"percent", std::to_string(vm.pace.percent)},
-                    {"fills", std::to_string(fills.size())}});
+    this->NoteThat("vm_paced", {{"vm", vm.facts.id.str()},
+                                {"percent", std::to_string(vm.pace.percent)},
+                                {"fills", std::to_string(fills.size())}});
   }
   for (Task* task : fills) {
     if (task->pace != vm.pace.percent) {
@@ -297,11 +291,12 @@
     if (job == nullptr || job->erasing) {
       continue;
     }
-    const bool placed = std::ranges::any_of(this->fleet, [job](const auto& row) {
-      return std::ranges::any_of(row.second->runs, [job](const Task* task) {
-        return task->job == job;
-      });
-    });
+    const bool placed =
+        std::ranges::any_of(this->fleet, [job](const auto& row) {
+          return std::ranges::any_of(row.second->runs, [job](const Task* task) {
+            return task->job == job;
+          });
+        });
     if (placed) {
       this->ended_jobs.emplace_back(now, id);
       return;
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -32,8 +32,8 @@
   bool registered = true;  // its registration is in the store
   bool kept = false;       // a record tells successors of it
   Time added;
-  Resources used;          // by placed tasks
-  std::set<Task*, ByRef> runs;     // placed tasks
+  Resources used;               // by placed tasks
+  std::set<Task*, ByRef> runs;  // placed tasks
   std::vector<Stray> strays;
   // A stray of unknown size runs here, so nothing is known to fit.
   bool unknown_stray = false;
@@ -43,11 +43,11 @@
   Time clock_at;
   bool clock_known = false;
   bool clock_doubtful = false;  // it refused an order as late
-  std::int64_t until_ms = 0;  // latest lease sent, answered or not
+  std::int64_t until_ms = 0;    // latest lease sent, answered or not
 
   bool reported = false;  // has answered this scheduler
   std::uint64_t reports = 0;
-  std::int64_t last_seen = 0;  // ends up to this one are recorded
+  std::int64_t last_seen = 0;     // ends up to this one are recorded
   std::int64_t acknowledged = 0;  // the latest number sent to the VM
   // Ends that wait for the records of these jobs: job and its change number.
   std::vector<std::pair<JobId, std::uint64_t>> unrecorded;
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -20,10 +20,10 @@
                        .address = row.at("address"),
                        .revision = revision};
   } catch (const std::exception& error) {
-    return Fail(ErrorKind::kCorrupt,
-                std::string("the owner's record is unreadable: ") +
-                    error.what(),
-                "wait for its lease to end; a new owner writes it anew");
+    return Fail(
+        ErrorKind::kCorrupt,
+        std::string("the owner's record is unreadable: ") + error.what(),
+        "wait for its lease to end; a new owner writes it anew");
   }
 }
 
@@ -53,8 +53,7 @@
 
 void Ownership::OnRecord(const std::optional<OwnerRecord>& seen, Time now) {
   this->looked = true;
-  const bool mine =
-      seen && seen->incarnation == this->record.incarnation;
+  const bool mine = seen && seen->incarnation == this->record.incarnation;
   if (this->state == State::kOwner) {
     if (!seen) {
       // The lease ran out. Whoever claims next gets a higher fence.
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -32,8 +32,8 @@
 /*! @brief The owner's record in the store. */
 struct OwnerRecord {
   std::string instance;
-  std::string incarnation;  // differs between starts of one instance
-  std::string address;      // host:port for other instances
+  std::string incarnation;     // differs between starts of one instance
+  std::string address;         // host:port for other instances
   std::uint64_t revision = 0;  // of its creation; the fence of all orders
 
   bool operator==(const OwnerRecord&) const = default;
@@ -78,7 +78,13 @@
                             Lost>;
 
 /*! @brief How a store call ended. */
-enum class Answer : std::uint8_t { kOk, kRefused, kConflict, kMissing, kUnknown };
+enum class Answer : std::uint8_t {
+  kOk,
+  kRefused,
+  kConflict,
+  kMissing,
+  kUnknown
+};
 
 /*! @brief Decides when to claim, renew and give up the fleet. */
 class Ownership {
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -66,8 +66,8 @@
     }
     line += this->formatEvent(event);
     pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
-    const bool room = poll(&output, 1, 0) == 1 &&
-                      (output.revents & POLLOUT) != 0;
+    const bool room =
+        poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
     if (room && write(STDOUT_FILENO, line.data(), line.size()) > 0) {
       this->left_out = 0;
     } else {
@@ -92,8 +92,8 @@
            << std::chrono::duration_cast<std::chrono::milliseconds>(
                   event.getTimestamp().time_since_epoch())
                   .count()
-           << ",\"instance\":"
-           << nlohmann::json(event.getLoggerName()).dump() << ',';
+           << ",\"instance\":" << nlohmann::json(event.getLoggerName()).dump()
+           << ',';
     if (text.starts_with('{')) {
       output << std::string_view(text).substr(1) << '\n';
     } else {
@@ -125,10 +125,10 @@
 
 void StartLog(const std::string& instance) {
   static const log4cplus::Initializer initializer;
-  Install(instance,
-          log4cplus::SharedAppenderPtr(
-              new log4cplus::ConsoleAppender(true, true)),
-          std::make_unique<JsonLayout>());
+  Install(
+      instance,
+      log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true)),
+      std::make_unique<JsonLayout>());
 }
 
 void StartEventLog(const std::string& instance) {
@@ -142,9 +142,9 @@
   for (const auto& [name, value] : fields) {
     line[std::string(name)] = value;
   }
-  Target().log(log4cplus::INFO_LOG_LEVEL,
-               line.dump(-1, ' ', false,
-                         nlohmann::json::error_handler_t::replace));
+  Target().log(
+      log4cplus::INFO_LOG_LEVEL,
+      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 void Log(LogLevel level, const std::string& text) {
--- a/src/upkeep/machine.h
+++ b/src/upkeep/machine.h
@@ -35,7 +35,7 @@
 /*! @brief What runs on a VM, and how full its pool is. */
 struct VmLoad {
   std::size_t runs = 0;
-  std::size_t endless = 0;      // of these: tasks that others depend on
+  std::size_t endless = 0;  // of these: tasks that others depend on
   bool answers = true;
   double pool_use_without = 0;  // used and wanted over capacity, without it
 };
@@ -57,16 +57,15 @@
 
 template <>
 struct kch::NameTable<kch::upkeep::OrderAnswer> {
-  static constexpr std::array<
-      std::pair<kch::upkeep::OrderAnswer, std::string_view>,
-      7>
-      kEntries{{{kch::upkeep::OrderAnswer::kDone, "done"},
-                {kch::upkeep::OrderAnswer::kFenced, "fenced"},
-                {kch::upkeep::OrderAnswer::kBusy, "busy"},
-                {kch::upkeep::OrderAnswer::kNotInWave, "not_in_wave"},
-                {kch::upkeep::OrderAnswer::kNoMachine, "no_machine"},
-                {kch::upkeep::OrderAnswer::kLater, "later"},
-                {kch::upkeep::OrderAnswer::kUnknown, "unknown"}}};
+  static constexpr std::
+      array<std::pair<kch::upkeep::OrderAnswer, std::string_view>, 7>
+          kEntries{{{kch::upkeep::OrderAnswer::kDone, "done"},
+                    {kch::upkeep::OrderAnswer::kFenced, "fenced"},
+                    {kch::upkeep::OrderAnswer::kBusy, "busy"},
+                    {kch::upkeep::OrderAnswer::kNotInWave, "not_in_wave"},
+                    {kch::upkeep::OrderAnswer::kNoMachine, "no_machine"},
+                    {kch::upkeep::OrderAnswer::kLater, "later"},
+                    {kch::upkeep::OrderAnswer::kUnknown, "unknown"}}};
 };
 
 #endif  // UPKEEP_MACHINE_H_
--- a/src/upkeep/mover.cc
+++ b/src/upkeep/mover.cc
@@ -1,7 +1,8 @@
 #include "upkeep/mover.h"
 
 #include <algorithm>
-#include <cmath>
+#include <tuple>
+#include <utility>
 
 namespace kch::upkeep {
 namespace {
@@ -70,8 +71,7 @@
     const auto settled_at = this->settled.find(id);
     const auto pool = pools.find(machine.pool);
     if (machine.pool == to || machine.state != MachineState::kUp ||
-        busy.contains(id) || this->moves.contains(id) ||
-        pool == pools.end() ||
+        busy.contains(id) || this->moves.contains(id) || pool == pools.end() ||
         (settled_at != this->settled.end() && now < settled_at->second)) {
       continue;
     }
@@ -88,11 +88,11 @@
     }
     candidates.push_back({false, load->pool_use_without, &machine});
   }
-  std::ranges::sort(candidates, [](const Candidate& left,
-                                   const Candidate& right) {
-    return std::tie(left.standby, left.use, left.machine->id) <
-           std::tie(right.standby, right.use, right.machine->id);
-  });
+  std::ranges::sort(
+      candidates, [](const Candidate& left, const Candidate& right) {
+        return std::tie(left.standby, left.use, left.machine->id) <
+               std::tie(right.standby, right.use, right.machine->id);
+      });
   std::vector<const Machine*> donors;
   std::map<PoolId, jobs::Resources> given;
   for (const Candidate& candidate : candidates) {
@@ -156,12 +156,11 @@
         this->effects.emplace_back(SetCordon{machine->vm, true});
       }
       this->effects.emplace_back(OrderMove{machine->id, id});
-      this->effects.emplace_back(
-          Note{"machine_move",
-               {{"machine", machine->id.str()},
-                {"from", machine->pool.str()},
-                {"to", id.str()},
-                {"backlog", std::to_string(backlog)}}});
+      this->effects.emplace_back(Note{"machine_move",
+                                      {{"machine", machine->id.str()},
+                                       {"from", machine->pool.str()},
+                                       {"to", id.str()},
+                                       {"backlog", std::to_string(backlog)}}});
     }
   }
 }
--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace kch::upkeep {
 
@@ -59,13 +60,12 @@
   }
   this->listed = true;
   this->reading = false;
-  const bool busy =
-      std::ranges::any_of(this->waves, [](const auto& wave) {
-        return std::ranges::any_of(wave.second.items, [](const auto& item) {
-          return item.second.stage != Stage::kDue &&
-                 item.second.stage != Stage::kDone;
-        });
-      });
+  const bool busy = std::ranges::any_of(this->waves, [](const auto& wave) {
+    return std::ranges::any_of(wave.second.items, [](const auto& item) {
+      return item.second.stage != Stage::kDue &&
+             item.second.stage != Stage::kDone;
+    });
+  });
   this->next_read =
       now + (busy ? this->limits.read_busy : this->limits.read_calm);
 }
@@ -159,11 +159,10 @@
 }
 
 bool Planner::Pressed(const Wave& wave, Time now) const {
-  const auto left =
-      std::ranges::count_if(wave.items, [](const auto& item) {
-        return item.second.stage == Stage::kDue ||
-               item.second.stage == Stage::kDraining;
-      });
+  const auto left = std::ranges::count_if(wave.items, [](const auto& item) {
+    return item.second.stage == Stage::kDue ||
+           item.second.stage == Stage::kDraining;
+  });
   const double rounds =
       std::ceil(static_cast<double>(left) /
                 static_cast<double>(std::max(1, wave.order.most_away)));
@@ -183,11 +182,10 @@
     this->Advance(wave, id, item, pressed, now, load_of);
   }
   this->Admit(wave, pressed, now, load_of);
-  const bool all_done =
-      std::ranges::all_of(wave.items, [](const auto& item) {
-        return item.second.stage == Stage::kDone ||
-               item.second.stage == Stage::kAway;
-      });
+  const bool all_done = std::ranges::all_of(wave.items, [](const auto& item) {
+    return item.second.stage == Stage::kDone ||
+           item.second.stage == Stage::kAway;
+  });
   if (all_done) {
     wave.completed = true;
     this->effects.emplace_back(SaveWave{wave.order.id, wave.begun, true});
@@ -224,9 +222,9 @@
       }
       const auto load = load_of(item.vm);
       const bool empty = !load || load->runs == 0;
-      const bool overdue =
-          pressed && load && load->answers && load->endless == 0 &&
-          now - item.since >= this->limits.longest_drain;
+      const bool overdue = pressed && load && load->answers &&
+                           load->endless == 0 &&
+                           now - item.since >= this->limits.longest_drain;
       if (!empty) {
         this->effects.emplace_back(Evict{item.vm});
       }
@@ -244,9 +242,9 @@
       }
       break;
     case Stage::kAway: {
-      const bool back = machine == nullptr ||
-                        (machine->state == MachineState::kUp &&
-                         machine->vm != item.vm);
+      const bool back =
+          machine == nullptr ||
+          (machine->state == MachineState::kUp && machine->vm != item.vm);
       const bool back_unseen = item.vm.empty() && machine != nullptr &&
                                machine->state == MachineState::kUp &&
                                now - item.since >= 2 * this->limits.away;
@@ -260,10 +258,7 @@
 
 // Takes further machines out, those first that cost least. What drains counts
 // as away, since it may go at any moment.
-void Planner::Admit(Wave& wave,
-                    bool pressed,
-                    Time now,
-                    const LoadOf& load_of) {
+void Planner::Admit(Wave& wave, bool pressed, Time now, const LoadOf& load_of) {
   std::int64_t taken = 0;
   for (const auto& [id, item] : wave.items) {
     taken += item.stage == Stage::kDraining || item.stage == Stage::kOrdered ||
@@ -274,7 +269,10 @@
     std::size_t runs = 0;
     MachineId id;
 
-    auto operator<=>(const Candidate&) const = default;
+    bool operator<(const Candidate& other) const {
+      return std::tie(this->use, this->runs, this->id) <
+             std::tie(other.use, other.runs, other.id);
+    }
   };
   std::vector<Candidate> candidates;
   for (const auto& [id, item] : wave.items) {
@@ -284,10 +282,10 @@
       continue;
     }
     const auto load = load_of(machine->vm);
-    candidates.push_back({load ? load->pool_use_without : 0,
-                          load ? load->runs : 0, id});
+    candidates.push_back(
+        {load ? load->pool_use_without : 0, load ? load->runs : 0, id});
   }
-  std::ranges::sort(candidates);
+  std::sort(candidates.begin(), candidates.end());
   std::map<PoolId, std::int32_t> from_pool;
   for (const Candidate& candidate : candidates) {
     if (taken >= wave.order.most_away) {
@@ -297,8 +295,7 @@
     if (!pressed) {
       // The use is that of one machine less; each further one of the same pool
       // adds about as much again.
-      const double use =
-          candidate.use * (1 + 0.15 * from_pool[machine.pool]);
+      const double use = candidate.use * (1 + 0.15 * from_pool[machine.pool]);
       if (use > this->limits.calm_use) {
         continue;
       }
--- a/test/ingress/directory_test.cc
+++ b/test/ingress/directory_test.cc
@@ -8,16 +8,14 @@
 Config TwoQueues() {
   Config config;
   config.version = 3;
-  config.routes = {{.queue = jobs::QueueId("wide"),
-                    .host = "h.example",
-                    .prefix = "/a/"},
-                   {.queue = jobs::QueueId("narrow"),
-                    .host = "h.example",
-                    .prefix = "/a/b/",
-                    .open = true}};
+  config.routes = {
+      {.queue = jobs::QueueId("wide"), .host = "h.example", .prefix = "/a/"},
+      {.queue = jobs::QueueId("narrow"),
+       .host = "h.example",
+       .prefix = "/a/b/",
+       .open = true}};
   for (const Route& route : config.routes) {
-    config.fleet.queues[route.queue] = {.id = route.queue,
-                                        .pool = PoolId("p")};
+    config.fleet.queues[route.queue] = {.id = route.queue, .pool = PoolId("p")};
   }
   config.teams_by_key["key"] = TeamId("team");
   return config;
--- a/test/jobs/chaos_test.cc
+++ b/test/jobs/chaos_test.cc
@@ -127,8 +127,8 @@
     } else {
       for (int s = this->Draw(0, 2); s > 0; --s) {
         job.steps.push_back(job.steps[0]);
-        job.steps.back().after = {
-            static_cast<std::int32_t>(job.steps.size()) - 2};
+        job.steps.back().after = {static_cast<std::int32_t>(job.steps.size()) -
+                                  2};
       }
       job.steps.back().gang = this->Draw(0, 4) == 0;
       this->finite.insert(id);
--- a/test/jobs/fleet_sim.cc
+++ b/test/jobs/fleet_sim.cc
@@ -82,9 +82,10 @@
 
 void FleetSim::End(SimVm& vm, const std::string& task, RunEnd how) {
   const auto found = vm.runs.find(task);
-  vm.ended.push_back(
-      {.number = ++vm.last_number, .task = task, .run = found->second.run,
-       .how = how});
+  vm.ended.push_back({.number = ++vm.last_number,
+                      .task = task,
+                      .run = found->second.run,
+                      .how = how});
   vm.barred[task] = std::max(vm.barred[task], found->second.run);
   if (how == RunEnd::kDone) {
     this->ever_done.insert(task);
@@ -115,8 +116,7 @@
 void FleetSim::CheckStart(const SimVm& vm, const SimVm::SimRun& run) {
   const std::string name = run.task.Name();
   const auto breach = [&](const std::string& rule) {
-    this->breaches.push_back(rule + ": " + name + " on " +
-                             vm.facts.id.str());
+    this->breaches.push_back(rule + ": " + name + " on " + vm.facts.id.str());
   };
   Resources used = run.occupied;
   for (const auto& [other, row] : vm.runs) {
@@ -140,8 +140,7 @@
     breach("repeated");
   }
   const auto limit = this->config.teams.find(run.team);
-  if (limit != this->config.teams.end() &&
-      limit->second.maximum.cpu_m > 0 &&
+  if (limit != this->config.teams.end() && limit->second.maximum.cpu_m > 0 &&
       team.cpu_m > limit->second.maximum.cpu_m) {
     breach("team limit");
   }
@@ -180,8 +179,7 @@
     return StartAnswer::kOldRun;
   }
   const JobSpec& spec = this->submitted.at(order.task.job);
-  const StepSpec& step =
-      spec.steps[static_cast<std::size_t>(order.task.step)];
+  const StepSpec& step = spec.steps[static_cast<std::size_t>(order.task.step)];
   SimVm::SimRun run{.task = order.task,
                     .run = order.run,
                     .left_ms = step.estimate_ms,
@@ -272,12 +270,12 @@
     this->sim.Later(kLatencyMs, [this_copy = *this, to, timeout_ms, action] {
       SimVm& vm = *this_copy.sim.vms.at(to.vm.str());
       const bool answers = !vm.dark;
-      this_copy.sim.Later(
-          answers ? kLatencyMs : timeout_ms, [this_copy, &vm, action, answers] {
-            if (this_copy.by == this_copy.sim.fence) {
-              action(answers ? &vm : nullptr);
-            }
-          });
+      this_copy.sim.Later(answers ? kLatencyMs : timeout_ms,
+                          [this_copy, &vm, action, answers] {
+                            if (this_copy.by == this_copy.sim.fence) {
+                              action(answers ? &vm : nullptr);
+                            }
+                          });
     });
   }
 
@@ -299,34 +297,31 @@
     });
   }
   void operator()(const StopRun& order) const {
-    this->Call(order.to, kOrderTimeoutMs,
-               [&at = this->sim, order](SimVm* vm) {
-                 if (vm != nullptr) {
-                   const std::string name = order.task.Name();
-                   vm->barred[name] = std::max(vm->barred[name], order.run);
-                   const auto run = vm->runs.find(name);
-                   if (run != vm->runs.end() && run->second.run == order.run &&
-                       !run->second.stopping) {
-                     run->second.stopping = true;
-                     run->second.stops_at_ms = at.ClockOf(*vm) + kStopMs;
-                   }
-                 }
-                 at.scheduler->OnStop(order.to.vm, order.task, order.run,
-                                      vm != nullptr, at.now);
-               });
+    this->Call(order.to, kOrderTimeoutMs, [&at = this->sim, order](SimVm* vm) {
+      if (vm != nullptr) {
+        const std::string name = order.task.Name();
+        vm->barred[name] = std::max(vm->barred[name], order.run);
+        const auto run = vm->runs.find(name);
+        if (run != vm->runs.end() && run->second.run == order.run &&
+            !run->second.stopping) {
+          run->second.stopping = true;
+          run->second.stops_at_ms = at.ClockOf(*vm) + kStopMs;
+        }
+      }
+      at.scheduler->OnStop(order.to.vm, order.task, order.run, vm != nullptr,
+                           at.now);
+    });
   }
   void operator()(const PaceRun& order) const {
-    this->Call(order.to, kOrderTimeoutMs,
-               [&at = this->sim, order](SimVm* vm) {
-                 if (vm != nullptr) {
-                   const auto run = vm->runs.find(order.task.Name());
-                   if (run != vm->runs.end()) {
-                     run->second.percent = order.percent;
-                   }
-                 }
-                 at.scheduler->OnPace(order.to.vm, order.task, order.run,
-                                      vm != nullptr);
-               });
+    this->Call(order.to, kOrderTimeoutMs, [&at = this->sim, order](SimVm* vm) {
+      if (vm != nullptr) {
+        const auto run = vm->runs.find(order.task.Name());
+        if (run != vm->runs.end()) {
+          run->second.percent = order.percent;
+        }
+      }
+      at.scheduler->OnPace(order.to.vm, order.task, order.run, vm != nullptr);
+    });
   }
   void operator()(const LookAt& look) const {
     FleetSim& at = this->sim;
--- a/test/jobs/fleet_sim.h
+++ b/test/jobs/fleet_sim.h
@@ -39,7 +39,7 @@
   std::map<std::string, std::int64_t> barred;  // runs up to here are refused
   std::deque<EndedRow> ended;
   std::int64_t last_number = 0;
-  bool dark = false;        // answers nothing, but runs on
+  bool dark = false;  // answers nothing, but runs on
   bool fails_all = false;
   bool loses_answers = false;  // carries out orders without an answer
   std::int64_t tail_ms = 0;    // gauge of serving tasks
--- a/test/jobs/record_test.cc
+++ b/test/jobs/record_test.cc
@@ -10,8 +10,8 @@
   const TaskRef ref{JobId("5c0e7a21d94b36f8"), 2, 1, 17};
   BOOST_TEST(ref.Name() == "5c0e7a21d94b36f8.2.1.17");
   BOOST_TEST((TaskRef::Parse(ref.Name()) == ref));
-  for (const char* bad : {"", "a", "a.1.2", "a.1.2.x", "a.1.2.3.4", ".1.2.3",
-                          "a.1.-2.3"}) {
+  for (const char* bad :
+       {"", "a", "a.1.2", "a.1.2.x", "a.1.2.3.4", ".1.2.3", "a.1.-2.3"}) {
     BOOST_TEST(!TaskRef::Parse(bad).has_value());
   }
 }
@@ -63,6 +63,7 @@
   step.tasks[1].phase = TaskPhase::kDone;
   step.tasks[0].failures = 1;
   step.tasks[0].run = 4;
+  step.tasks[0].failed_run = 3;
   step.tasks[2].checkpoint = "c";
   Job read;
   read.spec = job.spec;
@@ -71,6 +72,7 @@
   BOOST_TEST(back.done == 1);
   BOOST_TEST(back.waiting == 2);
   BOOST_TEST(back.tasks[0].failures == 1);
+  BOOST_TEST(back.tasks[0].failed_run == 3);
   BOOST_TEST(back.tasks[2].floor == 4);
   BOOST_TEST(back.tasks[2].checkpoint == "c");
   Job other;
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -52,8 +52,8 @@
   JobSpec job = SimpleJob("a", "q", 1, 1000, 200);
   job.payload = "fails";
   sim.Submit(job);
-  BOOST_TEST(sim.RunUntil(
-      [&] { return sim.StateOf("a") == JobState::kFailed; }, 3000));
+  BOOST_TEST(sim.RunUntil([&] { return sim.StateOf("a") == JobState::kFailed; },
+                          3000));
   BOOST_TEST(sim.starts() == 2);
 }
 
@@ -159,6 +159,22 @@
   BOOST_TEST(Breaches(sim) == "");
 }
 
+// A failure that was recorded but not acknowledged was counted again by the
+// successor, and the job failed with an attempt left.
+BOOST_AUTO_TEST_CASE(SuccessorCountsAFailureOnce) {
+  FleetSim sim;
+  WithVms(sim, 1);
+  sim.vms.at("vm0")->fails_all = true;
+  sim.Submit(SimpleJob("a", "q", 1, 1000, 300));
+  // Until the first failure is stored; its acknowledgement is still to come.
+  BOOST_TEST(sim.RunUntil([&] { return !sim.store.records.empty(); }, 1000));
+  sim.vms.at("vm0")->fails_all = false;
+  sim.Takeover();
+  BOOST_TEST(sim.RunUntil(
+      [&] { return sim.StateOf("a") == JobState::kCompleted; }, 5000));
+  BOOST_TEST(sim.scheduler->counters().failed_jobs == 0);
+}
+
 // A VM cut off from the store runs on while the scheduler renews its lease. A
 // successor did not know of it and started its tasks elsewhere.
 BOOST_AUTO_TEST_CASE(TakeoverKnowsVmsWithoutRegistration) {
@@ -255,9 +271,8 @@
   FleetSim sim;
   WithVms(sim, 1);
   JobSpec job = SimpleJob("a", "q", 2, 500, 100);
-  job.schedule = {.first_ms = job.accepted_ms + 1'001'000,
-                  .interval_ms = 400,
-                  .times = 3};
+  job.schedule = {
+      .first_ms = job.accepted_ms + 1'001'000, .interval_ms = 400, .times = 3};
   job.accepted_ms += 1'000'000;
   sim.Submit(job);
   sim.Run(900);
@@ -341,8 +356,7 @@
   WithVms(sim, 2);
   sim.Submit(EndlessJob("a", 1));
   sim.Run(1500);
-  const std::string from =
-      sim.vms.at("vm0")->runs.empty() ? "vm1" : "vm0";
+  const std::string from = sim.vms.at("vm0")->runs.empty() ? "vm1" : "vm0";
   sim.scheduler->Cordon(VmId(from), true);
   sim.scheduler->EvictEndless(VmId(from), sim.now);
   sim.Run(400);
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -25,9 +25,8 @@
     for (int i = 0; i < count; ++i) {
       const std::string name = std::to_string(i);
       const VmId vm("vm" + name);
-      this->machines[MachineId("m" + name)] = {.id = MachineId("m" + name),
-                                               .pool = PoolId("p"),
-                                               .vm = vm};
+      this->machines[MachineId("m" + name)] = {
+          .id = MachineId("m" + name), .pool = PoolId("p"), .vm = vm};
       this->loads[vm] = {.runs = 0, .pool_use_without = use};
     }
   }
@@ -57,13 +56,12 @@
       Machine& machine = this->machines.at(order->machine);
       if (++this->orders[order->machine] == 1) {
         machine.state = MachineState::kUpkeep;
-        this->away_until[order->machine] =
-            this->now + std::chrono::seconds(2);
+        this->away_until[order->machine] = this->now + std::chrono::seconds(2);
       }
-      this->planner.OnOrder(order->machine, order->wave,
-                            this->loses_answers ? OrderAnswer::kUnknown
-                                                : OrderAnswer::kDone,
-                            this->now);
+      this->planner.OnOrder(
+          order->machine, order->wave,
+          this->loses_answers ? OrderAnswer::kUnknown : OrderAnswer::kDone,
+          this->now);
     } else if (const auto* saved = std::get_if<SaveWave>(&effect)) {
       if (saved->completed) {
         this->completed = true;
