--- /dev/null
+++ b/test/platform/clients_test.cc
@@ -0,0 +1,189 @@
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <mutex>
+
+#include "platform/platform.h"
+
+// The clients against a server of this process that answers as the platform's
+// pages say.
+
+namespace kch::platform {
+namespace {
+
+struct Stand {
+  std::mutex mutex;
+  std::vector<net::HttpRequest> requests;
+  std::map<std::string, net::HttpResponse> answers;  // by path
+  std::unique_ptr<net::HttpServer> server;
+  std::unique_ptr<net::HttpClient> client;
+
+  Stand() {
+    this->server =
+        net::HttpServer::Create({}, [this](const net::HttpRequest& request,
+                                           const auto& reply) {
+          const std::lock_guard lock(this->mutex);
+          this->requests.push_back(request);
+          const auto found = this->answers.find(request.path);
+          reply(found == this->answers.end() ? net::HttpResponse{.status = 404}
+                                             : found->second);
+        }).value();
+    this->client = net::HttpClient::Create({}).value();
+  }
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(this->server->port());
+  }
+  void Answer(const std::string& call, int status, const std::string& body) {
+    const std::lock_guard lock(this->mutex);
+    this->answers["/kingcuphaven/" + call] = {.status = status, .body = body};
+  }
+  net::HttpRequest Last() {
+    const std::lock_guard lock(this->mutex);
+    return this->requests.back();
+  }
+};
+
+// Waits for a callback's argument.
+template <typename T>
+struct Waiter {
+  std::shared_ptr<std::promise<T>> promise =
+      std::make_shared<std::promise<T>>();
+
+  std::function<void(T)> Callback() {
+    return [promise = this->promise](T value) {
+      promise->set_value(std::move(value));
+    };
+  }
+  T Wait() { return this->promise->get_future().get(); }
+};
+
+jobs::StartRun StartOrder(const std::string& address) {
+  return {.to = {VmId("i-1"), address},
+          .task = {jobs::JobId("0a"), 0, 1, 2},
+          .run = 3,
+          .payload = "spec",
+          .until_ms = 5000,
+          .checkpoint = "c"};
+}
+
+StartReply Start(Stand& stand) {
+  VmClient vms(*stand.client);
+  Waiter<StartReply> reply;
+  vms.Start(StartOrder(stand.Address()), 9, reply.Callback());
+  return reply.Wait();
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(ClientsTest)
+
+BOOST_AUTO_TEST_CASE(StartsCarryFenceLeaseAndInstance) {
+  Stand stand;
+  stand.Answer("run-start", 200, R"({"ClockMs": 77})");
+  const StartReply reply = Start(stand);
+  BOOST_TEST((reply.answer == jobs::StartAnswer::kAccepted));
+  BOOST_TEST(reply.clock_ms == 77);
+  const net::HttpRequest request = stand.Last();
+  BOOST_TEST(request.Header("expect-instance") == "i-1");
+  BOOST_TEST(request.body ==
+             R"({"Checkpoint":"c","FencingToken":9,"Run":3,"Spec":"spec",)"
+             R"("Task":"0a.0.1.2","UntilMs":5000})");
+}
+
+BOOST_AUTO_TEST_CASE(RefusedStartsAreToldApart) {
+  Stand stand;
+  const std::vector<std::tuple<int, std::string, jobs::StartAnswer>> cases{
+      {409, R"({"ClockMs": 1, "Reason": "fence"})", jobs::StartAnswer::kFenced},
+      {409, R"({"ClockMs": 1, "Reason": "old"})", jobs::StartAnswer::kOldRun},
+      {409, R"({"ClockMs": 1, "Reason": "late"})", jobs::StartAnswer::kExpired},
+      {409, R"({"ClockMs": 1, "Reason": "room"})", jobs::StartAnswer::kNoRoom},
+      {409, R"({"ClockMs": 1, "Reason": "ticket"})",
+       jobs::StartAnswer::kNoPermit},
+      {400, "", jobs::StartAnswer::kInvalid},
+      {421, "", jobs::StartAnswer::kOtherVm},
+      {503, "", jobs::StartAnswer::kUnhealthy}};
+  for (const auto& [status, body, answer] : cases) {
+    stand.Answer("run-start", status, body);
+    BOOST_TEST((Start(stand).answer == answer), status << " " << body);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LooksReturnTheVmsLists) {
+  Stand stand;
+  stand.Answer("hold", 200,
+               R"({"ClockMs": 5, "born": 6,
+                   "Running": [["0a.0.0.1", 2, "ck", 41, 17.5]],
+                   "Ended": [[58, "0a.0.0.9", 1, "lapsed", ""]]})");
+  VmClient vms(*stand.client);
+  Waiter<LookReply> waiter;
+  vms.Look({.to = {VmId("i-1"), stand.Address()},
+            .until_ms = 900,
+            .last_seen = 57,
+            .wait_ms = 10},
+           9, waiter.Callback());
+  const LookReply reply = waiter.Wait();
+  BOOST_REQUIRE((reply.outcome == LookOutcome::kReport));
+  BOOST_TEST(reply.report.boot_ms == 6);
+  BOOST_TEST(reply.report.running[0].percent == 41);
+  BOOST_TEST(reply.report.running[0].gauge == 17);
+  BOOST_TEST((reply.report.ended[0].how == jobs::RunEnd::kExpired));
+  BOOST_TEST(stand.Last().body ==
+             R"({"FencingToken":9,"LastSeen":57,"UntilMs":900,"WaitMs":10})");
+}
+
+BOOST_AUTO_TEST_CASE(TransactionsReportConflicts) {
+  Stand stand;
+  Store store(*stand.client, stand.Address());
+  Transaction transaction;
+  transaction.conditions.push_back({"k", 4});
+  transaction.puts.push_back({"k", "node-1", 7});
+  const auto write = [&] {
+    Waiter<WriteReply> waiter;
+    store.Write(transaction, 1000, waiter.Callback());
+    return waiter.Wait();
+  };
+  stand.Answer("kv-txn", 200, R"({"Revision": 412})");
+  WriteReply reply = write();
+  BOOST_TEST((reply.outcome == Outcome::kOk));
+  BOOST_TEST(reply.revision == 412);
+  BOOST_TEST(stand.Last().body ==
+             R"({"Deletes":[],"ExpectedRev":[{"Key":"k","Revision":4}],)"
+             R"("Puts":[{"Key":"k","Lease":7,"Value":"bm9kZS0x"}]})");
+  stand.Answer("kv-txn", 412,
+               R"({"items": [{"Key": "k", "Value": "bm9kZS0x",
+                              "Revision": 5, "Created": 1}]})");
+  reply = write();
+  BOOST_TEST((reply.outcome == Outcome::kConflict));
+  BOOST_TEST(reply.items[0].revision == 5);
+  BOOST_TEST(reply.items[0].value == "node-1");
+  stand.Answer("kv-txn", 503, "");
+  BOOST_TEST((write().outcome == Outcome::kRefused));
+  stand.Answer("kv-txn", 200, "no json");
+  BOOST_TEST((write().outcome == Outcome::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(OrdersToMachinesNameTheirHolder) {
+  Stand stand;
+  MachineClient machines(*stand.client, stand.Address(), "edge-1");
+  const auto order = [&] {
+    Waiter<upkeep::OrderAnswer> waiter;
+    machines.Upkeep({jobs::MachineId("m-1"), jobs::WaveId("2")}, 12,
+                    waiter.Callback());
+    return waiter.Wait();
+  };
+  stand.Answer("machine-upkeep", 200, "");
+  BOOST_TEST((order() == upkeep::OrderAnswer::kDone));
+  BOOST_TEST(stand.Last().Header("duty-holder") == "edge-1");
+  BOOST_TEST(stand.Last().Header("fence-token") == "12");
+  BOOST_TEST(stand.Last().body == R"({"Machine":"m-1","Wave":2})");
+  stand.Answer("machine-upkeep", 409, R"({"Reason": "fence"})");
+  BOOST_TEST((order() == upkeep::OrderAnswer::kFenced));
+  stand.Answer("machine-upkeep", 409, R"({"Reason": "wave"})");
+  BOOST_TEST((order() == upkeep::OrderAnswer::kNotInWave));
+  stand.Answer("machine-upkeep", 429, "");
+  BOOST_TEST((order() == upkeep::OrderAnswer::kLater));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace kch::platform
--- /dev/null
+++ b/test/platform/decode_test.cc
@@ -0,0 +1,96 @@
+#include <boost/test/unit_test.hpp>
+
+#include "platform/platform.h"
+
+namespace kch::platform {
+
+BOOST_AUTO_TEST_SUITE(DecodeTest)
+
+BOOST_AUTO_TEST_CASE(Configuration) {
+  const auto config = DecodeConfig(R"({
+    "Version": 7,
+    "Routes": [{"Name": "r1", "Host": "h.example", "Prefix": "/a/",
+                "TimeoutMs": 3000, "TargetDurationMs": 600, "Priority": 1,
+                "Service": "s1", "MaxAttempts": 2, "Stretch": 1.6,
+                "Public": true, "Advice": {"DecisionMs": 5}}],
+    "Services": [{"Name": "s1", "AdmissionCheck": true, "Standby": false}],
+    "Tenants": [{"Name": "t1", "ApiKeys": ["k1", "k2"], "Weight": 52,
+                 "Maximum": {"Cpu": 1000, "MemMb": 2000, "Gpu": 0}}],
+    "Unknown": {}})");
+  BOOST_REQUIRE(config.has_value());
+  BOOST_TEST(config->version == 7);
+  BOOST_TEST(config->routes[0].open);
+  BOOST_TEST(config->teams_by_key.at("k2").str() == "t1");
+  const jobs::Queue& queue = config->fleet.queues.at(jobs::QueueId("r1"));
+  BOOST_TEST(queue.pool.str() == "s1");
+  BOOST_TEST(queue.max_attempts == 2);
+  BOOST_TEST(queue.advised);
+  BOOST_TEST(config->fleet.pools.at(PoolId("s1")).guarded);
+  BOOST_TEST(config->fleet.teams.at(TeamId("t1")).maximum.memory_mb == 2000);
+}
+
+// Entries of other writers name no VM and do no harm.
+BOOST_AUTO_TEST_CASE(Registrations) {
+  const std::string good =
+      R"({"Service": "s", "Address": "1.2.3.4:8080", "Zone": "z",
+          "State": "draining", "Capacity": {"Cpu": 8000, "MemMb": 100},
+          "Labels": ["a", "r1-3"], "born": 17, "Sequence": 4})";
+  const auto vm = DecodeVm(VmId("i-1"), good);
+  BOOST_REQUIRE(vm.has_value());
+  BOOST_TEST(vm->leaving);
+  BOOST_TEST(vm->rack.str() == "r1-3");
+  BOOST_TEST(vm->boot_ms == 17);
+  BOOST_TEST(vm->labels.contains("a"));
+  for (const char* bad :
+       {"", "\xff\xfe", "[]", "{}", R"({"State": 4})",
+        R"({"Service": "s", "Address": "a", "Zone": "z", "State": "odd"})"}) {
+    BOOST_TEST(!DecodeVm(VmId("i-1"), bad).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Jobs) {
+  const auto job = DecodeJob(R"({
+    "Spec": "text", "RepeatCount": 3, "FirstRunMs": 1000, "IntervalMs": 50,
+    "Steps": [{"Count": 4, "Cpu": 500, "MemMb": 256, "EstimateMs": 900,
+               "Affinity": "r1-3", "MaxPerServer": 1},
+              {"Count": 2, "After": [0], "LongRunning": true, "Fills": true,
+               "MayMiss": 1, "TargetMs": 40, "GangScheduled": true}]})");
+  BOOST_REQUIRE(job.has_value());
+  BOOST_TEST(job->payload == "text");
+  BOOST_TEST(job->Occurrences() == 3);
+  BOOST_TEST(job->steps[0].near.str() == "r1-3");
+  BOOST_TEST(job->steps[0].max_per_vm == 1);
+  BOOST_TEST(job->steps[1].endless);
+  BOOST_TEST(job->steps[1].fills);
+  BOOST_TEST(job->steps[1].may_miss == 1);
+  for (const char* bad :
+       {"", "{}", R"({"Steps": 1})", R"({"Steps": [{"Count": "x"}]})"}) {
+    const auto refused = DecodeJob(bad);
+    BOOST_REQUIRE(!refused.has_value());
+    BOOST_TEST(!refused.error().remedy.empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Waves) {
+  const auto wave = DecodeWave(
+      R"({"Wave": 3, "Machines": ["m-1", "m-2"], "DurationS": 20.5,
+          "Maximum": 2})");
+  BOOST_REQUIRE(wave.has_value());
+  BOOST_TEST(wave->id.str() == "3");
+  BOOST_TEST(wave->machines.size() == 2);
+  BOOST_TEST(ToMs(wave->length) == 20'500);
+  BOOST_TEST(!DecodeWave(R"({"Wave": 3})").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(Base64) {
+  for (const std::string text : {"", "a", "ab", "abc", "abcd"}) {
+    BOOST_TEST(FromBase64(ToBase64(text)).value() == text);
+  }
+  BOOST_TEST(ToBase64("node-1") == "bm9kZS0x");
+  BOOST_TEST(!FromBase64("abc").has_value());
+  BOOST_TEST(!FromBase64("****").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace kch::platform
--- /dev/null
+++ b/test/upkeep/mover_test.cc
@@ -0,0 +1,159 @@
+#include <boost/test/unit_test.hpp>
+
+#include "upkeep/upkeep.h"
+
+namespace kch::upkeep {
+namespace {
+
+constexpr jobs::Resources kMachineSize{32'000, 128'000, 0};
+
+// Three pools of four machines each and a pool that stands by.
+struct Site {
+  Time now{std::chrono::seconds(100)};
+  Mover mover{MoveLimits{}, now};
+  MachineList machines;
+  std::map<PoolId, PoolDemand> pools;
+  std::map<VmId, VmLoad> loads;
+  std::set<MachineId> busy;
+
+  Site() {
+    for (const char* pool : {"a", "b", "c", "spare"}) {
+      const bool standby = std::string(pool) == "spare";
+      this->pools[PoolId(pool)] = {.standby = standby};
+      for (int i = 0; i < 4; ++i) {
+        const std::string name = pool + std::to_string(i);
+        const VmId vm(standby ? "" : "vm-" + name);
+        this->machines[MachineId(name)] = {.id = MachineId(name),
+                                           .pool = PoolId(pool),
+                                           .vm = vm,
+                                           .capacity = kMachineSize};
+        if (!standby) {
+          this->loads[vm] = {};
+          this->pools[PoolId(pool)].capacity += kMachineSize;
+        }
+      }
+    }
+  }
+
+  std::vector<OrderMove> Tick(std::int64_t ms = 50) {
+    this->now += std::chrono::milliseconds(ms);
+    this->mover.Tick(
+        this->machines, this->busy, this->pools,
+        [this](const VmId& vm) {
+          const auto found = this->loads.find(vm);
+          return found == this->loads.end() ? std::nullopt
+                                            : std::optional(found->second);
+        },
+        this->now);
+    std::vector<OrderMove> orders;
+    for (const Effect& effect : this->mover.Take()) {
+      if (const auto* order = std::get_if<OrderMove>(&effect)) {
+        orders.push_back(*order);
+      }
+    }
+    return orders;
+  }
+
+  void SetBacklog(const char* pool, std::int64_t cores) {
+    PoolDemand& demand = this->pools[PoolId(pool)];
+    demand.used = demand.capacity;
+    demand.waiting = {cores * 1000, 0, 0};
+  }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(MoverTest)
+
+// Replays a queue's turn: it asks more than its pool holds while the other
+// pools are idle.
+BOOST_AUTO_TEST_CASE(PoolWithABacklogTakesIdleMachines) {
+  Site site;
+  site.SetBacklog("a", 70);
+  const auto orders = site.Tick();
+  BOOST_TEST(orders.size() == 3);
+  for (const OrderMove& order : orders) {
+    BOOST_TEST(order.to.str() == "a");
+    BOOST_TEST(site.machines.at(order.machine).pool.str() != "spare");
+  }
+  // What is on its way counts, so nothing more is taken.
+  BOOST_TEST(site.Tick().empty());
+}
+
+BOOST_AUTO_TEST_CASE(SmallBacklogMovesNothing) {
+  Site site;
+  site.SetBacklog("a", 30);
+  BOOST_TEST(site.Tick().empty());
+}
+
+BOOST_AUTO_TEST_CASE(MachinesWithRunsAndBusyOnesStay) {
+  Site site;
+  for (auto& [vm, load] : site.loads) {
+    load.runs = 1;
+  }
+  site.loads.at(VmId("vm-b1")).runs = 0;
+  site.loads.at(VmId("vm-c2")).runs = 0;
+  site.busy.insert(MachineId("c2"));
+  site.SetBacklog("a", 60);
+  const auto orders = site.Tick();
+  BOOST_REQUIRE(orders.size() == 1);
+  BOOST_TEST(orders[0].machine.str() == "b1");
+}
+
+BOOST_AUTO_TEST_CASE(StandingByMachinesComeLastAndOnlyForADeepBacklog) {
+  Site site;
+  for (auto& [vm, load] : site.loads) {
+    load.runs = 1;
+  }
+  site.SetBacklog("a", 80);
+  BOOST_TEST(site.Tick().empty());
+  site.SetBacklog("a", 125);
+  const auto orders = site.Tick();
+  BOOST_TEST(orders.size() == 4);
+}
+
+BOOST_AUTO_TEST_CASE(PoolKeepsWhatItNeeds) {
+  Site site;
+  site.pools[PoolId("b")].used = {48'000, 0, 0};
+  site.pools[PoolId("c")].used = {100'000, 0, 0};
+  for (const char* vm : {"vm-b0", "vm-b1", "vm-b2", "vm-b3"}) {
+    site.loads.at(VmId(vm)).pool_use_without = 0.39;
+  }
+  for (const char* vm : {"vm-c0", "vm-c1", "vm-c2", "vm-c3"}) {
+    site.loads.at(VmId(vm)).pool_use_without = 0.9;
+  }
+  site.SetBacklog("a", 100);
+  // Pool b may go down to three machines: 48 of 96 cores would be too many.
+  BOOST_TEST(site.Tick().empty());
+  site.pools[PoolId("b")].used = {30'000, 0, 0};
+  BOOST_TEST(site.Tick().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(UnansweredOrderIsRepeatedAndARefusedOneEnds) {
+  Site site;
+  site.SetBacklog("a", 60);
+  auto orders = site.Tick();
+  BOOST_REQUIRE(orders.size() == 2);
+  site.mover.OnOrder(orders[0].machine, OrderAnswer::kUnknown, site.now);
+  site.mover.OnOrder(orders[1].machine, OrderAnswer::kBusy, site.now);
+  BOOST_TEST(site.mover.moving().size() == 1);
+  site.pools[PoolId("a")].waiting = {};
+  orders = site.Tick(500);
+  BOOST_REQUIRE(orders.size() == 1);
+  site.mover.OnOrder(orders[0].machine, OrderAnswer::kDone, site.now);
+  site.machines.at(orders[0].machine).pool = PoolId("a");
+  site.Tick(500);
+  BOOST_TEST(site.mover.moving().empty());
+}
+
+BOOST_AUTO_TEST_CASE(SuccessorWaitsBeforeItsFirstOrder) {
+  Site site;
+  site.mover = Mover(MoveLimits{}, site.now + std::chrono::seconds(3));
+  site.SetBacklog("a", 70);
+  BOOST_TEST(site.Tick(2900).empty());
+  BOOST_TEST(!site.Tick(200).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace kch::upkeep
