Leave machines of zones that are out; let changes share transactions

Changes: donors in such zones are passed over (test MachinesOfAZoneThatIsOutStay); changes that arrive within 25 ms share a transaction.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -61,6 +61,7 @@
     : options(std::move(options)),
       parts(parts),
       timer(context),
+      write_timer(context),
       signals(context, SIGTERM, SIGINT, SIGHUP),
       ownership({.instance = this->options.instance,
                  .incarnation = this->options.incarnation,
@@ -105,6 +106,25 @@
       this->ownership.Certain(now)) {
     this->TickMachines(now);
   }
+  this->WakeForWrite(now);
+}
+
+// Changes wait for each other only as long as the interval of writes.
+void Driver::WakeForWrite(Time now) {
+  const auto next = this->scheduler != nullptr && !this->takeover
+                        ? this->scheduler->NextWrite()
+                        : std::nullopt;
+  if (!next || *next <= now || this->write_timer_set) {
+    return;
+  }
+  this->write_timer_set = true;
+  this->write_timer.expires_after(*next - now);
+  this->write_timer.async_wait([this](const asio::error_code& error) {
+    this->write_timer_set = false;
+    if (!error) {
+      this->Turn();
+    }
+  });
 }
 
 void Driver::TickMachines(Time now) {
@@ -121,7 +141,7 @@
                    .standby = facts.standby};
     }
     this->mover->Tick(this->planner->machines(), this->planner->claimed(),
-                      pools, load_of, now);
+                      this->zones_out, pools, load_of, now);
     if (!this->mover->moving().empty()) {
       this->planner->ReadSoon(now);
     }
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -118,12 +118,15 @@
   void Perform(std::vector<jobs::Effect> decided);
   void Perform(std::vector<upkeep::Effect> decided);
   void TickMachines(Time now);
+  void WakeForWrite(Time now);
   [[nodiscard]] std::optional<upkeep::VmLoad> LoadOf(const VmId& vm) const;
 
   FleetOptions options;
   Parts parts;
   asio::io_context context;
   asio::steady_timer timer;
+  asio::steady_timer write_timer;
+  bool write_timer_set = false;
   asio::signal_set signals;
   bool turn_posted = false;
   std::int64_t last_boot_ms = 0;
--- a/src/jobs/limits.h
+++ b/src/jobs/limits.h
@@ -36,6 +36,9 @@
   // A finished job's state stays readable for this long. The platform's pages
   // ask for 120 s; the rest covers clock differences between instances.
   Duration retention = std::chrono::seconds(150);
+  // Changes that arrive within this time share a transaction. It delays what
+  // follows an end on the same VM, so it stays far below a task's length.
+  Duration write_interval = std::chrono::milliseconds(25);
   // Conditions, writes and erasures in one transaction: the store accepts 32,
   // one is the condition on the owner's record.
   std::size_t write_entries = 31;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -118,6 +118,8 @@
   [[nodiscard]] const std::map<VmId, std::unique_ptr<Vm>>& vms() const {
     return this->fleet;
   }
+  /*! @brief When Tick should be called next, if before its usual interval. */
+  [[nodiscard]] std::optional<Time> NextWrite() const;
   [[nodiscard]] const Counters& counters() const { return this->counted; }
   [[nodiscard]] std::size_t job_count() const { return this->jobs.size(); }
   [[nodiscard]] bool recovering() const { return this->in_recovery; }
@@ -246,6 +248,7 @@
   std::uint64_t last_write = 0;
   std::map<std::uint64_t, std::vector<JobId>> writes;  // under way
   Time write_retry;
+  Time last_write_at;
   std::deque<std::pair<Time, JobId>> ended_jobs;  // by the time of their end
   Counters counted;
   std::vector<Effect> effects;
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -204,7 +204,11 @@
   if (now < this->write_retry) {
     return;
   }
+  if (now < this->last_write_at + this->limits.write_interval) {
+    return;
+  }
   while (!this->dirty.empty() && this->writes.size() < kMaxWrites) {
+    this->last_write_at = now;
     WriteRecords write{.id = ++this->last_write};
     std::vector<JobId> included;
     std::size_t entries = 0;
@@ -236,6 +240,14 @@
   }
 }
 
+std::optional<Time> Scheduler::NextWrite() const {
+  if (this->dirty.empty() || this->writes.size() >= kMaxWrites) {
+    return std::nullopt;
+  }
+  return std::max(this->write_retry,
+                  this->last_write_at + this->limits.write_interval);
+}
+
 void Scheduler::OnWritten(std::uint64_t id,
                           const WriteResult& result,
                           Time now) {
--- a/src/upkeep/mover.cc
+++ b/src/upkeep/mover.cc
@@ -56,6 +56,7 @@
 std::vector<const Machine*> Mover::Donors(
     const MachineList& machines,
     const std::set<MachineId>& busy,
+    const std::set<ZoneId>& zones_out,
     const std::map<PoolId, PoolDemand>& pools,
     const LoadOf& load_of,
     const PoolId& to,
@@ -71,7 +72,8 @@
     const auto settled_at = this->settled.find(id);
     const auto pool = pools.find(machine.pool);
     if (machine.pool == to || machine.state != MachineState::kUp ||
-        busy.contains(id) || this->moves.contains(id) || pool == pools.end() ||
+        busy.contains(id) || zones_out.contains(machine.zone) ||
+        this->moves.contains(id) || pool == pools.end() ||
         (settled_at != this->settled.end() && now < settled_at->second)) {
       continue;
     }
@@ -112,6 +114,7 @@
 
 void Mover::Tick(const MachineList& machines,
                  const std::set<MachineId>& busy,
+                 const std::set<ZoneId>& zones_out,
                  const std::map<PoolId, PoolDemand>& pools,
                  const LoadOf& load_of,
                  Time now) {
@@ -140,7 +143,7 @@
       continue;
     }
     const std::vector<const Machine*> donors =
-        this->Donors(machines, busy, pools, load_of, id,
+        this->Donors(machines, busy, zones_out, pools, load_of, id,
                      backlog >= this->limits.wake_backlog, now);
     jobs::Resources missing = pool.used + pool.waiting - capacity;
     for (const Machine* machine : donors) {
--- a/src/upkeep/mover.h
+++ b/src/upkeep/mover.h
@@ -44,9 +44,11 @@
   /*! @brief Orders nothing before `start`. */
   Mover(const MoveLimits& limits, Time start);
 
-  /*! @brief `busy` machines are under maintenance or about to be. */
+  /*! @brief `busy` machines are under maintenance or about to be; those of
+   * `zones_out` may start nothing. */
   void Tick(const MachineList& machines,
             const std::set<MachineId>& busy,
+            const std::set<ZoneId>& zones_out,
             const std::map<PoolId, PoolDemand>& pools,
             const LoadOf& load_of,
             Time now);
@@ -70,6 +72,7 @@
   [[nodiscard]] std::vector<const Machine*> Donors(
       const MachineList& machines,
       const std::set<MachineId>& busy,
+      const std::set<ZoneId>& zones_out,
       const std::map<PoolId, PoolDemand>& pools,
       const LoadOf& load_of,
       const PoolId& to,
--- a/test/upkeep/mover_test.cc
+++ b/test/upkeep/mover_test.cc
@@ -15,6 +15,7 @@
   std::map<PoolId, PoolDemand> pools;
   std::map<VmId, VmLoad> loads;
   std::set<MachineId> busy;
+  std::set<ZoneId> zones_out;
 
   Site() {
     for (const char* pool : {"a", "b", "c", "spare"}) {
@@ -38,7 +39,7 @@
   std::vector<OrderMove> Tick(std::int64_t ms = 50) {
     this->now += std::chrono::milliseconds(ms);
     this->mover.Tick(
-        this->machines, this->busy, this->pools,
+        this->machines, this->busy, this->zones_out, this->pools,
         [this](const VmId& vm) {
           const auto found = this->loads.find(vm);
           return found == this->loads.end() ? std::nullopt
@@ -100,6 +101,21 @@
   BOOST_TEST(orders[0].machine.str() == "b1");
 }
 
+// Machines of a zone that is out are idle but could start nothing elsewhere.
+BOOST_AUTO_TEST_CASE(MachinesOfAZoneThatIsOutStay) {
+  Site site;
+  for (auto& [id, machine] : site.machines) {
+    machine.zone = ZoneId(machine.pool.str() == "b" ? "z1" : "z2");
+  }
+  site.zones_out.insert(ZoneId("z2"));
+  site.SetBacklog("a", 150);
+  const auto orders = site.Tick();
+  BOOST_TEST(orders.size() == 4);
+  for (const OrderMove& order : orders) {
+    BOOST_TEST(site.machines.at(order.machine).pool.str() == "b");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(StandingByMachinesComeLastAndOnlyForADeepBacklog) {
   Site site;
   for (auto& [vm, load] : site.loads) {
