--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -16,6 +16,7 @@
 constexpr int kWriteTimeoutMs = 700;
 constexpr int kClaimTimeoutMs = 800;
 constexpr int kWaveRetryMs = 300;
+constexpr int kKeptRetryMs = 100;
 
 Time Now() {
   return std::chrono::time_point_cast<Duration>(
@@ -256,29 +257,49 @@
       });
 }
 
+// Repeated while the VM is to be kept: a successor that does not find it would
+// start its tasks elsewhere.
 void FleetEffectVisitor::operator()(const jobs::KeepVm& effect) const {
   platform::Transaction transaction;
+  transaction.conditions.push_back({std::string(kOwnerKey), this->fence});
   transaction.puts.push_back({std::string(kKeptVmPrefix) + effect.vm.id.str(),
                               jobs::EncodeVm(effect.vm), 0});
-  this->WriteKept(std::move(transaction));
+  this->driver.parts.store.Write(
+      transaction, kWriteTimeoutMs,
+      [&driver = this->driver, fence = this->fence,
+       effect](const platform::WriteReply& reply) {
+        if (reply.outcome == Outcome::kOk) {
+          return;
+        }
+        net::LogEvent(
+            "kept_vm_not_stored",
+            {{"vm", effect.vm.id.str()},
+             {"outcome", std::string(NameOf(AnswerOf(reply.outcome)))}});
+        driver.parts.client.Delay(kKeptRetryMs, [&driver, fence, effect] {
+          driver.PostFor(fence, [&driver, fence, effect] {
+            const auto& vms = driver.scheduler->vms();
+            const auto vm = vms.find(effect.vm.id);
+            if (vm != vms.end() && vm->second->kept) {
+              FleetEffectVisitor{driver, fence}(effect);
+            }
+          });
+        });
+      });
 }
 
+// A record too many only makes a successor ask a VM in vain.
 void FleetEffectVisitor::operator()(const jobs::ForgetVm& effect) const {
   platform::Transaction transaction;
-  transaction.erasures.push_back(std::string(kKeptVmPrefix) + effect.vm.str());
-  this->WriteKept(std::move(transaction));
-}
-
-// A lost write costs little: a record too many makes a successor ask a VM in
-// vain, and one too few matters only if the owner is lost at the same time.
-void FleetEffectVisitor::WriteKept(platform::Transaction transaction) const {
   transaction.conditions.push_back({std::string(kOwnerKey), this->fence});
+  transaction.erasures.push_back(std::string(kKeptVmPrefix) + effect.vm.str());
   this->driver.parts.store.Write(
-      transaction, kWriteTimeoutMs, [](const platform::WriteReply& reply) {
+      transaction, kWriteTimeoutMs,
+      [effect](const platform::WriteReply& reply) {
         if (reply.outcome != Outcome::kOk) {
           net::LogEvent(
-              "kept_vm_not_stored",
-              {{"outcome", std::string(NameOf(AnswerOf(reply.outcome)))}});
+              "kept_vm_not_erased",
+              {{"vm", effect.vm.str()},
+               {"outcome", std::string(NameOf(AnswerOf(reply.outcome)))}});
         }
       });
 }
--- a/src/app/fleet/effects.h
+++ b/src/app/fleet/effects.h
@@ -33,9 +33,6 @@
   void operator()(const jobs::ForgetVm& effect) const;
   void operator()(const jobs::Superseded& effect) const;
   void operator()(const jobs::Note& effect) const;
-
- private:
-  void WriteKept(platform::Transaction transaction) const;
 };
 
 /*! @brief Performs what the planner of upkeep decided. */
