Count failed runs in whatever order they are reported

Change: each task keeps the numbers of its failed runs. Test FailuresCountInWhateverOrderTheyAreReported fails with the number of the latest run only.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -33,10 +33,9 @@
   TaskPhase phase = TaskPhase::kWaiting;
   std::int64_t run = 0;    // number of the current or last run
   std::int64_t floor = 0;  // run numbers up to this one may be used already
-  std::int32_t failures = 0;
-  // The latest run counted in `failures`. A successor sees the end of a run
-  // again if it was recorded but not acknowledged.
-  std::int64_t failed_run = 0;
+  // Runs that have failed. VMs report them in any order, and a successor sees
+  // the end of a run again if it was recorded but not acknowledged.
+  std::set<std::int64_t> failed_runs;
   std::string checkpoint;
   VmId vm;       // of the current run
   VmId avoid;    // the VM on which the last run failed
@@ -77,8 +76,7 @@
   std::vector<Task> tasks;
   std::int32_t waiting = 0;
   std::int32_t done = 0;
-  std::int32_t gang_failures = 0;
-  std::int64_t gang_failed_run = 0;  // latest run counted as failed
+  std::set<std::int64_t> gang_failed_runs;
 
   [[nodiscard]] bool Complete() const {
     return this->done == static_cast<std::int32_t>(this->tasks.size());
--- a/src/jobs/record.cc
+++ b/src/jobs/record.cc
@@ -99,8 +99,8 @@
       if (task.phase == TaskPhase::kDone) {
         continue;
       }
-      if (task.failures > 0) {
-        failures[std::to_string(task.index)] = {task.failures, task.failed_run};
+      if (!task.failed_runs.empty()) {
+        failures[std::to_string(task.index)] = task.failed_runs;
       }
       if (!task.checkpoint.empty()) {
         checkpoints[std::to_string(task.index)] = task.checkpoint;
@@ -113,9 +113,8 @@
     if (!checkpoints.empty()) {
       row["checkpoints"] = checkpoints;
     }
-    if (step.gang_failures > 0) {
-      row["gang_failures"] = step.gang_failures;
-      row["gang_failed_run"] = step.gang_failed_run;
+    if (!step.gang_failed_runs.empty()) {
+      row["gang_failures"] = step.gang_failed_runs;
     }
     steps.push_back(std::move(row));
   }
@@ -137,10 +136,9 @@
     }
   }
   if (const auto failures = row.find("failures"); failures != row.end()) {
-    for (const auto& [index, counted] : failures->items()) {
-      Task& task = step.tasks.at(std::stoul(index));
-      task.failures = counted.at(0);
-      task.failed_run = counted.at(1);
+    for (const auto& [index, runs] : failures->items()) {
+      step.tasks.at(std::stoul(index)).failed_runs =
+          runs.get<std::set<std::int64_t>>();
     }
   }
   if (const auto saved = row.find("checkpoints"); saved != row.end()) {
@@ -148,8 +146,7 @@
       step.tasks.at(std::stoul(index)).checkpoint = text;
     }
   }
-  step.gang_failures = row.value("gang_failures", 0);
-  step.gang_failed_run = row.value("gang_failed_run", std::int64_t{0});
+  step.gang_failed_runs = row.value("gang_failures", std::set<std::int64_t>{});
 }
 
 }  // namespace
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -286,7 +286,7 @@
     const bool other_rack = !spec.near.empty() && vm.facts.rack != spec.near;
     // After a failure, a VM that has just completed a run is the better test
     // of whose fault it was.
-    const bool doubtful = task.failures > 0 &&
+    const bool doubtful = !task.failed_runs.empty() &&
                           (vm.facts.id == task.avoid || vm.failures_in_row > 0);
     return std::tuple(doubtful, vm.facts.id == task.avoid, other_rack,
                       conflicts, -FreeShare(vm.Free(), vm.facts.capacity));
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -266,21 +266,10 @@
   if (task.spec().endless) {
     return;
   }
-  std::int32_t failures = 0;
-  if (task.spec().gang) {
-    Step& step = this->StepOf(task);
-    if (run > step.gang_failed_run) {
-      step.gang_failed_run = run;
-      ++step.gang_failures;
-    }
-    failures = step.gang_failures;
-  } else {
-    if (run > task.failed_run) {
-      task.failed_run = run;
-      ++task.failures;
-    }
-    failures = task.failures;
-  }
+  std::set<std::int64_t>& failed =
+      task.spec().gang ? this->StepOf(task).gang_failed_runs : task.failed_runs;
+  failed.insert(run);
+  const auto failures = static_cast<std::int32_t>(failed.size());
   this->Changed(job);
   if (failures >= this->QueueOf(job).max_attempts) {
     this->EndJob(job, JobState::kFailed, now);
--- a/test/jobs/record_test.cc
+++ b/test/jobs/record_test.cc
@@ -61,9 +61,8 @@
   job.state = JobState::kRunning;
   Step& step = job.Open(0).steps[0];
   step.tasks[1].phase = TaskPhase::kDone;
-  step.tasks[0].failures = 1;
   step.tasks[0].run = 4;
-  step.tasks[0].failed_run = 3;
+  step.tasks[0].failed_runs = {1, 3};
   step.tasks[2].checkpoint = "c";
   Job read;
   read.spec = job.spec;
@@ -71,8 +70,7 @@
   const Step& back = read.open.at(0).steps[0];
   BOOST_TEST(back.done == 1);
   BOOST_TEST(back.waiting == 2);
-  BOOST_TEST(back.tasks[0].failures == 1);
-  BOOST_TEST(back.tasks[0].failed_run == 3);
+  BOOST_TEST((back.tasks[0].failed_runs == std::set<std::int64_t>{1, 3}));
   BOOST_TEST(back.tasks[2].floor == 4);
   BOOST_TEST(back.tasks[2].checkpoint == "c");
   Job other;
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -175,6 +175,34 @@
   BOOST_TEST(sim.scheduler->counters().failed_jobs == 0);
 }
 
+// A successor may hear of a later run's failure before an earlier one's; the
+// earlier one was then left out, and the task got an attempt too many.
+BOOST_AUTO_TEST_CASE(FailuresCountInWhateverOrderTheyAreReported) {
+  Scheduler scheduler{Limits{}};
+  const Time now{std::chrono::seconds(10)};
+  FleetSim source;
+  scheduler.SetConfig(source.config, now);
+  const JobSpec spec = SimpleJob("a", "q", 1, 1000, 300);
+  for (const char* id : {"vm1", "vm2"}) {
+    scheduler.SetVm({.id = VmId(id),
+                     .pool = PoolId("p"),
+                     .address = id,
+                     .capacity = kVmSize},
+                    now);
+  }
+  scheduler.AddJob(spec, "", 0, true, now, now);
+  scheduler.BeginRecovery(now);
+  const auto report = [&](const char* vm, std::int64_t run) {
+    VmReport ended{.clock_ms = 5};
+    ended.ended.push_back(
+        {.number = 1, .task = "a.0.0.0", .run = run, .how = RunEnd::kFailed});
+    scheduler.OnReport(VmId(vm), ended, now, now);
+  };
+  report("vm2", 2);
+  report("vm1", 1);
+  BOOST_TEST(scheduler.counters().failed_jobs == 1);
+}
+
 // A VM cut off from the store runs on while the scheduler renews its lease. A
 // successor did not know of it and started its tasks elsewhere.
 BOOST_AUTO_TEST_CASE(TakeoverKnowsVmsWithoutRegistration) {
