Tell successors which VMs were ended; end the process at once after a stop

Causes: registrations of VMs that were ended for upkeep or a move stay for some heartbeats; a successor waited a whole lease for their answers. The end of the process blocked after all was closed. Changes: the owner stores the VMs that it ended; the process ends once servers and client are closed. Test TakeoverDoesNotWaitForVmsThatEndedByAnOrder.

--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -42,6 +42,8 @@
   bool waves_known = false;
   bool kept_known = false;
   std::vector<jobs::VmFacts> kept_vms;
+  bool ended_known = false;
+  std::vector<std::pair<VmId, std::int64_t>> ended_vms;  // with boot times
   std::vector<jobs::JobSpec> early_jobs;
   std::vector<jobs::JobId> early_cancels;
 };
@@ -105,6 +107,7 @@
                std::uint64_t fence,
                std::function<void(const std::vector<platform::Item>&)> use);
   void ReadKeptVms(std::uint64_t fence);
+  void ReadEndedVms(std::uint64_t fence);
   void ReadWaves(std::uint64_t fence);
   void OnWave(const platform::Item& item);
   void FollowIntake(std::uint64_t fence);
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -86,6 +86,30 @@
                  {"found", found}});
 }
 
+// Writes or erases a record that only saves a successor time: without it, or
+// with one too many, it asks a VM in vain.
+void WriteHint(platform::Store& store,
+               std::uint64_t fence,
+               const std::string& key,
+               const std::optional<std::string>& value) {
+  platform::Transaction transaction;
+  transaction.conditions.push_back({std::string(kOwnerKey), fence});
+  if (value) {
+    transaction.puts.push_back({key, *value, 0});
+  } else {
+    transaction.erasures.push_back(key);
+  }
+  store.Write(
+      transaction, kWriteTimeoutMs, [key](const platform::WriteReply& reply) {
+        if (reply.outcome != Outcome::kOk) {
+          net::LogEvent(
+              "hint_not_written",
+              {{"key", key},
+               {"outcome", std::string(NameOf(AnswerOf(reply.outcome)))}});
+        }
+      });
+}
+
 bool StillOwner(const std::vector<platform::Item>& items, std::uint64_t fence) {
   for (const platform::Item& item : items) {
     if (item.key == kOwnerKey) {
@@ -287,21 +311,20 @@
       });
 }
 
-// A record too many only makes a successor ask a VM in vain.
 void FleetEffectVisitor::operator()(const jobs::ForgetVm& effect) const {
-  platform::Transaction transaction;
-  transaction.conditions.push_back({std::string(kOwnerKey), this->fence});
-  transaction.erasures.push_back(std::string(kKeptVmPrefix) + effect.vm.str());
-  this->driver.parts.store.Write(
-      transaction, kWriteTimeoutMs,
-      [effect](const platform::WriteReply& reply) {
-        if (reply.outcome != Outcome::kOk) {
-          net::LogEvent(
-              "kept_vm_not_erased",
-              {{"vm", effect.vm.str()},
-               {"outcome", std::string(NameOf(AnswerOf(reply.outcome)))}});
-        }
-      });
+  WriteHint(this->driver.parts.store, this->fence,
+            std::string(kKeptVmPrefix) + effect.vm.str(), std::nullopt);
+}
+
+void FleetEffectVisitor::operator()(const jobs::KeepEnded& effect) const {
+  WriteHint(this->driver.parts.store, this->fence,
+            std::string(kEndedVmPrefix) + effect.vm.str(),
+            std::to_string(effect.boot_ms));
+}
+
+void FleetEffectVisitor::operator()(const jobs::ForgetEnded& effect) const {
+  WriteHint(this->driver.parts.store, this->fence,
+            std::string(kEndedVmPrefix) + effect.vm.str(), std::nullopt);
 }
 
 void FleetEffectVisitor::operator()(const jobs::Superseded& effect) const {
--- a/src/app/fleet/effects.h
+++ b/src/app/fleet/effects.h
@@ -31,6 +31,8 @@
   void operator()(const jobs::WriteRecords& effect) const;
   void operator()(const jobs::KeepVm& effect) const;
   void operator()(const jobs::ForgetVm& effect) const;
+  void operator()(const jobs::KeepEnded& effect) const;
+  void operator()(const jobs::ForgetEnded& effect) const;
   void operator()(const jobs::Superseded& effect) const;
   void operator()(const jobs::Note& effect) const;
 };
--- a/src/app/fleet/main.cc
+++ b/src/app/fleet/main.cc
@@ -1,4 +1,5 @@
 #include <charconv>
+#include <cstdlib>
 #include <memory>
 #include <string>
 
@@ -209,7 +210,15 @@
     }
   }
   driver.Run();
-  return 0;
+  // Servers and client end first: their threads call the driver and the front.
+  callers->reset();
+  readiness->reset();
+  peers->reset();
+  client->reset();
+  kch::net::LogEvent("exiting", {});
+  // The end of the logging library's own threads has been seen to block until
+  // the process was killed. Nothing is left to release or to flush.
+  std::quick_exit(0);
 }
 
 }  // namespace
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -1,3 +1,4 @@
+#include <charconv>
 #include <chrono>
 #include <utility>
 
@@ -43,6 +44,7 @@
       this->options.move_limits, Now() + this->options.move_limits.handover);
   this->parts.front.SetOwner(this->options.peer_address);
   this->ReadKeptVms(gained);
+  this->ReadEndedVms(gained);
   this->ReadWaves(gained);
   this->ReadProgress("", gained);
   this->FollowIntake(gained);
@@ -107,6 +109,21 @@
       });
 }
 
+void Driver::ReadEndedVms(std::uint64_t by) {
+  this->ReadAll(
+      kEndedVmPrefix, by, [this](const std::vector<platform::Item>& items) {
+        for (const platform::Item& item : items) {
+          std::int64_t boot_ms = 0;
+          std::from_chars(item.value.data(),
+                          item.value.data() + item.value.size(), boot_ms);
+          this->takeover->ended_vms.emplace_back(
+              item.key.substr(kEndedVmPrefix.size()), boot_ms);
+        }
+        this->takeover->ended_known = true;
+        this->FinishTakeover();
+      });
+}
+
 // Machines that a predecessor took out already are not drained again.
 void Driver::ReadWaves(std::uint64_t by) {
   this->ReadAll(kWaveRecordPrefix, by,
@@ -254,9 +271,12 @@
 void Driver::FinishTakeover() {
   if (!this->takeover->progress_known || !this->takeover->intake_known ||
       !this->takeover->vms_known || !this->takeover->waves_known ||
-      !this->takeover->kept_known) {
+      !this->takeover->kept_known || !this->takeover->ended_known) {
     return;
   }
+  for (const auto& [vm, boot_ms] : this->takeover->ended_vms) {
+    this->scheduler->SetEndedVm(vm, boot_ms);
+  }
   for (const jobs::VmFacts& vm : this->takeover->kept_vms) {
     this->scheduler->SetKeptVm(vm, Now());
   }
--- a/src/jobs/effect.h
+++ b/src/jobs/effect.h
@@ -86,6 +86,17 @@
   VmId vm;
 };
 
+/*! @brief Stores that a VM has ended by an order, since its registration stays
+ * for some heartbeats and a successor would wait for its answer. */
+struct KeepEnded {
+  VmId vm;
+  std::int64_t boot_ms = 0;
+};
+/*! @brief Erases what KeepEnded stored. */
+struct ForgetEnded {
+  VmId vm;
+};
+
 /*! @brief Another scheduler has taken over: give nothing more in order. */
 struct Superseded {
   VmId seen_at;
@@ -105,6 +116,8 @@
                             WriteRecords,
                             KeepVm,
                             ForgetVm,
+                            KeepEnded,
+                            ForgetEnded,
                             Superseded,
                             Note>;
 
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -90,6 +90,15 @@
 }
 
 void Scheduler::SetVm(const VmFacts& facts, Time now) {
+  if (const auto ended = this->ended_vms.find(facts.id);
+      ended != this->ended_vms.end()) {
+    if (ended->second.boot_ms == facts.boot_ms) {
+      ended->second.registered = true;
+      return;
+    }
+    this->ended_vms.erase(ended);
+    this->effects.emplace_back(ForgetEnded{facts.id});
+  }
   Vm* vm = this->FindVm(facts.id);
   if (vm != nullptr && vm->facts.boot_ms != facts.boot_ms &&
       facts.boot_ms != 0 && vm->facts.boot_ms != 0) {
@@ -154,7 +163,19 @@
   }
 }
 
+void Scheduler::SetEndedVm(const VmId& id, std::int64_t boot_ms) {
+  const Vm* vm = this->FindVm(id);
+  const bool registered = vm != nullptr && vm->facts.boot_ms == boot_ms;
+  this->ended_vms[id] = {.boot_ms = boot_ms, .registered = registered};
+  if (registered) {
+    this->DropVm(id);
+  }
+}
+
 void Scheduler::RemoveVm(const VmId& id, Time now) {
+  if (this->ended_vms.erase(id) > 0) {
+    this->effects.emplace_back(ForgetEnded{id});
+  }
   Vm* vm = this->FindVm(id);
   if (vm == nullptr) {
     return;
@@ -243,7 +264,9 @@
 
 void Scheduler::EndVm(const VmId& id, Time now) {
   if (Vm* vm = this->FindVm(id)) {
-    this->LoseRuns(*vm, "upkeep", now);
+    this->LoseRuns(*vm, "ended_by_order", now);
+    this->ended_vms[id] = {.boot_ms = vm->facts.boot_ms};
+    this->effects.emplace_back(KeepEnded{id, vm->facts.boot_ms});
     this->DropVm(id);
   }
 }
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -61,6 +61,8 @@
   /*! @brief A VM that a predecessor stored as one that may run tasks without
    * being registered. */
   void SetKeptVm(const VmFacts& facts, Time now);
+  /*! @brief A VM that a predecessor ended by an order. */
+  void SetEndedVm(const VmId& vm, std::int64_t boot_ms);
   /*! @brief Forbids or allows new starts on a VM, before maintenance. */
   void Cordon(const VmId& vm, bool on);
 
@@ -239,6 +241,13 @@
   std::unordered_set<JobId> early_cancels;  // cancelled before they were seen
   std::map<Unit, Advice> advice;
 
+  // VMs that ended by an order and may still be registered.
+  struct Ended {
+    std::int64_t boot_ms = 0;
+    bool registered = true;
+  };
+  std::map<VmId, Ended> ended_vms;
+
   bool in_recovery = false;
   Time recovery_ends;
   Time recovery_not_before;
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -31,6 +31,14 @@
 }
 
 void Scheduler::BeginRecovery(Time now, Time not_before) {
+  for (auto row = this->ended_vms.begin(); row != this->ended_vms.end();) {
+    if (row->second.registered) {
+      ++row;
+    } else {
+      this->effects.emplace_back(ForgetEnded{row->first});
+      row = this->ended_vms.erase(row);
+    }
+  }
   this->in_recovery = true;
   this->recovery_not_before = not_before;
   this->recovery_ends = std::max(not_before, now + this->limits.recovery_wait);
--- a/test/jobs/fleet_sim.cc
+++ b/test/jobs/fleet_sim.cc
@@ -386,6 +386,12 @@
   void operator()(const ForgetVm& effect) const {
     this->sim.kept.erase(effect.vm.str());
   }
+  void operator()(const KeepEnded& effect) const {
+    this->sim.ended[effect.vm] = effect.boot_ms;
+  }
+  void operator()(const ForgetEnded& effect) const {
+    this->sim.ended.erase(effect.vm);
+  }
   void operator()(const Superseded& /*effect*/) const {}
   void operator()(const Note& note) const { this->sim.notes.push_back(note); }
 };
@@ -438,6 +444,9 @@
       this->scheduler->SetKeptVm(vm->facts, this->now);
     }
   }
+  for (const auto& [id, boot_ms] : this->ended) {
+    this->scheduler->SetEndedVm(id, boot_ms);
+  }
   for (const auto& [id, spec] : this->submitted) {
     const auto record = this->store.records.find(id);
     const bool stored = record != this->store.records.end();
--- a/test/jobs/fleet_sim.h
+++ b/test/jobs/fleet_sim.h
@@ -95,6 +95,7 @@
   std::set<JobId> cancelled;
   std::set<std::string> unregistered;
   std::set<std::string> kept;  // VMs stored for successors
+  std::map<VmId, std::int64_t> ended;
   std::vector<Note> notes;
   Time now{std::chrono::seconds(1000)};
 
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -222,6 +222,30 @@
   BOOST_TEST(Breaches(sim) == "");
 }
 
+// The registration of a VM that was ended for maintenance stays for some
+// heartbeats. A successor waited a whole lease for its answer before it
+// started anything that it had inherited.
+BOOST_AUTO_TEST_CASE(TakeoverDoesNotWaitForVmsThatEndedByAnOrder) {
+  FleetSim sim;
+  WithVms(sim, 3);
+  sim.Submit(SimpleJob("a", "q", 100, 1000, 400));
+  sim.Run(300);
+  sim.scheduler->Cordon(VmId("vm0"), true);
+  BOOST_TEST(
+      sim.RunUntil([&] { return sim.vms.at("vm0")->runs.empty(); }, 2000));
+  sim.Run(50);
+  sim.vms.at("vm0")->dark = true;
+  sim.scheduler->EndVm(VmId("vm0"), sim.now);
+  sim.Run(50);
+  sim.Takeover();
+  const std::int64_t before = sim.starts();
+  sim.Run(1200);
+  BOOST_TEST(sim.starts() > before);
+  sim.Deregister("vm0");
+  sim.Run(50);
+  BOOST_TEST(sim.ended.empty());
+}
+
 BOOST_AUTO_TEST_CASE(LostAnswersToStartsDoNotRepeatTasks) {
   FleetSim sim;
   WithVms(sim, 2);
