Record every VM before its first task starts

Recording only VMs that the owner saw lose their registration is not enough. Change: a VM takes tasks once its record is stored; successors ask all recorded VMs.

--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -142,10 +142,6 @@
   std::unique_ptr<jobs::Scheduler> scheduler;
   std::uint64_t fence = 0;
   std::optional<Takeover> takeover;
-  // VMs of this process's last scheduler, for its next one: a registration may
-  // have been removed between the two.
-  std::vector<jobs::VmFacts> last_vms;
-  Time last_vms_at;
   Time store_regained;                    // unset: it was never away
   std::map<std::string, SeenWave> waves;  // by key
   std::unique_ptr<upkeep::Planner> planner;
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -281,8 +281,8 @@
       });
 }
 
-// Repeated while the VM is to be kept: a successor that does not find it would
-// start its tasks elsewhere.
+// Repeated while the VM is known: a successor that does not find it would start
+// its tasks elsewhere.
 void FleetEffectVisitor::operator()(const jobs::KeepVm& effect) const {
   platform::Transaction transaction;
   transaction.conditions.push_back({std::string(kOwnerKey), this->fence});
@@ -293,6 +293,9 @@
       [&driver = this->driver, fence = this->fence,
        effect](const platform::WriteReply& reply) {
         if (reply.outcome == Outcome::kOk) {
+          driver.PostFor(fence, [&driver, vm = effect.vm.id] {
+            driver.scheduler->OnKept(vm);
+          });
           return;
         }
         net::LogEvent(
@@ -301,9 +304,7 @@
              {"outcome", std::string(NameOf(AnswerOf(reply.outcome)))}});
         driver.parts.client.Delay(kKeptRetryMs, [&driver, fence, effect] {
           driver.PostFor(fence, [&driver, fence, effect] {
-            const auto& vms = driver.scheduler->vms();
-            const auto vm = vms.find(effect.vm.id);
-            if (vm != vms.end() && vm->second->kept) {
+            if (driver.scheduler->vms().contains(effect.vm.id)) {
               FleetEffectVisitor{driver, fence}(effect);
             }
           });
@@ -311,9 +312,26 @@
       });
 }
 
+// Repeated, since a successor would wait for the answer of a VM that is gone.
 void FleetEffectVisitor::operator()(const jobs::ForgetVm& effect) const {
-  WriteHint(this->driver.parts.store, this->fence,
-            std::string(kKeptVmPrefix) + effect.vm.str(), std::nullopt);
+  platform::Transaction transaction;
+  transaction.conditions.push_back({std::string(kOwnerKey), this->fence});
+  transaction.erasures.push_back(std::string(kKeptVmPrefix) + effect.vm.str());
+  this->driver.parts.store.Write(
+      transaction, kWriteTimeoutMs,
+      [&driver = this->driver, fence = this->fence,
+       effect](const platform::WriteReply& reply) {
+        if (reply.outcome == Outcome::kOk) {
+          return;
+        }
+        driver.parts.client.Delay(kKeptRetryMs, [&driver, fence, effect] {
+          driver.PostFor(fence, [&driver, fence, effect] {
+            if (!driver.scheduler->vms().contains(effect.vm)) {
+              FleetEffectVisitor{driver, fence}(effect);
+            }
+          });
+        });
+      });
 }
 
 void FleetEffectVisitor::operator()(const jobs::KeepEnded& effect) const {
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -56,13 +56,6 @@
                 {{"fence", std::to_string(this->fence)}, {"reason", reason}});
   this->intake->Stop();
   this->vm_view->Stop();
-  this->last_vms.clear();
-  this->last_vms_at = Now();
-  for (const auto& [id, vm] : this->scheduler->vms()) {
-    if (!vm->reported || !vm->runs.empty()) {
-      this->last_vms.push_back(vm->facts);
-    }
-  }
   this->takeover.reset();
   this->planner.reset();
   this->mover.reset();
@@ -280,13 +273,6 @@
   for (const jobs::VmFacts& vm : this->takeover->kept_vms) {
     this->scheduler->SetKeptVm(vm, Now());
   }
-  if (Now() - this->last_vms_at <= this->options.limits.lease) {
-    for (const jobs::VmFacts& vm : this->last_vms) {
-      if (!this->scheduler->vms().contains(vm.id)) {
-        this->scheduler->SetKeptVm(vm, Now());
-      }
-    }
-  }
   for (jobs::JobSpec& spec : this->takeover->early_jobs) {
     this->AddJob(std::move(spec), true);
   }
--- a/src/jobs/effect.h
+++ b/src/jobs/effect.h
@@ -76,8 +76,9 @@
   std::vector<RecordWrite> records;
 };
 
-/*! @brief Stores that a VM without a registration may still run tasks, so that
- * a successor asks it. */
+/*! @brief Stores that a VM may run tasks before the first one starts there. Its
+ * registration may be gone when a successor looks, while it runs on. Answered
+ * by OnKept. */
 struct KeepVm {
   VmFacts vm;
 };
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -120,10 +120,6 @@
   const bool starts_leaving = facts.leaving && !vm->facts.leaving;
   vm->facts = facts;
   vm->registered = true;
-  if (vm->kept) {
-    vm->kept = false;
-    this->effects.emplace_back(ForgetVm{facts.id});
-  }
   this->pools[facts.pool].vms[facts.id] = vm;
   if (starts_leaving) {
     this->NoteThat("vm_leaving", {{"vm", facts.id.str()},
@@ -188,20 +184,28 @@
     this->DropVm(id);
   } else {
     vm->next_look = now;
-    vm->kept = true;
-    this->effects.emplace_back(KeepVm{vm->facts});
   }
 }
 
 void Scheduler::SetKeptVm(const VmFacts& facts, Time now) {
-  if (this->FindVm(facts.id) != nullptr) {
+  if (this->ended_vms.contains(facts.id)) {
     this->effects.emplace_back(ForgetVm{facts.id});
     return;
   }
-  this->SetVm(facts, now);
-  Vm& vm = *this->FindVm(facts.id);
-  vm.registered = false;
-  vm.kept = true;
+  Vm* vm = this->FindVm(facts.id);
+  if (vm == nullptr) {
+    this->SetVm(facts, now);
+    vm = this->FindVm(facts.id);
+    vm->registered = false;
+  }
+  vm->record_sent = true;
+  vm->recorded = true;
+}
+
+void Scheduler::OnKept(const VmId& id) {
+  if (Vm* vm = this->FindVm(id)) {
+    vm->recorded = true;
+  }
 }
 
 void Scheduler::DropVm(const VmId& id) {
@@ -209,7 +213,7 @@
   if (found == this->fleet.end()) {
     return;
   }
-  if (found->second->kept) {
+  if (found->second->record_sent) {
     this->effects.emplace_back(ForgetVm{id});
   }
   this->pools[found->second->facts.pool].vms.erase(id);
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -58,9 +58,10 @@
   void SetVm(const VmFacts& facts, Time now);
   /*! @brief A VM's registration was removed. */
   void RemoveVm(const VmId& vm, Time now);
-  /*! @brief A VM that a predecessor stored as one that may run tasks without
-   * being registered. */
+  /*! @brief A VM that a predecessor stored as one that may run tasks. */
   void SetKeptVm(const VmFacts& facts, Time now);
+  /*! @brief A VM's record is stored. */
+  void OnKept(const VmId& vm);
   /*! @brief A VM that a predecessor ended by an order. */
   void SetEndedVm(const VmId& vm, std::int64_t boot_ms);
   /*! @brief Forbids or allows new starts on a VM, before maintenance. */
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -32,9 +32,10 @@
 };
 
 bool Scheduler::Usable(const Vm& vm, Time now) const {
-  return vm.registered && vm.reported && vm.clock_known && !vm.clock_doubtful &&
-         !vm.silent && !vm.unknown_stray && !vm.facts.leaving && !vm.cordoned &&
-         vm.ejected_until <= now && !this->zones_out.contains(vm.facts.zone);
+  return vm.registered && vm.recorded && vm.reported && vm.clock_known &&
+         !vm.clock_doubtful && !vm.silent && !vm.unknown_stray &&
+         !vm.facts.leaving && !vm.cordoned && vm.ejected_until <= now &&
+         !this->zones_out.contains(vm.facts.zone);
 }
 
 bool Scheduler::WithinLimit(const Job& job, const Resources& more) const {
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -81,6 +81,10 @@
 void Scheduler::LookAtVms(Time now) {
   std::vector<VmId> gone;
   for (auto& [id, vm] : this->fleet) {
+    if (!vm->record_sent && vm->registered) {
+      vm->record_sent = true;
+      this->effects.emplace_back(KeepVm{vm->facts});
+    }
     if (vm->silent || !vm->registered) {
       const auto lease_end = vm->LeaseEnd(this->limits);
       const bool expired = !lease_end || now >= *lease_end;
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -30,7 +30,9 @@
 struct Vm {
   VmFacts facts;
   bool registered = true;  // its registration is in the store
-  bool kept = false;       // a record tells successors of it
+  // A record tells successors of it: requested, and confirmed.
+  bool record_sent = false;
+  bool recorded = false;
   Time added;
   Resources used;               // by placed tasks
   std::set<Task*, ByRef> runs;  // placed tasks
