--- a/src/app/entry/driver.cc
+++ b/src/app/entry/driver.cc
@@ -11,17 +11,13 @@
 namespace kch::app {
 namespace {
 
+using net::Now;
 using nlohmann::json;
 
 constexpr auto kTickInterval = std::chrono::milliseconds(20);
 constexpr auto kVmListInterval = std::chrono::seconds(2);
 constexpr int kVmListTimeoutMs = 2000;
 
-Time Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 std::int64_t WallSeconds() {
   return std::chrono::duration_cast<std::chrono::seconds>(
              std::chrono::system_clock::now().time_since_epoch())
--- a/src/app/entry/status.cc
+++ b/src/app/entry/status.cc
@@ -3,16 +3,14 @@
 #include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "net/net.h"
+
 namespace kch::app {
 namespace {
 
+using net::Now;
 using nlohmann::json;
 
-Time Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 std::string_view StateName(member::PeerState state) {
   switch (state) {
     case member::PeerState::kConnected:
--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -13,6 +13,9 @@
 namespace kch::app {
 namespace {
 
+using net::Now;
+using net::WallMs;
+
 // Interval of timeouts and looks; half of the shortest of them.
 constexpr auto kTickInterval = std::chrono::milliseconds(50);
 // Without the fleet only ownership has to be watched.
@@ -27,17 +30,6 @@
 // The platform sends no new connections after two missed checks of one second.
 constexpr auto kBalancerTime = std::chrono::milliseconds(2600);
 
-Time Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
-std::int64_t WallMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 // Counts the time in which the machine is suspended, unlike the steady clock.
 std::int64_t BootMs() {
   timespec now{};
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -9,6 +9,7 @@
 namespace kch::app {
 namespace {
 
+using net::Now;
 using platform::Outcome;
 
 // A record's write is repeated until it is known, so a lost call should not
@@ -18,11 +19,6 @@
 constexpr int kWaveRetryMs = 300;
 constexpr int kKeptRetryMs = 100;
 
-Time Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 lead::Answer AnswerOf(Outcome outcome) {
   switch (outcome) {
     case Outcome::kOk:
--- a/src/app/fleet/front.cc
+++ b/src/app/fleet/front.cc
@@ -13,6 +13,8 @@
 using ingress::Admitted;
 using ingress::Refusal;
 using net::HttpResponse;
+using net::Now;
+using net::WallMs;
 using platform::Outcome;
 
 // The store answers within milliseconds. One that refuses for this long is
@@ -32,17 +34,6 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-Time Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
-std::int64_t WallMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 std::string KeyIn(std::string_view authorization) {
   constexpr std::string_view scheme = "Bearer ";
   return authorization.starts_with(scheme)
@@ -195,7 +186,7 @@
       this->ReportState(*admitted, std::move(answer));
       break;
     case ingress::Verb::kCancel:
-      this->Cancel(*admitted, std::move(answer));
+      this->Cancel(*admitted, answer);
       break;
     case ingress::Verb::kPending:
       this->ReportPending(*admitted, std::move(answer));
@@ -280,89 +271,92 @@
   });
 }
 
-void Front::ReadState(const jobs::JobId& job, const TeamId& team, Reply reply) {
-  this->parts.metrics.Count("state_reads");
+// Finds a stored job that a team may read; anyone else is told that it does not
+// exist.
+void Front::FindJob(const jobs::JobId& job,
+                    const TeamId& team,
+                    Reply reply,
+                    std::function<void()> found) {
   this->parts.store.Get(
-      KeyOf(kJobPrefix, job), [this, job, team, reply = std::move(reply)](
-                                  const platform::GetReply& accepted) {
+      KeyOf(kJobPrefix, job),
+      [job, team, reply = std::move(reply),
+       found = std::move(found)](const platform::GetReply& accepted) {
         if (accepted.outcome == Outcome::kMissing) {
           net::LogEvent("state_gone", {{"job", job.str()}});
           reply({.status = kGone});
           return;
         }
-        const auto spec = accepted.outcome == Outcome::kOk
-                              ? jobs::DecodeSpec(job, accepted.item.value)
-                              : Fail(ErrorKind::kUnavailable, "", "");
-        if (!spec) {
+        if (accepted.outcome != Outcome::kOk) {
           reply(NotRun(kUnavailable, "store_down"));
           return;
         }
-        if (!MayRead(spec->team, team)) {
+        const auto spec = jobs::DecodeSpec(job, accepted.item.value);
+        if (!spec) {
+          net::LogEvent("job_unreadable", {{"error", spec.error().Text()}});
+          reply(NotRun(kUnavailable, "job_unreadable"));
+        } else if (!MayRead(spec->team, team)) {
           reply({.status = kGone});
-          return;
+        } else {
+          found();
         }
-        this->parts.store.Get(
-            KeyOf(kProgressPrefix, job),
-            [reply](const platform::GetReply& progress) {
-              if (progress.outcome == Outcome::kMissing) {
-                reply({.status = kOk,
-                       .body = platform::EncodeState(jobs::JobState::kQueued)});
-                return;
-              }
-              const auto state = progress.outcome == Outcome::kOk
-                                     ? jobs::DecodeState(progress.item.value)
-                                     : Fail(ErrorKind::kUnavailable, "", "");
-              reply(state ? HttpResponse{.status = kOk,
-                                         .body = platform::EncodeState(*state)}
-                          : NotRun(kUnavailable, "store_down"));
-            });
       });
 }
 
-void Front::Cancel(const Admitted& admitted, Reply reply) {
+void Front::ReadState(const jobs::JobId& job,
+                      const TeamId& team,
+                      const Reply& reply) {
+  this->parts.metrics.Count("state_reads");
+  this->FindJob(job, team, reply, [this, job, reply] {
+    this->parts.store.Get(
+        KeyOf(kProgressPrefix, job),
+        [job, reply](const platform::GetReply& progress) {
+          if (progress.outcome == Outcome::kMissing) {
+            reply({.status = kOk,
+                   .body = platform::EncodeState(jobs::JobState::kQueued)});
+            return;
+          }
+          if (progress.outcome != Outcome::kOk) {
+            reply(NotRun(kUnavailable, "store_down"));
+            return;
+          }
+          const auto state = jobs::DecodeState(progress.item.value);
+          if (!state) {
+            net::LogEvent("job_unreadable", {{"job", job.str()},
+                                             {"error", state.error().Text()}});
+            reply(NotRun(kUnavailable, "job_unreadable"));
+            return;
+          }
+          reply({.status = kOk, .body = platform::EncodeState(*state)});
+        });
+  });
+}
+
+void Front::Cancel(const Admitted& admitted, const Reply& reply) {
   const jobs::JobId job = admitted.job;
-  this->parts.store.Get(
-      KeyOf(kJobPrefix, job),
-      [this, job, team = admitted.team,
-       reply = std::move(reply)](const platform::GetReply& accepted) {
-        if (accepted.outcome == Outcome::kMissing) {
-          reply({.status = kGone});
-          return;
-        }
-        const auto spec = accepted.outcome == Outcome::kOk
-                              ? jobs::DecodeSpec(job, accepted.item.value)
-                              : Fail(ErrorKind::kUnavailable, "", "");
-        if (!spec) {
-          reply(NotRun(kUnavailable, "store_down"));
-          return;
-        }
-        if (!MayRead(spec->team, team)) {
-          reply({.status = kGone});
-          return;
-        }
-        platform::Transaction transaction;
-        transaction.puts.push_back({KeyOf(kCancelPrefix, job), "{}", 0});
-        this->parts.store.Write(
-            transaction, kWriteTimeoutMs,
-            [this, job, reply](const platform::WriteReply& result) {
-              const bool stored = result.outcome == Outcome::kOk;
-              net::LogEvent("cancel",
-                            {{"job", job.str()},
-                             {"outcome", stored ? "stored" : "not_stored"}});
-              if (stored) {
-                this->parts.tell_cancel(job);
-                if (const std::string address = this->OwnerAddress();
-                    !address.empty()) {
-                  this->peer.TellCancel(address, job);
-                }
-                reply({.status = kOk, .body = "{}"});
-              } else if (result.outcome == Outcome::kUnknown) {
-                reply(Unknown());
-              } else {
-                reply(NotRun(kUnavailable, "store_down"));
-              }
-            });
-      });
+  this->FindJob(job, admitted.team, reply, [this, job, reply] {
+    platform::Transaction transaction;
+    transaction.puts.push_back({KeyOf(kCancelPrefix, job), "{}", 0});
+    this->parts.store.Write(
+        transaction, kWriteTimeoutMs,
+        [this, job, reply](const platform::WriteReply& result) {
+          const bool stored = result.outcome == Outcome::kOk;
+          net::LogEvent("cancel",
+                        {{"job", job.str()},
+                         {"outcome", stored ? "stored" : "not_stored"}});
+          if (result.outcome == Outcome::kUnknown) {
+            reply(Unknown());
+          } else if (!stored) {
+            reply(NotRun(kUnavailable, "store_down"));
+          } else {
+            this->parts.tell_cancel(job);
+            if (const std::string address = this->OwnerAddress();
+                !address.empty()) {
+              this->peer.TellCancel(address, job);
+            }
+            reply({.status = kOk, .body = "{}"});
+          }
+        });
+  });
 }
 
 void Front::ReportPending(const Admitted& admitted, Reply reply) {
--- a/src/app/fleet/front.h
+++ b/src/app/fleet/front.h
@@ -56,8 +56,14 @@
               std::uint64_t version,
               Reply reply);
   void ReportState(const ingress::Admitted& admitted, Reply reply);
-  void ReadState(const jobs::JobId& job, const TeamId& team, Reply reply);
-  void Cancel(const ingress::Admitted& admitted, Reply reply);
+  void FindJob(const jobs::JobId& job,
+               const TeamId& team,
+               Reply reply,
+               std::function<void()> found);
+  void ReadState(const jobs::JobId& job,
+                 const TeamId& team,
+                 const Reply& reply);
+  void Cancel(const ingress::Admitted& admitted, const Reply& reply);
   void ReportPending(const ingress::Admitted& admitted, Reply reply);
   void AskOwner(const jobs::JobId& job, std::function<void(JobAnswer)> done);
   [[nodiscard]] std::string OwnerAddress() const;
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -11,21 +11,13 @@
 namespace kch::app {
 namespace {
 
+using net::Now;
+using net::WallMs;
+
 constexpr int kIntakeWaitMs = 1000;
 constexpr int kVmWaitMs = 1500;
 constexpr int kRetryMs = 100;
 
-Time Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
-std::int64_t WallMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 void Driver::Gain(std::uint64_t gained) {
--- a/src/app/kchctl/runner.cc
+++ b/src/app/kchctl/runner.cc
@@ -22,6 +22,7 @@
 using ctl::ExitCode;
 using ctl::Reach;
 using ctl::Verdict;
+using net::Now;
 using nlohmann::json;
 
 // A read is answered from memory at once, so a longer silence means that
@@ -36,11 +37,6 @@
 constexpr auto kRoundPause = std::chrono::milliseconds(300);
 constexpr auto kPollPause = std::chrono::milliseconds(200);
 
-Time Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 std::string RandomBytes(std::size_t size) {
   std::string bytes(size, '\0');
   if (RAND_bytes(reinterpret_cast<unsigned char*>(bytes.data()),
--- a/src/app/maintain/driver.cc
+++ b/src/app/maintain/driver.cc
@@ -13,6 +13,7 @@
 namespace {
 
 using maintain::OperationSeen;
+using net::Now;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -30,11 +31,6 @@
 constexpr int kWorkerTimeoutMs = 1000;
 constexpr int kPlatformTimeoutMs = 2000;
 
-Time Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 std::int64_t WallSeconds() {
   return std::chrono::duration_cast<seconds>(
              std::chrono::system_clock::now().time_since_epoch())
--- a/src/app/maintain/status.cc
+++ b/src/app/maintain/status.cc
@@ -6,13 +6,9 @@
 namespace kch::app {
 namespace {
 
+using net::Now;
 using nlohmann::json;
 
-Time Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 std::string WaitingFor(const Driver& driver,
                        const maintain::PoolRecord& record,
                        const maintain::VmRow& vm,
