--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -403,7 +403,7 @@
 }
 
 void UpkeepEffectVisitor::operator()(const upkeep::VmEnded& effect) const {
-  this->driver.scheduler->EndVm(effect.vm, Now());
+  this->driver.scheduler->EndVm(effect.vm);
 }
 
 // The state may be written again at any time, so a lost write is repaired by
--- a/src/app/fleet/main.cc
+++ b/src/app/fleet/main.cc
@@ -34,10 +34,6 @@
              "removed"),
       Number("stop-grace-ms", 900, 0, kMaxMs,
              "longest time until a stopped run has ended, in ms"),
-      Number("pace-delay-ms", 100, 0, kMaxMs,
-             "time until a paced run works at its new share, in ms"),
-      Number("harm-limit-ms", 4000, 0, kMaxMs,
-             "longest time of a serving task over its target, in ms"),
       RequiredText("machines",
                    "host:port of the platform's machine list and orders"),
       Number("handover-ms", 3000, 0, kMaxMs,
@@ -68,8 +64,6 @@
                missed_heartbeats * settings.number("heartbeat-ms") - slack_ms);
   limits.lease = milliseconds(std::max(lease_ms, least_ms));
   limits.stop_grace = milliseconds(settings.number("stop-grace-ms"));
-  limits.pace_delay = milliseconds(settings.number("pace-delay-ms"));
-  limits.harm_limit = milliseconds(settings.number("harm-limit-ms"));
   return limits;
 }
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -37,15 +37,13 @@
   // the end of a run again if it was recorded but not acknowledged.
   std::set<std::int64_t> failed_runs;
   std::string checkpoint;
-  VmId vm;       // of the current run
-  VmId avoid;    // the VM on which the last run failed
-  Time ordered;  // when the start was sent
+  VmId vm;     // of the current run
+  VmId avoid;  // the VM on which the last run failed
   // When the latest order was answered or given up; unset while it is under
   // way.
   Time confirmed;
   bool stop_unsent = false;  // the order to stop has to be sent again
   std::uint64_t seen = 0;    // latest report that listed the run
-  Time away_since;           // endless tasks: since when it is not at work
   std::int32_t percent = 0;
   std::int64_t gauge = 0;
   std::int32_t pace = 100;  // share of the work that it may do, in percent
@@ -101,7 +99,6 @@
   bool inherited = false;  // accepted before this scheduler took over
   bool begun = false;      // a task has started
   Time arrived;
-  Time finished_at;  // of completed, failed and cancelled jobs
 
   // The record in the store. `changes` counts changes that must be stored,
   // `stored` is its value in the last stored record, `writing` the one in a
--- a/src/jobs/limits.h
+++ b/src/jobs/limits.h
@@ -8,7 +8,7 @@
 
 namespace kch::jobs {
 
-/*! @brief Bounds and intervals of scheduling; the first four come from the
+/*! @brief Bounds and intervals of scheduling; the first two come from the
  * deployment's settings. */
 struct Limits {
   // Lease of everything that runs on a VM. It is shorter than the time after
@@ -16,10 +16,6 @@
   Duration lease = std::chrono::milliseconds(4000);
   // Longest time from an order to stop a run until the run has ended.
   Duration stop_grace = std::chrono::milliseconds(900);
-  // A paced task works at its new share from this time on.
-  Duration pace_delay = std::chrono::milliseconds(100);
-  // Longest time that a serving task may stay over its target.
-  Duration harm_limit = std::chrono::milliseconds(4000);
 
   // A VM answers a look at the latest after this time; half of the lease minus
   // the time that a lost look costs.
--- a/src/jobs/rank.cc
+++ b/src/jobs/rank.cc
@@ -21,10 +21,8 @@
               const Occurrence& occurrence,
               const Queue& queue,
               Time due,
-              double slowness,
               Time now) {
-  const auto left = std::chrono::milliseconds(static_cast<std::int64_t>(
-      slowness * static_cast<double>(job.ChainMs(occurrence))));
+  const auto left = std::chrono::milliseconds(job.ChainMs(occurrence));
   const Duration objective = Objective(job, queue);
   const Time end = now + left;
   Rank rank{.priority = queue.priority};
--- a/src/jobs/rank.h
+++ b/src/jobs/rank.h
@@ -28,12 +28,11 @@
 [[nodiscard]] Duration Objective(const Job& job, const Queue& queue);
 
 /*! @brief Ranks a ready step. `due` is when the occurrence was accepted or
- * became due; `slowness` is measured run time over estimate. */
+ * became due. */
 [[nodiscard]] Rank RankStep(const Job& job,
                             const Occurrence& occurrence,
                             const Queue& queue,
                             Time due,
-                            double slowness,
                             Time now);
 
 }  // namespace kch::jobs
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -66,11 +66,6 @@
   return this->pools[this->QueueOf(job).pool];
 }
 
-TeamLimit Scheduler::LimitOf(const TeamId& team) const {
-  const auto found = this->config.teams.find(team);
-  return found == this->config.teams.end() ? TeamLimit{} : found->second;
-}
-
 void Scheduler::SetConfig(const FleetConfig& next, Time /*now*/) {
   if (next.version < this->config.version) {
     return;
@@ -129,7 +124,7 @@
     const std::vector<Task*> runs(vm->runs.begin(), vm->runs.end());
     for (Task* task : runs) {
       if (task->spec().endless) {
-        this->StopTask(*task, now);
+        this->StopTask(*task);
       }
     }
   }
@@ -146,15 +141,15 @@
     }
   }
   const VmFacts next = facts;
-  this->LoseRuns(vm, "vm_restarted", now);
+  this->LoseRuns(vm, "vm_restarted");
   this->DropVm(next.id);
   this->SetVm(next, now);
   Vm& restarted = *this->FindVm(next.id);
   for (Task* task : ordered) {
     if (task->phase == TaskPhase::kWaiting && !task->job->Ended()) {
-      this->Place(*task, restarted, now);
+      this->Place(*task, restarted);
       task->phase = TaskPhase::kStarting;
-      this->StopTask(*task, now);
+      this->StopTask(*task);
     }
   }
 }
@@ -261,14 +256,14 @@
                                      {"vm", id.str()},
                                      {"away", std::to_string(away)},
                                      {"may_miss", std::to_string(may_miss)}});
-      this->StopTask(*task, now);
+      this->StopTask(*task);
     }
   }
 }
 
-void Scheduler::EndVm(const VmId& id, Time now) {
+void Scheduler::EndVm(const VmId& id) {
   if (Vm* vm = this->FindVm(id)) {
-    this->LoseRuns(*vm, "ended_by_order", now);
+    this->LoseRuns(*vm, "ended_by_order");
     this->ended_vms[id] = {.boot_ms = vm->facts.boot_ms};
     this->effects.emplace_back(KeepEnded{id, vm->facts.boot_ms});
     this->DropVm(id);
@@ -349,7 +344,6 @@
                                 {"team", job.spec.team.str()}});
   }
   if (job.Ended()) {
-    job.finished_at = now;
     this->ended_jobs.emplace_back(now, id);
     return;
   }
@@ -423,9 +417,8 @@
   }
 }
 
-void Scheduler::Place(Task& task, Vm& vm, Time now) {
+void Scheduler::Place(Task& task, Vm& vm) {
   task.vm = vm.facts.id;
-  task.ordered = now;
   task.confirmed = Time();
   vm.runs.insert(&task);
   vm.used += task.spec().Occupies();
@@ -443,7 +436,7 @@
   }
 }
 
-void Scheduler::Requeue(Task& task, Time now) {
+void Scheduler::Requeue(Task& task) {
   this->Release(task);
   if (task.phase == TaskPhase::kDone) {
     return;  // only a run that was no longer needed has ended
@@ -454,7 +447,6 @@
   }
   task.confirmed = Time();
   task.stop_unsent = false;
-  task.away_since = now;
   task.percent = 0;
   task.pace = 100;
   this->Enlist(*task.job, task.job->open.at(task.occurrence), task.step);
@@ -471,7 +463,6 @@
     job.begun = true;
   }
   job.state = state;
-  job.finished_at = now;
   this->ended_jobs.emplace_back(now, job.spec.id);
   this->scheduled.erase(job.spec.id);
   for (auto& [number, occurrence] : job.open) {
@@ -479,7 +470,7 @@
       for (Task& task : step.tasks) {
         if (task.phase == TaskPhase::kStarting ||
             task.phase == TaskPhase::kRunning) {
-          this->StopTask(task, now);
+          this->StopTask(task);
         }
       }
     }
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -130,7 +130,7 @@
    * as far as the steps may miss them and other VMs have room. */
   void EvictEndless(const VmId& vm, Time now);
   /*! @brief A VM ends by an order: everything on it has ended. */
-  void EndVm(const VmId& vm, Time now);
+  void EndVm(const VmId& vm);
   /*! @brief What a pool offers, uses and lacks. */
   struct Demand {
     Resources capacity;  // of usable VMs
@@ -157,11 +157,8 @@
     std::map<VmId, Vm*> vms;
     std::set<Unit> ready;
     Time inherited_after;  // inherited tasks start from this time on
-    // Run time over estimate of the pool's finished tasks, smoothed.
-    double slowness = 1;
   };
   struct Advice {
-    bool asked = false;
     Time retry_at;
     Time valid_until;
     std::map<VmId, std::string> permits;
@@ -175,15 +172,14 @@
   Step& StepOf(const Task& task);
   const Queue& QueueOf(const Job& job) const;
   Pool& PoolOf(const Job& job);
-  TeamLimit LimitOf(const TeamId& team) const;
 
   // scheduler.cc
   void OpenDue(Job& job, std::int64_t wall_ms);
   void Enlist(Job& job, const Occurrence& occurrence, std::int32_t step);
   void EnlistAll(Job& job);
-  void Place(Task& task, Vm& vm, Time now);
+  void Place(Task& task, Vm& vm);
   void Release(Task& task);  // frees what a placed task occupies
-  void Requeue(Task& task, Time now);
+  void Requeue(Task& task);
   void Changed(Job& job);
   void EndJob(Job& job, JobState state, Time now);
   void SetBegun(Job& job);
@@ -191,19 +187,19 @@
   bool AtWork(const Task& task, Time now) const;
 
   // scheduler_report.cc
-  void Resolve(Vm& vm, Time sent, Time now);
+  void Resolve(Vm& vm, Time sent);
   void HandleRunning(Vm& vm, const RunningRow& row, Time now);
   void HandleEnd(Vm& vm, const EndedRow& row, Time now);
   void AwaitRecord(Vm& vm, const Job& job);
   void HandleDone(Task& task, Time now);
   void HandleFailure(Task& task, Vm& vm, std::int64_t run, Time now);
   void CompleteStep(Job& job, Occurrence& occurrence, Time now);
-  void StopTask(Task& task, Time now);
+  void StopTask(Task& task);
   void SendStop(Task& task, const Vm& vm);
   void StopStray(Vm& vm, const TaskRef& ref, std::int64_t run, Time now);
   void ForgetStrays(Vm& vm, std::uint64_t listed_in);
   void RestartVm(Vm& vm, const VmFacts& facts, Time now);
-  void LoseRuns(Vm& vm, std::string_view reason, Time now);
+  void LoseRuns(Vm& vm, std::string_view reason);
   void Blame(Vm& vm, const Task& task, Time now);
   void SetSilent(Vm& vm, Time now);
   void OnFenced(const VmId& id);
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -125,7 +125,7 @@
     }
     order.push_back(
         {RankStep(job, job.open.at(unit.occurrence), this->QueueOf(job),
-                  job.DueAt(unit.occurrence), pool.slowness, now),
+                  job.DueAt(unit.occurrence), now),
          unit});
   }
   std::ranges::sort(order, [](const Ranked& left, const Ranked& right) {
@@ -318,7 +318,7 @@
 
 void Scheduler::Start(Task& task, Vm& vm, std::int64_t run, Time now) {
   task.run = run;
-  this->Place(task, vm, now);
+  this->Place(task, vm);
   task.phase = TaskPhase::kStarting;
   ++this->counted.starts;
   std::string permit;
@@ -352,7 +352,6 @@
     }
   }
   if (!question.vms.empty()) {
-    row.asked = true;
     row.retry_at = now + kAdviceRetry;
     this->effects.emplace_back(std::move(question));
   }
@@ -368,7 +367,6 @@
     return;
   }
   Advice& row = this->advice[{job, asked.occurrence, asked.step}];
-  row.asked = false;
   row.permits = std::move(permits);
   row.valid_until = valid_until;
   row.retry_at = row.permits.empty() ? now + kAdviceRetry : now;
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -59,7 +59,7 @@
     this->HandleRunning(*vm, row, now);
   }
   this->ForgetStrays(*vm, vm->reports);
-  this->Resolve(*vm, sent, now);
+  this->Resolve(*vm, sent);
   this->PaceVm(*vm, now);
   this->Acknowledge(*vm, now);
 }
@@ -80,7 +80,7 @@
     }
     // A run of the predecessor, or one that was thought lost.
     task->run = row.run;
-    this->Place(*task, vm, now);
+    this->Place(*task, vm);
     task->phase = TaskPhase::kStarting;
     this->NoteThat("run_adopted", {{"task", row.task},
                                    {"run", std::to_string(row.run)},
@@ -100,7 +100,7 @@
 
 // Settles the runs that a report does not list, and repeats stops that had no
 // answer.
-void Scheduler::Resolve(Vm& vm, Time sent, Time now) {
+void Scheduler::Resolve(Vm& vm, Time sent) {
   const std::vector<Task*> runs(vm.runs.begin(), vm.runs.end());
   for (Task* task : runs) {
     const bool listed = task->seen == vm.reports;
@@ -110,7 +110,7 @@
       case TaskPhase::kStarting:
         // The order is lost or late; a stop bars it for good.
         if (settled) {
-          this->StopTask(*task, now);
+          this->StopTask(*task);
         }
         break;
       case TaskPhase::kRunning:
@@ -120,7 +120,7 @@
                                       {"run", std::to_string(task->run)},
                                       {"vm", vm.facts.id.str()},
                                       {"reason", "not_in_report"}});
-          this->Requeue(*task, now);
+          this->Requeue(*task);
         }
         break;
       case TaskPhase::kStopping:
@@ -131,7 +131,7 @@
           if (task->phase == TaskPhase::kDone) {
             this->Release(*task);
           } else {
-            this->Requeue(*task, now);
+            this->Requeue(*task);
           }
         }
         break;
@@ -181,7 +181,7 @@
       this->Release(*task);
     } else if (task->Placed()) {
       // A run that was thought lost ended; the present one is not needed.
-      this->StopTask(*task, now);
+      this->StopTask(*task);
     }
     this->HandleDone(*task, now);
     this->AwaitRecord(vm, job);
@@ -193,7 +193,7 @@
     this->AwaitRecord(vm, job);
   }
   if (current) {
-    this->Requeue(*task, now);
+    this->Requeue(*task);
   }
 }
 
@@ -297,13 +297,12 @@
                                 {"times", std::to_string(vm.ejections)}});
 }
 
-void Scheduler::StopTask(Task& task, Time now) {
+void Scheduler::StopTask(Task& task) {
   Vm* vm = this->FindVm(task.vm);
   if (vm == nullptr || !task.Placed()) {
     return;
   }
   task.phase = TaskPhase::kStopping;
-  task.away_since = now;
   this->SendStop(task, *vm);
 }
 
@@ -470,14 +469,14 @@
       break;
     case StartAnswer::kOtherVm:
       // The VM's address belongs to another one, so the VM is gone.
-      this->LoseRuns(*vm, "address_reused", now);
+      this->LoseRuns(*vm, "address_reused");
       this->DropVm(id);
       return;
     case StartAnswer::kFenced:
       return;
   }
   if (current) {
-    this->Requeue(*task, now);
+    this->Requeue(*task);
   }
 }
 
@@ -495,7 +494,7 @@
     return;
   }
   if (other_vm) {
-    this->LoseRuns(*vm, "address_reused", now);
+    this->LoseRuns(*vm, "address_reused");
     this->DropVm(id);
     return;
   }
@@ -522,7 +521,7 @@
                                {"runs", std::to_string(vm.runs.size())}});
 }
 
-void Scheduler::LoseRuns(Vm& vm, std::string_view reason, Time now) {
+void Scheduler::LoseRuns(Vm& vm, std::string_view reason) {
   ++vm.reports;
   this->ForgetStrays(vm, vm.reports);
   const std::vector<Task*> runs(vm.runs.begin(), vm.runs.end());
@@ -532,7 +531,7 @@
                                 {"run", std::to_string(task->run)},
                                 {"vm", vm.facts.id.str()},
                                 {"reason", std::string(reason)}});
-    this->Requeue(*task, now);
+    this->Requeue(*task);
   }
 }
 
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -89,7 +89,7 @@
       const auto lease_end = vm->LeaseEnd(this->limits);
       const bool expired = !lease_end || now >= *lease_end;
       if (expired && vm->silent) {
-        this->LoseRuns(*vm, "lease_expired", now);
+        this->LoseRuns(*vm, "lease_expired");
       }
       const bool known_empty =
           vm->reported || now >= vm->added + this->LongestLease();
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -233,7 +233,7 @@
       sim.RunUntil([&] { return sim.vms.at("vm0")->runs.empty(); }, 2000));
   sim.Run(50);
   sim.vms.at("vm0")->dark = true;
-  sim.scheduler->EndVm(VmId("vm0"), sim.now);
+  sim.scheduler->EndVm(VmId("vm0"));
   sim.Run(50);
   sim.Takeover();
   const std::int64_t before = sim.starts();
