Give each term of ownership a fence of its own; read all pages at a takeover

Found while reading the diff: after a suspension the owner gave up, found its own record and went on under the same fence, so answers to its earlier scheduler's writes could be taken for the new one's. A takeover read only the first page of VMs and waves, 500 records. Change: a record of a term that was given up is removed and claimed anew; all reads at a takeover go through one paged function.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -192,14 +192,12 @@
   });
 }
 
-// While the machine was suspended its leases may have run out unnoticed.
+// The steady clock does not count a suspension, so a lease that seems valid may
+// have run out meanwhile. Without a valid lease, as while the store is away,
+// the fences of the VMs decide.
 void Driver::OnWake() {
   net::LogEvent("resumed", {});
-  if (this->scheduler != nullptr &&
-      !this->ownership.Certain(Now() - lead::kOwnerLease)) {
-    return;
-  }
-  if (this->scheduler != nullptr) {
+  if (this->ownership.Certain(Now())) {
     this->ownership.OnSuperseded(Now());
     this->Perform(this->ownership.Take());
   }
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -102,10 +102,12 @@
 
   void Gain(std::uint64_t fence);
   void Lose(const std::string& reason);
-  void ReadProgress(const std::string& after_key, std::uint64_t fence);
+  void ReadProgress(std::uint64_t fence);
+  using UseItems = std::function<void(const std::vector<platform::Item>&)>;
   void ReadAll(std::string_view prefix,
                std::uint64_t fence,
-               std::function<void(const std::vector<platform::Item>&)> use);
+               UseItems use,
+               std::vector<platform::Item> read = {});
   void ReadKeptVms(std::uint64_t fence);
   void ReadEndedVms(std::uint64_t fence);
   void ReadWaves(std::uint64_t fence);
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -38,7 +38,7 @@
   this->ReadKeptVms(gained);
   this->ReadEndedVms(gained);
   this->ReadWaves(gained);
-  this->ReadProgress("", gained);
+  this->ReadProgress(gained);
   this->FollowIntake(gained);
   this->FollowVms(gained);
 }
@@ -54,26 +54,34 @@
   this->scheduler.reset();
 }
 
-// Reads all records under a prefix and calls `use` with them; repeated until
-// the store answers.
-void Driver::ReadAll(
-    std::string_view prefix,
-    std::uint64_t by,
-    std::function<void(const std::vector<platform::Item>&)> use) {
+// Reads all records under a prefix, page by page, and calls `use` with them. A
+// page that the store does not answer is asked for again.
+void Driver::ReadAll(std::string_view prefix,
+                     std::uint64_t by,
+                     UseItems use,
+                     std::vector<platform::Item> read) {
+  const std::string after = read.empty() ? std::string() : read.back().key;
   this->parts.store.List(
-      std::string(prefix), "",
-      [this, prefix, by,
-       use = std::move(use)](const platform::ListReply& reply) mutable {
-        if (reply.outcome != platform::Outcome::kOk) {
-          this->parts.client.Delay(kRetryMs,
-                                   [this, prefix, by, use = std::move(use)] {
-                                     this->PostFor(by, [this, prefix, by, use] {
-                                       this->ReadAll(prefix, by, use);
-                                     });
-                                   });
+      std::string(prefix), after,
+      [this, prefix, by, use = std::move(use),
+       read = std::move(read)](const platform::ListReply& reply) mutable {
+        const bool answered = reply.outcome == platform::Outcome::kOk;
+        if (answered) {
+          read.insert(read.end(), reply.items.begin(), reply.items.end());
+        }
+        if (answered && !(reply.more && !reply.items.empty())) {
+          this->PostFor(by, [use = std::move(use), read = std::move(read)] {
+            use(read);
+          });
           return;
         }
-        this->PostFor(by, [use = std::move(use), reply] { use(reply.items); });
+        this->parts.client.Delay(
+            answered ? 0 : kRetryMs,
+            [this, prefix, by, use = std::move(use), read = std::move(read)] {
+              this->PostFor(by, [this, prefix, by, use, read] {
+                this->ReadAll(prefix, by, use, read);
+              });
+            });
       });
 }
 
@@ -126,30 +134,15 @@
                 });
 }
 
-void Driver::ReadProgress(const std::string& after_key, std::uint64_t by) {
-  this->parts.store.List(
-      std::string(kProgressPrefix), after_key,
-      [this, after_key, by](const platform::ListReply& reply) {
-        if (reply.outcome != platform::Outcome::kOk) {
-          this->parts.client.Delay(kRetryMs, [this, after_key, by] {
-            this->PostFor(by, [this, after_key, by] {
-              this->ReadProgress(after_key, by);
-            });
-          });
-          return;
-        }
-        this->PostFor(by, [this, reply, by] {
-          for (const platform::Item& item : reply.items) {
-            this->takeover->progress[item.key] = item;
-          }
-          if (reply.more && !reply.items.empty()) {
-            this->ReadProgress(reply.items.back().key, by);
-            return;
-          }
-          this->takeover->progress_known = true;
-          this->FinishTakeover();
-        });
-      });
+void Driver::ReadProgress(std::uint64_t by) {
+  this->ReadAll(kProgressPrefix, by,
+                [this](const std::vector<platform::Item>& items) {
+                  for (const platform::Item& item : items) {
+                    this->takeover->progress[item.key] = item;
+                  }
+                  this->takeover->progress_known = true;
+                  this->FinishTakeover();
+                });
 }
 
 void Driver::FollowIntake(std::uint64_t by) {
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -69,6 +69,13 @@
   if (this->state == State::kResigned || this->state == State::kLeasing) {
     return;
   }
+  if (mine && seen->revision == this->record.revision) {
+    // A term that this process has given up. Answers to its calls may still
+    // come, so the next one needs a fence of its own.
+    this->effects.emplace_back(EndLease{this->lease});
+    this->Follow(now + this->delay);
+    return;
+  }
   if (mine) {
     // A claim whose answer was lost has taken effect.
     this->Own(seen->revision, now);
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -125,6 +125,28 @@
   BOOST_TEST(second.After(10'000).empty());
 }
 
+// After a suspension the owner gives up and finds its own record still there.
+// It went on under the same fence, and answers to writes of its earlier
+// scheduler were taken for those of the new one.
+BOOST_AUTO_TEST_CASE(NewTermHasANewFence) {
+  Own();
+  static_cast<void>(ownership.Take());
+  ownership.OnSuperseded(now);
+  static_cast<void>(ownership.Take());
+  ownership.OnRecord(OwnerRecord{.instance = "a",
+                                 .incarnation = "a-1",
+                                 .address = "h:1",
+                                 .revision = 50},
+                     now);
+  const auto effects = ownership.Take();
+  BOOST_TEST(Find<Gained>(effects) == nullptr);
+  BOOST_TEST(Find<EndLease>(effects) != nullptr);
+  BOOST_TEST(Find<CreateLease>(After(20)) != nullptr);
+  ownership.OnLease(Answer::kOk, 8, now);
+  ownership.OnClaim(Answer::kOk, 60, now);
+  BOOST_TEST(ownership.fence() == 60);
+}
+
 BOOST_AUTO_TEST_CASE(ResigningEndsTheLeaseAndClaimsNoMore) {
   Own();
   static_cast<void>(ownership.Take());
