--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -197,8 +197,9 @@
   if (step.waiting != static_cast<std::int32_t>(step.tasks.size())) {
     return true;  // members of the last run have not ended yet
   }
-  if (this->QueueOf(*unit.job).advised &&
-      this->PermitsFor(unit, pool, now) == nullptr) {
+  const bool advised = this->QueueOf(*unit.job).advised;
+  const Advice* permits = advised ? this->PermitsFor(unit, pool, now) : nullptr;
+  if (advised && permits == nullptr) {
     return true;
   }
   const StepSpec& spec =
@@ -218,9 +219,6 @@
   std::vector<std::pair<Vm*, std::int32_t>> room;
   std::map<RackId, std::int32_t> by_rack;
   std::int32_t everywhere = 0;
-  const Advice* permits = this->QueueOf(*unit.job).advised
-                              ? this->PermitsFor(unit, pool, now)
-                              : nullptr;
   for (const auto& [vm_id, vm] : pool.vms) {
     if (!this->Usable(*vm, now) ||
         (!spec.label.empty() && !vm->facts.labels.contains(spec.label)) ||
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -236,15 +236,12 @@
 }
 
 void Scheduler::CompleteStep(Job& job, Occurrence& occurrence, Time now) {
-  if (!occurrence.Complete()) {
-    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-      this->Enlist(job, occurrence, static_cast<std::int32_t>(s));
-    }
-    return;
-  }
   for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
     this->Enlist(job, occurrence, static_cast<std::int32_t>(s));
   }
+  if (!occurrence.Complete()) {
+    return;
+  }
   job.finished.insert(occurrence.number);
   if (static_cast<std::int32_t>(job.finished.size()) ==
       job.spec.Occurrences()) {
