--- /dev/null
+++ b/fake/fleet/fleet_platform.cc
@@ -0,0 +1,517 @@
+#include "fake/fleet/fleet_platform.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kch::fake {
+namespace {
+
+using net::HttpReply;
+using net::HttpRequest;
+using net::Now;
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kTickInterval{5};
+constexpr std::string_view kCommonPath = "/kingcuphaven/";
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kOtherVm = 421;
+constexpr int kTooMany = 429;
+constexpr int kUnavailable = 503;
+
+std::string CallOf(const HttpRequest& request) {
+  return request.path.starts_with(kCommonPath)
+             ? request.path.substr(kCommonPath.size())
+             : std::string();
+}
+
+json Encode(const jobs::Resources& amounts) {
+  return {{"Cpu", amounts.cpu_m},
+          {"MemMb", amounts.memory_mb},
+          {"Gpu", amounts.gpus}};
+}
+
+std::string_view WireName(jobs::RunEnd how) {
+  return how == jobs::RunEnd::kExpired ? "lapsed" : NameOf(how);
+}
+
+std::string_view ReasonOf(jobs::StartAnswer answer) {
+  switch (answer) {
+    case jobs::StartAnswer::kFenced:
+      return "fence";
+    case jobs::StartAnswer::kOldRun:
+      return "old";
+    case jobs::StartAnswer::kExpired:
+      return "late";
+    case jobs::StartAnswer::kNoPermit:
+      return "ticket";
+    default:
+      return "room";
+  }
+}
+
+jobs::StartRun DecodeStart(const json& body) {
+  return {
+      .task = jobs::TaskRef::Parse(body.at("Task").get<std::string>()).value(),
+      .run = body.at("Run"),
+      .payload = body.value("Spec", ""),
+      .until_ms = body.at("UntilMs"),
+      .checkpoint = body.value("Checkpoint", ""),
+      .permit = body.value("Ticket", "")};
+}
+
+std::uint64_t FenceOf(const json& body) {
+  return body.value("FencingToken", std::uint64_t{0});
+}
+
+}  // namespace
+
+FleetPlatform::FleetPlatform(const Options& options)
+    : options(options), timer(this->loop.context()) {}
+
+Result<std::unique_ptr<FleetPlatform>> FleetPlatform::Create(
+    const Options& options) {
+  std::unique_ptr<FleetPlatform> platform(new FleetPlatform(options));
+  if (auto started = platform->Start(); !started) {
+    return tl::unexpected(started.error());
+  }
+  return platform;
+}
+
+Result<void> FleetPlatform::Start() {
+  this->started = Now();
+  this->world.now = this->started;
+  auto listening = net::HttpServer::Create(
+      {.threads = 1}, [this](const HttpRequest& request, const auto& reply) {
+        this->loop.Post(
+            [this, request, reply] { this->HandleShared(request, reply); });
+      });
+  if (!listening) {
+    return tl::unexpected(listening.error());
+  }
+  this->shared = *std::move(listening);
+  for (std::size_t i = 0; i < this->options.vms; ++i) {
+    const std::string number = std::to_string(i);
+    const std::string machine = "m" + number;
+    auto server = net::HttpServer::Create(
+        {.threads = 1},
+        [this, machine](const HttpRequest& request, const auto& reply) {
+          this->loop.Post([this, machine, request, reply] {
+            this->HandleVm(machine, request, reply);
+          });
+        });
+    if (!server) {
+      return tl::unexpected(server.error());
+    }
+    FakeVm& vm = this->world.Add("vm" + number, "p", this->options.vm_size,
+                                 "r" + std::to_string(i / 2));
+    vm.facts.address = "127.0.0.1:" + std::to_string((*server)->port());
+    vm.facts.zone = ZoneId("z" + std::to_string(i % 3 + 1));
+    this->machines[machine].vm = "vm" + number;
+    this->servers.push_back(*std::move(server));
+  }
+  this->loop.Call([this] {
+    for (const auto& [name, machine] : this->machines) {
+      this->WriteRegistration(machine.vm);
+    }
+    this->Tick();
+  });
+  this->PublishConfig();
+  return {};
+}
+
+FleetPlatform::~FleetPlatform() {
+  this->loop.Stop();
+  // Replies refer to the servers' connections.
+  this->store.DropCalls();
+  this->looks.clear();
+  this->silent.clear();
+  this->later.clear();
+}
+
+std::string FleetPlatform::address() const {
+  return "127.0.0.1:" + std::to_string(this->shared->port());
+}
+
+void FleetPlatform::SetFaults(FaultRule rule) {
+  this->loop.Call([this, &rule] { this->faults = std::move(rule); });
+}
+
+void FleetPlatform::PublishConfig() {
+  this->loop.Call([this] {
+    const jobs::FleetConfig& config = this->world.config;
+    json body{{"Version", config.version},
+              {"Routes", json::array()},
+              {"Services", json::array()},
+              {"Tenants", json::array()},
+              {"Limits", json::object()}};
+    std::set<PoolId> pools;
+    for (const auto& [id, queue] : config.queues) {
+      json route{{"Name", id.str()},
+                 {"Host", "jobs.example"},
+                 {"Prefix", "/" + id.str() + "/"},
+                 {"Service", queue.pool.str()},
+                 {"Public", true},
+                 {"Priority", queue.priority},
+                 {"MaxAttempts", queue.max_attempts},
+                 {"Stretch", queue.stretch},
+                 {"TargetDurationMs", queue.target_ms}};
+      if (queue.advised) {
+        route["Advice"] = {{"DecisionMs", this->world.advice.decision_ms},
+                           {"PerWorkerMs", this->world.advice.per_vm_ms},
+                           {"ValidMs", this->world.advice.valid_ms}};
+      }
+      body["Routes"].push_back(route);
+      pools.insert(queue.pool);
+    }
+    for (const PoolId& pool : pools) {
+      body["Services"].push_back({{"Name", pool.str()}});
+    }
+    for (const auto& [id, team] : config.teams) {
+      body["Tenants"].push_back({{"Name", id.str()},
+                                 {"ApiKeys", {id.str() + "-key"}},
+                                 {"Weight", team.weight},
+                                 {"Maximum", Encode(team.maximum)}});
+    }
+    this->store.Put("op/config", body.dump());
+  });
+}
+
+void FleetPlatform::WriteRegistration(const std::string& vm) {
+  const jobs::VmFacts& facts = this->world.vms.at(vm)->facts;
+  this->store.Put("servers/" + vm,
+                  json{{"Service", facts.pool.str()},
+                       {"Address", facts.address},
+                       {"Zone", facts.zone.str()},
+                       {"State", facts.leaving ? "draining" : "ready"},
+                       {"Capacity", Encode(facts.capacity)},
+                       {"Labels", {"a", facts.rack.str()}},
+                       {"born", facts.boot_ms}}
+                      .dump());
+}
+
+void FleetPlatform::Register(const std::string& vm, bool present) {
+  this->loop.Call([this, &vm, present] {
+    if (present) {
+      this->WriteRegistration(vm);
+    } else {
+      this->store.Remove("servers/" + vm);
+    }
+  });
+}
+
+void FleetPlatform::RequestWave(int number,
+                                std::vector<std::string> names,
+                                int most) {
+  constexpr int length_s = 30;
+  const json wave{{"Wave", number},
+                  {"Machines", std::move(names)},
+                  {"DurationS", length_s},
+                  {"Maximum", most}};
+  this->loop.Call([this, &wave, number] {
+    this->store.Put("op/wave/" + std::to_string(number), wave.dump());
+  });
+}
+
+int FleetPlatform::most_away() {
+  return this->loop.Call([this] { return this->most_machines_away; });
+}
+
+// The model's time follows the steady clock in whole milliseconds.
+void FleetPlatform::Advance() {
+  const std::int64_t ms = ToMs(Now() - this->world.now);
+  if (ms > 0) {
+    this->world.now += std::chrono::milliseconds(ms);
+    this->world.Work(ms);
+  }
+}
+
+void FleetPlatform::Tick() {
+  this->Advance();
+  while (!this->later.empty() &&
+         this->later.begin()->first <= this->world.now) {
+    const auto action = std::move(this->later.begin()->second);
+    this->later.erase(this->later.begin());
+    action();
+  }
+  this->store.Tick(this->world.now);
+  std::erase_if(this->looks, [this](const Waiting& waiting) {
+    return this->AnswerLook(waiting);
+  });
+  this->timer.expires_after(kTickInterval);
+  this->timer.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      this->Tick();
+    }
+  });
+}
+
+void FleetPlatform::Faulted(
+    const std::string& call,
+    const HttpRequest& request,
+    const HttpReply& reply,
+    const std::function<void(const HttpReply&)>& execute) {
+  this->Advance();
+  const CallFault fault =
+      this->faults ? this->faults(call, request.body) : CallFault::kNone;
+  switch (fault) {
+    case CallFault::kNone:
+      break;
+    case CallFault::kRefuse:
+      reply({.status = kUnavailable});
+      return;
+    case CallFault::kLoseCall:
+      this->silent.push_back(reply);
+      return;
+    case CallFault::kLoseAnswer:
+      this->silent.push_back(reply);
+      execute([](const net::HttpResponse&) {});
+      return;
+  }
+  execute(reply);
+}
+
+void FleetPlatform::HandleShared(const HttpRequest& request,
+                                 const HttpReply& reply) {
+  const std::string call = CallOf(request);
+  const std::string name = call.starts_with("kv-")       ? "store/" + call
+                           : call.starts_with("machine") ? "machines/" + call
+                                                         : "advice/" + call;
+  this->Faulted(name, request, reply, [&](const HttpReply& answer) {
+    if (call.starts_with("kv-")) {
+      this->store.Handle(call, request, answer, this->world.now);
+    } else if (call == "machines") {
+      this->ListMachines(answer);
+    } else if (call == "machine-upkeep") {
+      this->Upkeep(request, answer);
+    } else if (call == "advise") {
+      this->Advise(json::parse(request.body), answer);
+    } else {
+      answer({.status = kNotFound});
+    }
+  });
+}
+
+void FleetPlatform::HandleVm(const std::string& machine,
+                             const HttpRequest& request,
+                             const HttpReply& reply) {
+  const std::string call = CallOf(request);
+  this->Faulted(this->machines.at(machine).vm + "/" + call, request, reply,
+                [&](const HttpReply& answer) {
+                  this->Execute(machine, call, request, answer);
+                });
+}
+
+void FleetPlatform::Execute(const std::string& machine,
+                            const std::string& call,
+                            const HttpRequest& request,
+                            const HttpReply& reply) {
+  const Machine& place = this->machines.at(machine);
+  FakeVm& vm = *this->world.vms.at(place.vm);
+  if (vm.dark || place.state != "up") {
+    this->silent.push_back(reply);
+    return;
+  }
+  const std::string_view expected = request.Header("expect-instance");
+  if (!expected.empty() && expected != place.vm) {
+    reply({.status = kOtherVm});
+    return;
+  }
+  const json body = json::parse(request.body);
+  const std::uint64_t fence = FenceOf(body);
+  const json clock{{"ClockMs", this->world.ClockOf(vm)}};
+  const auto settle = [&](bool admitted) {
+    json answer = clock;
+    if (!admitted) {
+      answer["Reason"] = "fence";
+    }
+    reply({.status = admitted ? 200 : kConflict, .body = answer.dump()});
+  };
+  if (call == "run-start") {
+    const jobs::StartAnswer carried =
+        this->world.Carry(vm, DecodeStart(body), fence);
+    json answer = clock;
+    if (carried == jobs::StartAnswer::kAccepted) {
+      reply({.body = answer.dump()});
+      return;
+    }
+    answer["Reason"] = ReasonOf(carried);
+    reply({.status =
+               carried == jobs::StartAnswer::kInvalid ? kBadRequest : kConflict,
+           .body = answer.dump()});
+  } else if (call == "hold") {
+    this->Look(vm, body, reply);
+  } else if (call == "run-stop") {
+    settle(this->world.Stop(
+        vm,
+        {.task =
+             jobs::TaskRef::Parse(body.at("Task").get<std::string>()).value(),
+         .run = body.at("Run")},
+        fence));
+  } else if (call == "pace") {
+    settle(this->world.Pace(
+        vm,
+        {.task =
+             jobs::TaskRef::Parse(body.at("Task").get<std::string>()).value(),
+         .run = body.at("Run"),
+         .percent = body.at("Percent")},
+        fence));
+  } else {
+    reply({.status = kNotFound});
+  }
+}
+
+void FleetPlatform::Look(FakeVm& vm, const json& body, const HttpReply& reply) {
+  jobs::LookAt look{.last_seen = body.at("LastSeen"),
+                    .wait_ms = body.value("WaitMs", std::int64_t{0})};
+  if (body.contains("UntilMs")) {
+    look.until_ms = body.at("UntilMs").get<std::int64_t>();
+  }
+  if (!this->world.Renew(vm, look, FenceOf(body))) {
+    reply(
+        {.status = kConflict,
+         .body = json{{"ClockMs", this->world.ClockOf(vm)}, {"Reason", "fence"}}
+                     .dump()});
+    return;
+  }
+  Waiting waiting{
+      .vm = vm.facts.id.str(),
+      .boot_ms = vm.facts.boot_ms,
+      .look = look,
+      .until = this->world.now + std::chrono::milliseconds(look.wait_ms),
+      .reply = reply};
+  if (!this->AnswerLook(waiting)) {
+    this->looks.push_back(std::move(waiting));
+  }
+}
+
+// Answers when a run has ended or the wait is over.
+bool FleetPlatform::AnswerLook(const Waiting& waiting) {
+  const auto found = this->world.vms.find(waiting.vm);
+  if (found == this->world.vms.end() || found->second->dark ||
+      found->second->facts.boot_ms != waiting.boot_ms) {
+    this->silent.push_back(waiting.reply);
+    return true;
+  }
+  const FakeVm& vm = *found->second;
+  const bool news =
+      !vm.ended.empty() && vm.ended.back().number > waiting.look.last_seen;
+  if (!news && this->world.now < waiting.until) {
+    return false;
+  }
+  const jobs::VmReport report = this->world.ReportOf(vm);
+  json body{{"ClockMs", report.clock_ms},
+            {"born", report.boot_ms},
+            {"Running", json::array()},
+            {"Ended", json::array()}};
+  for (const jobs::RunningRow& row : report.running) {
+    body["Running"].push_back(
+        {row.task, row.run, row.checkpoint, row.percent, row.gauge});
+  }
+  for (const jobs::EndedRow& row : report.ended) {
+    body["Ended"].push_back(
+        {row.number, row.task, row.run, WireName(row.how), row.checkpoint});
+  }
+  waiting.reply({.body = body.dump()});
+  return true;
+}
+
+void FleetPlatform::Advise(const json& body, const HttpReply& reply) {
+  FakeAdvice& advice = this->world.advice;
+  ++advice.questions;
+  if (advice.down) {
+    reply({.status = kTooMany});
+    return;
+  }
+  // ID.K.STEP is the name of a task without its index.
+  const auto step =
+      jobs::TaskRef::Parse(body.at("Step").get<std::string>() + ".0");
+  if (!step) {
+    reply({.status = kBadRequest});
+    return;
+  }
+  jobs::AskAdvice question{step->job, step->occurrence, step->step, {}};
+  for (const json& vm : body.at("Workers")) {
+    question.vms.emplace_back(vm.get<std::string>());
+  }
+  advice.most_open = std::max(advice.most_open, ++advice.open);
+  this->later.emplace(
+      this->world.now + std::chrono::milliseconds(advice.DelayMs(question)),
+      [this, question, reply] {
+        --this->world.advice.open;
+        json allowed = json::array();
+        for (const auto& [vm, token] : this->world.Advise(question)) {
+          allowed.push_back({vm.str(), token});
+        }
+        reply({.body = json{{"Allowed", allowed},
+                            {"ValidMs", this->world.advice.valid_ms}}
+                           .dump()});
+      });
+}
+
+void FleetPlatform::ListMachines(const HttpReply& reply) {
+  json rows = json::array();
+  for (const auto& [name, machine] : this->machines) {
+    const jobs::VmFacts& facts = this->world.vms.at(machine.vm)->facts;
+    rows.push_back({{"Machine", name},
+                    {"Pool", facts.pool.str()},
+                    {"State", machine.state},
+                    {"Zone", facts.zone.str()},
+                    {"Labels", {"a", facts.rack.str()}},
+                    {"Capacity", Encode(facts.capacity)},
+                    {"Id", machine.vm}});
+  }
+  reply({.body = json{{"Machines", rows}, {"NextToken", ""}}.dump()});
+}
+
+void FleetPlatform::Upkeep(const HttpRequest& request, const HttpReply& reply) {
+  const json body = json::parse(request.body);
+  const std::string name = body.at("Machine");
+  const auto found = this->machines.find(name);
+  const std::uint64_t fence =
+      std::stoull("0" + std::string(request.Header("fence-token")));
+  if (found == this->machines.end()) {
+    reply({.status = kBadRequest});
+    return;
+  }
+  Machine& machine = found->second;
+  const auto refuse = [&reply](std::string_view reason) {
+    reply({.status = kConflict, .body = json{{"Reason", reason}}.dump()});
+  };
+  const std::int64_t wave = body.at("Wave");
+  if (fence < machine.fence) {
+    refuse("fence");
+  } else if (machine.waves.contains(wave)) {
+    reply({.body = "{}"});
+  } else if (machine.state != "up") {
+    refuse("busy");
+  } else {
+    machine.fence = fence;
+    machine.waves.insert(wave);
+    machine.state = "upkeep";
+    this->most_machines_away = std::max(this->most_machines_away, ++this->away);
+    this->world.vms.at(machine.vm)->Restart();
+    this->store.Remove("servers/" + machine.vm);
+    this->later.emplace(
+        this->world.now + std::chrono::milliseconds(this->options.upkeep_ms),
+        [this, name] { this->EndUpkeep(name); });
+    reply({.body = "{}"});
+  }
+}
+
+// A new VM joins the pool on the machine.
+void FleetPlatform::EndUpkeep(const std::string& name) {
+  Machine& machine = this->machines.at(name);
+  auto vm = std::move(this->world.vms.at(machine.vm));
+  this->world.vms.erase(machine.vm);
+  machine.vm = "vm" + name.substr(1) + "-" + std::to_string(++machine.lives);
+  machine.state = "up";
+  --this->away;
+  vm->facts.id = VmId(machine.vm);
+  this->world.vms[machine.vm] = std::move(vm);
+  this->WriteRegistration(machine.vm);
+}
+
+}  // namespace kch::fake
--- /dev/null
+++ b/fake/fleet/fleet_platform.h
@@ -0,0 +1,132 @@
+#ifndef FAKE_FLEET_FLEET_PLATFORM_H_
+#define FAKE_FLEET_FLEET_PLATFORM_H_
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fake/event_loop.h"
+#include "fake/fleet/key_store.h"
+#include "fake/vms/world.h"
+#include "net/net.h"
+
+namespace kch::fake {
+
+/*! @brief What happens to one call. */
+enum class CallFault : std::uint8_t {
+  kNone,
+  kRefuse,      // 503 without effect
+  kLoseCall,    // no effect and no answer
+  kLoseAnswer,  // takes effect without an answer
+};
+
+/*! @brief Decides on the fault of a call: `store/kv-txn`, `vm0/run-start`,
+ * `machines/machine-upkeep`, `advice/advise`. Runs on the loop's thread. */
+using FaultRule =
+    std::function<CallFault(const std::string& call, const std::string& body)>;
+
+/*! @brief Stand-in for the users' platform on loopback: its store, VMs, list
+ * of machines and advice service. */
+class FleetPlatform {
+ public:
+  /*! @brief Size of the fleet. */
+  struct Options {
+    std::size_t vms = 6;
+    jobs::Resources vm_size{8000, 100'000, 0};
+    std::int64_t upkeep_ms = 400;  // that a machine is away
+  };
+
+  [[nodiscard]] static Result<std::unique_ptr<FleetPlatform>> Create(
+      const Options& options);
+  ~FleetPlatform();
+  FleetPlatform(const FleetPlatform&) = delete;
+  FleetPlatform& operator=(const FleetPlatform&) = delete;
+
+  /*! @brief host:port of the store, the machine list and the advice service.
+   */
+  [[nodiscard]] std::string address() const;
+  /*! @brief Runs a function with the model and the store; no other call is
+   * handled meanwhile. */
+  template <typename F>
+  auto With(F function) {
+    return this->loop.Call(
+        [this, &function] { return function(this->world, this->store); });
+  }
+  /*! @brief Replaces the rule; an empty one ends all faults. */
+  void SetFaults(FaultRule rule);
+  /*! @brief Writes the configuration that the model holds. */
+  void PublishConfig();
+  /*! @brief Writes or removes a VM's registration. */
+  void Register(const std::string& vm, bool present = true);
+  /*! @brief Requests that machines have their upkeep. */
+  void RequestWave(int number, std::vector<std::string> machines, int most);
+  /*! @brief Most machines that were away for upkeep at once. */
+  [[nodiscard]] int most_away();
+
+ private:
+  struct Machine {
+    std::string vm;
+    std::string state = "up";
+    std::uint64_t fence = 0;
+    std::set<std::int64_t> waves;  // whose upkeep it has begun
+    int lives = 0;
+  };
+  struct Waiting {
+    std::string vm;
+    std::int64_t boot_ms = 0;
+    jobs::LookAt look;
+    Time until;
+    net::HttpReply reply;
+  };
+
+  explicit FleetPlatform(const Options& options);
+  Result<void> Start();
+  void Advance();
+  void Tick();
+  void HandleShared(const net::HttpRequest& request,
+                    const net::HttpReply& reply);
+  void HandleVm(const std::string& machine,
+                const net::HttpRequest& request,
+                const net::HttpReply& reply);
+  void Execute(const std::string& machine,
+               const std::string& call,
+               const net::HttpRequest& request,
+               const net::HttpReply& reply);
+  void Look(FakeVm& vm,
+            const nlohmann::json& body,
+            const net::HttpReply& reply);
+  bool AnswerLook(const Waiting& waiting);
+  void Advise(const nlohmann::json& body, const net::HttpReply& reply);
+  void Upkeep(const net::HttpRequest& request, const net::HttpReply& reply);
+  void EndUpkeep(const std::string& name);
+  void ListMachines(const net::HttpReply& reply);
+  void WriteRegistration(const std::string& vm);
+  void Faulted(const std::string& call,
+               const net::HttpRequest& request,
+               const net::HttpReply& reply,
+               const std::function<void(const net::HttpReply&)>& execute);
+
+  Options options;
+  World world;
+  KeyStore store;
+  FaultRule faults;
+  std::map<std::string, Machine> machines;  // by name, as `m0`
+  std::vector<Waiting> looks;
+  std::vector<net::HttpReply> silent;  // connections that hang
+  std::multimap<Time, std::function<void()>> later;
+  Time started;
+  int away = 0;
+  int most_machines_away = 0;
+  EventLoop loop;
+  asio::steady_timer timer;
+  std::unique_ptr<net::HttpServer> shared;
+  std::vector<std::unique_ptr<net::HttpServer>> servers;  // of VMs
+};
+
+}  // namespace kch::fake
+
+#endif  // FAKE_FLEET_FLEET_PLATFORM_H_
--- /dev/null
+++ b/fake/vms/world.cc
@@ -0,0 +1,301 @@
+#include "fake/vms/world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kch::fake {
+namespace {
+
+using jobs::RunEnd;
+using jobs::StartAnswer;
+
+// Time from an order to stop until the run has ended.
+constexpr std::int64_t kStopMs = 40;
+constexpr std::int64_t kClockOffsetMs = 5000;
+
+std::string StepName(const jobs::AskAdvice& question) {
+  return question.job.str() + "." + std::to_string(question.occurrence) + "." +
+         std::to_string(question.step);
+}
+
+// A higher fence shuts out lower ones for good.
+bool Admit(FakeVm& vm, std::uint64_t by) {
+  if (by < vm.fence) {
+    return false;
+  }
+  vm.fence = by;
+  return true;
+}
+
+}  // namespace
+
+void FakeVm::Restart() {
+  this->runs.clear();
+  this->ended.clear();
+  this->barred.clear();
+  this->fence = 0;
+  this->until_ms = 0;
+  this->last_number = 0;
+  ++this->facts.boot_ms;
+}
+
+std::int64_t FakeAdvice::DelayMs(const jobs::AskAdvice& question) const {
+  return this->decision_ms +
+         this->per_vm_ms * static_cast<std::int64_t>(question.vms.size());
+}
+
+World::World() {
+  jobs::Queue queue{.id = jobs::QueueId("q"),
+                    .pool = PoolId("p"),
+                    .max_attempts = 2,
+                    .stretch = 1.6,
+                    .target_ms = 600};
+  this->config.version = 1;
+  this->config.queues[queue.id] = queue;
+  queue.id = jobs::QueueId("advised");
+  queue.advised = true;
+  this->config.queues[queue.id] = queue;
+}
+
+FakeVm& World::Add(const std::string& id,
+                   const std::string& pool,
+                   jobs::Resources capacity,
+                   const std::string& rack) {
+  auto vm = std::make_unique<FakeVm>();
+  vm->facts = {.id = VmId(id),
+               .pool = PoolId(pool),
+               .address = id + ":1",
+               .zone = ZoneId("z1"),
+               .rack = RackId(rack),
+               .labels = {"a", rack},
+               .capacity = capacity,
+               .boot_ms = 1};
+  vm->clock_offset_ms = kClockOffsetMs;
+  return *(this->vms[id] = std::move(vm));
+}
+
+std::int64_t World::ClockOf(const FakeVm& vm) const {
+  return ToMs(this->now.time_since_epoch()) + vm.clock_offset_ms;
+}
+
+void World::End(FakeVm& vm, const std::string& task, RunEnd how) {
+  const auto found = vm.runs.find(task);
+  vm.ended.push_back({.number = ++vm.last_number,
+                      .task = task,
+                      .run = found->second.run,
+                      .how = how});
+  vm.barred[task] = std::max(vm.barred[task], found->second.run);
+  if (how == RunEnd::kDone) {
+    this->ever_done.insert(task);
+  }
+  vm.runs.erase(found);
+}
+
+void World::Work(std::int64_t ms) {
+  for (auto& [id, vm] : this->vms) {
+    const std::int64_t clock = this->ClockOf(*vm);
+    std::vector<std::pair<std::string, RunEnd>> ends;
+    for (auto& [name, run] : vm->runs) {
+      run.left_ms -= ms;
+      if (clock >= vm->until_ms) {
+        ends.emplace_back(name, RunEnd::kExpired);
+      } else if (run.stopping && clock >= run.stops_at_ms) {
+        ends.emplace_back(name, RunEnd::kStopped);
+      } else if (run.fails || vm->fails_all) {
+        ends.emplace_back(name, RunEnd::kFailed);
+      } else if (!run.endless && run.left_ms <= 0) {
+        ends.emplace_back(name, RunEnd::kDone);
+      }
+    }
+    for (const auto& [name, how] : ends) {
+      this->End(*vm, name, how);
+    }
+  }
+}
+
+void World::CheckStart(const FakeVm& vm, const VmRun& run) {
+  const std::string name = run.task.Name();
+  const auto breach = [&](const std::string& rule) {
+    this->breaches.push_back(rule + ": " + name + " on " + vm.facts.id.str());
+  };
+  jobs::Resources used = run.occupied;
+  for (const auto& [other, row] : vm.runs) {
+    used += row.occupied;
+  }
+  if (!used.Within(vm.facts.capacity)) {
+    breach("capacity");
+  }
+  jobs::Resources team = run.need;
+  for (const auto& [id, other] : this->vms) {
+    if (other->runs.contains(name)) {
+      breach("twice");
+    }
+    for (const auto& [task, row] : other->runs) {
+      if (row.team == run.team) {
+        team += row.need;
+      }
+    }
+  }
+  if (this->done.contains(name)) {
+    breach("repeated");
+  }
+  const auto limit = this->config.teams.find(run.team);
+  if (limit != this->config.teams.end() && limit->second.maximum.cpu_m > 0 &&
+      team.cpu_m > limit->second.maximum.cpu_m) {
+    breach("team limit");
+  }
+  const jobs::JobSpec& spec = this->submitted.at(run.task.job);
+  for (const std::int32_t before :
+       spec.steps[static_cast<std::size_t>(run.task.step)].after) {
+    const jobs::StepSpec& earlier =
+        spec.steps[static_cast<std::size_t>(before)];
+    std::int32_t ended = 0;
+    for (std::int32_t i = 0; i < earlier.count; ++i) {
+      ended += this->ever_done.contains(
+          jobs::TaskRef{run.task.job, run.task.occurrence, before, i}.Name());
+    }
+    // The end of one member of a gang stands for all.
+    if (ended < (earlier.gang ? 1 : earlier.count)) {
+      breach("order");
+    }
+  }
+}
+
+bool World::Permits(const FakeVm& vm, const jobs::StartRun& order) const {
+  const jobs::QueueId& queue = this->submitted.at(order.task.job).queue.id;
+  if (!this->config.queues.at(queue).advised) {
+    return true;
+  }
+  const auto permit = this->advice.permits.find(order.permit);
+  return permit != this->advice.permits.end() &&
+         order.task.Name().starts_with(permit->second.step + ".") &&
+         permit->second.vm == vm.facts.id.str() &&
+         permit->second.boot_ms == vm.facts.boot_ms &&
+         permit->second.valid_until > this->now;
+}
+
+StartAnswer World::Carry(FakeVm& vm,
+                         const jobs::StartRun& order,
+                         std::uint64_t by) {
+  if (!Admit(vm, by)) {
+    return StartAnswer::kFenced;
+  }
+  const std::string name = order.task.Name();
+  if (order.until_ms <= this->ClockOf(vm)) {
+    return StartAnswer::kExpired;
+  }
+  vm.until_ms = std::max(vm.until_ms, order.until_ms);
+  if (vm.runs.contains(name) && vm.runs.at(name).run == order.run) {
+    return StartAnswer::kAccepted;
+  }
+  if (vm.barred.contains(name) && order.run <= vm.barred.at(name)) {
+    return StartAnswer::kOldRun;
+  }
+  const auto job = this->submitted.find(order.task.job);
+  if (job == this->submitted.end() || job->second.payload != order.payload) {
+    this->breaches.push_back("unknown: " + name + " on " + vm.facts.id.str());
+    return StartAnswer::kInvalid;
+  }
+  if (!this->Permits(vm, order)) {
+    ++this->advice.refused_starts;
+    return StartAnswer::kNoPermit;
+  }
+  const jobs::JobSpec& spec = job->second;
+  const jobs::StepSpec& step =
+      spec.steps[static_cast<std::size_t>(order.task.step)];
+  VmRun run{.task = order.task,
+            .run = order.run,
+            .left_ms = step.estimate_ms,
+            .endless = step.endless,
+            .fails = spec.payload == "fails",
+            .occupied = step.Occupies(),
+            .need = step.need,
+            .team = spec.team};
+  this->CheckStart(vm, run);
+  ++this->start_count;
+  vm.runs.emplace(name, run);
+  return StartAnswer::kAccepted;
+}
+
+bool World::Stop(FakeVm& vm, const jobs::StopRun& order, std::uint64_t by) {
+  if (!Admit(vm, by)) {
+    return false;
+  }
+  const std::string name = order.task.Name();
+  vm.barred[name] = std::max(vm.barred[name], order.run);
+  const auto run = vm.runs.find(name);
+  if (run != vm.runs.end() && run->second.run == order.run &&
+      !run->second.stopping) {
+    run->second.stopping = true;
+    run->second.stops_at_ms = this->ClockOf(vm) + kStopMs;
+  }
+  return true;
+}
+
+bool World::Pace(FakeVm& vm, const jobs::PaceRun& order, std::uint64_t by) {
+  if (!Admit(vm, by)) {
+    return false;
+  }
+  const auto run = vm.runs.find(order.task.Name());
+  if (run != vm.runs.end()) {
+    run->second.percent = order.percent;
+  }
+  return true;
+}
+
+bool World::Renew(FakeVm& vm, const jobs::LookAt& look, std::uint64_t by) {
+  if (!Admit(vm, by)) {
+    return false;
+  }
+  if (look.until_ms) {
+    vm.until_ms = std::max(vm.until_ms, *look.until_ms);
+  }
+  while (!vm.ended.empty() && vm.ended.front().number <= look.last_seen) {
+    if (vm.ended.front().how == RunEnd::kDone) {
+      this->done.insert(vm.ended.front().task);
+    }
+    vm.ended.pop_front();
+  }
+  return true;
+}
+
+jobs::VmReport World::ReportOf(const FakeVm& vm) const {
+  jobs::VmReport report{.clock_ms = this->ClockOf(vm),
+                        .boot_ms = vm.facts.boot_ms};
+  for (const auto& [name, run] : vm.runs) {
+    const jobs::StepSpec& step =
+        this->submitted.at(run.task.job)
+            .steps[static_cast<std::size_t>(run.task.step)];
+    report.running.push_back(
+        {.task = name,
+         .run = run.run,
+         .percent = run.percent,
+         .gauge = step.target_ms > 0 ? vm.tail_ms : step.need.cpu_m});
+  }
+  report.ended.assign(vm.ended.begin(), vm.ended.end());
+  return report;
+}
+
+std::map<VmId, std::string> World::Advise(const jobs::AskAdvice& question) {
+  std::map<VmId, std::string> permits;
+  for (const VmId& id : question.vms) {
+    const auto vm = this->vms.find(id.str());
+    if (vm != this->vms.end() &&
+        this->advice.allows(question.job.str(), id.str())) {
+      const std::string token = std::to_string(this->advice.permits.size() + 1);
+      this->advice.permits[token] = {
+          StepName(question), id.str(), vm->second->facts.boot_ms,
+          this->now + std::chrono::milliseconds(this->advice.valid_ms)};
+      permits[id] = token;
+    }
+  }
+  return permits;
+}
+
+bool World::Runs(const std::string& task) const {
+  return std::ranges::any_of(this->vms, [&task](const auto& row) {
+    return row.second->runs.contains(task);
+  });
+}
+
+}  // namespace kch::fake
--- /dev/null
+++ b/fake/vms/world.h
@@ -0,0 +1,128 @@
+#ifndef FAKE_VMS_WORLD_H_
+#define FAKE_VMS_WORLD_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jobs/jobs.h"
+
+namespace kch::fake {
+
+/*! @brief A run on a fake VM. */
+struct VmRun {
+  jobs::TaskRef task;
+  std::int64_t run = 0;
+  std::int64_t left_ms = 0;
+  bool endless = false;
+  bool fails = false;
+  bool stopping = false;
+  std::int64_t stops_at_ms = 0;
+  jobs::Resources occupied;
+  jobs::Resources need;
+  TeamId team;
+  std::int32_t percent = 100;
+};
+
+/*! @brief A VM of the users' platform: leases, fences, lists of runs and ends.
+ */
+struct FakeVm {
+  jobs::VmFacts facts;
+  std::int64_t clock_offset_ms = 0;
+  std::uint64_t fence = 0;
+  std::int64_t until_ms = 0;  // on its clock
+  std::map<std::string, VmRun> runs;
+  std::map<std::string, std::int64_t> barred;  // runs up to here are refused
+  std::deque<jobs::EndedRow> ended;
+  std::int64_t last_number = 0;
+  bool dark = false;  // answers nothing, but runs on
+  bool fails_all = false;
+  bool loses_answers = false;  // carries out orders without an answer
+  std::int64_t tail_ms = 0;    // gauge of serving tasks
+
+  /*! @brief Starts again under its id and knows nothing of before. */
+  void Restart();
+};
+
+/*! @brief The advice service: which VMs may run a step of an advised queue. */
+struct FakeAdvice {
+  struct Permit {
+    std::string step;
+    std::string vm;
+    std::int64_t boot_ms = 0;
+    Time valid_until;
+  };
+  std::map<std::string, Permit> permits;  // by token
+  std::function<bool(const std::string& job, const std::string& vm)> allows =
+      [](const std::string&, const std::string&) { return true; };
+  std::int64_t valid_ms = 3000;
+  std::int64_t decision_ms = 20;
+  std::int64_t per_vm_ms = 2;
+  bool down = false;  // refuses questions
+  int open = 0;
+  int most_open = 0;  // questions at once
+  int questions = 0;
+  int refused_starts = 0;  // without a valid permit
+
+  /*! @brief Time that a question takes. */
+  [[nodiscard]] std::int64_t DelayMs(const jobs::AskAdvice& question) const;
+};
+
+/*! @brief The platform's VMs, without any transport and with the time passed
+ * in, so that one model serves tests in virtual time and stand-ins over
+ * sockets. Checks what must always hold at each start of a task. */
+class World {
+ public:
+  World();
+
+  /*! @brief Adds a VM that is up. */
+  FakeVm& Add(const std::string& id,
+              const std::string& pool,
+              jobs::Resources capacity,
+              const std::string& rack);
+  /*! @brief Lets everything run for a time up to `now`. */
+  void Work(std::int64_t ms);
+
+  // Calls of VMs.
+  jobs::StartAnswer Carry(FakeVm& vm,
+                          const jobs::StartRun& order,
+                          std::uint64_t by);
+  /*! @brief False: the fence is too low. */
+  bool Stop(FakeVm& vm, const jobs::StopRun& order, std::uint64_t by);
+  bool Pace(FakeVm& vm, const jobs::PaceRun& order, std::uint64_t by);
+  /*! @brief Renews the lease and acknowledges ends. */
+  bool Renew(FakeVm& vm, const jobs::LookAt& look, std::uint64_t by);
+  [[nodiscard]] jobs::VmReport ReportOf(const FakeVm& vm) const;
+  [[nodiscard]] std::int64_t ClockOf(const FakeVm& vm) const;
+  /*! @brief Permits of those VMs asked about that may run the step. */
+  std::map<VmId, std::string> Advise(const jobs::AskAdvice& question);
+
+  [[nodiscard]] bool Runs(const std::string& task) const;
+  [[nodiscard]] std::int64_t starts() const { return this->start_count; }
+
+  jobs::FleetConfig config;
+  std::map<std::string, std::unique_ptr<FakeVm>> vms;
+  std::map<jobs::JobId, jobs::JobSpec> submitted;
+  FakeAdvice advice;
+  std::vector<std::string> breaches;
+  Time now{std::chrono::seconds(1000)};
+
+ private:
+  void End(FakeVm& vm, const std::string& task, jobs::RunEnd how);
+  void CheckStart(const FakeVm& vm, const VmRun& run);
+  [[nodiscard]] bool Permits(const FakeVm& vm,
+                             const jobs::StartRun& order) const;
+
+  std::set<std::string> done;  // tasks whose end was acknowledged
+  std::set<std::string> ever_done;
+  std::int64_t start_count = 0;
+};
+
+}  // namespace kch::fake
+
+#endif  // FAKE_VMS_WORLD_H_
--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -39,6 +39,15 @@
   return now.tv_sec * ms_per_s + now.tv_nsec / ns_per_ms;
 }
 
+upkeep::VmLoad LoadOf(const jobs::Vm& vm, double pool_use_without) {
+  return {.runs = vm.runs.size() + vm.strays.size(),
+          .endless = static_cast<std::size_t>(std::ranges::count_if(
+              vm.runs,
+              [](const jobs::Task* task) { return task->spec().endless; })),
+          .answers = !vm.silent,
+          .pool_use_without = pool_use_without};
+}
+
 // Spreads the candidates over the delay by their names.
 Duration CandidateDelay(const std::string& incarnation) {
   constexpr std::size_t steps = 64;
@@ -120,13 +129,32 @@
 }
 
 void Driver::TickMachines(Time now) {
-  const auto load_of = [this](const VmId& vm) { return this->LoadOf(vm); };
+  // The demand of a pool is a sum over its VMs and its waiting steps, so it is
+  // taken once for all its VMs.
+  std::map<PoolId, jobs::Scheduler::Demand> demands;
+  const auto demand_of = [&](const PoolId& pool) {
+    const auto known = demands.find(pool);
+    return known != demands.end()
+               ? known->second
+               : demands.emplace(pool, this->scheduler->DemandOf(pool, now))
+                     .first->second;
+  };
+  const auto load_of = [&](const VmId& id) -> std::optional<upkeep::VmLoad> {
+    const auto& vms = this->scheduler->vms();
+    const auto found = vms.find(id);
+    if (found == vms.end()) {
+      return std::nullopt;
+    }
+    const jobs::Vm& vm = *found->second;
+    return LoadOf(
+        vm, this->scheduler->UseWithout(vm, demand_of(vm.facts.pool), now));
+  };
   this->planner->Tick(now, load_of);
   this->Perform(this->planner->Take());
   if (this->fleet_config && !this->scheduler->recovering()) {
     std::map<PoolId, upkeep::PoolDemand> pools;
     for (const auto& [id, facts] : this->fleet_config->pools) {
-      const auto demand = this->scheduler->DemandOf(id, now);
+      const auto demand = demand_of(id);
       pools[id] = {.capacity = demand.capacity,
                    .used = demand.used,
                    .waiting = demand.waiting,
@@ -142,22 +170,6 @@
   this->Perform(this->scheduler->Take());
 }
 
-std::optional<upkeep::VmLoad> Driver::LoadOf(const VmId& id) const {
-  const auto& vms = this->scheduler->vms();
-  const auto found = vms.find(id);
-  if (found == vms.end()) {
-    return std::nullopt;
-  }
-  const jobs::Vm& vm = *found->second;
-  return upkeep::VmLoad{
-      .runs = vm.runs.size() + vm.strays.size(),
-      .endless = static_cast<std::size_t>(std::ranges::count_if(
-          vm.runs,
-          [](const jobs::Task* task) { return task->spec().endless; })),
-      .answers = !vm.silent,
-      .pool_use_without = this->scheduler->PoolUse(vm.facts.pool, id, Now())};
-}
-
 void Driver::OnTick() {
   const Time now = Now();
   const std::int64_t boot_ms = BootMs();
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -57,6 +57,7 @@
     platform::Store& store;
     platform::VmClient& vms;
     platform::MachineClient& machines;
+    platform::AdviceClient& advice;
     Front& front;
     net::Metrics& metrics;
   };
@@ -124,7 +125,6 @@
   void Perform(std::vector<upkeep::Effect> decided);
   void TickMachines(Time now);
   void WakeForWrite(Time now);
-  [[nodiscard]] std::optional<upkeep::VmLoad> LoadOf(const VmId& vm) const;
 
   FleetOptions options;
   Parts parts;
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -234,9 +234,19 @@
 }
 
 void FleetEffectVisitor::operator()(const jobs::AskAdvice& effect) const {
-  net::LogEvent("advice_missing",
-                {{"job", effect.job.str()},
-                 {"remedy", "queues with advice are not served yet"}});
+  this->driver.parts.metrics.Count("advice_questions");
+  this->driver.parts.advice.Ask(
+      effect, [&driver = this->driver, fence = this->fence,
+               effect](std::optional<platform::AdviceReply> reply) {
+        driver.PostFor(fence, [&driver, effect, reply = std::move(reply)] {
+          if (reply) {
+            driver.scheduler->OnAdvice(effect, reply->permits, reply->valid_for,
+                                       Now());
+          } else {
+            driver.scheduler->OnNoAdvice(Now());
+          }
+        });
+      });
 }
 
 void FleetEffectVisitor::operator()(const jobs::WriteRecords& effect) const {
--- a/src/app/fleet/main.cc
+++ b/src/app/fleet/main.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <charconv>
 #include <cstdlib>
 #include <memory>
@@ -20,7 +21,9 @@
   return {
       RequiredText("name", "name of this instance, the same after a restart"),
       RequiredText("store", "host:port of the platform's store"),
-      RequiredText("callers", "host:port to listen on for callers"),
+      RequiredText(
+          "callers",
+          "host:port to listen on for callers; port 0: the kernel picks one"),
       RequiredText("readiness",
                    "host:port to listen on for the load balancer's checks"),
       RequiredText("peers",
@@ -36,6 +39,8 @@
              "longest time until a stopped run has ended, in ms"),
       RequiredText("machines",
                    "host:port of the platform's machine list and orders"),
+      kch::net::Text("advice", "",
+                     "host:port of the advice service; empty: none"),
       Number("handover-ms", 3000, 0, kMaxMs,
              "time between two instances' orders to one machine, in ms"),
       kch::net::Text("upkeep-s", "2", "time that upkeep takes, in s"),
@@ -82,21 +87,34 @@
   return limits;
 }
 
-Result<std::unique_ptr<HttpServer>> Listen(const Settings& settings,
-                                           const std::string& name,
-                                           kch::net::HttpHandler handler) {
+struct Address {
+  std::string host;
+  std::uint16_t port = 0;
+};
+
+Result<Address> AddressIn(const Settings& settings, const std::string& name) {
   const std::string& text = settings.text(name);
   const std::size_t colon = text.rfind(':');
   std::uint16_t port = 0;
   const char* const end = text.data() + text.size();
-  if (colon == std::string::npos ||
+  if (colon == std::string::npos || colon == 0 ||
       std::from_chars(text.data() + colon + 1, end, port).ptr != end) {
     return kch::Fail(kch::ErrorKind::kInvalid,
                      "--" + name + " is '" + text + "'",
                      "give it as host:port, for example 127.0.0.1:8080");
   }
-  return HttpServer::Create({.address = text.substr(0, colon),
-                             .port = port,
+  return Address{text.substr(0, colon), port};
+}
+
+Result<std::unique_ptr<HttpServer>> Listen(const Settings& settings,
+                                           const std::string& name,
+                                           kch::net::HttpHandler handler) {
+  const auto address = AddressIn(settings, name);
+  if (!address) {
+    return tl::unexpected(address.error());
+  }
+  return HttpServer::Create({.address = address->host,
+                             .port = address->port,
                              .threads = 1,
                              .max_body_bytes = static_cast<std::size_t>(
                                  settings.number("max-body-bytes")),
@@ -151,43 +169,57 @@
   kch::platform::VmClient vms(**client);
   kch::platform::MachineClient machines(**client, settings.text("machines"),
                                         name);
+  kch::platform::AdviceClient advice(**client, settings.text("advice"));
   const auto upkeep_limits = UpkeepLimitsFrom(settings);
   if (!upkeep_limits) {
     kch::net::LogEvent("start_failed",
                        {{"error", upkeep_limits.error().Text()}});
     return 2;
   }
-  kch::app::Driver* control = nullptr;
+  // Servers may be called before the driver exists.
+  std::atomic<kch::app::Driver*> control = nullptr;
   kch::app::Front front(
       {.client = **client,
        .store = store,
        .metrics = metrics,
        .ask_job = [&control](const auto& job,
-                             auto done) { control->AskJob(job, done); },
-       .ask_pending = [&control](
-                          const auto& queue,
-                          auto done) { control->AskPending(queue, done); },
+                             auto done) { control.load()->AskJob(job, done); },
+       .ask_pending =
+           [&control](const auto& queue, auto done) {
+             control.load()->AskPending(queue, done);
+           },
        .tell_cancel =
-           [&control](const auto& job) { control->TellCancel(job); }});
-  kch::app::Driver driver({.instance = name,
-                           .incarnation = IncarnationNow(name),
-                           .peer_address = settings.text("peers"),
-                           .limits = LimitsFrom(settings),
-                           .upkeep_limits = *upkeep_limits,
-                           .move_limits = {.handover = upkeep_limits->handover},
-                           .shutdown_time = std::chrono::milliseconds(
-                               settings.number("shutdown-ms") * 9 / 10)},
-                          {.client = **client,
-                           .store = store,
-                           .vms = vms,
-                           .machines = machines,
-                           .front = front,
-                           .metrics = metrics});
-  control = &driver;
+           [&control](const auto& job) { control.load()->TellCancel(job); }});
   auto peers =
       Listen(settings, "peers", [&](const HttpRequest& request, auto reply) {
-        HandlePeer(driver, metrics, request, std::move(reply));
+        if (kch::app::Driver* driver = control) {
+          HandlePeer(*driver, metrics, request, std::move(reply));
+        } else {
+          reply({.status = 503});
+        }
       });
+  if (!peers) {
+    kch::net::LogEvent("start_failed", {{"error", peers.error().Text()}});
+    return 1;
+  }
+  const std::string peer_host = AddressIn(settings, "peers")->host;
+  kch::app::Driver driver(
+      {.instance = name,
+       .incarnation = IncarnationNow(name),
+       .peer_address = peer_host + ":" + std::to_string((*peers)->port()),
+       .limits = LimitsFrom(settings),
+       .upkeep_limits = *upkeep_limits,
+       .move_limits = {.handover = upkeep_limits->handover},
+       .shutdown_time =
+           std::chrono::milliseconds(settings.number("shutdown-ms") * 9 / 10)},
+      {.client = **client,
+       .store = store,
+       .vms = vms,
+       .machines = machines,
+       .advice = advice,
+       .front = front,
+       .metrics = metrics});
+  control = &driver;
   auto readiness =
       Listen(settings, "readiness",
              [&driver](const HttpRequest& /*request*/, const auto& reply) {
@@ -197,12 +229,16 @@
                         [&front](const HttpRequest& request, auto reply) {
                           front.Handle(request, std::move(reply));
                         });
-  for (const auto* server : {&peers, &readiness, &callers}) {
+  for (const auto* server : {&readiness, &callers}) {
     if (!*server) {
       kch::net::LogEvent("start_failed", {{"error", server->error().Text()}});
       return 1;
     }
   }
+  kch::net::LogEvent("listening",
+                     {{"callers", std::to_string((*callers)->port())},
+                      {"readiness", std::to_string((*readiness)->port())},
+                      {"peers", std::to_string((*peers)->port())}});
   driver.Run();
   // Servers and client end first: their threads call the driver and the front.
   callers->reset();
--- a/src/jobs/model.cc
+++ b/src/jobs/model.cc
@@ -32,6 +32,24 @@
   return left -= right;
 }
 
+Resources operator*(const Resources& amounts, std::int64_t count) {
+  return {amounts.cpu_m * count, amounts.memory_mb * count,
+          amounts.gpus * count};
+}
+
+double ScarcerShare(const Resources& part, const Resources& whole) {
+  const auto ratio = [](std::int64_t amount, std::int64_t of) {
+    constexpr double nothing_there = 100;
+    if (amount <= 0) {
+      return 0.0;
+    }
+    return of <= 0 ? nothing_there
+                   : static_cast<double>(amount) / static_cast<double>(of);
+  };
+  return std::max(ratio(part.cpu_m, whole.cpu_m),
+                  ratio(part.memory_mb, whole.memory_mb));
+}
+
 Resources StepSpec::Occupies() const {
   Resources occupied = this->need;
   if (this->fills) {
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -15,6 +15,15 @@
          std::tie(other.job->spec.id, other.occurrence, other.step);
 }
 
+const StepSpec& Scheduler::Unit::spec() const {
+  return this->job->spec.steps[static_cast<std::size_t>(this->step)];
+}
+
+Step& Scheduler::Unit::progress() const {
+  return this->job->open.at(this->occurrence)
+      .steps[static_cast<std::size_t>(this->step)];
+}
+
 void Scheduler::NoteThat(
     std::string_view event,
     std::vector<std::pair<std::string_view, std::string>> fields) {
@@ -212,6 +221,7 @@
     this->effects.emplace_back(ForgetVm{id});
   }
   this->pools[found->second->facts.pool].vms.erase(id);
+  this->ForgetAdvice(id);
   this->fleet.erase(found);
 }
 
@@ -283,33 +293,23 @@
     }
   }
   for (const Unit& unit : found->second.ready) {
-    const Step& step = unit.job->open.at(unit.occurrence)
-                           .steps[static_cast<std::size_t>(unit.step)];
-    const Resources need =
-        unit.job->spec.steps[static_cast<std::size_t>(unit.step)].Occupies();
-    for (std::int32_t i = 0; i < step.waiting; ++i) {
-      demand.waiting += need;
-    }
+    demand.waiting += unit.spec().Occupies() * unit.progress().waiting;
   }
   return demand;
 }
 
-double Scheduler::PoolUse(const PoolId& id,
-                          const VmId& without,
-                          Time now) const {
-  Demand demand = this->DemandOf(id, now);
-  const auto vm = this->fleet.find(without);
-  if (vm != this->fleet.end() && this->Usable(*vm->second, now)) {
-    demand.capacity -= vm->second->facts.capacity;
+double Scheduler::UseWithout(const Vm& vm,
+                             const Demand& demand,
+                             Time now) const {
+  Resources capacity = demand.capacity;
+  if (this->Usable(vm, now)) {
+    capacity -= vm.facts.capacity;
   }
-  const Resources wanted = demand.used + demand.waiting;
-  const auto share = [](std::int64_t part, std::int64_t whole) {
-    constexpr double full = 10;
-    return whole <= 0 ? full
-                      : static_cast<double>(part) / static_cast<double>(whole);
-  };
-  return std::max(share(wanted.cpu_m, demand.capacity.cpu_m),
-                  share(wanted.memory_mb, demand.capacity.memory_mb));
+  // A pool that loses its last VM counts as full, whatever it has to do now.
+  constexpr double full = 10;
+  return capacity.cpu_m <= 0 || capacity.memory_mb <= 0
+             ? full
+             : ScarcerShare(demand.used + demand.waiting, capacity);
 }
 
 void Scheduler::AddJob(JobSpec spec,
@@ -476,8 +476,7 @@
     }
   }
   this->EnlistAll(job);
-  std::erase_if(this->advice,
-                [&job](const auto& row) { return row.first.job == &job; });
+  this->ForgetAdvice(job, std::nullopt);
   this->Changed(job);
   switch (state) {
     case JobState::kCompleted:
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -15,6 +15,7 @@
 #include "jobs/effect.h"
 #include "jobs/job.h"
 #include "jobs/limits.h"
+#include "jobs/rank.h"
 #include "jobs/vm.h"
 
 namespace kch::jobs {
@@ -101,11 +102,13 @@
               std::int64_t run,
               bool answered);
   void OnWritten(std::uint64_t write, const WriteResult& result, Time now);
-  /*! @brief VMs that may run a step, with their permits. */
+  /*! @brief Permits of those of the VMs asked about that may run the step. */
   void OnAdvice(const AskAdvice& asked,
-                std::map<VmId, std::string> permits,
-                Time valid_until,
+                const std::map<VmId, std::string>& permits,
+                Duration valid_for,
                 Time now);
+  /*! @brief A question was refused or has no answer. */
+  void OnNoAdvice(Time now);
 
   /*! @brief Places what can start; `wall_ms` is the Unix time. */
   void Plan(Time now, std::int64_t wall_ms);
@@ -138,10 +141,11 @@
     Resources waiting;  // of tasks that could start at once
   };
   [[nodiscard]] Demand DemandOf(const PoolId& pool, Time now) const;
-  /*! @brief Used and wanted over usable capacity of a pool, without some VM. */
-  [[nodiscard]] double PoolUse(const PoolId& pool,
-                               const VmId& without,
-                               Time now) const;
+  /*! @brief Used and wanted over usable capacity of a VM's pool without that
+   * VM, given the pool's demand. */
+  [[nodiscard]] double UseWithout(const Vm& vm,
+                                  const Demand& demand,
+                                  Time now) const;
 
  private:
   // A step with waiting tasks.
@@ -151,17 +155,26 @@
     std::int32_t step = 0;
 
     bool operator<(const Unit& other) const;
+    [[nodiscard]] const StepSpec& spec() const;
+    [[nodiscard]] Step& progress() const;
+  };
+  struct Ranked {
+    Rank rank;
+    Unit unit;
   };
-  struct Ranked;
   struct Pool {
     std::map<VmId, Vm*> vms;
     std::set<Unit> ready;
     Time inherited_after;  // inherited tasks start from this time on
   };
-  struct Advice {
-    Time retry_at;
+  struct Permit {
+    std::string token;
     Time valid_until;
-    std::map<VmId, std::string> permits;
+  };
+  // What the advice service has said about a step.
+  struct Advice {
+    std::map<VmId, Permit> permits;
+    std::set<VmId> denied;
   };
 
   void NoteThat(std::string_view event,
@@ -208,13 +221,19 @@
   // scheduler_plan.cc
   void CountHidden(Time now);
   void PlanPool(Pool& pool, Time now);
-  bool PlanUnit(const Unit& unit, Pool& pool, Time now);
-  bool PlanGang(const Unit& unit, Pool& pool, Time now);
+  bool PlanUnit(const Ranked& ranked, Pool& pool, Time now);
+  bool PlanGang(const Ranked& ranked, Pool& pool, Time now);
   Vm* ChooseVm(const Task& task, const Pool& pool, Time now);
   bool Usable(const Vm& vm, Time now) const;
   bool WithinLimit(const Job& job, const Resources& more) const;
   void Start(Task& task, Vm& vm, std::int64_t run, Time now);
-  Advice* PermitsFor(const Unit& unit, const Pool& pool, Time now);
+
+  // scheduler_advice.cc
+  const std::string* PermitOf(const Unit& unit, const VmId& vm, Time now) const;
+  void WantAdvice(const Ranked& ranked, const Pool& pool, Time now);
+  void AskForAdvice();
+  void ForgetAdvice(const VmId& vm);
+  void ForgetAdvice(Job& job, std::optional<std::int32_t> occurrence);
 
   // scheduler_tick.cc
   void FinishRecovery(Time now);
@@ -237,6 +256,10 @@
   std::set<JobId> scheduled;  // jobs with occurrences that are not open yet
   std::unordered_set<JobId> early_cancels;  // cancelled before they were seen
   std::map<Unit, Advice> advice;
+  // The most urgent question of a planning pass; one is asked at a time.
+  std::optional<std::pair<Rank, AskAdvice>> question;
+  bool awaits_advice = false;
+  Time advice_not_before;
 
   // VMs that ended by an order and may still be registered.
   struct Ended {
--- /dev/null
+++ b/src/jobs/scheduler_advice.cc
@@ -0,0 +1,139 @@
+#include <algorithm>
+#include <utility>
+
+#include "jobs/scheduler.h"
+
+// Permits of the advice service, which alone knows the VMs that may run a step
+// of some queues. It handles one question of an instance at a time and takes
+// time for each VM named. So the most urgent step asks first, and only about
+// VMs that have room for its tasks now.
+
+namespace kch::jobs {
+namespace {
+
+// VMs named in one question: the platform's objective for a step allows for one
+// question about this many.
+constexpr std::size_t kAdvisedVms = 30;
+// Pause after a question that the service refused or did not answer; it refuses
+// while many questions wait.
+constexpr auto kAdviceRetry = std::chrono::milliseconds(300);
+// A permit must still be valid when the order arrives at its VM.
+constexpr auto kOrderTime = std::chrono::milliseconds(200);
+
+}  // namespace
+
+const std::string* Scheduler::PermitOf(const Unit& unit,
+                                       const VmId& vm,
+                                       Time now) const {
+  const auto row = this->advice.find(unit);
+  if (row == this->advice.end()) {
+    return nullptr;
+  }
+  const auto permit = row->second.permits.find(vm);
+  return permit != row->second.permits.end() &&
+                 permit->second.valid_until > now + kOrderTime
+             ? &permit->second.token
+             : nullptr;
+}
+
+// Prepares a question about the VMs that could take a task of the step but for
+// the permit.
+void Scheduler::WantAdvice(const Ranked& ranked, const Pool& pool, Time now) {
+  const Unit& unit = ranked.unit;
+  if (!this->QueueOf(*unit.job).advised || this->awaits_advice ||
+      now < this->advice_not_before ||
+      (this->question && this->question->first <= ranked.rank)) {
+    return;
+  }
+  const StepSpec& spec = unit.spec();
+  const auto known = this->advice.find(unit);
+  std::vector<const Vm*> candidates;
+  for (const auto& [id, vm] : pool.vms) {
+    const bool denied =
+        known != this->advice.end() && known->second.denied.contains(id);
+    if (!denied && this->Usable(*vm, now) &&
+        spec.Occupies().Within(vm->Free()) &&
+        (spec.label.empty() || vm->facts.labels.contains(spec.label)) &&
+        this->PermitOf(unit, id, now) == nullptr) {
+      candidates.push_back(vm);
+    }
+  }
+  if (candidates.empty()) {
+    return;
+  }
+  std::ranges::stable_sort(
+      candidates, [&spec](const Vm* left, const Vm* right) {
+        const bool left_near = left->facts.rack == spec.near;
+        const bool right_near = right->facts.rack == spec.near;
+        return left_near != right_near ? left_near
+                                       : left->FreeShare() > right->FreeShare();
+      });
+  candidates.resize(std::min(candidates.size(), kAdvisedVms));
+  AskAdvice ask{unit.job->spec.id, unit.occurrence, unit.step, {}};
+  for (const Vm* vm : candidates) {
+    ask.vms.push_back(vm->facts.id);
+  }
+  this->question = {ranked.rank, std::move(ask)};
+}
+
+void Scheduler::AskForAdvice() {
+  if (this->question) {
+    this->awaits_advice = true;
+    this->effects.emplace_back(std::move(this->question->second));
+    this->question.reset();
+  }
+}
+
+void Scheduler::OnAdvice(const AskAdvice& asked,
+                         const std::map<VmId, std::string>& permits,
+                         Duration valid_for,
+                         Time now) {
+  this->awaits_advice = false;
+  this->NoteThat("advice", {{"job", asked.job.str()},
+                            {"step", std::to_string(asked.occurrence) + "." +
+                                         std::to_string(asked.step)},
+                            {"asked", std::to_string(asked.vms.size())},
+                            {"allowed", std::to_string(permits.size())},
+                            {"valid_ms", std::to_string(ToMs(valid_for))}});
+  Job* job = this->FindJob(asked.job);
+  if (job == nullptr || job->Ended() || !job->open.contains(asked.occurrence)) {
+    return;
+  }
+  Advice& row = this->advice[{job, asked.occurrence, asked.step}];
+  for (const VmId& vm : asked.vms) {
+    const auto permit = permits.find(vm);
+    if (this->FindVm(vm) == nullptr) {
+      continue;  // it has gone meanwhile
+    }
+    if (permit == permits.end()) {
+      row.denied.insert(vm);
+    } else {
+      row.permits[vm] = {permit->second, now + valid_for};
+    }
+  }
+}
+
+void Scheduler::OnNoAdvice(Time now) {
+  this->awaits_advice = false;
+  this->advice_not_before = now + kAdviceRetry;
+}
+
+// A permit ends with its VM's incarnation, and the next one may be of another
+// kind.
+void Scheduler::ForgetAdvice(const VmId& vm) {
+  for (auto& [unit, row] : this->advice) {
+    row.permits.erase(vm);
+    row.denied.erase(vm);
+  }
+}
+
+// Without an occurrence: of all of them.
+void Scheduler::ForgetAdvice(Job& job, std::optional<std::int32_t> occurrence) {
+  auto row = this->advice.lower_bound({&job, occurrence.value_or(0), 0});
+  while (row != this->advice.end() && row->first.job == &job &&
+         (!occurrence || row->first.occurrence == *occurrence)) {
+    row = this->advice.erase(row);
+  }
+}
+
+}  // namespace kch::jobs
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -2,34 +2,11 @@
 #include <optional>
 #include <utility>
 
-#include "jobs/rank.h"
 #include "jobs/scheduler.h"
 
 // Which waiting task starts next and where.
 
 namespace kch::jobs {
-namespace {
-
-// VMs named in one question to the advice service, which takes time for each.
-constexpr std::size_t kAdvisedVms = 30;
-// The service takes one question at a time; a lost one is asked again.
-constexpr auto kAdviceRetry = std::chrono::milliseconds(1500);
-
-std::int64_t FreeShare(const Resources& free, const Resources& capacity) {
-  constexpr std::int64_t scale = 10'000;
-  const auto share = [](std::int64_t part, std::int64_t whole) {
-    return whole <= 0 ? scale : part * scale / whole;
-  };
-  return std::min(share(free.cpu_m, capacity.cpu_m),
-                  share(free.memory_mb, capacity.memory_mb));
-}
-
-}  // namespace
-
-struct Scheduler::Ranked {
-  Rank rank;
-  Unit unit;
-};
 
 bool Scheduler::Usable(const Vm& vm, Time now) const {
   return vm.registered && vm.recorded && vm.reported && vm.clock_known &&
@@ -79,13 +56,7 @@
       if (!unit.job->inherited) {
         continue;
       }
-      const Step& step = unit.job->open.at(unit.occurrence)
-                             .steps[static_cast<std::size_t>(unit.step)];
-      const StepSpec& spec =
-          unit.job->spec.steps[static_cast<std::size_t>(unit.step)];
-      for (std::int32_t i = 0; i < step.waiting; ++i) {
-        wanted[unit.job->spec.team] += spec.need;
-      }
+      wanted[unit.job->spec.team] += unit.spec().need * unit.progress().waiting;
     }
     for (const auto& [team, need] : wanted) {
       this->hidden[team] += {std::min(need.cpu_m, room.cpu_m),
@@ -108,11 +79,13 @@
       this->scheduled.erase(id);
     }
   }
+  this->question.reset();
   for (auto& [id, pool] : this->pools) {
     if (!pool.ready.empty() && !pool.vms.empty()) {
       this->PlanPool(pool, now);
     }
   }
+  this->AskForAdvice();
 }
 
 void Scheduler::PlanPool(Pool& pool, Time now) {
@@ -137,13 +110,12 @@
   // A task for which no VM had room: larger ones need not be tried.
   std::optional<Resources> too_large;
   for (const Ranked& ranked : order) {
-    const StepSpec& step =
-        ranked.unit.job->spec.steps[static_cast<std::size_t>(ranked.unit.step)];
+    const StepSpec& step = ranked.unit.spec();
     if (too_large && too_large->Within(step.Occupies())) {
       continue;
     }
-    const bool placed = step.gang ? this->PlanGang(ranked.unit, pool, now)
-                                  : this->PlanUnit(ranked.unit, pool, now);
+    const bool placed = step.gang ? this->PlanGang(ranked, pool, now)
+                                  : this->PlanUnit(ranked, pool, now);
     const bool plain = step.label.empty() && step.max_per_vm == 0 &&
                        !step.gang && !this->QueueOf(*ranked.unit.job).advised;
     if (!placed && plain && this->WithinLimit(*ranked.unit.job, step.need)) {
@@ -153,24 +125,22 @@
 }
 
 // Starts as many waiting tasks as have room; false if one had to be left.
-bool Scheduler::PlanUnit(const Unit& unit, Pool& pool, Time now) {
-  Step& step = unit.job->open.at(unit.occurrence)
-                   .steps[static_cast<std::size_t>(unit.step)];
-  if (this->QueueOf(*unit.job).advised &&
-      this->PermitsFor(unit, pool, now) == nullptr) {
-    return true;
-  }
+bool Scheduler::PlanUnit(const Ranked& ranked, Pool& pool, Time now) {
+  const Unit& unit = ranked.unit;
+  Step& step = unit.progress();
   std::string started;
   bool all = true;
   for (Task& task : step.tasks) {
     if (task.phase != TaskPhase::kWaiting) {
       continue;
     }
-    Vm* vm = this->WithinLimit(*unit.job, task.spec().need)
-                 ? this->ChooseVm(task, pool, now)
-                 : nullptr;
+    const bool within = this->WithinLimit(*unit.job, task.spec().need);
+    Vm* vm = within ? this->ChooseVm(task, pool, now) : nullptr;
     if (vm == nullptr) {
       all = false;
+      if (within) {
+        this->WantAdvice(ranked, pool, now);
+      }
       break;
     }
     this->Start(task, *vm, std::max(task.run, task.floor) + 1, now);
@@ -191,19 +161,14 @@
 }
 
 // Starts all tasks of a gang or none, on one rack where it wants that.
-bool Scheduler::PlanGang(const Unit& unit, Pool& pool, Time now) {
-  Step& step = unit.job->open.at(unit.occurrence)
-                   .steps[static_cast<std::size_t>(unit.step)];
+bool Scheduler::PlanGang(const Ranked& ranked, Pool& pool, Time now) {
+  const Unit& unit = ranked.unit;
+  Step& step = unit.progress();
   if (step.waiting != static_cast<std::int32_t>(step.tasks.size())) {
     return true;  // members of the last run have not ended yet
   }
   const bool advised = this->QueueOf(*unit.job).advised;
-  const Advice* permits = advised ? this->PermitsFor(unit, pool, now) : nullptr;
-  if (advised && permits == nullptr) {
-    return true;
-  }
-  const StepSpec& spec =
-      unit.job->spec.steps[static_cast<std::size_t>(unit.step)];
+  const StepSpec& spec = unit.spec();
   Resources total;
   std::int64_t run = 0;
   std::string checkpoint;
@@ -222,7 +187,7 @@
   for (const auto& [vm_id, vm] : pool.vms) {
     if (!this->Usable(*vm, now) ||
         (!spec.label.empty() && !vm->facts.labels.contains(spec.label)) ||
-        (permits != nullptr && !permits->permits.contains(vm->facts.id))) {
+        (advised && this->PermitOf(unit, vm_id, now) == nullptr)) {
       continue;
     }
     Resources free = vm->Free();
@@ -237,6 +202,7 @@
     everywhere += fits;
   }
   if (everywhere < spec.count) {
+    this->WantAdvice(ranked, pool, now);
     return false;
   }
   std::optional<RackId> rack;
@@ -269,12 +235,8 @@
 // other and are kept apart where possible.
 Vm* Scheduler::ChooseVm(const Task& task, const Pool& pool, Time now) {
   const StepSpec& spec = task.spec();
-  const Advice* permits = nullptr;
-  if (const auto found =
-          this->advice.find({task.job, task.occurrence, task.step});
-      found != this->advice.end()) {
-    permits = &found->second;
-  }
+  const Unit unit{task.job, task.occurrence, task.step};
+  const bool advised = this->QueueOf(*task.job).advised;
   const auto score = [&](const Vm& vm) {
     std::int32_t conflicts = 0;
     for (const Task* other : vm.runs) {
@@ -288,13 +250,13 @@
     const bool doubtful = !task.failed_runs.empty() &&
                           (vm.facts.id == task.avoid || vm.failures_in_row > 0);
     return std::tuple(doubtful, vm.facts.id == task.avoid, other_rack,
-                      conflicts, -FreeShare(vm.Free(), vm.facts.capacity));
+                      conflicts, -vm.FreeShare());
   };
   Vm* best = nullptr;
   for (const auto& [vm_id, vm] : pool.vms) {
     if (!this->Usable(*vm, now) || !spec.Occupies().Within(vm->Free()) ||
         (!spec.label.empty() && !vm->facts.labels.contains(spec.label)) ||
-        (permits != nullptr && !permits->permits.contains(vm->facts.id))) {
+        (advised && this->PermitOf(unit, vm_id, now) == nullptr)) {
       continue;
     }
     if (spec.max_per_vm > 0) {
@@ -320,10 +282,9 @@
   task.phase = TaskPhase::kStarting;
   ++this->counted.starts;
   std::string permit;
-  if (const auto found =
-          this->advice.find({task.job, task.occurrence, task.step});
-      found != this->advice.end()) {
-    permit = found->second.permits[vm.facts.id];
+  if (this->QueueOf(*task.job).advised) {
+    permit = *this->PermitOf({task.job, task.occurrence, task.step},
+                             vm.facts.id, now);
   }
   const std::int64_t until = vm.ClockAt(now) + ToMs(this->limits.lease);
   vm.until_ms = std::max(vm.until_ms, until);
@@ -332,42 +293,4 @@
                                       task.checkpoint, std::move(permit)});
 }
 
-// Permits in force for a step, or nothing while they are asked for.
-Scheduler::Advice* Scheduler::PermitsFor(const Unit& unit,
-                                         const Pool& pool,
-                                         Time now) {
-  Advice& row = this->advice[unit];
-  if (row.valid_until > now && !row.permits.empty()) {
-    return &row;
-  }
-  if (now < row.retry_at) {
-    return nullptr;
-  }
-  AskAdvice question{unit.job->spec.id, unit.occurrence, unit.step, {}};
-  for (const auto& [vm_id, vm] : pool.vms) {
-    if (this->Usable(*vm, now) && question.vms.size() < kAdvisedVms) {
-      question.vms.push_back(vm->facts.id);
-    }
-  }
-  if (!question.vms.empty()) {
-    row.retry_at = now + kAdviceRetry;
-    this->effects.emplace_back(std::move(question));
-  }
-  return nullptr;
-}
-
-void Scheduler::OnAdvice(const AskAdvice& asked,
-                         std::map<VmId, std::string> permits,
-                         Time valid_until,
-                         Time now) {
-  Job* job = this->FindJob(asked.job);
-  if (job == nullptr || job->Ended()) {
-    return;
-  }
-  Advice& row = this->advice[{job, asked.occurrence, asked.step}];
-  row.permits = std::move(permits);
-  row.valid_until = valid_until;
-  row.retry_at = row.permits.empty() ? now + kAdviceRetry : now;
-}
-
 }  // namespace kch::jobs
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -243,6 +243,7 @@
     return;
   }
   job.finished.insert(occurrence.number);
+  this->ForgetAdvice(job, occurrence.number);
   if (static_cast<std::int32_t>(job.finished.size()) ==
       job.spec.Occurrences()) {
     this->EndJob(job, JobState::kCompleted, now);
@@ -454,8 +455,10 @@
           std::max(vm->ejected_until, now + this->limits.first_ejection);
       break;
     case StartAnswer::kNoPermit:
-      if (current) {
-        this->advice.erase({task->job, task->occurrence, task->step});
+      if (const auto row =
+              this->advice.find({task->job, task->occurrence, task->step});
+          row != this->advice.end()) {
+        row->second.permits.erase(id);
       }
       break;
     case StartAnswer::kInvalid:
--- a/src/jobs/vm.cc
+++ b/src/jobs/vm.cc
@@ -1,5 +1,6 @@
 #include "jobs/vm.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace kch::jobs {
@@ -12,6 +13,16 @@
   return this->facts.capacity - this->used;
 }
 
+std::int64_t Vm::FreeShare() const {
+  constexpr std::int64_t scale = 10'000;
+  const auto share = [](std::int64_t part, std::int64_t whole) {
+    return whole <= 0 ? scale : part * scale / whole;
+  };
+  const Resources free = this->Free();
+  return std::min(share(free.cpu_m, this->facts.capacity.cpu_m),
+                  share(free.memory_mb, this->facts.capacity.memory_mb));
+}
+
 std::int64_t Vm::ClockAt(Time now) const {
   return this->clock_ms + ToMs(now - this->clock_at);
 }
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -75,6 +75,8 @@
 
   [[nodiscard]] Destination Address() const;
   [[nodiscard]] Resources Free() const;
+  /*! @brief Free part of the scarcer of processor and memory, in 1/10,000. */
+  [[nodiscard]] std::int64_t FreeShare() const;
   /*! @brief The VM's clock at a time on ours, at most 2% ahead of it. */
   [[nodiscard]] std::int64_t ClockAt(Time now) const;
   /*! @brief When every lease sent has surely expired, on our clock. */
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -26,10 +26,11 @@
   HttpRequest request;
   request.method = source.header().method().c_str();
   request.path = std::string(source.header().path());
-  // Malformed queries are treated as absent; handlers check what they need.
-  if (auto query = restinio::try_parse_query<
-          restinio::parse_query_traits::javascript_compatible>(
-          source.header().query())) {
+  // Clients may leave "/" and other characters unescaped in a query. Malformed
+  // queries are treated as absent; handlers check what they need.
+  if (auto query =
+          restinio::try_parse_query<restinio::parse_query_traits::relaxed>(
+              source.header().query())) {
     for (const auto& [name, value] : *query) {
       request.query[std::string(name)] = std::string(value);
     }
--- a/src/upkeep/mover.cc
+++ b/src/upkeep/mover.cc
@@ -5,23 +5,6 @@
 #include <utility>
 
 namespace kch::upkeep {
-namespace {
-
-// The scarcer of processors and memory, as a share of the capacity.
-double Share(const jobs::Resources& part, const jobs::Resources& whole) {
-  const auto ratio = [](std::int64_t amount, std::int64_t of) {
-    if (amount <= 0) {
-      return 0.0;
-    }
-    constexpr double nothing_there = 100;
-    return of <= 0 ? nothing_there
-                   : static_cast<double>(amount) / static_cast<double>(of);
-  };
-  return std::max(ratio(part.cpu_m, whole.cpu_m),
-                  ratio(part.memory_mb, whole.memory_mb));
-}
-
-}  // namespace
 
 Mover::Mover(const MoveLimits& limits, Time start)
     : limits(limits), start(start) {}
@@ -103,7 +86,8 @@
     const jobs::Resources left =
         pool.capacity - gone - candidate.machine->capacity;
     if (!candidate.standby &&
-        Share(pool.used + pool.waiting, left) > this->limits.give_use) {
+        jobs::ScarcerShare(pool.used + pool.waiting, left) >
+            this->limits.give_use) {
       continue;
     }
     gone += candidate.machine->capacity;
@@ -138,7 +122,7 @@
         capacity += move.capacity;
       }
     }
-    const double backlog = Share(pool.waiting, capacity);
+    const double backlog = jobs::ScarcerShare(pool.waiting, capacity);
     if (backlog < this->limits.take_backlog) {
       continue;
     }
--- /dev/null
+++ b/test/jobs/advice_test.cc
@@ -0,0 +1,118 @@
+#include <boost/test/unit_test.hpp>
+
+#include "test/jobs/fleet_sim.h"
+
+namespace kch::jobs::test {
+namespace {
+
+constexpr Resources kVmSize{8000, 100'000, 0};
+
+void AddVms(FleetSim& sim, int count) {
+  for (int i = 0; i < count; ++i) {
+    sim.AddVm("vm" + std::to_string(i), "p", kVmSize);
+  }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(AdviceTest)
+
+// Guards against starts on VMs that the policy of a queue does not allow, and
+// against jobs that wait for VMs that nobody asked about.
+BOOST_AUTO_TEST_CASE(TasksRunWhereTheServiceAllows) {
+  FleetSim sim;
+  AddVms(sim, 40);
+  sim.advice.allows = [](const std::string&, const std::string& vm) {
+    return vm == "vm7" || vm == "vm39";
+  };
+  JobSpec job = SimpleJob("a", "advised", 12, 1000, 300);
+  job.steps.push_back(job.steps[0]);
+  job.steps[1].after = {0};
+  sim.Submit(job);
+  BOOST_TEST(sim.RunUntil(
+      [&] { return sim.StateOf("a") == JobState::kCompleted; }, 3000));
+  BOOST_TEST(sim.starts() == 24);
+  BOOST_TEST(sim.advice.refused_starts == 0);
+  BOOST_TEST(sim.breaches.size() == 0U);
+}
+
+// The service handles one question of an instance at a time; more of them only
+// wait there and are refused once 32 do.
+BOOST_AUTO_TEST_CASE(OneQuestionIsAskedAtATime) {
+  FleetSim sim;
+  AddVms(sim, 12);
+  for (int i = 0; i < 60; ++i) {
+    sim.Submit(SimpleJob("job" + std::to_string(i), "advised", 1, 500, 200));
+  }
+  BOOST_TEST(sim.RunUntil(
+      [&] { return sim.scheduler->counters().completed_jobs == 60; }, 9000));
+  BOOST_TEST(sim.advice.most_open == 1);
+  BOOST_TEST(sim.advice.questions == 60);
+}
+
+// The load pattern: a full pool with a long queue. Questions about VMs without
+// room would be answered with permits that expire before they are used.
+BOOST_AUTO_TEST_CASE(NothingIsAskedWhileAPoolIsFull) {
+  FleetSim sim;
+  AddVms(sim, 2);
+  sim.Submit(SimpleJob("full", "q", 16, 1000, 4000));
+  sim.Run(200);
+  for (int i = 0; i < 20; ++i) {
+    sim.Submit(SimpleJob("job" + std::to_string(i), "advised", 1, 500, 200));
+  }
+  sim.Run(3000);
+  BOOST_TEST(sim.advice.questions == 0);
+  BOOST_TEST(sim.RunUntil(
+      [&] { return sim.scheduler->counters().completed_jobs == 21; }, 6000));
+}
+
+// Guards against starts under a permit that has run out, or that belongs to an
+// earlier incarnation of the VM.
+BOOST_AUTO_TEST_CASE(PermitsEndWithTheirTimeAndTheirVm) {
+  FleetSim sim;
+  AddVms(sim, 2);
+  sim.advice.valid_ms = 600;
+  // Sixteen tasks run at once, so the last start long after the first permit.
+  sim.Submit(SimpleJob("a", "advised", 40, 1000, 500));
+  sim.Run(250);
+  FakeVm& vm = *sim.vms.at("vm0");
+  vm.Restart();
+  sim.Register("vm0");
+  BOOST_TEST(sim.RunUntil(
+      [&] { return sim.StateOf("a") == JobState::kCompleted; }, 9000));
+  BOOST_TEST(sim.advice.refused_starts == 0);
+  BOOST_TEST(sim.advice.questions >= 3);
+  BOOST_TEST(sim.breaches.size() == 0U);
+}
+
+// Guards against jobs that are forgotten when a question has no answer.
+BOOST_AUTO_TEST_CASE(QuestionsAreRepeatedUntilAnswered) {
+  FleetSim sim;
+  AddVms(sim, 2);
+  sim.advice.down = true;
+  sim.Submit(SimpleJob("a", "advised", 2, 1000, 200));
+  sim.Run(2000);
+  BOOST_TEST(sim.advice.questions <= 7);
+  sim.advice.down = false;
+  BOOST_TEST(sim.RunUntil(
+      [&] { return sim.StateOf("a") == JobState::kCompleted; }, 1000));
+}
+
+BOOST_AUTO_TEST_CASE(GangsWaitForEnoughPermits) {
+  FleetSim sim;
+  AddVms(sim, 40);
+  sim.advice.allows = [](const std::string&, const std::string& vm) {
+    return vm == "vm1" || vm == "vm38";
+  };
+  JobSpec job = SimpleJob("a", "advised", 10, 1000, 300);
+  job.steps[0].gang = true;
+  sim.Submit(job);
+  BOOST_TEST(sim.RunUntil(
+      [&] { return sim.StateOf("a") == JobState::kCompleted; }, 3000));
+  BOOST_TEST(sim.starts() == 10);
+  BOOST_TEST(sim.advice.refused_starts == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace kch::jobs::test
--- a/test/jobs/chaos_test.cc
+++ b/test/jobs/chaos_test.cc
@@ -20,6 +20,11 @@
     this->sim.config.teams[TeamId("t")] = {.maximum = {20'000, 0, 0}};
     ++this->sim.config.version;
     this->sim.scheduler->SetConfig(this->sim.config, this->sim.now);
+    // Each job may run on three VMs of four.
+    this->sim.advice.allows = [](const std::string& job,
+                                 const std::string& vm) {
+      return (job.back() + vm.back()) % 4 != 0;
+    };
     for (int i = 0; i < kVms; ++i) {
       this->sim.AddVm(this->NameOf(i), "p", {8000, 100'000, 0},
                       "r" + std::to_string(i / 2));
@@ -45,10 +50,10 @@
     return std::uniform_int_distribution<int>(low, high)(this->random);
   }
   static std::string NameOf(int vm) { return "vm" + std::to_string(vm); }
-  SimVm& AnyVm() { return *this->sim.vms.at(NameOf(this->Draw(0, kVms - 1))); }
+  FakeVm& AnyVm() { return *this->sim.vms.at(NameOf(this->Draw(0, kVms - 1))); }
 
   void Act() {
-    switch (this->Draw(0, 15)) {
+    switch (this->Draw(0, 16)) {
       case 0:
         this->AnyVm().dark = true;
         break;
@@ -92,6 +97,9 @@
           this->finite.erase(this->finite.begin());
         }
         break;
+      case 12:
+        this->sim.advice.down = !this->sim.advice.down;
+        break;
       default:
         this->Submit();
         break;
@@ -99,20 +107,15 @@
   }
 
   // The VM starts again under its id and knows nothing of before.
-  void Reboot(SimVm& vm) {
-    vm.runs.clear();
-    vm.ended.clear();
-    vm.barred.clear();
-    vm.fence = 0;
-    vm.until_ms = 0;
-    vm.last_number = 0;
-    ++vm.facts.boot_ms;
+  void Reboot(FakeVm& vm) {
+    vm.Restart();
     this->sim.Register(vm.facts.id.str());
   }
 
   void Submit() {
     const std::string id = "job" + std::to_string(++this->last_job);
-    JobSpec job = SimpleJob(id, "q", this->Draw(1, 6), this->Draw(200, 3000),
+    const std::string queue = this->Draw(0, 3) == 0 ? "advised" : "q";
+    JobSpec job = SimpleJob(id, queue, this->Draw(1, 6), this->Draw(200, 3000),
                             this->Draw(50, 1500));
     job.team = this->Draw(0, 1) == 0 ? TeamId("t") : TeamId();
     if (this->endless.size() < 3 && this->Draw(0, 3) == 0) {
@@ -139,6 +142,7 @@
   void Heal() {
     this->sim.store.down = false;
     this->sim.store.loses_answers = false;
+    this->sim.advice.down = false;
     for (auto& [id, vm] : this->sim.vms) {
       vm->dark = false;
       vm->loses_answers = false;
--- a/test/jobs/fleet_sim.cc
+++ b/test/jobs/fleet_sim.cc
@@ -9,7 +9,6 @@
 constexpr std::int64_t kStepMs = 5;
 constexpr std::int64_t kLatencyMs = 2;
 constexpr std::int64_t kStoreLatencyMs = 4;
-constexpr std::int64_t kStopMs = 40;
 constexpr std::int64_t kOrderTimeoutMs = 1000;
 constexpr std::int64_t kLookSlackMs = 700;
 constexpr std::int64_t kStartWallMs = 1'700'000'000'000;
@@ -38,27 +37,16 @@
 }
 
 FleetSim::FleetSim() : scheduler(std::make_unique<Scheduler>(limits)) {
-  this->config.version = 1;
-  this->config.queues[QueueId("q")] = SimpleJob("x", "q", 1, 1, 1).queue;
   this->scheduler->SetConfig(this->config, this->now);
 }
 
-SimVm& FleetSim::AddVm(const std::string& id,
-                       const std::string& pool,
-                       Resources capacity,
-                       const std::string& rack) {
-  auto vm = std::make_unique<SimVm>();
-  vm->facts = {.id = VmId(id),
-               .pool = PoolId(pool),
-               .address = id + ":1",
-               .zone = ZoneId("z1"),
-               .rack = RackId(rack),
-               .labels = {"a", rack},
-               .capacity = capacity,
-               .boot_ms = 1};
-  vm->clock_offset_ms = 5000;
-  this->scheduler->SetVm(vm->facts, this->now);
-  return *(this->vms[id] = std::move(vm));
+FakeVm& FleetSim::AddVm(const std::string& id,
+                        const std::string& pool,
+                        Resources capacity,
+                        const std::string& rack) {
+  FakeVm& vm = this->Add(id, pool, capacity, rack);
+  this->scheduler->SetVm(vm.facts, this->now);
+  return vm;
 }
 
 void FleetSim::Submit(JobSpec spec) {
@@ -76,146 +64,26 @@
                        std::move(action));
 }
 
-std::int64_t FleetSim::ClockOf(const SimVm& vm) const {
-  return ToMs(this->now.time_since_epoch()) + vm.clock_offset_ms;
-}
-
-void FleetSim::End(SimVm& vm, const std::string& task, RunEnd how) {
-  const auto found = vm.runs.find(task);
-  vm.ended.push_back({.number = ++vm.last_number,
-                      .task = task,
-                      .run = found->second.run,
-                      .how = how});
-  vm.barred[task] = std::max(vm.barred[task], found->second.run);
-  if (how == RunEnd::kDone) {
-    this->ever_done.insert(task);
-  }
-  vm.runs.erase(found);
-}
-
-void FleetSim::Work(SimVm& vm, std::int64_t ms) {
-  const std::int64_t clock = this->ClockOf(vm);
-  std::vector<std::pair<std::string, RunEnd>> ends;
-  for (auto& [name, run] : vm.runs) {
-    run.left_ms -= ms;
-    if (clock >= vm.until_ms) {
-      ends.emplace_back(name, RunEnd::kExpired);
-    } else if (run.stopping && clock >= run.stops_at_ms) {
-      ends.emplace_back(name, RunEnd::kStopped);
-    } else if (run.fails || vm.fails_all) {
-      ends.emplace_back(name, RunEnd::kFailed);
-    } else if (!run.endless && run.left_ms <= 0) {
-      ends.emplace_back(name, RunEnd::kDone);
-    }
-  }
-  for (const auto& [name, how] : ends) {
-    this->End(vm, name, how);
-  }
-}
-
-void FleetSim::CheckStart(const SimVm& vm, const SimVm::SimRun& run) {
-  const std::string name = run.task.Name();
-  const auto breach = [&](const std::string& rule) {
-    this->breaches.push_back(rule + ": " + name + " on " + vm.facts.id.str());
-  };
-  Resources used = run.occupied;
-  for (const auto& [other, row] : vm.runs) {
-    used += row.occupied;
-  }
-  if (!used.Within(vm.facts.capacity)) {
-    breach("capacity");
-  }
-  Resources team = run.need;
-  for (const auto& [id, other] : this->vms) {
-    if (other->runs.contains(name)) {
-      breach("twice");
-    }
-    for (const auto& [task, row] : other->runs) {
-      if (row.team == run.team) {
-        team += row.need;
-      }
-    }
-  }
-  if (this->done.contains(name)) {
-    breach("repeated");
-  }
-  const auto limit = this->config.teams.find(run.team);
-  if (limit != this->config.teams.end() && limit->second.maximum.cpu_m > 0 &&
-      team.cpu_m > limit->second.maximum.cpu_m) {
-    breach("team limit");
-  }
-  const JobSpec& spec = this->submitted.at(run.task.job);
-  for (const std::int32_t before :
-       spec.steps[static_cast<std::size_t>(run.task.step)].after) {
-    const StepSpec& earlier = spec.steps[static_cast<std::size_t>(before)];
-    std::int32_t ended = 0;
-    for (std::int32_t i = 0; i < earlier.count; ++i) {
-      ended += this->ever_done.contains(
-          TaskRef{run.task.job, run.task.occurrence, before, i}.Name());
-    }
-    // The end of one member of a gang stands for all.
-    if (ended < (earlier.gang ? 1 : earlier.count)) {
-      breach("order");
+void FleetSim::Ask(const AskAdvice& question, std::uint64_t by) {
+  ++this->advice.questions;
+  this->advice.most_open =
+      std::max(this->advice.most_open, ++this->advice.open);
+  this->Later(this->advice.DelayMs(question), [this, question, by] {
+    --this->advice.open;
+    const bool down = this->advice.down;
+    const auto permits =
+        down ? std::map<VmId, std::string>() : this->Advise(question);
+    if (by != this->fence) {
+      return;
     }
-  }
-}
-
-StartAnswer FleetSim::Carry(SimVm& vm,
-                            const StartRun& order,
-                            std::uint64_t by) {
-  if (by < vm.fence) {
-    return StartAnswer::kFenced;
-  }
-  vm.fence = by;
-  const std::string name = order.task.Name();
-  if (order.until_ms <= this->ClockOf(vm)) {
-    return StartAnswer::kExpired;
-  }
-  vm.until_ms = std::max(vm.until_ms, order.until_ms);
-  if (vm.runs.contains(name) && vm.runs.at(name).run == order.run) {
-    return StartAnswer::kAccepted;
-  }
-  if (vm.barred.contains(name) && order.run <= vm.barred.at(name)) {
-    return StartAnswer::kOldRun;
-  }
-  const JobSpec& spec = this->submitted.at(order.task.job);
-  const StepSpec& step = spec.steps[static_cast<std::size_t>(order.task.step)];
-  SimVm::SimRun run{.task = order.task,
-                    .run = order.run,
-                    .left_ms = step.estimate_ms,
-                    .endless = step.endless,
-                    .fails = spec.payload == "fails",
-                    .occupied = step.Occupies(),
-                    .need = step.need,
-                    .team = spec.team};
-  this->CheckStart(vm, run);
-  ++this->start_count;
-  vm.runs.emplace(name, run);
-  return StartAnswer::kAccepted;
-}
-
-void FleetSim::Acknowledge(SimVm& vm, std::int64_t last_seen) {
-  while (!vm.ended.empty() && vm.ended.front().number <= last_seen) {
-    if (vm.ended.front().how == RunEnd::kDone) {
-      this->done.insert(vm.ended.front().task);
+    if (down) {
+      this->scheduler->OnNoAdvice(this->now);
+    } else {
+      this->scheduler->OnAdvice(
+          question, permits, std::chrono::milliseconds(this->advice.valid_ms),
+          this->now);
     }
-    vm.ended.pop_front();
-  }
-}
-
-VmReport FleetSim::ReportOf(const SimVm& vm) const {
-  VmReport report{.clock_ms = this->ClockOf(vm), .boot_ms = vm.facts.boot_ms};
-  for (const auto& [name, run] : vm.runs) {
-    const StepSpec& step = this->submitted.at(run.task.job)
-                               .steps[static_cast<std::size_t>(run.task.step)];
-    report.running.push_back(
-        {.task = name,
-         .run = run.run,
-         .percent = run.percent,
-         .gauge = step.target_ms > 0 ? vm.tail_ms : step.need.cpu_m});
-  }
-  report.ended.assign(vm.ended.begin(), vm.ended.end());
-  return report;
+  });
 }
 
 void FleetSim::Write(const WriteRecords& write, std::uint64_t by) {
@@ -268,7 +136,7 @@
             std::int64_t timeout_ms,
             Action action) const {
     this->sim.Later(kLatencyMs, [this_copy = *this, to, timeout_ms, action] {
-      SimVm& vm = *this_copy.sim.vms.at(to.vm.str());
+      FakeVm& vm = *this_copy.sim.vms.at(to.vm.str());
       const bool answers = !vm.dark;
       this_copy.sim.Later(answers ? kLatencyMs : timeout_ms,
                           [this_copy, &vm, action, answers] {
@@ -282,7 +150,7 @@
   void operator()(const StartRun& order) const {
     FleetSim& at = this->sim;
     at.Later(kLatencyMs, [&at, order, by = this->by] {
-      SimVm& vm = *at.vms.at(order.to.vm.str());
+      FakeVm& vm = *at.vms.at(order.to.vm.str());
       const StartAnswer carried =
           vm.dark ? StartAnswer::kNoAnswer : at.Carry(vm, order, by);
       const bool lost = vm.dark || vm.loses_answers;
@@ -297,28 +165,18 @@
     });
   }
   void operator()(const StopRun& order) const {
-    this->Call(order.to, kOrderTimeoutMs, [&at = this->sim, order](SimVm* vm) {
+    this->Call(order.to, kOrderTimeoutMs, [&at = this->sim, order](FakeVm* vm) {
       if (vm != nullptr) {
-        const std::string name = order.task.Name();
-        vm->barred[name] = std::max(vm->barred[name], order.run);
-        const auto run = vm->runs.find(name);
-        if (run != vm->runs.end() && run->second.run == order.run &&
-            !run->second.stopping) {
-          run->second.stopping = true;
-          run->second.stops_at_ms = at.ClockOf(*vm) + kStopMs;
-        }
+        at.Stop(*vm, order, at.fence);
       }
       at.scheduler->OnStop(order.to.vm, order.task, order.run, vm != nullptr,
                            at.now);
     });
   }
   void operator()(const PaceRun& order) const {
-    this->Call(order.to, kOrderTimeoutMs, [&at = this->sim, order](SimVm* vm) {
+    this->Call(order.to, kOrderTimeoutMs, [&at = this->sim, order](FakeVm* vm) {
       if (vm != nullptr) {
-        const auto run = vm->runs.find(order.task.Name());
-        if (run != vm->runs.end()) {
-          run->second.percent = order.percent;
-        }
+        at.Pace(*vm, order, at.fence);
       }
       at.scheduler->OnPace(order.to.vm, order.task, order.run, vm != nullptr);
     });
@@ -327,13 +185,9 @@
     FleetSim& at = this->sim;
     const Time sent = at.now;
     at.Later(kLatencyMs, [&at, look, sent, by = this->by] {
-      SimVm& vm = *at.vms.at(look.to.vm.str());
-      if (!vm.dark && by >= vm.fence) {
-        vm.fence = by;
-        if (look.until_ms) {
-          vm.until_ms = std::max(vm.until_ms, *look.until_ms);
-        }
-        at.Acknowledge(vm, look.last_seen);
+      FakeVm& vm = *at.vms.at(look.to.vm.str());
+      if (!vm.dark) {
+        at.Renew(vm, look, by);
       }
       Answer(at, look, sent, by, vm.facts.boot_ms,
              at.now + std::chrono::milliseconds(look.wait_ms));
@@ -346,7 +200,7 @@
                      std::uint64_t by,
                      std::int64_t boot_ms,
                      Time latest) {
-    SimVm& vm = *at.vms.at(look.to.vm.str());
+    FakeVm& vm = *at.vms.at(look.to.vm.str());
     if (vm.dark || vm.facts.boot_ms != boot_ms) {
       at.Later(kLookSlackMs, [&at, look, by] {
         if (by == at.fence) {
@@ -376,7 +230,9 @@
       }
     });
   }
-  void operator()(const AskAdvice& /*question*/) const {}
+  void operator()(const AskAdvice& question) const {
+    this->sim.Ask(question, this->by);
+  }
   void operator()(const WriteRecords& write) const {
     this->sim.Write(write, this->by);
   }
@@ -422,9 +278,7 @@
   const Time end = this->now + std::chrono::milliseconds(ms);
   while (this->now < end) {
     this->now += std::chrono::milliseconds(kStepMs);
-    for (auto& [id, vm] : this->vms) {
-      this->Work(*vm, kStepMs);
-    }
+    this->Work(kStepMs);
     while (!this->events.empty() && this->events.begin()->first <= this->now) {
       const auto action = std::move(this->events.begin()->second);
       this->events.erase(this->events.begin());
@@ -488,10 +342,4 @@
   return view ? view->state : JobState::kQueued;
 }
 
-bool FleetSim::Runs(const std::string& task) const {
-  return std::ranges::any_of(this->vms, [&task](const auto& row) {
-    return row.second->runs.contains(task);
-  });
-}
-
 }  // namespace kch::jobs::test
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -80,7 +80,7 @@
   WithVms(sim, 2);
   sim.Submit(EndlessJob("a", 2));
   sim.Run(500);
-  SimVm& dark = *sim.vms.at("vm0");
+  FakeVm& dark = *sim.vms.at("vm0");
   BOOST_TEST(!dark.runs.empty());
   dark.dark = true;
   sim.Run(4500);
@@ -344,7 +344,7 @@
   sim.Submit(serving);
   sim.Submit(filling);
   sim.Run(500);
-  SimVm& vm = *sim.vms.at("vm0");
+  FakeVm& vm = *sim.vms.at("vm0");
   vm.tail_ms = 180;
   sim.Run(3500);
   BOOST_TEST(vm.runs.at("filling.0.0.0").percent == 0);
--- a/test/net/http_test.cc
+++ b/test/net/http_test.cc
@@ -30,12 +30,12 @@
   const auto client = MakeClient();
   const HttpResult result =
       client->SendAndWait({.method = "POST",
-                           .url = Url(*server, "/run?a=b%20c"),
+                           .url = Url(*server, "/run?a=b%20c/d"),
                            .headers = {{"Kch-Team", "north"}},
                            .body = "payload"});
   BOOST_TEST((result.status == CallStatus::kAnswered));
   BOOST_TEST(result.code == 201);
-  BOOST_TEST(result.body == "POST /run b c north payload");
+  BOOST_TEST(result.body == "POST /run b c/d north payload");
   BOOST_TEST(result.Header("kch-task") == "t1");
 }
 
--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -131,6 +131,32 @@
              R"({"FencingToken":9,"LastSeen":57,"UntilMs":900,"WaitMs":10})");
 }
 
+BOOST_AUTO_TEST_CASE(AdviceNamesTheVmsThatMayRunAStep) {
+  Stand stand;
+  const jobs::AskAdvice question{
+      jobs::JobId("0a"), 2, 1, {VmId("i-1"), VmId("i-2")}};
+  const auto ask = [&](const std::string& address) {
+    AdviceClient advice(*stand.client, address);
+    Waiter<std::optional<AdviceReply>> waiter;
+    advice.Ask(question, waiter.Callback());
+    return waiter.Wait();
+  };
+  stand.Answer("advise", 200, R"({"Allowed": [["i-2", "t"]], "ValidMs": 900})");
+  const auto reply = ask(stand.Address());
+  BOOST_REQUIRE(reply.has_value());
+  BOOST_TEST(reply->permits.size() == 1U);
+  BOOST_TEST(reply->permits.at(VmId("i-2")) == "t");
+  BOOST_TEST(ToMs(reply->valid_for) == 900);
+  BOOST_TEST(stand.Last().body ==
+             R"({"Step":"0a.2.1","Workers":["i-1","i-2"]})");
+  stand.Answer("advise", 429, "");
+  BOOST_TEST(!ask(stand.Address()).has_value());
+  stand.Answer("advise", 200, R"({"Allowed": 3})");
+  BOOST_TEST(!ask(stand.Address()).has_value());
+  // A deployment without the service.
+  BOOST_TEST(!ask("").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(TransactionsReportConflicts) {
   Stand stand;
   Store store(*stand.client, stand.Address());
--- /dev/null
+++ b/test/process/fleet_jobs_test.cc
@@ -0,0 +1,259 @@
+#include <sys/wait.h>
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <set>
+
+#include "test/process/fleet.h"
+#include "test/process/platform_fleet.h"
+
+// Whole processes of kch-fleet over a stand-in for the users' platform. The
+// stand-in checks each start: nothing runs twice, over capacity, out of order
+// or without having been handed in.
+
+namespace kch::test {
+namespace {
+
+using fake::CallFault;
+
+constexpr std::int64_t kUsPerMs = 1000;
+
+std::string TaskOf(const jobs::JobSpec& job, int index) {
+  return jobs::TaskRef{job.id, 0, 0, index}.Name();
+}
+
+jobs::JobSpec ChainJob(const std::string& id) {
+  jobs::JobSpec job = PlainJob(id, 4, 400);
+  job.steps.push_back(job.steps[0]);
+  job.steps[1].after = {0};
+  return job;
+}
+
+jobs::JobSpec LastingJob(const std::string& id) {
+  jobs::JobSpec job = PlainJob(id, 3, 200);
+  job.steps[0].endless = true;
+  job.steps[0].may_miss = 1;
+  return job;
+}
+
+bool AllRun(PlatformFleet& fleet, const jobs::JobSpec& job) {
+  for (int i = 0; i < job.steps[0].count; ++i) {
+    if (!fleet.Runs(TaskOf(job, i))) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// Guards against forms of jobs that are accepted and never served.
+BOOST_AUTO_TEST_CASE(EachFormOfJobIsServed) {
+  PlatformFleet fleet;
+  jobs::JobSpec gang = PlainJob("b", 6, 300);
+  gang.steps[0].gang = true;
+  jobs::JobSpec timed = PlainJob("c", 2, 200);
+  timed.schedule = {
+      .first_ms = WallUs() / kUsPerMs + 300, .interval_ms = 400, .times = 3};
+  const std::vector<jobs::JobSpec> finite{ChainJob("a"), gang, timed,
+                                          PlainJob("d", 5, 200, "advised")};
+  const jobs::JobSpec lasting = LastingJob("e");
+  for (const jobs::JobSpec& job : finite) {
+    fleet.Accept(job);
+  }
+  fleet.Accept(lasting);
+  fleet.WaitFor("the lasting tasks", [&] { return AllRun(fleet, lasting); });
+  fleet.WaitForCompleted(finite);
+  BOOST_TEST(fleet.StateOf(lasting) == "running");
+  fleet.Cancel(lasting);
+  fleet.WaitFor("the end of the lasting tasks", [&] {
+    return !fleet.Runs(TaskOf(lasting, 0)) && !fleet.Runs(TaskOf(lasting, 1)) &&
+           !fleet.Runs(TaskOf(lasting, 2));
+  });
+  BOOST_TEST(fleet.StateOf(lasting) == "cancelled");
+  BOOST_TEST(fleet.starts() == 8 + 6 + 6 + 5 + 3);
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
+// Guards against jobs lost, repeated or interrupted when the owner is killed.
+BOOST_AUTO_TEST_CASE(KilledOwnerInterruptsNothing) {
+  PlatformFleet fleet;
+  const jobs::JobSpec lasting = LastingJob("e");
+  const jobs::JobSpec chain = ChainJob("a");
+  fleet.Accept(lasting);
+  fleet.WaitFor("the lasting tasks", [&] { return AllRun(fleet, lasting); });
+  fleet.Accept(chain);
+  const std::size_t owner = fleet.WaitForOwner();
+  fleet.Signal(owner, SIGKILL);
+  fleet.WaitForExit(owner);
+  const jobs::JobSpec later = PlainJob("f", 2, 100);
+  fleet.Accept(later);
+  fleet.WaitForCompleted({chain, later});
+  BOOST_TEST(AllRun(fleet, lasting));
+  BOOST_TEST(fleet.WaitForOwner() != owner);
+  // The tasks that lasted were renewed in time and not started again.
+  BOOST_TEST(fleet.starts() == 3 + 8 + 2);
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
+// Guards against an owner that resumes after its successor took over and gives
+// orders under its old fence.
+BOOST_AUTO_TEST_CASE(ResumedOwnerStaysSuperseded) {
+  PlatformFleet fleet;
+  const jobs::JobSpec lasting = LastingJob("e");
+  fleet.Accept(lasting);
+  fleet.WaitFor("the lasting tasks", [&] { return AllRun(fleet, lasting); });
+  const std::size_t paused = fleet.WaitForOwner();
+  fleet.Signal(paused, SIGSTOP);
+  fleet.WaitFor("a successor", [&] {
+    const auto owner = fleet.Owner();
+    return owner && *owner != paused;
+  });
+  std::vector<jobs::JobSpec> wanted;
+  for (const std::string id : {"1", "2", "3"}) {
+    wanted.push_back(ChainJob(id));
+  }
+  const std::size_t successor = *fleet.Owner();
+  for (const jobs::JobSpec& job : wanted) {
+    BOOST_TEST(fleet.Submit(successor, job) == 200);
+  }
+  fleet.Signal(paused, SIGCONT);
+  fleet.WaitForCompleted(wanted);
+  fleet.WaitFor("the resumed instance to learn of its successor", [&] {
+    return fleet.Log(paused).find("owner_lost") != std::string::npos;
+  });
+  BOOST_TEST(AllRun(fleet, lasting));
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
+// Guards against a job that was accepted and is forgotten when every process
+// ends right after the answer.
+BOOST_AUTO_TEST_CASE(AcceptedJobsSurviveTheEndOfAllProcesses) {
+  PlatformFleet fleet;
+  const jobs::JobSpec job = ChainJob("a");
+  BOOST_TEST(fleet.Submit(1, job) == 200);
+  for (std::size_t i = 0; i < 3; ++i) {
+    fleet.Signal(i, SIGKILL);
+  }
+  for (std::size_t i = 0; i < 3; ++i) {
+    fleet.WaitForExit(i);
+  }
+  for (std::size_t i = 0; i < 3; ++i) {
+    fleet.Restart(i);
+  }
+  fleet.WaitForCompleted({job});
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
+// Guards against a stop that leaves work without an owner or answers falsely.
+BOOST_AUTO_TEST_CASE(StoppedOwnerHandsOverAndExits) {
+  PlatformFleet fleet;
+  const jobs::JobSpec lasting = LastingJob("e");
+  fleet.Accept(lasting);
+  fleet.WaitFor("the lasting tasks", [&] { return AllRun(fleet, lasting); });
+  const std::size_t stopped = fleet.WaitForOwner();
+  fleet.Signal(stopped, SIGTERM);
+  fleet.WaitFor("a successor", [&] {
+    const auto owner = fleet.Owner();
+    return owner && *owner != stopped;
+  });
+  const jobs::JobSpec job = ChainJob("a");
+  BOOST_TEST(fleet.Submit(*fleet.Owner(), job) == 200);
+  const int status = fleet.WaitForExit(stopped);
+  BOOST_TEST(WIFEXITED(status));
+  BOOST_TEST(WEXITSTATUS(status) == 0);
+  fleet.WaitForCompleted({job});
+  BOOST_TEST(AllRun(fleet, lasting));
+  BOOST_TEST(fleet.starts() == 3 + 8);
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
+// Guards against work that hangs or repeats because one answer was lost. Each
+// call to the store and to VMs loses its answer once or takes no effect, from
+// the first claim on.
+BOOST_AUTO_TEST_CASE(EachLostAnswerIsSurvived) {
+  PlatformFleet fleet;
+  std::set<std::string> seen;
+  fleet.platform->SetFaults(
+      [&seen](const std::string& call, const std::string&) {
+        // By the call's name, whatever the VM or lease.
+        const std::string name =
+            call.starts_with("vm") ? call.substr(call.find('/')) : call;
+        if (seen.insert(name).second) {
+          return CallFault::kLoseAnswer;
+        }
+        return seen.insert(name + " again").second ? CallFault::kLoseCall
+                                                   : CallFault::kNone;
+      });
+  std::vector<jobs::JobSpec> wanted{ChainJob("a"),
+                                    PlainJob("b", 4, 300, "advised")};
+  jobs::JobSpec gang = PlainJob("c", 4, 300);
+  gang.steps[0].gang = true;
+  wanted.push_back(gang);
+  const jobs::JobSpec lasting = LastingJob("e");
+  for (const jobs::JobSpec& job : wanted) {
+    fleet.Accept(job);
+  }
+  fleet.Accept(lasting);
+  fleet.WaitForCompleted(wanted);
+  fleet.WaitFor("the lasting tasks", [&] { return AllRun(fleet, lasting); });
+  fleet.Cancel(lasting);
+  fleet.WaitFor("the end of the lasting tasks",
+                [&] { return fleet.StateOf(lasting) == "cancelled"; });
+  fleet.platform->SetFaults({});
+  BOOST_TEST(seen.contains("store/kv-txn"));
+  BOOST_TEST(seen.contains("/run-start"));
+  BOOST_TEST(seen.contains("/run-stop"));
+  BOOST_TEST(seen.contains("advice/advise"));
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
+// Guards against work that ends, and jobs that are lost, while the store
+// refuses or answers nobody.
+BOOST_AUTO_TEST_CASE(WorkGoesOnWhileTheStoreIsDown) {
+  PlatformFleet fleet;
+  const jobs::JobSpec lasting = LastingJob("e");
+  const jobs::JobSpec chain = ChainJob("a");
+  fleet.Accept(lasting);
+  fleet.WaitFor("the lasting tasks", [&] { return AllRun(fleet, lasting); });
+  fleet.Accept(chain);
+  const auto set_down = [&fleet](bool down) {
+    fleet.platform->With([down](fake::World&, fake::KeyStore& store) {
+      store.SetDown(down);
+    });
+  };
+  set_down(true);
+  // The second step starts from memory.
+  fleet.WaitFor("all starts", [&] { return fleet.starts() >= 3 + 8; });
+  constexpr int unavailable = 503;
+  BOOST_TEST(fleet.Submit(0, PlainJob("9", 1, 100)) == unavailable);
+  // Longer than the leases of runs, so that only renewals keep them.
+  const std::int64_t until_us = WallUs() + 5'000'000;
+  fleet.WaitFor("the store's return", [&] { return WallUs() >= until_us; });
+  BOOST_TEST(AllRun(fleet, lasting));
+  set_down(false);
+  fleet.WaitForCompleted({chain});
+  BOOST_TEST(fleet.starts() == 3 + 8);
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
+// Guards against a wave that takes more machines than it may, or ends work that
+// could have been moved first.
+BOOST_AUTO_TEST_CASE(WavesKeepTheirLimit) {
+  PlatformFleet fleet(3, {.vms = 4});
+  const jobs::JobSpec lasting = LastingJob("e");
+  fleet.Accept(lasting);
+  fleet.WaitFor("the lasting tasks", [&] { return AllRun(fleet, lasting); });
+  fleet.platform->RequestWave(1, {"m0", "m1", "m2", "m3"}, 1);
+  fleet.WaitFor("the end of the wave", [&] {
+    const auto state =
+        fleet.platform->With([](fake::World&, const fake::KeyStore& store) {
+          return store.Value("status/wave/1");
+        });
+    return state && state->find("completed") != std::string::npos;
+  });
+  BOOST_TEST(fleet.platform->most_away() == 1);
+  fleet.WaitFor("the lasting tasks", [&] { return AllRun(fleet, lasting); });
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
+}  // namespace
+}  // namespace kch::test
