Stop a gang's later run when an earlier one turns out to be done

A gang's run was lost to a takeover and started again; then its first VM answered and reported the earlier run as done. All members were released from their VMs at once, though the later run was at work there, and other tasks started over them. Ruled out: the release of single tasks, which already went through a stop.

Change: unless the end is that of the run at work, members are stopped and hold their VMs until their end is listed.

--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -204,7 +204,7 @@
   void HandleRunning(Vm& vm, const RunningRow& row, Time now);
   void HandleEnd(Vm& vm, const EndedRow& row, Time now);
   void AwaitRecord(Vm& vm, const Job& job);
-  void HandleDone(Task& task, Time now);
+  void HandleDone(Task& task, bool current, Time now);
   void HandleFailure(Task& task, Vm& vm, std::int64_t run, Time now);
   void CompleteStep(Job& job, Occurrence& occurrence, Time now);
   void StopTask(Task& task);
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -183,7 +183,7 @@
       // A run that was thought lost ended; the present one is not needed.
       this->StopTask(*task);
     }
-    this->HandleDone(*task, now);
+    this->HandleDone(*task, current, now);
     this->AwaitRecord(vm, job);
     return;
   }
@@ -204,7 +204,8 @@
   }
 }
 
-void Scheduler::HandleDone(Task& task, Time now) {
+// `current`: the end is that of the run at work, not of an earlier one.
+void Scheduler::HandleDone(Task& task, bool current, Time now) {
   Job& job = *task.job;
   Occurrence& occurrence = job.open.at(task.occurrence);
   Step& step = occurrence.steps[static_cast<std::size_t>(task.step)];
@@ -220,8 +221,10 @@
     // One member's end stands for all.
     for (Task& member : step.tasks) {
       if (member.phase != TaskPhase::kDone) {
-        if (&member != &task) {
+        if (&member != &task && current) {
           this->Release(member);
+        } else if (&member != &task && member.Placed()) {
+          this->StopTask(member);
         }
         finish(member);
       }
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -427,6 +427,34 @@
   BOOST_TEST(NameOf(sim.StateOf("a")) == "cancelled");
 }
 
+// Chaos seed 196: an earlier run of a gang, thought lost, was reported as done
+// while a later run was at work. Its members were taken for ended at once, and
+// other tasks started over them.
+BOOST_AUTO_TEST_CASE(ALaterRunOfAGangOccupiesItsVmsUntilItHasStopped) {
+  FleetSim sim;
+  WithVms(sim, 2);
+  JobSpec gang = SimpleJob("a", "q", 2, 4000, 3000);
+  gang.steps[0].gang = true;
+  sim.Submit(gang);
+  sim.Run(1000);
+  FakeVm& first = *sim.vms.at("vm0");
+  BOOST_TEST(first.runs.size() == 2U);
+  sim.store.down = true;
+  sim.Run(2500);
+  BOOST_TEST(first.runs.empty());
+  first.dark = true;
+  sim.store.down = false;
+  sim.Takeover();
+  const FakeVm& second = *sim.vms.at("vm1");
+  BOOST_TEST(sim.RunUntil([&] { return second.runs.size() == 2; }, 9000));
+  first.dark = false;
+  sim.Submit(SimpleJob("b", "q", 4, 4000, 500));
+  BOOST_TEST(sim.RunUntil(
+      [&] { return sim.StateOf("b") == JobState::kCompleted; }, 4000));
+  BOOST_TEST(NameOf(sim.StateOf("a")) == "completed");
+  BOOST_TEST(Breaches(sim) == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::jobs::test
