--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -45,6 +45,21 @@
   return true;
 }
 
+jobs::JobSpec StartLasting(PlatformFleet& fleet) {
+  jobs::JobSpec job = LastingJob("e");
+  fleet.Accept(job);
+  fleet.WaitFor("the lasting tasks", [&] { return AllRun(fleet, job); });
+  return job;
+}
+
+std::size_t WaitForSuccessor(PlatformFleet& fleet, std::size_t of) {
+  fleet.WaitFor("a successor", [&] {
+    const auto owner = fleet.Owner();
+    return owner && *owner != of;
+  });
+  return *fleet.Owner();
+}
+
 // Guards against forms of jobs that are accepted and never served.
 BOOST_AUTO_TEST_CASE(EachFormOfJobIsServed) {
   PlatformFleet fleet;
@@ -76,10 +91,8 @@
 // Guards against jobs lost, repeated or interrupted when the owner is killed.
 BOOST_AUTO_TEST_CASE(KilledOwnerInterruptsNothing) {
   PlatformFleet fleet;
-  const jobs::JobSpec lasting = LastingJob("e");
+  const jobs::JobSpec lasting = StartLasting(fleet);
   const jobs::JobSpec chain = ChainJob("a");
-  fleet.Accept(lasting);
-  fleet.WaitFor("the lasting tasks", [&] { return AllRun(fleet, lasting); });
   fleet.Accept(chain);
   const std::size_t owner = fleet.WaitForOwner();
   fleet.Signal(owner, SIGKILL);
@@ -98,20 +111,14 @@
 // orders under its old fence.
 BOOST_AUTO_TEST_CASE(ResumedOwnerStaysSuperseded) {
   PlatformFleet fleet;
-  const jobs::JobSpec lasting = LastingJob("e");
-  fleet.Accept(lasting);
-  fleet.WaitFor("the lasting tasks", [&] { return AllRun(fleet, lasting); });
+  const jobs::JobSpec lasting = StartLasting(fleet);
   const std::size_t paused = fleet.WaitForOwner();
   fleet.Signal(paused, SIGSTOP);
-  fleet.WaitFor("a successor", [&] {
-    const auto owner = fleet.Owner();
-    return owner && *owner != paused;
-  });
+  const std::size_t successor = WaitForSuccessor(fleet, paused);
   std::vector<jobs::JobSpec> wanted;
   for (const std::string id : {"1", "2", "3"}) {
     wanted.push_back(ChainJob(id));
   }
-  const std::size_t successor = *fleet.Owner();
   for (const jobs::JobSpec& job : wanted) {
     BOOST_TEST(fleet.Submit(successor, job) == 200);
   }
@@ -146,17 +153,12 @@
 // Guards against a stop that leaves work without an owner or answers falsely.
 BOOST_AUTO_TEST_CASE(StoppedOwnerHandsOverAndExits) {
   PlatformFleet fleet;
-  const jobs::JobSpec lasting = LastingJob("e");
-  fleet.Accept(lasting);
-  fleet.WaitFor("the lasting tasks", [&] { return AllRun(fleet, lasting); });
+  const jobs::JobSpec lasting = StartLasting(fleet);
   const std::size_t stopped = fleet.WaitForOwner();
   fleet.Signal(stopped, SIGTERM);
-  fleet.WaitFor("a successor", [&] {
-    const auto owner = fleet.Owner();
-    return owner && *owner != stopped;
-  });
+  const std::size_t successor = WaitForSuccessor(fleet, stopped);
   const jobs::JobSpec job = ChainJob("a");
-  BOOST_TEST(fleet.Submit(*fleet.Owner(), job) == 200);
+  BOOST_TEST(fleet.Submit(successor, job) == 200);
   const int status = fleet.WaitForExit(stopped);
   BOOST_TEST(WIFEXITED(status));
   BOOST_TEST(WEXITSTATUS(status) == 0);
@@ -210,15 +212,12 @@
 // refuses or answers nobody.
 BOOST_AUTO_TEST_CASE(WorkGoesOnWhileTheStoreIsDown) {
   PlatformFleet fleet;
-  const jobs::JobSpec lasting = LastingJob("e");
+  const jobs::JobSpec lasting = StartLasting(fleet);
   const jobs::JobSpec chain = ChainJob("a");
-  fleet.Accept(lasting);
-  fleet.WaitFor("the lasting tasks", [&] { return AllRun(fleet, lasting); });
   fleet.Accept(chain);
   const auto set_down = [&fleet](bool down) {
-    fleet.platform->With([down](fake::World&, fake::KeyStore& store) {
-      store.SetDown(down);
-    });
+    fleet.platform->With(
+        [down](fake::World&, fake::KeyStore& store) { store.SetDown(down); });
   };
   set_down(true);
   // The second step starts from memory.
@@ -239,9 +238,7 @@
 // could have been moved first.
 BOOST_AUTO_TEST_CASE(WavesKeepTheirLimit) {
   PlatformFleet fleet(3, {.vms = 4});
-  const jobs::JobSpec lasting = LastingJob("e");
-  fleet.Accept(lasting);
-  fleet.WaitFor("the lasting tasks", [&] { return AllRun(fleet, lasting); });
+  const jobs::JobSpec lasting = StartLasting(fleet);
   fleet.platform->RequestWave(1, {"m0", "m1", "m2", "m3"}, 1);
   fleet.WaitFor("the end of the wave", [&] {
     const auto state =
