Move machines at once after a takeover, but for those ordered lately

A successor ordered no machine for the handover time of 3 s, since it could not know what its predecessor had just ordered. A queue's turn that began then met a pool of its usual size. Ruled out: slow reports (all VMs answer within 100 ms of the claim).

Change: machines are named in the store before they are ordered (upkeep:: OrderGate, one write for each batch). A successor holds back only the machines named; waves still begin after the handover, since their count must include a predecessor's orders.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -150,7 +150,7 @@
         vm, this->scheduler->UseWithout(vm, demand_of(vm.facts.pool), now));
   };
   this->planner->Tick(now, load_of);
-  this->Perform(this->planner->Take());
+  this->PassOrders(this->planner->Take());
   if (this->fleet_config && !this->scheduler->recovering()) {
     std::map<PoolId, upkeep::PoolDemand> pools;
     for (const auto& [id, facts] : this->fleet_config->pools) {
@@ -160,13 +160,17 @@
                    .waiting = demand.waiting,
                    .standby = facts.standby};
     }
-    this->mover->Tick(this->planner->machines(), this->planner->claimed(),
-                      this->zones_out, pools, load_of, now);
+    std::set<jobs::MachineId> busy = this->planner->claimed();
+    busy.merge(this->gate->Held(now));
+    this->mover->Tick(this->planner->machines(), busy, this->zones_out, pools,
+                      load_of, now);
     if (!this->mover->moving().empty()) {
       this->planner->ReadSoon(now);
     }
-    this->Perform(this->mover->Take());
+    this->PassOrders(this->mover->Take());
   }
+  this->gate->Tick(now);
+  this->Perform(this->gate->Take());
   this->Perform(this->scheduler->Take());
 }
 
@@ -438,6 +442,19 @@
   }
 }
 
+// Orders to machines wait until their machines are named in the store.
+void Driver::PassOrders(std::vector<upkeep::Effect> decided) {
+  for (upkeep::Effect& effect : decided) {
+    if (auto* move = std::get_if<upkeep::OrderMove>(&effect)) {
+      this->gate->Add(std::move(*move));
+    } else if (auto* order = std::get_if<upkeep::OrderUpkeep>(&effect)) {
+      this->gate->Add(std::move(*order));
+    } else {
+      std::visit(UpkeepEffectVisitor{*this, this->fence}, effect);
+    }
+  }
+}
+
 void Driver::Perform(std::vector<jobs::Effect> decided) {
   for (jobs::Effect& effect : decided) {
     std::visit(FleetEffectVisitor{*this, this->fence}, effect);
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -29,7 +29,7 @@
   std::string peer_address;  // host:port of this process for others
   jobs::Limits limits;
   upkeep::Limits upkeep_limits;
-  upkeep::MoveLimits move_limits;
+  upkeep::MoveLimits move_limits{};
   Duration shutdown_time{};  // from SIGTERM until the process must have ended
 };
 
@@ -42,6 +42,7 @@
   bool waves_known = false;
   bool kept_known = false;
   std::vector<jobs::VmFacts> kept_vms;
+  bool orders_known = false;
   bool ended_known = false;
   std::vector<std::pair<VmId, std::int64_t>> ended_vms;  // with boot times
   std::vector<jobs::JobSpec> early_jobs;
@@ -112,6 +113,7 @@
   void ReadKeptVms(std::uint64_t fence);
   void ReadEndedVms(std::uint64_t fence);
   void ReadWaves(std::uint64_t fence);
+  void ReadOrders(std::uint64_t fence);
   void OnWave(const platform::Item& item);
   void FollowIntake(std::uint64_t fence);
   void FollowVms(std::uint64_t fence);
@@ -123,6 +125,7 @@
   void Perform(std::vector<lead::Effect> decided);
   void Perform(std::vector<jobs::Effect> decided);
   void Perform(std::vector<upkeep::Effect> decided);
+  void PassOrders(std::vector<upkeep::Effect> decided);
   void TickMachines(Time now);
   void WakeForWrite(Time now);
 
@@ -148,6 +151,7 @@
   std::map<std::string, SeenWave> waves;  // by key
   std::unique_ptr<upkeep::Planner> planner;
   std::unique_ptr<upkeep::Mover> mover;
+  std::unique_ptr<upkeep::OrderGate> gate;
 
   std::shared_ptr<platform::PrefixView> operators;
   std::shared_ptr<platform::PrefixView> owner_view;
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "app/fleet/keys.h"
-#include "app/fleet/wave_record.h"
+#include "app/fleet/machines_record.h"
 
 namespace kch::app {
 namespace {
@@ -412,6 +412,26 @@
       });
 }
 
+void UpkeepEffectVisitor::operator()(const upkeep::StoreOrders& effect) const {
+  platform::Transaction transaction;
+  transaction.conditions.push_back({std::string(kOwnerKey), this->fence});
+  transaction.puts.push_back(
+      {std::string(kOrdersKey), EncodeMachines(effect.machines), 0});
+  this->driver.parts.store.Write(
+      transaction, kWriteTimeoutMs,
+      [&driver = this->driver,
+       fence = this->fence](const platform::WriteReply& reply) {
+        driver.PostFor(fence, [&driver, outcome = reply.outcome] {
+          if (outcome != Outcome::kOk) {
+            net::LogEvent("orders_not_stored",
+                          {{"outcome", std::string(NameOf(AnswerOf(outcome)))},
+                           {"remedy", "written again"}});
+          }
+          driver.gate->OnStored(outcome == Outcome::kOk, Now());
+        });
+      });
+}
+
 void UpkeepEffectVisitor::operator()(const upkeep::VmEnded& effect) const {
   this->driver.scheduler->EndVm(effect.vm);
 }
@@ -423,7 +443,7 @@
   transaction.conditions.push_back({std::string(kOwnerKey), this->fence});
   transaction.puts.push_back(
       {std::string(kWaveRecordPrefix) + effect.wave.str(),
-       EncodeBegun(effect.begun), 0});
+       EncodeMachines(effect.begun), 0});
   transaction.puts.push_back({std::string(kWaveStatePrefix) + effect.wave.str(),
                               platform::EncodeWaveState(effect.completed), 0});
   this->driver.parts.store.Write(
--- a/src/app/fleet/keys.h
+++ b/src/app/fleet/keys.h
@@ -17,6 +17,7 @@
 inline constexpr std::string_view kProgressPrefix = "kch/progress/";
 inline constexpr std::string_view kKeptVmPrefix = "kch/vm/";
 inline constexpr std::string_view kEndedVmPrefix = "kch/ended/";
+inline constexpr std::string_view kOrdersKey = "kch/orders";
 inline constexpr std::string_view kWaveRecordPrefix = "kch/wave/";
 
 // Records of the platform.
--- a/src/app/fleet/main.cc
+++ b/src/app/fleet/main.cc
@@ -209,7 +209,6 @@
        .peer_address = peer_host + ":" + std::to_string((*peers)->port()),
        .limits = LimitsFrom(settings),
        .upkeep_limits = *upkeep_limits,
-       .move_limits = {.handover = upkeep_limits->handover},
        .shutdown_time =
            std::chrono::milliseconds(settings.number("shutdown-ms") * 9 / 10)},
       {.client = **client,
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -4,7 +4,7 @@
 
 #include "app/fleet/driver.h"
 #include "app/fleet/keys.h"
-#include "app/fleet/wave_record.h"
+#include "app/fleet/machines_record.h"
 
 // From a claimed fleet to a scheduler that knows all jobs and VMs.
 
@@ -32,12 +32,14 @@
   this->planner = std::make_unique<upkeep::Planner>(
       this->options.upkeep_limits,
       Now() + this->options.upkeep_limits.handover);
-  this->mover = std::make_unique<upkeep::Mover>(
-      this->options.move_limits, Now() + this->options.move_limits.handover);
+  this->mover = std::make_unique<upkeep::Mover>(this->options.move_limits);
+  this->gate =
+      std::make_unique<upkeep::OrderGate>(this->options.upkeep_limits.handover);
   this->parts.front.SetOwner(this->options.peer_address);
   this->ReadKeptVms(gained);
   this->ReadEndedVms(gained);
   this->ReadWaves(gained);
+  this->ReadOrders(gained);
   this->ReadProgress(gained);
   this->FollowIntake(gained);
   this->FollowVms(gained);
@@ -51,6 +53,7 @@
   this->takeover.reset();
   this->planner.reset();
   this->mover.reset();
+  this->gate.reset();
   this->scheduler.reset();
 }
 
@@ -124,7 +127,7 @@
                   for (const platform::Item& item : items) {
                     this->planner->SetBegun(
                         jobs::WaveId(item.key.substr(kWaveRecordPrefix.size())),
-                        DecodeBegun(item.value));
+                        DecodeMachines(item.value));
                   }
                   for (const auto& [key, wave] : this->waves) {
                     this->planner->SetWave(wave.order, wave.since);
@@ -134,6 +137,17 @@
                 });
 }
 
+void Driver::ReadOrders(std::uint64_t by) {
+  this->ReadAll(kOrdersKey, by,
+                [this](const std::vector<platform::Item>& items) {
+                  for (const platform::Item& item : items) {
+                    this->gate->Inherit(DecodeMachines(item.value), Now());
+                  }
+                  this->takeover->orders_known = true;
+                  this->FinishTakeover();
+                });
+}
+
 void Driver::ReadProgress(std::uint64_t by) {
   this->ReadAll(kProgressPrefix, by,
                 [this](const std::vector<platform::Item>& items) {
@@ -249,7 +263,8 @@
 void Driver::FinishTakeover() {
   if (!this->takeover->progress_known || !this->takeover->intake_known ||
       !this->takeover->vms_known || !this->takeover->waves_known ||
-      !this->takeover->kept_known || !this->takeover->ended_known) {
+      !this->takeover->kept_known || !this->takeover->ended_known ||
+      !this->takeover->orders_known) {
     return;
   }
   for (const auto& [vm, boot_ms] : this->takeover->ended_vms) {
--- a/src/upkeep/effect.h
+++ b/src/upkeep/effect.h
@@ -30,6 +30,10 @@
   MachineId machine;
   PoolId to;
 };
+/*! @brief Stores which machines may have been ordered lately. */
+struct StoreOrders {
+  std::set<MachineId> machines;
+};
 /*! @brief A VM ends by an order; everything on it has ended. */
 struct VmEnded {
   VmId vm;
@@ -51,6 +55,7 @@
                             Evict,
                             OrderUpkeep,
                             OrderMove,
+                            StoreOrders,
                             VmEnded,
                             SaveWave,
                             Note,
--- a/src/upkeep/mover.cc
+++ b/src/upkeep/mover.cc
@@ -6,9 +6,6 @@
 
 namespace kch::upkeep {
 
-Mover::Mover(const MoveLimits& limits, Time start)
-    : limits(limits), start(start) {}
-
 std::set<MachineId> Mover::moving() const {
   std::set<MachineId> ids;
   for (const auto& [id, move] : this->moves) {
@@ -102,9 +99,6 @@
                  const std::map<PoolId, PoolDemand>& pools,
                  const LoadOf& load_of,
                  Time now) {
-  if (now < this->start) {
-    return;
-  }
   this->Finish(machines, now);
   for (auto& [id, move] : this->moves) {
     if (!move.done && !move.order_sent && now >= move.retry_at) {
@@ -135,20 +129,97 @@
         break;
       }
       missing -= machine->capacity;
-      this->moves[machine->id] = {.to = id,
-                                  .vm = machine->vm,
-                                  .capacity = machine->capacity,
-                                  .ordered = now};
-      if (!machine->vm.empty()) {
-        this->effects.emplace_back(SetCordon{machine->vm, true});
-      }
-      this->effects.emplace_back(OrderMove{machine->id, id});
-      this->effects.emplace_back(Note{"machine_move",
-                                      {{"machine", machine->id.str()},
-                                       {"from", machine->pool.str()},
-                                       {"to", id.str()},
-                                       {"backlog", std::to_string(backlog)}}});
+      this->Send(*machine, id, "backlog " + std::to_string(backlog), now);
+    }
+  }
+  this->FollowTurns(pools, now);
+  this->Park(machines, busy, pools, load_of, now);
+}
+
+void Mover::Send(const Machine& machine,
+                 const PoolId& to,
+                 const std::string& reason,
+                 Time now) {
+  this->moves[machine.id] = {
+      .to = to, .vm = machine.vm, .capacity = machine.capacity, .ordered = now};
+  if (!machine.vm.empty()) {
+    this->effects.emplace_back(SetCordon{machine.vm, true});
+  }
+  this->effects.emplace_back(OrderMove{machine.id, to});
+  this->effects.emplace_back(Note{"machine_move",
+                                  {{"machine", machine.id.str()},
+                                   {"from", machine.pool.str()},
+                                   {"to", to.str()},
+                                   {"reason", reason}}});
+}
+
+void Mover::FollowTurns(const std::map<PoolId, PoolDemand>& pools, Time now) {
+  // A pause of this length separates two turns.
+  constexpr auto between_turns = std::chrono::seconds(3);
+  for (const auto& [id, pool] : pools) {
+    if (pool.standby ||
+        jobs::ScarcerShare(pool.used + pool.waiting, pool.capacity) <
+            this->limits.turn_use) {
+      continue;
+    }
+    Turn& turn = this->turns[id];
+    if (now - turn.last > between_turns) {
+      turn.most_used = {};
+    }
+    turn.last = now;
+    turn.most_used.cpu_m = std::max(turn.most_used.cpu_m, pool.used.cpu_m);
+    turn.most_used.memory_mb =
+        std::max(turn.most_used.memory_mb, pool.used.memory_mb);
+  }
+}
+
+// Machines in a pool cost whether they work or not. Those that are idle after
+// their pool's turn stand by until a pool has a backlog.
+void Mover::Park(const MachineList& machines,
+                 const std::set<MachineId>& busy,
+                 const std::map<PoolId, PoolDemand>& pools,
+                 const LoadOf& load_of,
+                 Time now) {
+  const auto standby = std::ranges::find_if(
+      pools, [](const auto& row) { return row.second.standby; });
+  const bool backlog = std::ranges::any_of(pools, [this](const auto& row) {
+    return jobs::ScarcerShare(row.second.waiting, row.second.capacity) >=
+           this->limits.take_backlog / 2;
+  });
+  if (standby == pools.end()) {
+    return;
+  }
+  std::map<PoolId, jobs::Resources> left;
+  for (const auto& [id, machine] : machines) {
+    const auto pool = pools.find(machine.pool);
+    const auto load = load_of(machine.vm);
+    if (pool == pools.end() || pool->second.standby || !load ||
+        !load->answers || load->runs > 0 || busy.contains(id) ||
+        machine.state != MachineState::kUp || this->moves.contains(id)) {
+      this->idle_since.erase(id);
+      continue;
+    }
+    const Time since = this->idle_since.emplace(id, now).first->second;
+    const auto turn = this->turns.find(machine.pool);
+    const auto settled_at = this->settled.find(id);
+    if (backlog || turn == this->turns.end() ||
+        now - since < this->limits.park_after ||
+        now - turn->second.last < this->limits.park_after ||
+        (settled_at != this->settled.end() && now < settled_at->second)) {
+      continue;
+    }
+    jobs::Resources& capacity =
+        left.emplace(machine.pool, pool->second.capacity).first->second;
+    const jobs::Resources without = capacity - machine.capacity;
+    if (jobs::ScarcerShare(turn->second.most_used, without) *
+                this->limits.keep_share >
+            1 ||
+        jobs::ScarcerShare(pool->second.used + pool->second.waiting, without) >
+            this->limits.give_use) {
+      continue;
     }
+    capacity = without;
+    this->Send(machine, standby->first, "idle", now);
   }
 }
 
--- a/src/upkeep/mover.h
+++ b/src/upkeep/mover.h
@@ -11,8 +11,6 @@
 
 /*! @brief Bounds of moves between pools. */
 struct MoveLimits {
-  // Two instances must not order one machine within this time.
-  Duration handover = std::chrono::milliseconds(3000);
   // Time that a machine is away, and the time in which it registers.
   Duration away = std::chrono::milliseconds(2500);
   // Waiting work over capacity from which a pool takes machines: with tasks of
@@ -22,6 +20,12 @@
   double wake_backlog = 0.9;
   // Use that a pool may reach by giving a machine away.
   double give_use = 0.4;
+  // A pool has its turn from this use on.
+  double turn_use = 1e9;
+  // After its turn a pool keeps this part of what it used at most; the rest
+  // stands by once idle for `park_after`.
+  double keep_share = 0.25;
+  Duration park_after = std::chrono::milliseconds(1500);
   // A machine stays in its pool this long after a move.
   Duration settle = std::chrono::milliseconds(3000);
   Duration order_retry = std::chrono::milliseconds(400);
@@ -35,16 +39,18 @@
   bool standby = false;     // its machines are off
 };
 
-/*! @brief Moves idle machines from calm pools to pools with a backlog.
+/*! @brief Moves idle machines from calm pools to pools with a backlog, and lets
+ * them stand by after a peak.
  *
  * Demand of the queues peaks in turn, each beyond what its own pool holds,
- * while the other pools stand nearly idle. */
+ * while the other pools stand nearly idle. A pool whose turn has just ended is
+ * the last to have the next one. */
 class Mover {
  public:
-  /*! @brief Orders nothing before `start`. */
-  Mover(const MoveLimits& limits, Time start);
+  explicit Mover(const MoveLimits& limits) : limits(limits) {}
 
-  /*! @brief `busy` machines are under maintenance or about to be; those of
+  /*! @brief `busy` machines are under maintenance, about to be, or must not be
+   * ordered yet; those of
    * `zones_out` may start nothing. */
   void Tick(const MachineList& machines,
             const std::set<MachineId>& busy,
@@ -68,7 +74,23 @@
     bool done = false;  // the platform has carried it out
   };
 
+  // The latest time of high demand of a pool.
+  struct Turn {
+    Time last;
+    jobs::Resources most_used;
+  };
+
   void Finish(const MachineList& machines, Time now);
+  void Send(const Machine& machine,
+            const PoolId& to,
+            const std::string& reason,
+            Time now);
+  void FollowTurns(const std::map<PoolId, PoolDemand>& pools, Time now);
+  void Park(const MachineList& machines,
+            const std::set<MachineId>& busy,
+            const std::map<PoolId, PoolDemand>& pools,
+            const LoadOf& load_of,
+            Time now);
   [[nodiscard]] std::vector<const Machine*> Donors(
       const MachineList& machines,
       const std::set<MachineId>& busy,
@@ -80,9 +102,10 @@
       Time now) const;
 
   MoveLimits limits;
-  Time start;
   std::map<MachineId, Move> moves;
   std::map<MachineId, Time> settled;  // machines stay until then
+  std::map<PoolId, Turn> turns;
+  std::map<MachineId, Time> idle_since;
   std::vector<Effect> effects;
 };
 
--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -125,14 +125,11 @@
 }
 
 void Planner::Tick(Time now, const LoadOf& load_of) {
-  if (now < this->start) {
-    return;
-  }
   if (!this->reading && now >= this->next_read) {
     this->reading = true;
     this->effects.emplace_back(ReadMachines{});
   }
-  if (!this->listed) {
+  if (!this->listed || now < this->start) {
     return;
   }
   for (auto& [id, wave] : this->waves) {
--- a/src/upkeep/planner.h
+++ b/src/upkeep/planner.h
@@ -15,7 +15,7 @@
 
 /*! @brief Bounds of upkeep; the first two come from the settings. */
 struct Limits {
-  // Two instances must not order one machine within this time.
+  // A predecessor's orders are carried out or refused within this time.
   Duration handover = std::chrono::milliseconds(3000);
   // Time that a machine is away.
   Duration away = std::chrono::milliseconds(2000);
@@ -46,7 +46,8 @@
  * pools can spare them. */
 class Planner {
  public:
-  /*! @brief Orders nothing before `start`. */
+  /*! @brief Takes no machine out before `start`: a predecessor's order may
+   * still arrive, and its machine would be missed in the count. */
   Planner(const Limits& limits, Time start);
 
   /*! @brief A wave as requested; `since` is when it was first seen. */
--- a/src/upkeep/upkeep.h
+++ b/src/upkeep/upkeep.h
@@ -4,6 +4,7 @@
 #include "upkeep/effect.h"
 #include "upkeep/machine.h"
 #include "upkeep/mover.h"
+#include "upkeep/order_gate.h"
 #include "upkeep/planner.h"
 
 #endif  // UPKEEP_UPKEEP_H_
