Pack endless tasks on the fullest VMs that have room

Of 41 machines 36 ran nothing but endless tasks, about one core each, so next to none could move when a queue's turn began; the first turn had 12 machines for 4 s and 24 later.

Change: endless tasks go to the VM with the least room, within their limit for a VM. Others spread as before.

--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -231,8 +231,9 @@
 }
 
 // The VM with the most room, since estimates of run times are rough and an even
-// load leaves room on every VM. Serving tasks and tasks that fill disturb each
-// other and are kept apart where possible.
+// load leaves room on every VM. Endless tasks go where there is least room, so
+// that machines without any can move to another pool or stand by. Serving tasks
+// and tasks that fill disturb each other and are kept apart where possible.
 Vm* Scheduler::ChooseVm(const Task& task, const Pool& pool, Time now) {
   const StepSpec& spec = task.spec();
   const Unit unit{task.job, task.occurrence, task.step};
@@ -250,7 +251,8 @@
     const bool doubtful = !task.failed_runs.empty() &&
                           (vm.facts.id == task.avoid || vm.failures_in_row > 0);
     return std::tuple(doubtful, vm.facts.id == task.avoid, other_rack,
-                      conflicts, -vm.FreeShare());
+                      conflicts,
+                      spec.endless ? vm.FreeShare() : -vm.FreeShare());
   };
   Vm* best = nullptr;
   for (const auto& [vm_id, vm] : pool.vms) {
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "test/jobs/fleet_sim.h"
@@ -144,9 +145,13 @@
 // A VM that does not answer the new scheduler may run anything of its pool.
 BOOST_AUTO_TEST_CASE(TakeoverWaitsForTheLeaseOfASilentVm) {
   FleetSim sim;
-  WithVms(sim, 2);
-  sim.Submit(EndlessJob("a", 2));
+  sim.AddVm("vm0", "p", kVmSize);
+  sim.AddVm("vm1", "p", kVmSize + kVmSize);
+  JobSpec job = EndlessJob("a", 3);
+  job.steps[0].need.cpu_m = 3000;
+  sim.Submit(job);
   sim.Run(500);
+  BOOST_TEST(sim.vms.at("vm0")->runs.size() == 2);
   sim.vms.at("vm0")->dark = true;
   sim.Takeover();
   sim.Run(2000);
@@ -155,7 +160,7 @@
   BOOST_TEST(sim.RunUntil(
       [&] { return sim.StateOf("fresh") == JobState::kCompleted; }, 500));
   BOOST_TEST(
-      sim.RunUntil([&] { return sim.vms.at("vm1")->runs.size() == 2; }, 6000));
+      sim.RunUntil([&] { return sim.vms.at("vm1")->runs.size() == 3; }, 6000));
   BOOST_TEST(Breaches(sim) == "");
 }
 
@@ -455,6 +460,30 @@
   BOOST_TEST(Breaches(sim) == "");
 }
 
+// The load pattern: a few small tasks that last beside queues whose demand peaks
+// in turn. Spread over all VMs they left no machine free to move to the peak.
+BOOST_AUTO_TEST_CASE(LastingTasksShareFewVms) {
+  FleetSim sim;
+  WithVms(sim, 8);
+  for (const char* id : {"a", "b", "c"}) {
+    JobSpec job = EndlessJob(id, 4);
+    job.steps[0].max_per_vm = 2;
+    sim.Submit(job);
+  }
+  sim.Run(500);
+  const auto count_busy = [&sim] {
+    return std::ranges::count_if(
+        sim.vms, [](const auto& row) { return !row.second->runs.empty(); });
+  };
+  // Two VMs hold the twelve tasks; no VM may have three of one step.
+  BOOST_TEST(count_busy() == 2);
+  // Tasks that end still spread, since estimates of their times are rough.
+  sim.Submit(SimpleJob("d", "q", 6, 1000, 500));
+  sim.Run(100);
+  BOOST_TEST(count_busy() == 8);
+  BOOST_TEST(Breaches(sim) == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::jobs::test
