Let idle machines stand by, but for a reserve of each pool

Change: a machine idle for 1.5 s stands by unless its pool needs it for the start of its turn: a third of what pools have on average stays free. A backlog takes what exceeds the reserves first, then machines that stand by, then the reserves of calm pools; a pool keeps its last machine.

--- a/src/upkeep/mover.cc
+++ b/src/upkeep/mover.cc
@@ -31,65 +31,67 @@
   }
 }
 
-// Idle machines of pools that can spare them, those of the calmest pool first;
-// machines that stand by come last, since they cost while they are in use.
-std::vector<const Machine*> Mover::Donors(
+// Machines on which nothing runs, those that stand by too.
+std::vector<const Machine*> Mover::Idle(
     const MachineList& machines,
     const std::set<MachineId>& busy,
-    const std::set<ZoneId>& zones_out,
     const std::map<PoolId, PoolDemand>& pools,
     const LoadOf& load_of,
-    const PoolId& to,
-    bool wake,
     Time now) const {
-  struct Candidate {
-    bool standby = false;
-    double use = 0;
-    const Machine* machine = nullptr;
-  };
-  std::vector<Candidate> candidates;
+  std::vector<const Machine*> idle;
   for (const auto& [id, machine] : machines) {
     const auto settled_at = this->settled.find(id);
     const auto pool = pools.find(machine.pool);
-    if (machine.pool == to || machine.state != MachineState::kUp ||
-        busy.contains(id) || zones_out.contains(machine.zone) ||
+    if (machine.state != MachineState::kUp || busy.contains(id) ||
         this->moves.contains(id) || pool == pools.end() ||
         (settled_at != this->settled.end() && now < settled_at->second)) {
       continue;
     }
-    if (pool->second.standby) {
-      if (wake) {
-        candidates.push_back({true, 0, &machine});
-      }
-      continue;
-    }
     const auto load = load_of(machine.vm);
-    if (!load || !load->answers || load->runs > 0 ||
-        load->pool_use_without > this->limits.give_use) {
-      continue;
+    if (pool->second.standby || (load && load->answers && load->runs == 0)) {
+      idle.push_back(&machine);
     }
-    candidates.push_back({false, load->pool_use_without, &machine});
   }
-  std::ranges::sort(
-      candidates, [](const Candidate& left, const Candidate& right) {
-        return std::tie(left.standby, left.use, left.machine->id) <
-               std::tie(right.standby, right.use, right.machine->id);
-      });
-  std::vector<const Machine*> donors;
+  return idle;
+}
+
+// In this order: idle machines beyond what their pools keep, those that stand
+// by, and those that calm pools keep for their own turns.
+std::vector<const Machine*> Mover::Donors(
+    const std::vector<const Machine*>& idle,
+    const std::set<ZoneId>& zones_out,
+    const std::map<PoolId, PoolDemand>& pools,
+    const jobs::Resources& reserve,
+    const PoolId& to) const {
+  std::vector<const Machine*> surplus;
+  std::vector<const Machine*> standby;
+  std::vector<const Machine*> kept;
   std::map<PoolId, jobs::Resources> given;
-  for (const Candidate& candidate : candidates) {
-    const PoolDemand& pool = pools.at(candidate.machine->pool);
-    jobs::Resources& gone = given[candidate.machine->pool];
-    const jobs::Resources left =
-        pool.capacity - gone - candidate.machine->capacity;
-    if (!candidate.standby &&
-        jobs::ScarcerShare(pool.used + pool.waiting, left) >
-            this->limits.give_use) {
+  for (const Machine* machine : idle) {
+    const PoolDemand& pool = pools.at(machine->pool);
+    if (machine->pool == to || zones_out.contains(machine->zone)) {
       continue;
     }
-    gone += candidate.machine->capacity;
-    donors.push_back(candidate.machine);
+    if (pool.standby) {
+      standby.push_back(machine);
+      continue;
+    }
+    jobs::Resources& gone = given[machine->pool];
+    const jobs::Resources left = pool.capacity - gone - machine->capacity;
+    const jobs::Resources wanted = pool.used + pool.waiting;
+    if ((wanted + reserve).Within(left)) {
+      surplus.push_back(machine);
+    } else if (left.cpu_m > 0 &&
+               jobs::ScarcerShare(wanted, left) <= this->limits.give_use) {
+      kept.push_back(machine);
+    } else {
+      continue;
+    }
+    gone += machine->capacity;
   }
+  std::vector<const Machine*> donors = std::move(surplus);
+  donors.insert(donors.end(), standby.begin(), standby.end());
+  donors.insert(donors.end(), kept.begin(), kept.end());
   return donors;
 }
 
@@ -106,6 +108,17 @@
       this->effects.emplace_back(OrderMove{id, move.to});
     }
   }
+  jobs::Resources reserve;
+  for (const auto& [id, machine] : machines) {
+    reserve += machine.capacity;
+  }
+  const auto serving = std::ranges::count_if(
+      pools, [](const auto& row) { return !row.second.standby; });
+  const double part =
+      this->limits.keep_free / static_cast<double>(std::max<long>(1, serving));
+  reserve = {static_cast<std::int64_t>(part * double(reserve.cpu_m)),
+             static_cast<std::int64_t>(part * double(reserve.memory_mb)), 0};
+  bool backlogged = false;
   for (const auto& [id, pool] : pools) {
     if (pool.standby) {
       continue;
@@ -117,12 +130,13 @@
       }
     }
     const double backlog = jobs::ScarcerShare(pool.waiting, capacity);
+    backlogged = backlogged || backlog >= this->limits.take_backlog / 2;
     if (backlog < this->limits.take_backlog) {
       continue;
     }
     const std::vector<const Machine*> donors =
-        this->Donors(machines, busy, zones_out, pools, load_of, id,
-                     backlog >= this->limits.wake_backlog, now);
+        this->Donors(this->Idle(machines, busy, pools, load_of, now), zones_out,
+                     pools, reserve, id);
     jobs::Resources missing = pool.used + pool.waiting - capacity;
     for (const Machine* machine : donors) {
       if (missing.cpu_m <= 0 && missing.memory_mb <= 0) {
@@ -132,8 +146,17 @@
       this->Send(*machine, id, "backlog " + std::to_string(backlog), now);
     }
   }
-  this->FollowTurns(pools, now);
-  this->Park(machines, busy, pools, load_of, now);
+  const auto idle = this->Idle(machines, busy, pools, load_of, now);
+  std::map<MachineId, Time> still_idle;
+  for (const Machine* machine : idle) {
+    const auto known = this->idle_since.find(machine->id);
+    still_idle[machine->id] =
+        known == this->idle_since.end() ? now : known->second;
+  }
+  this->idle_since = std::move(still_idle);
+  if (!backlogged) {
+    this->Park(idle, pools, reserve, now);
+  }
 }
 
 void Mover::Send(const Machine& machine,
@@ -153,73 +176,29 @@
                                    {"reason", reason}}});
 }
 
-void Mover::FollowTurns(const std::map<PoolId, PoolDemand>& pools, Time now) {
-  // A pause of this length separates two turns.
-  constexpr auto between_turns = std::chrono::seconds(3);
-  for (const auto& [id, pool] : pools) {
-    if (pool.standby ||
-        jobs::ScarcerShare(pool.used + pool.waiting, pool.capacity) <
-            this->limits.turn_use) {
-      continue;
-    }
-    Turn& turn = this->turns[id];
-    if (now - turn.last > between_turns) {
-      turn.most_used = {};
-    }
-    turn.last = now;
-    turn.most_used.cpu_m = std::max(turn.most_used.cpu_m, pool.used.cpu_m);
-    turn.most_used.memory_mb =
-        std::max(turn.most_used.memory_mb, pool.used.memory_mb);
-  }
-}
-
-// Machines in a pool cost whether they work or not. Those that are idle after
-// their pool's turn stand by until a pool has a backlog.
-void Mover::Park(const MachineList& machines,
-                 const std::set<MachineId>& busy,
+// Machines in a pool cost whether they work or not.
+void Mover::Park(const std::vector<const Machine*>& idle,
                  const std::map<PoolId, PoolDemand>& pools,
-                 const LoadOf& load_of,
+                 const jobs::Resources& reserve,
                  Time now) {
   const auto standby = std::ranges::find_if(
       pools, [](const auto& row) { return row.second.standby; });
-  const bool backlog = std::ranges::any_of(pools, [this](const auto& row) {
-    return jobs::ScarcerShare(row.second.waiting, row.second.capacity) >=
-           this->limits.take_backlog / 2;
-  });
   if (standby == pools.end()) {
     return;
   }
-  std::map<PoolId, jobs::Resources> left;
-  for (const auto& [id, machine] : machines) {
-    const auto pool = pools.find(machine.pool);
-    const auto load = load_of(machine.vm);
-    if (pool == pools.end() || pool->second.standby || !load ||
-        !load->answers || load->runs > 0 || busy.contains(id) ||
-        machine.state != MachineState::kUp || this->moves.contains(id)) {
-      this->idle_since.erase(id);
-      continue;
-    }
-    const Time since = this->idle_since.emplace(id, now).first->second;
-    const auto turn = this->turns.find(machine.pool);
-    const auto settled_at = this->settled.find(id);
-    if (backlog || turn == this->turns.end() ||
-        now - since < this->limits.park_after ||
-        now - turn->second.last < this->limits.park_after ||
-        (settled_at != this->settled.end() && now < settled_at->second)) {
+  std::map<PoolId, jobs::Resources> given;
+  for (const Machine* machine : idle) {
+    const PoolDemand& pool = pools.at(machine->pool);
+    if (pool.standby ||
+        now - this->idle_since.at(machine->id) < this->limits.park_after) {
       continue;
     }
-    jobs::Resources& capacity =
-        left.emplace(machine.pool, pool->second.capacity).first->second;
-    const jobs::Resources without = capacity - machine.capacity;
-    if (jobs::ScarcerShare(turn->second.most_used, without) *
-                this->limits.keep_share >
-            1 ||
-        jobs::ScarcerShare(pool->second.used + pool->second.waiting, without) >
-            this->limits.give_use) {
-      continue;
+    jobs::Resources& gone = given[machine->pool];
+    const jobs::Resources left = pool.capacity - gone - machine->capacity;
+    if ((pool.used + pool.waiting + reserve).Within(left)) {
+      gone += machine->capacity;
+      this->Send(*machine, standby->first, "idle", now);
     }
-    capacity = without;
-    this->Send(machine, standby->first, "idle", now);
   }
 }
 
--- a/src/upkeep/mover.h
+++ b/src/upkeep/mover.h
@@ -16,15 +16,13 @@
   // Waiting work over capacity from which a pool takes machines: with tasks of
   // a second, about the time that a move takes away.
   double take_backlog = 0.4;
-  // The same for machines that stand by, which cost while they are in use.
-  double wake_backlog = 0.9;
   // Use that a pool may reach by giving a machine away.
   double give_use = 0.4;
-  // A pool has its turn from this use on.
-  double turn_use = 1e9;
-  // After its turn a pool keeps this part of what it used at most; the rest
-  // stands by once idle for `park_after`.
-  double keep_share = 0.25;
+  // Free capacity that a calm pool keeps for the start of its turn, as a part
+  // of what each pool has on average. With a rise of demand to twice that
+  // within the time of a move, it covers half of that time.
+  double keep_free = 0.33;
+  // A machine stands by once it is idle this long.
   Duration park_after = std::chrono::milliseconds(1500);
   // A machine stays in its pool this long after a move.
   Duration settle = std::chrono::milliseconds(3000);
@@ -40,11 +38,11 @@
 };
 
 /*! @brief Moves idle machines from calm pools to pools with a backlog, and lets
- * them stand by after a peak.
+ * the others stand by.
  *
  * Demand of the queues peaks in turn, each beyond what its own pool holds,
- * while the other pools stand nearly idle. A pool whose turn has just ended is
- * the last to have the next one. */
+ * while the other pools stand nearly idle. A machine that stands by is at work
+ * as soon as an idle one of another pool, but does not cost. */
 class Mover {
  public:
   explicit Mover(const MoveLimits& limits) : limits(limits) {}
@@ -74,37 +72,31 @@
     bool done = false;  // the platform has carried it out
   };
 
-  // The latest time of high demand of a pool.
-  struct Turn {
-    Time last;
-    jobs::Resources most_used;
-  };
-
   void Finish(const MachineList& machines, Time now);
   void Send(const Machine& machine,
             const PoolId& to,
             const std::string& reason,
             Time now);
-  void FollowTurns(const std::map<PoolId, PoolDemand>& pools, Time now);
-  void Park(const MachineList& machines,
-            const std::set<MachineId>& busy,
+  void Park(const std::vector<const Machine*>& idle,
             const std::map<PoolId, PoolDemand>& pools,
-            const LoadOf& load_of,
+            const jobs::Resources& reserve,
             Time now);
-  [[nodiscard]] std::vector<const Machine*> Donors(
+  [[nodiscard]] std::vector<const Machine*> Idle(
       const MachineList& machines,
       const std::set<MachineId>& busy,
-      const std::set<ZoneId>& zones_out,
       const std::map<PoolId, PoolDemand>& pools,
       const LoadOf& load_of,
-      const PoolId& to,
-      bool wake,
       Time now) const;
+  [[nodiscard]] std::vector<const Machine*> Donors(
+      const std::vector<const Machine*>& idle,
+      const std::set<ZoneId>& zones_out,
+      const std::map<PoolId, PoolDemand>& pools,
+      const jobs::Resources& reserve,
+      const PoolId& to) const;
 
   MoveLimits limits;
   std::map<MachineId, Move> moves;
   std::map<MachineId, Time> settled;  // machines stay until then
-  std::map<PoolId, Turn> turns;
   std::map<MachineId, Time> idle_since;
   std::vector<Effect> effects;
 };
