Pack all tasks, and spread a step's endless ones as far as they may be missed

After a queue's turn 29 machines ran 528 to 149 cores of its last tasks, one or two on each, while the next queue had a backlog of 230 cores and no machine could move.

Change: each task goes to the VM with the least room that takes it; endless tasks of one step share a VM only as far as the step may miss them, where others have room.

--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -230,18 +230,21 @@
   return true;
 }
 
-// The VM with the most room, since estimates of run times are rough and an even
-// load leaves room on every VM. Endless tasks go where there is least room, so
-// that machines without any can move to another pool or stand by. Serving tasks
-// and tasks that fill disturb each other and are kept apart where possible.
+// The VM with the least room that takes the task. Demand moves from pool to pool,
+// and only machines on which nothing runs can follow it or stand by. Endless
+// tasks of a step are spread as far as they may be missed, so that a VM can be
+// emptied, or be lost, in one go. Serving tasks and tasks that fill disturb each
+// other and are kept apart where possible.
 Vm* Scheduler::ChooseVm(const Task& task, const Pool& pool, Time now) {
   const StepSpec& spec = task.spec();
   const Unit unit{task.job, task.occurrence, task.step};
   const bool advised = this->QueueOf(*task.job).advised;
   const auto score = [&](const Vm& vm) {
     std::int32_t conflicts = 0;
+    std::int32_t siblings = 0;
     for (const Task* other : vm.runs) {
       const StepSpec& beside = other->spec();
+      siblings += &beside == &spec;
       conflicts += (spec.fills && beside.target_ms > 0) ||
                    (spec.target_ms > 0 && beside.fills);
     }
@@ -250,9 +253,9 @@
     // of whose fault it was.
     const bool doubtful = !task.failed_runs.empty() &&
                           (vm.facts.id == task.avoid || vm.failures_in_row > 0);
+    const bool crowded = spec.endless && siblings >= std::max(1, spec.may_miss);
     return std::tuple(doubtful, vm.facts.id == task.avoid, other_rack,
-                      conflicts,
-                      spec.endless ? vm.FreeShare() : -vm.FreeShare());
+                      conflicts, crowded, vm.FreeShare());
   };
   Vm* best = nullptr;
   for (const auto& [vm_id, vm] : pool.vms) {
