Run claimed requests to their end during a graceful stop

A scheduler that stops handed back as not run every job that was not running, also those whose request ids it had claimed or was claiming. Nobody else may run a claimed request, so the next scheduler answered unknown. Ruled out: the origin's second submission, which is right for unclaimed jobs.

Change: claimed jobs stay queued and start during the shutdown, which waits for them as for running tasks.

--- a/src/engine/entry.cc
+++ b/src/engine/entry.cc
@@ -536,7 +536,8 @@
     return;
   }
   const Duration age = now - *this->stop_began;
-  const bool idle = this->jobs.running() == 0 && this->origin.size() == 0;
+  const bool idle = this->jobs.running() == 0 && !this->jobs.HoldsClaims() &&
+                    this->origin.size() == 0;
   if (!this->release_began && ((idle && age >= this->core.settings.min_drain) ||
                                age >= this->core.settings.max_drain)) {
     this->release_began = now;
--- a/src/engine/entry.h
+++ b/src/engine/entry.h
@@ -47,6 +47,10 @@
     return this->core.membership;
   }
   /*! @brief Permits, for reports. */
+  /*! @brief Version of the members' record as last read. */
+  [[nodiscard]] std::uint64_t known_members() const {
+    return this->members_version;
+  }
   [[nodiscard]] const permit::Agent& permits() const {
     return this->core.permits;
   }
--- a/src/engine/scheduler.cc
+++ b/src/engine/scheduler.cc
@@ -345,21 +345,37 @@
   }
 }
 
-bool Scheduler::MayStart(const Pool& pool, Time now) const {
-  return !this->core.stopping && this->core.Fresh(now) &&
+// True if what this entry knows is recent enough for a start.
+bool Scheduler::Informed(const Pool& pool, Time now) const {
+  return this->core.Fresh(now) &&
          !(pool.behind_since && now - *pool.behind_since > member::kFreshFor);
 }
 
+// During a shutdown only claimed jobs start: no other entry may run them, and
+// they would end as unknown.
+bool Scheduler::MayStart(const Work& work, const Pool& pool, Time now) const {
+  return (!this->core.stopping || work.claimed) && this->Informed(pool, now);
+}
+
+bool Scheduler::HoldsClaims() const {
+  return std::ranges::any_of(this->works, [](const auto& row) {
+    return row.second->state == WorkState::kQueued && row.second->claimed;
+  });
+}
+
 // Starts waiting jobs on free slots. Everything that may have changed since a
 // job arrived is checked here again: freshness, key, team, permits; zones and
 // leaving VMs are not usable in the pool's targets.
 void Scheduler::Dispatch(Pool& pool, Time now) {
-  if (!this->MayStart(pool, now)) {
+  if (!this->Informed(pool, now)) {
     return;
   }
   std::vector<std::pair<TaskId, Reason>> rejected;
   const auto eligible = [&](const share::Waiting& waiting) {
     const Work& work = *this->works.at(waiting.task);
+    if (!this->MayStart(work, pool, now)) {
+      return share::Eligibility::kTaskBlocked;
+    }
     if (this->core.settings.fifo) {
       if (now > work.deadline) {
         rejected.emplace_back(waiting.task, Reason::kDeadline);
@@ -468,7 +484,7 @@
   }
   const Pool* pool = this->FindPool(work.job.pool);
   const bool usable = pool->targets.Counters(work.attempt->vm, now).usable;
-  if (!this->MayStart(*pool, now) || this->Invalid(work.job) || !usable) {
+  if (!this->MayStart(work, *pool, now) || this->Invalid(work.job) || !usable) {
     this->Withdraw(work, now);
     return;
   }
@@ -502,7 +518,7 @@
 
 // Puts a job back into the queue; during a shutdown its sender takes it back.
 void Scheduler::Requeue(Work& work, Time now) {
-  if (this->core.stopping) {
+  if (this->core.stopping && !work.claimed) {
     this->Finish(
         work,
         {.kind = work.maybe_sent ? OutcomeKind::kUnknown : OutcomeKind::kNotRun,
@@ -564,7 +580,7 @@
 void Scheduler::Stop(Time now) {
   std::vector<Work*> waiting;
   for (const auto& [id, work] : this->works) {
-    if (work->state == WorkState::kQueued) {
+    if (work->state == WorkState::kQueued && !work->claimed) {
       waiting.push_back(work.get());
     }
   }
--- a/src/engine/scheduler.h
+++ b/src/engine/scheduler.h
@@ -71,6 +71,8 @@
   [[nodiscard]] const Work* Find(const std::string& id) const;
   /*! @brief Tasks that run against permits of this entry, or may. */
   [[nodiscard]] std::size_t running() const { return this->attempts.size(); }
+  /*! @brief True if jobs wait whose request ids this entry has claimed. */
+  [[nodiscard]] bool HoldsClaims() const;
 
  private:
   // Permits that a task may still use although nobody waits for it.
@@ -109,7 +111,10 @@
   void TakeAdoptions(Time now);
   void PollTargets(Pool& pool, Time now);
   void ReadRecord(Pool& pool, Time now);
-  [[nodiscard]] bool MayStart(const Pool& pool, Time now) const;
+  [[nodiscard]] bool Informed(const Pool& pool, Time now) const;
+  [[nodiscard]] bool MayStart(const Work& work,
+                              const Pool& pool,
+                              Time now) const;
   void NoteOwner(Pool& pool, Time now);
   void NoteOthers(Pool& pool,
                   const VmId& vm,
--- a/src/engine/scheduler_attempt.cc
+++ b/src/engine/scheduler_attempt.cc
@@ -334,7 +334,7 @@
     return;
   }
   Pool* pool = this->FindPool(order.job.pool);
-  if (pool == nullptr || !this->MayStart(*pool, now) ||
+  if (pool == nullptr || this->core.stopping || !this->Informed(*pool, now) ||
       this->Invalid(order.job) ||
       !pool->targets.Counters(order.attempt.vm, now).usable) {
     refuse(AttemptStatus::kExpired, "the delegate may not start it");
--- a/test/engine/entry_test.cc
+++ b/test/engine/entry_test.cc
@@ -115,6 +115,30 @@
   BOOST_TEST(fleet.breach == "");
 }
 
+// process.StoppedEntryInterruptsNothing: a scheduler that stops while it claims
+// the ids of unrepeatable requests handed these back as not run. Nobody else
+// may run a claimed request, so each ended as unknown.
+BOOST_AUTO_TEST_CASE(ShutdownRunsWhatItHasClaimed) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Fleet fleet({.seed = seed});
+    fleet.Configure(20, 20);
+    const int scheduler = fleet.SchedulerSeenBy(0);
+    for (int i = 0; i < 60; ++i) {
+      fleet.Submit((scheduler + 1 + i % 2) % 3, "a", milliseconds(30),
+                   "r" + std::to_string(i), false);
+      fleet.Run(milliseconds(5));
+      if (i == 30) {
+        fleet.Shutdown(scheduler);
+      }
+    }
+    BOOST_TEST(fleet.RunUntil([&] { return AllAnswered(fleet); }, seconds(30)));
+    BOOST_TEST(fleet.Outcomes()["done"] == 60, "seed " << seed);
+    BOOST_TEST(
+        fleet.RunUntil([&] { return !fleet.alive(scheduler); }, seconds(30)));
+    BOOST_TEST(fleet.breach == "");
+  }
+}
+
 // Guards against a second run of an unrepeatable request (I8): the scheduler
 // that ran it is gone with everything it knew, and the caller asks again.
 BOOST_AUTO_TEST_CASE(UnrepeatableRunsAtMostOnce) {
