Read the VM list as soon as an entry joins

The events of a failed run show no instance_stopped: the entry was killed, and its VM removed, before the first regular read of the VM list (every 2 s) after it had joined. An instance counts as stopped only if its VM was listed first, so it was never proved stopped, its permits could not be adopted and the leases of its tasks ran out. Ruled out: the adoption, which takes 60 ms once there is a proof.

Change: the list is read when the members' record changes.

--- a/src/app/entry/driver.cc
+++ b/src/app/entry/driver.cc
@@ -200,12 +200,18 @@
   });
 }
 
+// An instance counts as stopped only if its VM was listed and then was not. So
+// new members are looked up at once: one that ends before the next regular read
+// would never count, and its permits would stay taken.
 void Driver::ReadVmList() {
   const Time now = Now();
-  if (this->vm_list_pending || now < this->next_vm_list) {
+  const bool members_changed =
+      this->listed_members != this->entry.known_members();
+  if (this->vm_list_pending || (now < this->next_vm_list && !members_changed)) {
     return;
   }
   this->vm_list_pending = true;
+  this->listed_members = this->entry.known_members();
   this->next_vm_list = now + kVmListInterval;
   this->parts.control.Send(
       {.url = "http://" + this->parts.platform + "/v1/vms",
--- a/src/app/entry/driver.h
+++ b/src/app/entry/driver.h
@@ -70,6 +70,7 @@
   std::map<engine::CallId, OnOutcome> callers;
   std::map<engine::CallId, OnChange> operators;
   Time next_vm_list;
+  std::uint64_t listed_members = 0;  // version of their record at the last read
   bool vm_list_pending = false;
   std::uint64_t vm_list_version = 0;
   std::atomic<bool> is_ready = false;
