Take a machine for back from upkeep only by a list read after its order

Machines that stand by are moved just before, so the list that the planner knew still named another VM. A list whose reading began before the order was answered then showed the machine as up with a VM other than the one noted, which meant back: one machine more than the wave allows was ordered.

Change: the machine is back if the list was read after the order, its upkeep time has passed, and it is up. The test fails before.

--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -60,6 +60,7 @@
   }
   this->listed = true;
   this->reading = false;
+  this->list_as_of = this->read_began;
   const bool busy = std::ranges::any_of(this->waves, [](const auto& wave) {
     return std::ranges::any_of(wave.second.items, [](const auto& item) {
       return item.second.stage != Stage::kDue &&
@@ -127,6 +128,7 @@
 void Planner::Tick(Time now, const LoadOf& load_of) {
   if (!this->reading && now >= this->next_read) {
     this->reading = true;
+    this->read_began = now;
     this->effects.emplace_back(ReadMachines{});
   }
   if (!this->listed || now < this->start) {
@@ -239,13 +241,13 @@
       }
       break;
     case Stage::kAway: {
-      const bool back =
-          machine == nullptr ||
-          (machine->state == MachineState::kUp && machine->vm != item.vm);
-      const bool back_unseen = item.vm.empty() && machine != nullptr &&
-                               machine->state == MachineState::kUp &&
-                               now - item.since >= 2 * this->limits.away;
-      if (back || back_unseen) {
+      // A list read before the order may show a machine that was moved, with
+      // another VM than the one known here, as up.
+      const bool up = machine != nullptr && this->list_as_of > item.since &&
+                      now - item.since >= this->limits.away &&
+                      machine->state == MachineState::kUp;
+      const bool other_vm = up && (item.vm.empty() || machine->vm != item.vm);
+      if (machine == nullptr || other_vm) {
         item.stage = Stage::kDone;
       }
       break;
--- a/src/upkeep/planner.h
+++ b/src/upkeep/planner.h
@@ -108,6 +108,8 @@
   MachineList list;
   bool listed = false;
   bool reading = false;
+  Time read_began;
+  Time list_as_of;  // when the reading of the list began
   Time next_read;
   std::vector<Effect> effects;
 };
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -169,6 +169,49 @@
   BOOST_TEST(site.begun_at_completion == 2);
 }
 
+// hunt-ab3d-19: a machine had been moved, so a list read before the order for
+// its upkeep showed it as up with another VM. It was taken for back, and one
+// machine more than the wave allows went down.
+BOOST_AUTO_TEST_CASE(ListOfBeforeAnOrderTellsNothing) {
+  Time now{std::chrono::seconds(100)};
+  Planner planner{Limits{}, now};
+  const auto machine = [](const char* id, const char* vm) {
+    return Machine{.id = MachineId(id), .pool = PoolId("p"), .vm = VmId(vm)};
+  };
+  const auto tick = [&](std::int64_t ms) {
+    now += std::chrono::milliseconds(ms);
+    planner.Tick(now, [](const VmId&) { return VmLoad{}; });
+    std::vector<std::string> seen;
+    for (const Effect& effect : planner.Take()) {
+      if (const auto* order = std::get_if<OrderUpkeep>(&effect)) {
+        seen.push_back(order->machine.str());
+      } else if (std::holds_alternative<ReadMachines>(effect)) {
+        seen.emplace_back("read");
+      }
+    }
+    return seen;
+  };
+  planner.SetWave({.id = WaveId("1"),
+                   .machines = {MachineId("m0"), MachineId("m1")},
+                   .most_away = 1,
+                   .length = std::chrono::seconds(30)},
+                  now);
+  BOOST_TEST(tick(50) == std::vector<std::string>{"read"});
+  planner.OnMachines({machine("m0", "old"), machine("m1", "b")}, now);
+  tick(50);
+  // The next read begins before the order is answered.
+  BOOST_TEST(tick(2000) == (std::vector<std::string>{"read", "m0"}));
+  planner.OnOrder(MachineId("m0"), WaveId("1"), OrderAnswer::kDone, now);
+  now += std::chrono::milliseconds(50);
+  planner.OnMachines({machine("m0", "moved"), machine("m1", "b")}, now);
+  BOOST_TEST(tick(50).empty());
+  BOOST_TEST(tick(50).empty());
+  BOOST_TEST(tick(2000) == std::vector<std::string>{"read"});
+  planner.OnMachines({machine("m0", "new"), machine("m1", "b")}, now);
+  tick(50);
+  BOOST_TEST(tick(50) == std::vector<std::string>{"m1"});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::upkeep
