Serve metrics in the text format of Prometheus

kch-fleet's metrics were a JSON object of a few counters. They are now labelled series of prometheus-cpp: submissions by queue and outcome, refusals by reason, store calls by kind and outcome with latency histograms, takeovers, fence, the configuration's version and age, jobs pending by queue, cores by pool and team, machines by pool and state, silent VMs and unrecorded ends. The other programs keep their JSON object.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -199,6 +199,7 @@
     }
   }
   this->Turn();
+  this->PublishGauges(now);
   this->timer.expires_after(this->scheduler != nullptr ? kTickInterval
                                                        : kIdleTickInterval);
   this->timer.async_wait([this](const asio::error_code& error) {
@@ -317,6 +318,7 @@
     return;
   }
   this->config_version = config->version;
+  this->config_since = Now();
   this->fleet_config = config->fleet;
   net::LogEvent("config", {{"version", std::to_string(config->version)},
                            {"revision", std::to_string(item.revision)},
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -127,6 +127,7 @@
   void Perform(std::vector<upkeep::Effect> decided);
   void PassOrders(std::vector<upkeep::Effect> decided);
   void TickMachines(Time now);
+  void PublishGauges(Time now);
   void WakeForWrite(Time now);
 
   FleetOptions options;
@@ -141,6 +142,8 @@
   Time last_tick;
 
   std::uint64_t config_version = 0;
+  Time config_since;
+  Time next_gauges;
   std::optional<jobs::FleetConfig> fleet_config;
   std::set<ZoneId> zones_out;
   lead::Ownership ownership;
--- a/src/app/fleet/front.cc
+++ b/src/app/fleet/front.cc
@@ -77,15 +77,21 @@
 struct Front::Submission : std::enable_shared_from_this<Submission> {
   Front& front;
   jobs::JobId job;
+  jobs::QueueId queue;
   platform::Transaction transaction;
   Time begun = Now();
   Time deadline;
   bool unknown = false;
   Reply reply;
 
-  Submission(Front& front, jobs::JobId job, Time deadline, Reply reply)
+  Submission(Front& front,
+             jobs::JobId job,
+             jobs::QueueId queue,
+             Time deadline,
+             Reply reply)
       : front(front),
         job(std::move(job)),
+        queue(std::move(queue)),
         deadline(deadline),
         reply(std::move(reply)) {}
 
@@ -129,7 +135,9 @@
   void End(std::string_view outcome, HttpResponse response) {
     const double ms = ToSeconds(Now() - this->begun) * 1000;
     this->front.parts.metrics.Delay("submit", ms);
-    this->front.parts.metrics.Count("submit_" + std::string(outcome));
+    this->front.parts.metrics.Count(
+        "submissions",
+        {{"queue", this->queue.str()}, {"outcome", std::string(outcome)}});
     net::LogEvent("submit", {{"job", this->job.str()},
                              {"outcome", std::string(outcome)},
                              {"ms", std::to_string(static_cast<int>(ms))}});
@@ -199,7 +207,7 @@
                    std::uint64_t version,
                    const Reply& reply) {
   const std::string reason(NameOf(refusal));
-  this->parts.metrics.Count("refused_" + reason);
+  this->parts.metrics.Count("refusals", {{"reason", reason}});
   net::LogEvent("refuse", {{"path", call.path},
                            {"host", call.host},
                            {"reason", reason},
@@ -234,8 +242,9 @@
     this->Refuse(call, Refusal::kStoreDown, version, reply);
     return;
   }
-  auto submission = std::make_shared<Submission>(
-      *this, admitted.job, DeadlineOf(request), std::move(reply));
+  auto submission =
+      std::make_shared<Submission>(*this, admitted.job, admitted.queue->id,
+                                   DeadlineOf(request), std::move(reply));
   const std::string key = KeyOf(kJobPrefix, admitted.job);
   submission->transaction.conditions.push_back({key, 0});
   submission->transaction.puts.push_back({key, EncodeSpec(*decoded), 0});
--- a/src/app/fleet/main.cc
+++ b/src/app/fleet/main.cc
@@ -132,7 +132,8 @@
   constexpr std::string_view cancel = "/cancel";
   const std::string_view path = request.path;
   if (path == "/metrics") {
-    reply({.body = metrics.Json()});
+    reply(
+        {.body = metrics.Text(), .content_type = "text/plain; version=0.0.4"});
   } else if (path.starts_with(jobs) && path.ends_with(cancel)) {
     driver.TellCancel(kch::jobs::JobId(std::string(
         path.substr(jobs.size(), path.size() - jobs.size() - cancel.size()))));
@@ -165,7 +166,7 @@
     kch::net::LogEvent("start_failed", {{"error", client.error().Text()}});
     return 1;
   }
-  kch::platform::Store store(**client, settings.text("store"));
+  kch::platform::Store store(**client, settings.text("store"), metrics);
   kch::platform::VmClient vms(**client);
   kch::platform::MachineClient machines(**client, settings.text("machines"),
                                         name);
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -24,6 +24,7 @@
   this->fence = gained;
   this->scheduler = std::make_unique<jobs::Scheduler>(this->options.limits);
   this->takeover.emplace();
+  this->parts.metrics.Count("takeovers");
   net::LogEvent("owner_gained", {{"fence", std::to_string(gained)}});
   if (this->fleet_config) {
     this->scheduler->SetConfig(*this->fleet_config, Now());
@@ -46,6 +47,7 @@
 }
 
 void Driver::Lose(const std::string& reason) {
+  this->parts.metrics.Count("owner_losses", {{"reason", reason}});
   net::LogEvent("owner_lost",
                 {{"fence", std::to_string(this->fence)}, {"reason", reason}});
   this->intake->Stop();
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -124,6 +124,10 @@
   [[nodiscard]] const std::map<VmId, std::unique_ptr<Vm>>& vms() const {
     return this->fleet;
   }
+  /*! @brief What each team occupies. */
+  [[nodiscard]] const std::map<TeamId, Resources>& team_use() const {
+    return this->in_use;
+  }
   /*! @brief When Tick should be called next, if before its usual interval. */
   [[nodiscard]] std::optional<Time> NextWrite() const;
   [[nodiscard]] const Counters& counters() const { return this->counted; }
--- a/src/upkeep/machine.h
+++ b/src/upkeep/machine.h
@@ -55,6 +55,16 @@
 
 }  // namespace kch::upkeep
 
+template <>
+struct kch::NameTable<kch::upkeep::MachineState> {
+  static constexpr std::
+      array<std::pair<kch::upkeep::MachineState, std::string_view>, 4>
+          kEntries{{{kch::upkeep::MachineState::kUp, "up"},
+                    {kch::upkeep::MachineState::kMoving, "moving"},
+                    {kch::upkeep::MachineState::kUpkeep, "upkeep"},
+                    {kch::upkeep::MachineState::kDown, "down"}}};
+};
+
 template <>
 struct kch::NameTable<kch::upkeep::OrderAnswer> {
   static constexpr std::
--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -159,7 +159,8 @@
 
 BOOST_AUTO_TEST_CASE(TransactionsReportConflicts) {
   Stand stand;
-  Store store(*stand.client, stand.Address());
+  net::Metrics metrics;
+  Store store(*stand.client, stand.Address(), metrics);
   Transaction transaction;
   transaction.conditions.push_back({"k", 4});
   transaction.puts.push_back({"k", "node-1", 7});
@@ -186,6 +187,10 @@
   BOOST_TEST((write().outcome == Outcome::kRefused));
   stand.Answer("kv-txn", 200, "no json");
   BOOST_TEST((write().outcome == Outcome::kUnknown));
+  const std::string text = metrics.Text();
+  BOOST_TEST(text.find("kch_store_calls_total{kind=\"write\",outcome="
+                       "\"conflict\"} 1") != std::string::npos,
+             text);
 }
 
 BOOST_AUTO_TEST_CASE(OrdersToMachinesNameTheirHolder) {
