End the tasks of a target that answers nothing when their lease has run out

Only tasks that had already been taken for lost were given up at the end of their lease; one whose connection merely waited had nothing that would end it, as the polls that would miss it were unanswered too. Ruled out: the callers' entries, which held the requests open as they should.

Change: a running task ends as unknown, or runs elsewhere if it is repeatable, once its target has missed two polls in a row and its lease has run out.

--- a/src/engine/scheduler.h
+++ b/src/engine/scheduler.h
@@ -125,6 +125,7 @@
   void Preempt(Pool& pool, Time now);
   void CutExcess(Time now);
   void CheckRecovering(Time now);
+  bool Unreachable(const Work& work);
   void UpdateDemand(Time now);
   void ExpireResults(Time now);
   [[nodiscard]] std::optional<Reason> RefusedAs(const TaskId& job) const;
--- a/src/engine/scheduler_attempt.cc
+++ b/src/engine/scheduler_attempt.cc
@@ -154,7 +154,12 @@
   std::vector<Work*> lost;
   for (const auto& [task, job] : this->attempts) {
     Work* work = this->FindWork(job);
-    if (work->state != WorkState::kRecovering) {
+    const bool recovering = work->state == WorkState::kRecovering;
+    // A connection that waits for the end of a task may be silent for good. If
+    // the target answers no poll either, only the lease tells that it has
+    // ended.
+    if (!recovering &&
+        (work->state != WorkState::kRunning || !this->Unreachable(*work))) {
       continue;
     }
     const Time lease_end = work->renewed +
@@ -162,22 +167,36 @@
                            this->core.settings.lease_margin;
     if (now >= lease_end) {
       lost.push_back(work);
-    } else if (!work->attaching && now >= work->next_attach) {
+    } else if (recovering && !work->attaching && now >= work->next_attach) {
       work->attaching = true;
       this->core.effects.emplace_back(AttachTask{*work->attempt});
     }
   }
   for (Work* work : lost) {
-    if (work->attaching) {
+    if (work->attaching || work->state == WorkState::kRunning) {
       this->core.effects.emplace_back(AbortCall{work->attempt->task});
     }
     // The worker stopped the task when its lease ran out.
+    work->maybe_sent = true;
     this->Release(*work, route::TaskEnd::kUnknown, true, now);
     this->Decide(*work, route::AttemptEnd::kUnknown, Reason::kWorkerSilent,
                  now);
   }
 }
 
+// True if the target of a task has not answered several polls in a row. One may
+// be lost, or be answered late when this entry resumes after a pause.
+bool Scheduler::Unreachable(const Work& work) {
+  constexpr int missed_polls = 2;
+  const Pool* pool = this->FindPool(work.job.pool);
+  if (pool == nullptr) {
+    return false;
+  }
+  const auto contact = pool->contacts.find(work.attempt->vm);
+  return contact != pool->contacts.end() &&
+         contact->second.missed >= missed_polls;
+}
+
 // Retries a job elsewhere or ends it.
 void Scheduler::Decide(Work& work,
                        route::AttemptEnd end,
--- a/test/engine/entry_test.cc
+++ b/test/engine/entry_test.cc
@@ -139,6 +139,26 @@
   }
 }
 
+// process.DamagedConnectionsGiveNoFalseAnswers: a target answered nothing any
+// more, on old or new connections, and the callers of its tasks waited for
+// ever.
+BOOST_AUTO_TEST_CASE(TasksOfASilentTargetEndWithTheirLease) {
+  Fleet fleet({.seed = 6});
+  fleet.Configure(40, 40);
+  for (int i = 0; i < 40; ++i) {
+    fleet.Submit(i % 3, "a", seconds(4), "r" + std::to_string(i), i % 2 == 0);
+  }
+  fleet.Run(seconds(1));
+  const auto lost = fleet.worker(0).Running();
+  BOOST_TEST(lost > 0);
+  fleet.worker(0).fault = WorkerFault::kSilent;
+  // The lease of 10 s and its margin; then repeatable ones run elsewhere.
+  BOOST_TEST(fleet.RunUntil([&] { return AllAnswered(fleet); }, seconds(22)));
+  BOOST_TEST(fleet.Outcomes()["done"] + fleet.Outcomes()["unknown"] == 40);
+  BOOST_TEST(fleet.Outcomes()["unknown"] <= lost);
+  BOOST_TEST(fleet.breach == "");
+}
+
 // Guards against a second run of an unrepeatable request (I8): the scheduler
 // that ran it is gone with everything it knew, and the caller asks again.
 BOOST_AUTO_TEST_CASE(UnrepeatableRunsAtMostOnce) {
--- a/test/engine/fake_worker.h
+++ b/test/engine/fake_worker.h
@@ -19,6 +19,7 @@
   kFailAll,   // every task fails at once
   kRefuse,    // refuses every start
   kLoseEnds,  // tasks run, but the waiting connection stays silent
+  kSilent,    // tasks run, but no connection is answered
 };
 
 /*! @brief One worker in virtual time: slots, leases, results, attach. */
--- a/test/engine/fleet.cc
+++ b/test/engine/fleet.cc
@@ -9,6 +9,9 @@
 namespace kch::engine::test {
 namespace {
 
+// After this time an unanswered poll counts as missed.
+constexpr Duration kPollTimeout = std::chrono::seconds(1);
+
 // "Within seconds", as the interface promises for keys, zones and VMs that
 // leave: the freshness bound plus the time to notice and to send.
 constexpr Duration kInForceBound = std::chrono::seconds(4);
@@ -548,8 +551,11 @@
   this->After(this->Delay(), [this, index, incarnation, vm, start] {
     FakeWorker& worker = this->workers[vm];
     const TaskId id = start.attempt.task;
-    const auto answer = [this, index, incarnation,
+    const auto answer = [this, index, incarnation, vm,
                          id](const AttemptResult& result) {
+      if (this->workers[vm].fault == WorkerFault::kSilent) {
+        return;
+      }
       this->After(this->Delay(), [this, index, incarnation, id, result] {
         if (!this->nodes[index].aborted.contains(id)) {
           this->Deliver(index, incarnation, AttemptEnded{result});
@@ -638,8 +644,11 @@
   const int vm = this->WorkerAt(attach.attempt.address);
   this->After(
       this->Delay(), [this, index, incarnation, vm, id = attach.attempt.task] {
-        const auto answer = [this, index,
+        const auto answer = [this, index, vm,
                              incarnation](const AttemptResult& result) {
+          if (this->workers[vm].fault == WorkerFault::kSilent) {
+            return;
+          }
           this->After(this->Delay(), [this, index, incarnation, result] {
             this->Deliver(index, incarnation, AttemptEnded{result});
           });
@@ -662,6 +671,13 @@
   this->After(this->Delay(), [this, index, incarnation, vm, poll] {
     FakeWorker& worker = this->workers[vm];
     WorkerReport report{.vm = worker.vm, .reached = true, .boot = "1"};
+    if (worker.fault == WorkerFault::kSilent) {
+      report.reached = false;
+      this->After(kPollTimeout, [this, index, incarnation, report] {
+        this->Deliver(index, incarnation, report);
+      });
+      return;
+    }
     for (const TaskId& id : poll.tasks) {
       const auto found = worker.tasks.find(id);
       if (found != worker.tasks.end() && found->second.running) {
