--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -230,11 +230,11 @@
   return true;
 }
 
-// The VM with the least room that takes the task. Demand moves from pool to pool,
-// and only machines on which nothing runs can follow it or stand by. Endless
-// tasks of a step are spread as far as they may be missed, so that a VM can be
-// emptied, or be lost, in one go. Serving tasks and tasks that fill disturb each
-// other and are kept apart where possible.
+// The VM with the least room that takes the task. Demand moves from pool to
+// pool, and only machines on which nothing runs can follow it or stand by.
+// Endless tasks of a step are spread as far as they may be missed, so that a VM
+// can be emptied, or be lost, in one go. Serving tasks and tasks that fill
+// disturb each other and are kept apart where possible.
 Vm* Scheduler::ChooseVm(const Task& task, const Pool& pool, Time now) {
   const StepSpec& spec = task.spec();
   const Unit unit{task.job, task.occurrence, task.step};
