Decide on machines every 25 ms in place of every pass

The mover and the planner look at all machines and ran after each batch of events, which would cost most on large fleets. Orders that wait for the store still go out at once. A process that cannot listen ends its peer server first, whose thread calls the driver.

--- a/fake/vms/world.cc
+++ b/fake/vms/world.cc
@@ -217,7 +217,9 @@
   return StartAnswer::kAccepted;
 }
 
-bool World::Stop(FakeVm& vm, const jobs::StopRun& order, std::uint64_t by) {
+bool World::Stop(FakeVm& vm,
+                 const jobs::StopRun& order,
+                 std::uint64_t by) const {
   if (!Admit(vm, by)) {
     return false;
   }
--- a/fake/vms/world.h
+++ b/fake/vms/world.h
@@ -93,7 +93,7 @@
                           const jobs::StartRun& order,
                           std::uint64_t by);
   /*! @brief False: the fence is too low. */
-  bool Stop(FakeVm& vm, const jobs::StopRun& order, std::uint64_t by);
+  bool Stop(FakeVm& vm, const jobs::StopRun& order, std::uint64_t by) const;
   bool Pace(FakeVm& vm, const jobs::PaceRun& order, std::uint64_t by);
   /*! @brief Renews the lease and acknowledges ends. */
   bool Renew(FakeVm& vm, const jobs::LookAt& look, std::uint64_t by);
--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -18,6 +18,8 @@
 
 // Interval of timeouts and looks; half of the shortest of them.
 constexpr auto kTickInterval = std::chrono::milliseconds(50);
+// Interval of decisions on machines, which look at all of them.
+constexpr auto kMachineInterval = std::chrono::milliseconds(25);
 // Without the fleet only ownership has to be watched.
 constexpr auto kIdleTickInterval = std::chrono::milliseconds(100);
 // Watches of the operators' records and of the owner; a silent connection is
@@ -105,7 +107,12 @@
   // Orders to machines are irreversible, so they need certain ownership.
   if (this->planner != nullptr && !this->takeover &&
       this->ownership.Certain(now)) {
-    this->TickMachines(now);
+    if (now >= this->next_machines) {
+      this->next_machines = now + kMachineInterval;
+      this->TickMachines(now);
+    }
+    this->gate->Tick(now);
+    this->Perform(this->gate->Take());
   }
   this->WakeForWrite(now);
 }
@@ -169,8 +176,6 @@
     }
     this->PassOrders(this->mover->Take());
   }
-  this->gate->Tick(now);
-  this->Perform(this->gate->Take());
   this->Perform(this->scheduler->Take());
 }
 
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -144,6 +144,7 @@
   std::uint64_t config_version = 0;
   Time config_since;
   Time next_gauges;
+  Time next_machines;
   std::optional<jobs::FleetConfig> fleet_config;
   std::set<ZoneId> zones_out;
   lead::Ownership ownership;
--- a/src/app/fleet/main.cc
+++ b/src/app/fleet/main.cc
@@ -232,6 +232,7 @@
   for (const auto* server : {&readiness, &callers}) {
     if (!*server) {
       kch::net::LogEvent("start_failed", {{"error", server->error().Text()}});
+      peers->reset();  // its thread calls the driver, which ends first
       return 1;
     }
   }
--- a/src/upkeep/mover.h
+++ b/src/upkeep/mover.h
@@ -48,8 +48,7 @@
   explicit Mover(const MoveLimits& limits) : limits(limits) {}
 
   /*! @brief `busy` machines are under maintenance, about to be, or must not be
-   * ordered yet; those of
-   * `zones_out` may start nothing. */
+   * ordered yet; those of `zones_out` may start nothing. */
   void Tick(const MachineList& machines,
             const std::set<MachineId>& busy,
             const std::set<ZoneId>& zones_out,
