--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -247,19 +247,19 @@
   }
 }
 
-bool PlatformFleet::Runs(const std::string& task) {
+bool PlatformFleet::Runs(const std::string& task) const {
   return this->platform->With(
       [&task](const fake::World& world, fake::KeyStore&) {
         return world.Runs(task);
       });
 }
 
-std::int64_t PlatformFleet::starts() {
+std::int64_t PlatformFleet::starts() const {
   return this->platform->With(
       [](const fake::World& world, fake::KeyStore&) { return world.starts(); });
 }
 
-std::optional<std::size_t> PlatformFleet::Owner() {
+std::optional<std::size_t> PlatformFleet::Owner() const {
   const auto value =
       this->platform->With([](fake::World&, const fake::KeyStore& store) {
         return store.Value("kch/owner");
@@ -293,7 +293,7 @@
   return status;
 }
 
-std::string PlatformFleet::Breaches() {
+std::string PlatformFleet::Breaches() const {
   return this->platform->With([](const fake::World& world, fake::KeyStore&) {
     std::string text;
     for (const std::string& breach : world.breaches) {
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -40,11 +40,11 @@
   void Cancel(const jobs::JobSpec& job);
   /*! @brief Waits until jobs are shown as completed. */
   void WaitForCompleted(const std::vector<jobs::JobSpec>& jobs);
-  [[nodiscard]] bool Runs(const std::string& task);
-  [[nodiscard]] std::int64_t starts();
+  [[nodiscard]] bool Runs(const std::string& task) const;
+  [[nodiscard]] std::int64_t starts() const;
 
   /*! @brief The number of the instance that owns the fleet. */
-  std::optional<std::size_t> Owner();
+  [[nodiscard]] std::optional<std::size_t> Owner() const;
   /*! @brief Waits for an owner. */
   std::size_t WaitForOwner();
   void Signal(std::size_t instance, int signal);
@@ -56,7 +56,7 @@
   [[nodiscard]] std::string Log(std::size_t instance) const;
 
   /*! @brief Breaches that the stand-in saw, as one text. */
-  std::string Breaches();
+  [[nodiscard]] std::string Breaches() const;
 
   std::unique_ptr<fake::FleetPlatform> platform;
 
