Return endless tasks to VMs that are to be emptied, if there is no other

Pools are small now, and a wave had closed all VMs of one to new starts but a full one. An endless task failed; no VM took it, and as one of its step was away, nothing could leave the closed VMs either. It waited for 11 s. Ruled out: want of room, a silent or ejected VM.

Change: where no other VM takes it, an endless task starts on a closed VM that still holds a running endless task, which the planner does not order away. The test fails before.

--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -229,6 +229,8 @@
   bool PlanGang(const Ranked& ranked, Pool& pool, Time now);
   Vm* ChooseVm(const Task& task, const Pool& pool, Time now);
   bool Usable(const Vm& vm, Time now) const;
+  bool UsableForLack(const Vm& vm, Time now) const;
+  bool Answering(const Vm& vm, Time now) const;
   bool WithinLimit(const Job& job, const Resources& more) const;
   void Start(Task& task, Vm& vm, std::int64_t run, Time now);
 
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -9,9 +9,24 @@
 namespace kch::jobs {
 
 bool Scheduler::Usable(const Vm& vm, Time now) const {
+  return !vm.cordoned && this->Answering(vm, now);
+}
+
+// An endless task that waits cannot be missed for long, and while it is away no
+// other task of its step may leave a VM that is to be emptied. So it goes to
+// such a VM if there is no other; one that still holds an endless task is not
+// ordered away before that has left as well.
+bool Scheduler::UsableForLack(const Vm& vm, Time now) const {
+  return this->Answering(vm, now) &&
+         std::ranges::any_of(vm.runs, [](const Task* task) {
+           return task->spec().endless && task->phase == TaskPhase::kRunning;
+         });
+}
+
+bool Scheduler::Answering(const Vm& vm, Time now) const {
   return vm.registered && vm.recorded && vm.reported && vm.clock_known &&
          !vm.clock_doubtful && !vm.silent && !vm.unknown_stray &&
-         !vm.facts.leaving && !vm.cordoned && vm.ejected_until <= now &&
+         !vm.facts.leaving && vm.ejected_until <= now &&
          !this->zones_out.contains(vm.facts.zone);
 }
 
@@ -258,8 +273,12 @@
                       conflicts, crowded, vm.FreeShare());
   };
   Vm* best = nullptr;
+  bool best_cordoned = false;
   for (const auto& [vm_id, vm] : pool.vms) {
-    if (!this->Usable(*vm, now) || !spec.Occupies().Within(vm->Free()) ||
+    const bool usable = this->Usable(*vm, now) ||
+                        (spec.endless && (best == nullptr || best_cordoned) &&
+                         this->UsableForLack(*vm, now));
+    if (!usable || !spec.Occupies().Within(vm->Free()) ||
         (!spec.label.empty() && !vm->facts.labels.contains(spec.label)) ||
         (advised && this->PermitOf(unit, vm_id, now) == nullptr)) {
       continue;
@@ -274,8 +293,10 @@
         continue;
       }
     }
-    if (best == nullptr || score(*vm) < score(*best)) {
+    if (best == nullptr || (best_cordoned && !vm->cordoned) ||
+        score(*vm) < score(*best)) {
       best = vm;
+      best_cordoned = vm->cordoned;
     }
   }
   return best;
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -495,6 +495,41 @@
   BOOST_TEST(sim.vms.at("vm1")->runs.size() == 3);
 }
 
+// quiet-1 of naidu-easels with seed 75576184442: an endless task failed while
+// the VMs of its small pool were to be emptied for a wave. No VM took it, and
+// since it was away nothing could leave the others either, for 11 s.
+BOOST_AUTO_TEST_CASE(EndlessTaskReturnsToVmsThatAreToBeEmptied) {
+  FleetSim sim;
+  WithVms(sim, 3);
+  for (const char* id : {"a", "b"}) {
+    JobSpec job = EndlessJob(id, 3);
+    job.steps[0].may_miss = 1;
+    sim.Submit(job);
+  }
+  sim.Run(500);
+  for (const char* vm : {"vm0", "vm1", "vm2"}) {
+    sim.scheduler->Cordon(VmId(vm), true);
+  }
+  FakeVm& vm = *sim.vms.at("vm2");
+  BOOST_REQUIRE(vm.runs.size() == 2U);
+  vm.runs.begin()->second.fails = true;
+  const std::string failed = vm.runs.begin()->first;
+  sim.Run(20);
+  BOOST_TEST(sim.RunUntil([&] { return sim.Runs(failed); }, 1000));
+  BOOST_TEST(Breaches(sim) == "");
+}
+
+// Such a VM without any endless task may be ordered away at any moment.
+BOOST_AUTO_TEST_CASE(NothingStartsOnAnEmptiedVm) {
+  FleetSim sim;
+  WithVms(sim, 1);
+  sim.scheduler->Cordon(VmId("vm0"), true);
+  sim.Submit(EndlessJob("a", 1));
+  sim.Submit(SimpleJob("b", "q", 1, 1000, 100));
+  sim.Run(1000);
+  BOOST_TEST(sim.starts() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::jobs::test
