--- a/test/upkeep/mover_test.cc
+++ b/test/upkeep/mover_test.cc
@@ -125,7 +125,7 @@
 BOOST_AUTO_TEST_CASE(StandingByMachinesComeBeforeThoseThatPoolsKeep) {
   Site site;
   // Each pool keeps a third of what it has on average, 56 cores: two machines.
-  site.SetBacklog("a", 8 * 32);
+  site.SetBacklog("a", 256);
   const auto orders = site.Tick();
   std::map<std::string, int> from;
   for (std::size_t i = 0; i < orders.size(); ++i) {
@@ -138,7 +138,7 @@
   BOOST_TEST(from["c"] == 2);
   // A deeper backlog takes what the calm pools keep, as far as they are calm.
   Site deeper;
-  deeper.SetBacklog("a", 12 * 32);
+  deeper.SetBacklog("a", 384);
   BOOST_TEST(deeper.Tick().size() == 10);
 }
 
