Give the team of a test a limit under which its requests can run

Cause: process.ResumedEntryKeepsToNewConfiguration set the teams' limit to 0, which means that nothing of theirs runs; the events show 42 requests received and none started, and the test waited for 20 that were done. It was meant to be without a limit.

--- a/test/process/entry_failure_test.cc
+++ b/test/process/entry_failure_test.cc
@@ -84,7 +84,7 @@
 // Guards against an entry that resumes after a pause and starts work under a
 // configuration that operators have replaced meanwhile.
 BOOST_AUTO_TEST_CASE(ResumedEntryKeepsToNewConfiguration) {
-  Fleet fleet({.targets = 3, .team_limit = 0});
+  Fleet fleet({.targets = 3});
   const std::size_t paused = fleet.Scheduler();
   const std::size_t other = (paused + 1) % 3;
   Callers callers(fleet);
