Test an owner that the store refuses alone

The stand-in for the platform has an address of its store for each caller and can refuse one of them.

--- a/fake/fleet/fleet_platform.cc
+++ b/fake/fleet/fleet_platform.cc
@@ -83,15 +83,19 @@
 Result<void> FleetPlatform::Start() {
   this->started = Now();
   this->world.now = this->started;
-  auto listening = net::HttpServer::Create(
-      {.threads = 1}, [this](const HttpRequest& request, const auto& reply) {
-        this->loop.Post(
-            [this, request, reply] { this->HandleShared(request, reply); });
-      });
-  if (!listening) {
-    return tl::unexpected(listening.error());
+  for (std::size_t i = 0; i < this->options.addresses; ++i) {
+    auto listening = net::HttpServer::Create(
+        {.threads = 1},
+        [this, i](const HttpRequest& request, const auto& reply) {
+          this->loop.Post([this, i, request, reply] {
+            this->HandleShared(i, request, reply);
+          });
+        });
+    if (!listening) {
+      return tl::unexpected(listening.error());
+    }
+    this->shared.push_back(*std::move(listening));
   }
-  this->shared = *std::move(listening);
   for (std::size_t i = 0; i < this->options.vms; ++i) {
     const std::string number = std::to_string(i);
     const std::string machine = "m" + number;
@@ -131,8 +135,18 @@
   this->later.clear();
 }
 
-std::string FleetPlatform::address() const {
-  return "127.0.0.1:" + std::to_string(this->shared->port());
+std::string FleetPlatform::address(std::size_t caller) const {
+  return "127.0.0.1:" + std::to_string(this->shared.at(caller)->port());
+}
+
+void FleetPlatform::CutOff(std::size_t caller, bool cut) {
+  this->loop.Call([this, caller, cut] {
+    if (cut) {
+      this->cut_off.insert(caller);
+    } else {
+      this->cut_off.erase(caller);
+    }
+  });
 }
 
 void FleetPlatform::SetFaults(FaultRule rule) {
@@ -273,9 +287,14 @@
   execute(reply);
 }
 
-void FleetPlatform::HandleShared(const HttpRequest& request,
+void FleetPlatform::HandleShared(std::size_t caller,
+                                 const HttpRequest& request,
                                  const HttpReply& reply) {
   const std::string call = CallOf(request);
+  if (this->cut_off.contains(caller) && call.starts_with("kv-")) {
+    reply({.status = kUnavailable});
+    return;
+  }
   const std::string name = call.starts_with("kv-")       ? "store/" + call
                            : call.starts_with("machine") ? "machines/" + call
                                                          : "advice/" + call;
--- a/fake/fleet/fleet_platform.h
+++ b/fake/fleet/fleet_platform.h
@@ -36,6 +36,7 @@
   /*! @brief Size of the fleet. */
   struct Options {
     std::size_t vms = 6;
+    std::size_t addresses = 3;  // of the store, one for each of its callers
     jobs::Resources vm_size{8000, 100'000, 0};
     std::int64_t upkeep_ms = 400;  // that a machine is away
   };
@@ -46,9 +47,11 @@
   FleetPlatform(const FleetPlatform&) = delete;
   FleetPlatform& operator=(const FleetPlatform&) = delete;
 
-  /*! @brief host:port of the store, the machine list and the advice service.
-   */
-  [[nodiscard]] std::string address() const;
+  /*! @brief host:port of the store, the machine list and the advice service for
+   * one of the callers. */
+  [[nodiscard]] std::string address(std::size_t caller) const;
+  /*! @brief The store refuses a caller while it serves the others, or not. */
+  void CutOff(std::size_t caller, bool cut);
   /*! @brief Runs a function with the model and the store; no other call is
    * handled meanwhile. */
   template <typename F>
@@ -87,7 +90,8 @@
   Result<void> Start();
   void Advance();
   void Tick();
-  void HandleShared(const net::HttpRequest& request,
+  void HandleShared(std::size_t caller,
+                    const net::HttpRequest& request,
                     const net::HttpReply& reply);
   void HandleVm(const std::string& machine,
                 const net::HttpRequest& request,
@@ -114,6 +118,7 @@
   World world;
   KeyStore store;
   FaultRule faults;
+  std::set<std::size_t> cut_off;            // callers that the store refuses
   std::map<std::string, Machine> machines;  // by name, as `m0`
   std::vector<Waiting> looks;
   std::vector<net::HttpReply> silent;  // connections that hang
@@ -123,7 +128,7 @@
   int most_machines_away = 0;
   EventLoop loop;
   asio::steady_timer timer;
-  std::unique_ptr<net::HttpServer> shared;
+  std::vector<std::unique_ptr<net::HttpServer>> shared;   // by caller
   std::vector<std::unique_ptr<net::HttpServer>> servers;  // of VMs
 };
 
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -131,6 +131,33 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against an owner that goes on while the store refuses it alone, and
+// against its successor starting its work again.
+BOOST_AUTO_TEST_CASE(OwnerCutFromTheStoreIsReplaced) {
+  PlatformFleet fleet;
+  const jobs::JobSpec lasting = StartLasting(fleet);
+  const jobs::JobSpec chain = ChainJob("a");
+  fleet.Accept(chain);
+  const std::size_t cut = fleet.WaitForOwner();
+  fleet.platform->CutOff(cut, true);
+  const std::size_t successor = WaitForSuccessor(fleet, cut);
+  const jobs::JobSpec later = ChainJob("b");
+  BOOST_TEST(fleet.Submit(successor, later) == 200);
+  constexpr int unavailable = 503;
+  BOOST_TEST(fleet.Submit(cut, PlainJob("9", 1, 100)) == unavailable);
+  fleet.WaitFor("the end of both jobs", [&] {
+    return fleet.starts() >= 3 + 8 + 8 && !fleet.Runs(TaskOf(later, 0));
+  });
+  fleet.WaitFor("the cut instance to learn of its successor", [&] {
+    return fleet.Log(cut).find("owner_lost") != std::string::npos;
+  });
+  fleet.platform->CutOff(cut, false);
+  fleet.WaitForCompleted({chain, later});
+  BOOST_TEST(AllRun(fleet, lasting));
+  BOOST_TEST(fleet.starts() == 3 + 8 + 8);
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 // Guards against a job that was accepted and is forgotten when every process
 // ends right after the answer.
 BOOST_AUTO_TEST_CASE(AcceptedJobsSurviveTheEndOfAllProcesses) {
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -90,7 +90,7 @@
   this->client = std::move(*created);
   this->platform = std::move(*made);
   for (std::size_t i = 0; i < count; ++i) {
-    this->instances.push_back({.name = "e" + std::to_string(i)});
+    this->instances.push_back({.name = "e" + std::to_string(i), .number = i});
   }
   try {
     for (Process& process : this->instances) {
@@ -121,7 +121,7 @@
 
 void PlatformFleet::Start(Process& process) {
   ++process.starts;
-  const std::string shared = this->platform->address();
+  const std::string shared = this->platform->address(process.number);
   process.pid =
       Spawn({BinaryPath("kch-fleet"), "--name=" + process.name,
              "--store=" + shared, "--machines=" + shared, "--advice=" + shared,
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -63,6 +63,7 @@
  private:
   struct Process {
     std::string name;
+    std::size_t number = 0;
     std::string callers;  // host:port
     std::string readiness;
     pid_t pid = 0;  // 0: ended
