Pass over a refused permit of a job that is no longer known

A late answer for an erased job would have ended the process. The new test ends in a fault before and passes after.

The way from a task to its unit stands once (UnitOf), and the step of a task is found through it.

--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -59,9 +59,12 @@
              : &tasks[static_cast<std::size_t>(ref.index)];
 }
 
+Scheduler::Unit Scheduler::UnitOf(const Task& task) {
+  return {task.job, task.occurrence, task.step};
+}
+
 Step& Scheduler::StepOf(const Task& task) {
-  return task.job->open.at(task.occurrence)
-      .steps[static_cast<std::size_t>(task.step)];
+  return UnitOf(task).progress();
 }
 
 // A queue that was removed from the configuration keeps the terms under which
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -181,6 +181,7 @@
     std::set<VmId> denied;
   };
 
+  static Unit UnitOf(const Task& task);
   void NoteThat(std::string_view event,
                 std::vector<std::pair<std::string_view, std::string>> fields);
   Vm* FindVm(const VmId& id);
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -252,7 +252,7 @@
 // disturb each other and are kept apart where possible.
 Vm* Scheduler::ChooseVm(const Task& task, const Pool& pool, Time now) {
   const StepSpec& spec = task.spec();
-  const Unit unit{task.job, task.occurrence, task.step};
+  const Unit unit = UnitOf(task);
   const bool advised = this->QueueOf(*task.job).advised;
   const auto score = [&](const Vm& vm) {
     std::int32_t conflicts = 0;
@@ -309,8 +309,7 @@
   ++this->counted.starts;
   std::string permit;
   if (this->QueueOf(*task.job).advised) {
-    permit = *this->PermitOf({task.job, task.occurrence, task.step},
-                             vm.facts.id, now);
+    permit = *this->PermitOf(UnitOf(task), vm.facts.id, now);
   }
   const std::int64_t until = vm.ClockAt(now) + ToMs(this->limits.lease);
   vm.until_ms = std::max(vm.until_ms, until);
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -208,7 +208,7 @@
 void Scheduler::HandleDone(Task& task, bool current, Time now) {
   Job& job = *task.job;
   Occurrence& occurrence = job.open.at(task.occurrence);
-  Step& step = occurrence.steps[static_cast<std::size_t>(task.step)];
+  Step& step = this->StepOf(task);
   ++this->counted.done;
   const auto finish = [&step](Task& done) {
     if (done.phase == TaskPhase::kWaiting) {
@@ -458,8 +458,10 @@
           std::max(vm->ejected_until, now + this->limits.first_ejection);
       break;
     case StartAnswer::kNoPermit:
-      if (const auto row =
-              this->advice.find({task->job, task->occurrence, task->step});
+      if (task == nullptr) {
+        break;  // its job is no longer known
+      }
+      if (const auto row = this->advice.find(UnitOf(*task));
           row != this->advice.end()) {
         row->second.permits.erase(id);
       }
--- a/test/jobs/advice_test.cc
+++ b/test/jobs/advice_test.cc
@@ -113,6 +113,16 @@
   BOOST_TEST(sim.advice.refused_starts == 0);
 }
 
+// A VM's refusal may come when its job is no longer known here; the scheduler
+// read the task's job all the same.
+BOOST_AUTO_TEST_CASE(RefusalForAnUnknownJobIsPassedOver) {
+  FleetSim sim;
+  AddVms(sim, 1);
+  sim.scheduler->OnStart(VmId("vm0"), {JobId("gone"), 0, 0, 0}, 1,
+                         StartAnswer::kNoPermit, 0, sim.now);
+  BOOST_TEST(sim.scheduler->counters().refused_starts == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::jobs::test
