Call what the project has, and look at machines once a tick

- platform/store.cc had a second base64 beside that of net/store_client.cc.
Both use net/base64 now.
The second one threw on a value of padding alone, which any writer of the store may leave; the test has that case.
- The front reads the key with net::BearerSecret and keeps the call that it was given in place of building it again.
- The owner's condition of a transaction, and whether a VM carries a step's label, stand once.
- The mover lists idle machines once a tick in place of once for each backlog and once more, and works out the reserve in a function of its own.
- ChooseVm scores each VM once.
That a VM is to be emptied is the first part of the score, which replaces the state kept beside it.
- A doc comment returns to its function; an anonymous namespace is one again.
No assertion changed.

--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -82,14 +82,20 @@
                  {"found", found}});
 }
 
+// A write of the owner takes effect only while it owns the fleet.
+platform::Transaction OwnersTransaction(std::uint64_t fence) {
+  platform::Transaction transaction;
+  transaction.conditions.push_back({std::string(kOwnerKey), fence});
+  return transaction;
+}
+
 // Writes or erases a record that only saves a successor time: without it, or
 // with one too many, it asks a VM in vain.
 void WriteHint(platform::Store& store,
                std::uint64_t fence,
                const std::string& key,
                const std::optional<std::string>& value) {
-  platform::Transaction transaction;
-  transaction.conditions.push_back({std::string(kOwnerKey), fence});
+  platform::Transaction transaction = OwnersTransaction(fence);
   if (value) {
     transaction.puts.push_back({key, *value, 0});
   } else {
@@ -250,8 +256,7 @@
 }
 
 void FleetEffectVisitor::operator()(const jobs::WriteRecords& effect) const {
-  platform::Transaction transaction;
-  transaction.conditions.push_back({std::string(kOwnerKey), this->fence});
+  platform::Transaction transaction = OwnersTransaction(this->fence);
   for (const jobs::RecordWrite& record : effect.records) {
     const std::string key = KeyOf(kProgressPrefix, record.job);
     transaction.conditions.push_back({key, record.expected});
@@ -290,8 +295,7 @@
 // Repeated while the VM is known: a successor that does not find it would start
 // its tasks elsewhere.
 void FleetEffectVisitor::operator()(const jobs::KeepVm& effect) const {
-  platform::Transaction transaction;
-  transaction.conditions.push_back({std::string(kOwnerKey), this->fence});
+  platform::Transaction transaction = OwnersTransaction(this->fence);
   transaction.puts.push_back({std::string(kKeptVmPrefix) + effect.vm.id.str(),
                               jobs::EncodeVm(effect.vm), 0});
   this->driver.parts.store.Write(
@@ -320,8 +324,7 @@
 
 // Repeated, since a successor would wait for the answer of a VM that is gone.
 void FleetEffectVisitor::operator()(const jobs::ForgetVm& effect) const {
-  platform::Transaction transaction;
-  transaction.conditions.push_back({std::string(kOwnerKey), this->fence});
+  platform::Transaction transaction = OwnersTransaction(this->fence);
   transaction.erasures.push_back(std::string(kKeptVmPrefix) + effect.vm.str());
   this->driver.parts.store.Write(
       transaction, kWriteTimeoutMs,
@@ -413,8 +416,7 @@
 }
 
 void UpkeepEffectVisitor::operator()(const upkeep::StoreOrders& effect) const {
-  platform::Transaction transaction;
-  transaction.conditions.push_back({std::string(kOwnerKey), this->fence});
+  platform::Transaction transaction = OwnersTransaction(this->fence);
   transaction.puts.push_back(
       {std::string(kOrdersKey), EncodeMachines(effect.machines), 0});
   this->driver.parts.store.Write(
@@ -439,8 +441,7 @@
 // The state may be written again at any time, so a lost write is repaired by
 // the next one; the last one is repeated until it is known.
 void UpkeepEffectVisitor::operator()(const upkeep::SaveWave& effect) const {
-  platform::Transaction transaction;
-  transaction.conditions.push_back({std::string(kOwnerKey), this->fence});
+  platform::Transaction transaction = OwnersTransaction(this->fence);
   transaction.puts.push_back(
       {std::string(kWaveRecordPrefix) + effect.wave.str(),
        EncodeMachines(effect.begun), 0});
--- a/src/app/fleet/front.cc
+++ b/src/app/fleet/front.cc
@@ -34,13 +34,6 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-std::string KeyIn(std::string_view authorization) {
-  constexpr std::string_view scheme = "Bearer ";
-  return authorization.starts_with(scheme)
-             ? std::string(authorization.substr(scheme.size()))
-             : std::string();
-}
-
 Time DeadlineOf(const net::HttpRequest& request) {
   const std::string_view text = request.Header("deadline-ms");
   std::int64_t ms = 0;
@@ -173,7 +166,7 @@
   const ingress::Call call{.method = request.method,
                            .host = std::string(request.Header("host")),
                            .path = request.path,
-                           .key = KeyIn(request.Header("authorization"))};
+                           .key = std::string(net::BearerSecret(request))};
   const auto current = this->directory.load();
   if (current == nullptr) {
     this->Refuse(call, Refusal::kNoConfig, 0, answer);
@@ -188,7 +181,7 @@
   this->parts.metrics.Count("calls");
   switch (admitted->verb) {
     case ingress::Verb::kSubmit:
-      this->Submit(request, *admitted, version, std::move(answer));
+      this->Submit(request, call, *admitted, version, std::move(answer));
       break;
     case ingress::Verb::kState:
       this->ReportState(*admitted, std::move(answer));
@@ -216,13 +209,10 @@
 }
 
 void Front::Submit(const net::HttpRequest& request,
+                   const ingress::Call& call,
                    const Admitted& admitted,
                    std::uint64_t version,
                    Reply reply) {
-  const ingress::Call call{.method = request.method,
-                           .host = std::string(request.Header("host")),
-                           .path = request.path,
-                           .key = ""};
   auto decoded = platform::DecodeJob(request.body);
   if (decoded) {
     decoded->id = admitted.job;
--- a/src/app/fleet/front.h
+++ b/src/app/fleet/front.h
@@ -52,6 +52,7 @@
               std::uint64_t version,
               const Reply& reply);
   void Submit(const net::HttpRequest& request,
+              const ingress::Call& call,
               const ingress::Admitted& admitted,
               std::uint64_t version,
               Reply reply);
--- a/src/engine/entry.h
+++ b/src/engine/entry.h
@@ -46,11 +46,11 @@
   [[nodiscard]] const member::Membership& membership() const {
     return this->core.membership;
   }
-  /*! @brief Permits, for reports. */
   /*! @brief Version of the members' record as last read. */
   [[nodiscard]] std::uint64_t known_members() const {
     return this->members_version;
   }
+  /*! @brief Permits, for reports. */
   [[nodiscard]] const permit::Agent& permits() const {
     return this->core.permits;
   }
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -183,6 +183,10 @@
   std::int64_t boot_ms = 0;  // Unix time of its start; names the incarnation
 
   bool operator==(const VmFacts&) const = default;
+  /*! @brief True if it has the label that a step asks for, if any. */
+  [[nodiscard]] bool Carries(const std::string& label) const {
+    return label.empty() || this->labels.contains(label);
+  }
 };
 
 /*! @brief A run in a VM's report. */
--- a/src/jobs/scheduler_advice.cc
+++ b/src/jobs/scheduler_advice.cc
@@ -52,8 +52,7 @@
     const bool denied =
         known != this->advice.end() && known->second.denied.contains(id);
     if (!denied && this->Usable(*vm, now) &&
-        spec.Occupies().Within(vm->Free()) &&
-        (spec.label.empty() || vm->facts.labels.contains(spec.label)) &&
+        spec.Occupies().Within(vm->Free()) && vm->facts.Carries(spec.label) &&
         this->PermitOf(unit, id, now) == nullptr) {
       candidates.push_back(vm);
     }
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -200,8 +200,7 @@
   std::map<RackId, std::int32_t> by_rack;
   std::int32_t everywhere = 0;
   for (const auto& [vm_id, vm] : pool.vms) {
-    if (!this->Usable(*vm, now) ||
-        (!spec.label.empty() && !vm->facts.labels.contains(spec.label)) ||
+    if (!this->Usable(*vm, now) || !vm->facts.Carries(spec.label) ||
         (advised && this->PermitOf(unit, vm_id, now) == nullptr)) {
       continue;
     }
@@ -269,17 +268,16 @@
     const bool doubtful = !task.failed_runs.empty() &&
                           (vm.facts.id == task.avoid || vm.failures_in_row > 0);
     const bool crowded = spec.endless && siblings >= std::max(1, spec.may_miss);
-    return std::tuple(doubtful, vm.facts.id == task.avoid, other_rack,
-                      conflicts, crowded, vm.FreeShare());
+    return std::tuple(vm.cordoned, doubtful, vm.facts.id == task.avoid,
+                      other_rack, conflicts, crowded, vm.FreeShare());
   };
   Vm* best = nullptr;
-  bool best_cordoned = false;
+  std::optional<decltype(score(*best))> best_score;
   for (const auto& [vm_id, vm] : pool.vms) {
     const bool usable = this->Usable(*vm, now) ||
-                        (spec.endless && (best == nullptr || best_cordoned) &&
-                         this->UsableForLack(*vm, now));
+                        (spec.endless && this->UsableForLack(*vm, now));
     if (!usable || !spec.Occupies().Within(vm->Free()) ||
-        (!spec.label.empty() && !vm->facts.labels.contains(spec.label)) ||
+        !vm->facts.Carries(spec.label) ||
         (advised && this->PermitOf(unit, vm_id, now) == nullptr)) {
       continue;
     }
@@ -293,10 +291,10 @@
         continue;
       }
     }
-    if (best == nullptr || (best_cordoned && !vm->cordoned) ||
-        score(*vm) < score(*best)) {
+    const auto present = score(*vm);
+    if (!best_score || present < *best_score) {
       best = vm;
-      best_cordoned = vm->cordoned;
+      best_score = present;
     }
   }
   return best;
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -107,10 +107,6 @@
   return logger;
 }
 
-}  // namespace
-
-namespace {
-
 void Install(const std::string& instance,
              log4cplus::SharedAppenderPtr appender,
              std::unique_ptr<log4cplus::Layout> layout) {
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -2,6 +2,7 @@
 #define NET_NET_H_
 
 #include "net/answer.h"
+#include "net/base64.h"
 #include "net/clock.h"
 #include "net/event_log.h"
 #include "net/http.h"
--- a/src/net/store_client.cc
+++ b/src/net/store_client.cc
@@ -1,12 +1,12 @@
 #include "net/store_client.h"
 
-#include <openssl/evp.h>
-
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 #include <variant>
 
+#include "net/base64.h"
+
 namespace kch::net {
 namespace {
 
@@ -21,35 +21,6 @@
 // Longer than the store holds a watch, so that a silent connection ends.
 constexpr int kWatchTimeoutMs = 12'000;
 
-std::string Encode64(const std::string& text) {
-  std::string result(4 * ((text.size() + 2) / 3) + 1, '\0');
-  const int length =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(result.data()),
-                      reinterpret_cast<const unsigned char*>(text.data()),
-                      static_cast<int>(text.size()));
-  result.resize(static_cast<std::size_t>(length));
-  return result;
-}
-
-std::optional<std::string> Decode64(const std::string& text) {
-  std::string result(3 * text.size() / 4 + 3, '\0');
-  const int length =
-      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(result.data()),
-                      reinterpret_cast<const unsigned char*>(text.data()),
-                      static_cast<int>(text.size()));
-  if (length < 0) {
-    return std::nullopt;
-  }
-  // EVP_DecodeBlock counts the padding as data.
-  std::size_t padding = 0;
-  while (padding < 2 && padding < text.size() &&
-         text[text.size() - 1 - padding] == '=') {
-    ++padding;
-  }
-  result.resize(static_cast<std::size_t>(length) - padding);
-  return result;
-}
-
 // Reads the answer to a GET of one key. Anything but a well-formed answer is
 // an unavailable store.
 StoreReply ParseRead(const std::string& key, const HttpResult& result) {
@@ -75,7 +46,7 @@
       !index->is_number_unsigned()) {
     return reply;
   }
-  reply.value = Decode64(value->get<std::string>());
+  reply.value = FromBase64(value->get<std::string>());
   if (reply.value) {
     reply.version = index->get<std::uint64_t>();
     reply.status = StoreStatus::kOk;
@@ -191,7 +162,7 @@
   const json body = json::array({{{"KV",
                                    {{"Verb", "cas"},
                                     {"Key", cas.key},
-                                    {"Value", Encode64(cas.value)},
+                                    {"Value", ToBase64(cas.value)},
                                     {"Index", cas.version}}}}});
   // A new connection: libcurl may send a request twice on a reused one, and
   // the second would meet the first one's version as a conflict.
--- a/src/upkeep/mover.cc
+++ b/src/upkeep/mover.cc
@@ -1,7 +1,6 @@
 #include "upkeep/mover.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace kch::upkeep {
@@ -31,6 +30,24 @@
   }
 }
 
+// The capacity that each calm pool keeps free.
+jobs::Resources Mover::Reserve(
+    const MachineList& machines,
+    const std::map<PoolId, PoolDemand>& pools) const {
+  jobs::Resources total;
+  for (const auto& [id, machine] : machines) {
+    total += machine.capacity;
+  }
+  const auto serving = std::ranges::count_if(
+      pools, [](const auto& row) { return !row.second.standby; });
+  const double part =
+      this->limits.keep_free / static_cast<double>(std::max<long>(1, serving));
+  const auto share = [part](std::int64_t amount) {
+    return static_cast<std::int64_t>(part * static_cast<double>(amount));
+  };
+  return {share(total.cpu_m), share(total.memory_mb), 0};
+}
+
 // Machines on which nothing runs, those that stand by too.
 std::vector<const Machine*> Mover::Idle(
     const MachineList& machines,
@@ -47,10 +64,13 @@
         (settled_at != this->settled.end() && now < settled_at->second)) {
       continue;
     }
-    const auto load = load_of(machine.vm);
-    if (pool->second.standby || (load && load->answers && load->runs == 0)) {
-      idle.push_back(&machine);
+    if (!pool->second.standby) {
+      const auto load = load_of(machine.vm);
+      if (!load || !load->answers || load->runs > 0) {
+        continue;
+      }
     }
+    idle.push_back(&machine);
   }
   return idle;
 }
@@ -108,16 +128,9 @@
       this->effects.emplace_back(OrderMove{id, move.to});
     }
   }
-  jobs::Resources reserve;
-  for (const auto& [id, machine] : machines) {
-    reserve += machine.capacity;
-  }
-  const auto serving = std::ranges::count_if(
-      pools, [](const auto& row) { return !row.second.standby; });
-  const double part =
-      this->limits.keep_free / static_cast<double>(std::max<long>(1, serving));
-  reserve = {static_cast<std::int64_t>(part * double(reserve.cpu_m)),
-             static_cast<std::int64_t>(part * double(reserve.memory_mb)), 0};
+  const jobs::Resources reserve = this->Reserve(machines, pools);
+  std::vector<const Machine*> idle =
+      this->Idle(machines, busy, pools, load_of, now);
   bool backlogged = false;
   for (const auto& [id, pool] : pools) {
     if (pool.standby) {
@@ -135,8 +148,7 @@
       continue;
     }
     const std::vector<const Machine*> donors =
-        this->Donors(this->Idle(machines, busy, pools, load_of, now), zones_out,
-                     pools, reserve, id);
+        this->Donors(idle, zones_out, pools, reserve, id);
     jobs::Resources missing = pool.used + pool.waiting - capacity;
     for (const Machine* machine : donors) {
       if (missing.cpu_m <= 0 && missing.memory_mb <= 0) {
@@ -145,8 +157,10 @@
       missing -= machine->capacity;
       this->Send(*machine, id, "backlog " + std::to_string(backlog), now);
     }
+    std::erase_if(idle, [this](const Machine* machine) {
+      return this->moves.contains(machine->id);
+    });
   }
-  const auto idle = this->Idle(machines, busy, pools, load_of, now);
   std::map<MachineId, Time> still_idle;
   for (const Machine* machine : idle) {
     const auto known = this->idle_since.find(machine->id);
--- a/src/upkeep/mover.h
+++ b/src/upkeep/mover.h
@@ -80,6 +80,9 @@
             const std::map<PoolId, PoolDemand>& pools,
             const jobs::Resources& reserve,
             Time now);
+  [[nodiscard]] jobs::Resources Reserve(
+      const MachineList& machines,
+      const std::map<PoolId, PoolDemand>& pools) const;
   [[nodiscard]] std::vector<const Machine*> Idle(
       const MachineList& machines,
       const std::set<MachineId>& busy,
--- a/test/jobs/advice_test.cc
+++ b/test/jobs/advice_test.cc
@@ -29,8 +29,7 @@
   job.steps.push_back(job.steps[0]);
   job.steps[1].after = {0};
   sim.Submit(job);
-  BOOST_TEST(sim.RunUntil(
-      [&] { return sim.StateOf("a") == JobState::kCompleted; }, 3000));
+  BOOST_TEST(sim.Completes("a", 3000));
   BOOST_TEST(sim.starts() == 24);
   BOOST_TEST(sim.advice.refused_starts == 0);
   BOOST_TEST(sim.breaches.size() == 0U);
@@ -78,8 +77,7 @@
   FakeVm& vm = *sim.vms.at("vm0");
   vm.Restart();
   sim.Register("vm0");
-  BOOST_TEST(sim.RunUntil(
-      [&] { return sim.StateOf("a") == JobState::kCompleted; }, 9000));
+  BOOST_TEST(sim.Completes("a", 9000));
   BOOST_TEST(sim.advice.refused_starts == 0);
   BOOST_TEST(sim.advice.questions >= 3);
   BOOST_TEST(sim.breaches.size() == 0U);
@@ -94,8 +92,7 @@
   sim.Run(2000);
   BOOST_TEST(sim.advice.questions <= 7);
   sim.advice.down = false;
-  BOOST_TEST(sim.RunUntil(
-      [&] { return sim.StateOf("a") == JobState::kCompleted; }, 1000));
+  BOOST_TEST(sim.Completes("a", 1000));
 }
 
 BOOST_AUTO_TEST_CASE(GangsWaitForEnoughPermits) {
@@ -107,8 +104,7 @@
   JobSpec job = SimpleJob("a", "advised", 10, 1000, 300);
   job.steps[0].gang = true;
   sim.Submit(job);
-  BOOST_TEST(sim.RunUntil(
-      [&] { return sim.StateOf("a") == JobState::kCompleted; }, 3000));
+  BOOST_TEST(sim.Completes("a", 3000));
   BOOST_TEST(sim.starts() == 10);
   BOOST_TEST(sim.advice.refused_starts == 0);
 }
--- a/test/jobs/fleet_sim.cc
+++ b/test/jobs/fleet_sim.cc
@@ -299,6 +299,11 @@
   return done_now();
 }
 
+bool FleetSim::Completes(const std::string& job, std::int64_t most_ms) {
+  return this->RunUntil(
+      [&] { return this->StateOf(job) == JobState::kCompleted; }, most_ms);
+}
+
 void FleetSim::Takeover() {
   ++this->fence;
   this->scheduler = std::make_unique<Scheduler>(this->limits);
--- a/test/jobs/fleet_sim.h
+++ b/test/jobs/fleet_sim.h
@@ -45,6 +45,8 @@
   void Run(std::int64_t ms);
   // Runs until a condition holds, at most this long; false if it does not.
   bool RunUntil(const std::function<bool()>& done, std::int64_t most_ms);
+  // The same for the completion of a job.
+  bool Completes(const std::string& job, std::int64_t most_ms);
   // Replaces the scheduler by one that knows only the store and the VMs.
   void Takeover();
   // A VM's registration is removed, as after missed heartbeats, or returns.
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -41,8 +41,7 @@
   job.steps.push_back(job.steps[0]);
   job.steps[1].after = {0};
   sim.Submit(job);
-  BOOST_TEST(sim.RunUntil(
-      [&] { return sim.StateOf("a") == JobState::kCompleted; }, 2000));
+  BOOST_TEST(sim.Completes("a", 2000));
   BOOST_TEST(sim.starts() == 8);
   BOOST_TEST(Breaches(sim) == "");
 }
@@ -108,8 +107,7 @@
   // A finished job is shown as such once its end is stored.
   BOOST_TEST(NameOf(sim.StateOf("short")) == "running");
   sim.store.down = false;
-  BOOST_TEST(sim.RunUntil(
-      [&] { return sim.StateOf("short") == JobState::kCompleted; }, 1000));
+  BOOST_TEST(sim.Completes("short", 1000));
 }
 
 // After a takeover the runs of a cancelled job still occupy their VM until
@@ -122,8 +120,7 @@
   sim.Cancel("old");
   sim.Submit(SimpleJob("new", "q", 8, 1000, 200));
   sim.Takeover();
-  BOOST_TEST(sim.RunUntil(
-      [&] { return sim.StateOf("new") == JobState::kCompleted; }, 4000));
+  BOOST_TEST(sim.Completes("new", 4000));
   BOOST_TEST(Breaches(sim) == "");
 }
 
@@ -136,8 +133,7 @@
   sim.Submit(job);
   sim.Run(700);
   sim.Takeover();
-  BOOST_TEST(sim.RunUntil(
-      [&] { return sim.StateOf("a") == JobState::kCompleted; }, 6000));
+  BOOST_TEST(sim.Completes("a", 6000));
   BOOST_TEST(sim.starts() == 12);
   BOOST_TEST(Breaches(sim) == "");
 }
@@ -157,8 +153,7 @@
   sim.Run(2000);
   BOOST_TEST(sim.vms.at("vm1")->runs.size() == 1);
   sim.Submit(SimpleJob("fresh", "q", 1, 1000, 100));
-  BOOST_TEST(sim.RunUntil(
-      [&] { return sim.StateOf("fresh") == JobState::kCompleted; }, 500));
+  BOOST_TEST(sim.Completes("fresh", 500));
   BOOST_TEST(
       sim.RunUntil([&] { return sim.vms.at("vm1")->runs.size() == 3; }, 6000));
   BOOST_TEST(Breaches(sim) == "");
@@ -175,8 +170,7 @@
   BOOST_TEST(sim.RunUntil([&] { return !sim.store.records.empty(); }, 1000));
   sim.vms.at("vm0")->fails_all = false;
   sim.Takeover();
-  BOOST_TEST(sim.RunUntil(
-      [&] { return sim.StateOf("a") == JobState::kCompleted; }, 5000));
+  BOOST_TEST(sim.Completes("a", 5000));
   BOOST_TEST(sim.scheduler->counters().failed_jobs == 0);
 }
 
@@ -318,8 +312,7 @@
   sim.Submit(gang);
   sim.Run(600);
   BOOST_TEST(!sim.Runs("gang.0.0.0"));
-  BOOST_TEST(sim.RunUntil(
-      [&] { return sim.StateOf("gang") == JobState::kCompleted; }, 3000));
+  BOOST_TEST(sim.Completes("gang", 3000));
   BOOST_TEST(sim.starts() == 10);
 }
 
@@ -335,8 +328,7 @@
   BOOST_TEST(sim.starts() == 0);
   sim.Run(400);
   BOOST_TEST(sim.starts() == 2);
-  BOOST_TEST(sim.RunUntil(
-      [&] { return sim.StateOf("a") == JobState::kCompleted; }, 2000));
+  BOOST_TEST(sim.Completes("a", 2000));
   BOOST_TEST(sim.starts() == 6);
 }
 
@@ -455,8 +447,7 @@
   BOOST_TEST(sim.RunUntil([&] { return second.runs.size() == 2; }, 9000));
   first.dark = false;
   sim.Submit(SimpleJob("b", "q", 4, 4000, 500));
-  BOOST_TEST(sim.RunUntil(
-      [&] { return sim.StateOf("b") == JobState::kCompleted; }, 4000));
+  BOOST_TEST(sim.Completes("b", 4000));
   BOOST_TEST(NameOf(sim.StateOf("a")) == "completed");
   BOOST_TEST(Breaches(sim) == "");
 }
--- a/test/platform/decode_test.cc
+++ b/test/platform/decode_test.cc
@@ -84,11 +84,13 @@
 
 BOOST_AUTO_TEST_CASE(Base64) {
   for (const std::string text : {"", "a", "ab", "abc", "abcd"}) {
-    BOOST_TEST(FromBase64(ToBase64(text)).value() == text);
+    BOOST_TEST(net::FromBase64(net::ToBase64(text)).value() == text);
   }
-  BOOST_TEST(ToBase64("node-1") == "bm9kZS0x");
-  BOOST_TEST(!FromBase64("abc").has_value());
-  BOOST_TEST(!FromBase64("****").has_value());
+  BOOST_TEST(net::ToBase64("node-1") == "bm9kZS0x");
+  BOOST_TEST(!net::FromBase64("abc").has_value());
+  BOOST_TEST(!net::FromBase64("****").has_value());
+  // Another writer's value of padding alone ended in an exception.
+  BOOST_CHECK_NO_THROW((void)net::FromBase64("===="));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -28,18 +28,8 @@
 using std::chrono::seconds;
 
 constexpr std::string_view kOperatorKey = "operators.secret";
-constexpr milliseconds kPollInterval{10};
-// Below the bound of CTest, which kills this process without its destructors.
-constexpr seconds kTestBound{100};
 constexpr int kRequestTimeoutMs = 40'000;
 
-std::string ReadFile(const std::filesystem::path& path) {
-  std::ifstream file(path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 std::string KeyOf(const std::string& team) {
   return team + ".secret";
 }
@@ -54,6 +44,22 @@
   return std::string(KCH_BINARY_DIR) + "/" + name;
 }
 
+std::string ReadFile(const std::filesystem::path& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::filesystem::path MakeTestFolder() {
+  std::string folder =
+      (std::filesystem::temp_directory_path() / "kch-process-XXXXXX").string();
+  if (mkdtemp(folder.data()) == nullptr) {
+    throw std::runtime_error("cannot create a temporary folder");
+  }
+  return folder;
+}
+
 pid_t Spawn(const std::vector<std::string>& arguments,
             const std::string& output) {
   posix_spawn_file_actions_t actions;
@@ -103,12 +109,7 @@
 
 Fleet::Fleet(const FleetOptions& options)
     : wanted(options), deadline(std::chrono::steady_clock::now() + kTestBound) {
-  std::string folder =
-      (std::filesystem::temp_directory_path() / "kch-process-XXXXXX").string();
-  if (mkdtemp(folder.data()) == nullptr) {
-    throw std::runtime_error("cannot create a temporary folder");
-  }
-  this->files = folder;
+  this->files = MakeTestFolder();
   try {
     this->StartAll();
     this->Configure();
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -26,6 +26,18 @@
 [[nodiscard]] pid_t Spawn(const std::vector<std::string>& arguments,
                           const std::string& output);
 
+/*! @brief The text of a file; empty if there is none. */
+[[nodiscard]] std::string ReadFile(const std::filesystem::path& path);
+
+/*! @brief Creates a folder for the files of a test; throws on failure. */
+[[nodiscard]] std::filesystem::path MakeTestFolder();
+
+/*! @brief Pause between two looks at a condition. */
+inline constexpr std::chrono::milliseconds kPollInterval{10};
+/*! @brief Longest time of a test. Below the bound of CTest, which kills this
+ * process without its destructors. */
+inline constexpr std::chrono::seconds kTestBound{100};
+
 /*! @brief Size and profile of a fleet. */
 struct FleetOptions {
   std::size_t entries = 3;
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -3,7 +3,6 @@
 #include <sys/wait.h>
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
 #include <sstream>
 #include <stdexcept>
@@ -16,20 +15,9 @@
 namespace {
 
 using nlohmann::json;
-using std::chrono::milliseconds;
 
-constexpr milliseconds kPollInterval{10};
-// Below the bound of CTest, which kills this process without its destructors.
-constexpr std::chrono::seconds kTestBound{100};
 constexpr int kCallTimeoutMs = 3000;
 
-std::string ReadFile(const std::filesystem::path& path) {
-  std::ifstream file(path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 json Encode(const jobs::StepSpec& step) {
   return {{"Count", step.count},
           {"Cpu", step.need.cpu_m},
@@ -76,12 +64,7 @@
 PlatformFleet::PlatformFleet(std::size_t count,
                              const fake::FleetPlatform::Options& options)
     : deadline(std::chrono::steady_clock::now() + kTestBound) {
-  std::string folder =
-      (std::filesystem::temp_directory_path() / "kch-fleet-XXXXXX").string();
-  if (mkdtemp(folder.data()) == nullptr) {
-    throw std::runtime_error("cannot create a temporary folder");
-  }
-  this->files = folder;
+  this->files = MakeTestFolder();
   auto created = net::HttpClient::Create({});
   auto made = fake::FleetPlatform::Create(options);
   if (!created || !made) {
