Evict an endless task only if an open VM takes it

So a running task could be stopped although only closed VMs had room, and started there again. The test counts six starts for four tasks before.

Change: the eviction passes over a VM that is to be emptied; the choice still names an open one whenever there is one.

--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -264,7 +264,8 @@
       continue;
     }
     const Pool& pool = this->PoolOf(*task->job);
-    if (this->ChooseVm(*task, pool, now) != nullptr) {
+    const Vm* target = this->ChooseVm(*task, pool, now);
+    if (target != nullptr && !target->cordoned) {
       this->NoteThat("run_evicted", {{"task", task->Ref().Name()},
                                      {"vm", id.str()},
                                      {"away", std::to_string(away)},
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -510,6 +510,35 @@
   BOOST_TEST(Breaches(sim) == "");
 }
 
+// The choice of a VM for a waiting endless task includes VMs that are to be
+// emptied; the one for a task that runs must not, or it is stopped only to
+// start there again.
+BOOST_AUTO_TEST_CASE(NothingIsEvictedWithoutAnOpenVm) {
+  FleetSim sim;
+  WithVms(sim, 2);
+  for (const char* id : {"a", "b"}) {
+    JobSpec job = EndlessJob(id, 2);
+    job.steps[0].may_miss = 1;
+    sim.Submit(job);
+  }
+  sim.Run(500);
+  sim.scheduler->Cordon(VmId("vm0"), true);
+  sim.scheduler->Cordon(VmId("vm1"), true);
+  for (int i = 0; i < 20; ++i) {
+    sim.scheduler->EvictEndless(VmId("vm0"), sim.now);
+    sim.Run(50);
+  }
+  BOOST_TEST(sim.starts() == 4);
+  // With an open VM the closed one is emptied.
+  sim.scheduler->Cordon(VmId("vm1"), false);
+  BOOST_TEST(sim.RunUntil(
+      [&] {
+        sim.scheduler->EvictEndless(VmId("vm0"), sim.now);
+        return sim.vms.at("vm0")->runs.empty();
+      },
+      5000));
+}
+
 // Such a VM without any endless task may be ordered away at any moment.
 BOOST_AUTO_TEST_CASE(NothingStartsOnAnEmptiedVm) {
   FleetSim sim;
