Tell how late a process is, what a takeover reads, and why a VM is silent

The logs could not tell an owner that needs more processor time than it has from a takeover that takes too long. New: a line `load` each second at the owner (delay of events, time of passes of decisions), the phases of a takeover with records and bytes, the call without an answer behind each `vm_silent` with the age of the VM's last answer, and `start_barred`.

No decision changes.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -63,6 +63,7 @@
 Driver::Driver(FleetOptions options, Parts parts)
     : options(std::move(options)),
       parts(parts),
+      load(parts.metrics),
       timer(context),
       write_timer(context),
       signals(context, SIGTERM, SIGINT, SIGHUP),
@@ -72,7 +73,8 @@
                 CandidateDelay(this->options.incarnation)) {}
 
 void Driver::Post(std::function<void()> event) {
-  asio::post(this->context, [this, event = std::move(event)] {
+  asio::post(this->context, [this, came = Now(), event = std::move(event)] {
+    this->load.OnEvent(Now() - came);
     event();
     // Events that are queued already are handled before the next decisions, so
     // that one pass serves them all.
@@ -115,6 +117,7 @@
     this->Perform(this->gate->Take());
   }
   this->WakeForWrite(now);
+  this->load.OnPass(Now() - now);
 }
 
 // Changes wait for each other only as long as the interval of writes.
@@ -205,6 +208,7 @@
   }
   this->Turn();
   this->PublishGauges(now);
+  this->load.Tick(now, this->scheduler != nullptr);
   this->timer.expires_after(this->scheduler != nullptr ? kTickInterval
                                                        : kIdleTickInterval);
   this->timer.async_wait([this](const asio::error_code& error) {
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "app/fleet/front.h"
+#include "app/fleet/load_meter.h"
 #include "jobs/jobs.h"
 #include "lead/lead.h"
 #include "platform/platform.h"
@@ -35,6 +36,8 @@
 
 /*! @brief What a scheduler needs before it may start work. */
 struct Takeover {
+  Time since;
+  std::size_t bytes = 0;  // of the records read so far
   std::map<std::string, platform::Item> progress;
   bool progress_known = false;
   bool intake_known = false;
@@ -110,6 +113,8 @@
                std::uint64_t fence,
                UseItems use,
                std::vector<platform::Item> read = {});
+  void NoteRead(std::string_view prefix,
+                const std::vector<platform::Item>& items);
   void ReadKeptVms(std::uint64_t fence);
   void ReadEndedVms(std::uint64_t fence);
   void ReadWaves(std::uint64_t fence);
@@ -132,6 +137,7 @@
 
   FleetOptions options;
   Parts parts;
+  LoadMeter load;
   asio::io_context context;
   asio::steady_timer timer;
   asio::steady_timer write_timer;
--- /dev/null
+++ b/src/app/fleet/load_meter.cc
@@ -0,0 +1,56 @@
+#include "app/fleet/load_meter.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace kch::app {
+namespace {
+
+constexpr auto kInterval = std::chrono::seconds(1);
+// Renewals of leases and answers to callers suffer from a longer delay.
+constexpr auto kLate = std::chrono::milliseconds(250);
+constexpr double kUsPerMs = 1000;
+
+double Ms(Duration duration) {
+  return static_cast<double>(duration.count()) / kUsPerMs;
+}
+
+}  // namespace
+
+void LoadMeter::OnEvent(Duration delay) {
+  ++this->events;
+  this->longest_delay = std::max(this->longest_delay, delay);
+}
+
+void LoadMeter::OnPass(Duration length) {
+  ++this->passes;
+  this->pass_time += length;
+  this->longest_pass = std::max(this->longest_pass, length);
+}
+
+void LoadMeter::Tick(Time now, bool told) {
+  if (now - this->since < kInterval) {
+    return;
+  }
+  if (this->since != Time()) {
+    this->metrics.Delay("event_delay", Ms(this->longest_delay));
+    this->metrics.Delay("pass", Ms(this->longest_pass));
+    if (told || this->longest_delay >= kLate) {
+      net::LogEvent(
+          "load",
+          {{"events", std::to_string(this->events)},
+           {"longest_delay_ms", std::to_string(ToMs(this->longest_delay))},
+           {"passes", std::to_string(this->passes)},
+           {"pass_ms", std::to_string(ToMs(this->pass_time))},
+           {"longest_pass_ms", std::to_string(ToMs(this->longest_pass))}});
+    }
+  }
+  this->since = now;
+  this->events = 0;
+  this->longest_delay = {};
+  this->passes = 0;
+  this->pass_time = {};
+  this->longest_pass = {};
+}
+
+}  // namespace kch::app
--- /dev/null
+++ b/src/app/fleet/load_meter.h
@@ -0,0 +1,36 @@
+#ifndef APP_FLEET_LOAD_METER_H_
+#define APP_FLEET_LOAD_METER_H_
+
+#include <cstdint>
+
+#include "net/net.h"
+
+namespace kch::app {
+
+/*! @brief Measures how busy a process is and how late it handles events, and
+ * tells so once a second. */
+class LoadMeter {
+ public:
+  explicit LoadMeter(net::Metrics& metrics) : metrics(metrics) {}
+
+  /*! @brief An event was handled this long after it had come. */
+  void OnEvent(Duration delay);
+  /*! @brief A pass of decisions took this long. */
+  void OnPass(Duration length);
+  /*! @brief Publishes the last second; a process that is late, or `told` to,
+   * logs it as well. */
+  void Tick(Time now, bool told);
+
+ private:
+  net::Metrics& metrics;
+  Time since;
+  std::uint64_t events = 0;
+  Duration longest_delay{};
+  std::uint64_t passes = 0;
+  Duration pass_time{};
+  Duration longest_pass{};
+};
+
+}  // namespace kch::app
+
+#endif  // APP_FLEET_LOAD_METER_H_
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -24,6 +24,7 @@
   this->fence = gained;
   this->scheduler = std::make_unique<jobs::Scheduler>(this->options.limits);
   this->takeover.emplace();
+  this->takeover->since = Now();
   this->parts.metrics.Count("takeovers");
   net::LogEvent("owner_gained", {{"fence", std::to_string(gained)}});
   if (this->fleet_config) {
@@ -75,9 +76,11 @@
           read.insert(read.end(), reply.items.begin(), reply.items.end());
         }
         if (answered && !(reply.more && !reply.items.empty())) {
-          this->PostFor(by, [use = std::move(use), read = std::move(read)] {
-            use(read);
-          });
+          this->PostFor(
+              by, [this, prefix, use = std::move(use), read = std::move(read)] {
+                this->NoteRead(prefix, read);
+                use(read);
+              });
           return;
         }
         this->parts.client.Delay(
@@ -90,6 +93,21 @@
       });
 }
 
+// What a takeover waits for, and how much it is.
+void Driver::NoteRead(std::string_view prefix,
+                      const std::vector<platform::Item>& items) {
+  std::size_t bytes = 0;
+  for (const platform::Item& item : items) {
+    bytes += item.key.size() + item.value.size();
+  }
+  this->takeover->bytes += bytes;
+  net::LogEvent("takeover_read",
+                {{"prefix", std::string(prefix)},
+                 {"records", std::to_string(items.size())},
+                 {"bytes", std::to_string(bytes)},
+                 {"ms", std::to_string(ToMs(Now() - this->takeover->since))}});
+}
+
 void Driver::ReadKeptVms(std::uint64_t by) {
   this->ReadAll(
       kKeptVmPrefix, by, [this](const std::vector<platform::Item>& items) {
@@ -174,6 +192,14 @@
            [this, by] {
              this->PostFor(by, [this] {
                if (this->takeover) {
+                 net::LogEvent(
+                     "takeover_read",
+                     {{"prefix", std::string(kIntakePrefix)},
+                      {"records",
+                       std::to_string(this->takeover->early_jobs.size() +
+                                      this->takeover->early_cancels.size())},
+                      {"ms",
+                       std::to_string(ToMs(Now() - this->takeover->since))}});
                  this->takeover->intake_known = true;
                  this->FinishTakeover();
                }
@@ -269,6 +295,7 @@
       !this->takeover->orders_known) {
     return;
   }
+  const Time begun = Now();
   for (const auto& [vm, boot_ms] : this->takeover->ended_vms) {
     this->scheduler->SetEndedVm(vm, boot_ms);
   }
@@ -281,6 +308,13 @@
   for (const jobs::JobId& job : this->takeover->early_cancels) {
     this->scheduler->CancelJob(job, Now());
   }
+  net::LogEvent(
+      "takeover_entered",
+      {{"jobs", std::to_string(this->scheduler->job_count())},
+       {"vms", std::to_string(this->scheduler->vms().size())},
+       {"bytes", std::to_string(this->takeover->bytes)},
+       {"read_ms", std::to_string(ToMs(begun - this->takeover->since))},
+       {"enter_ms", std::to_string(ToMs(Now() - begun))}});
   this->takeover.reset();
   // Registrations that lapsed while the store was away come back within this
   // time of its return.
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -110,6 +110,9 @@
       case TaskPhase::kStarting:
         // The order is lost or late; a stop bars it for good.
         if (settled) {
+          this->NoteThat("start_barred", {{"task", task->Ref().Name()},
+                                          {"run", std::to_string(task->run)},
+                                          {"vm", vm.facts.id.str()}});
           this->StopTask(*task);
         }
         break;
@@ -373,7 +376,7 @@
     return;
   }
   if (!answered) {
-    this->SetSilent(*vm, now);
+    this->SetSilent(*vm, "stop", now);
   }
   Task* task = this->FindTask(ref);
   if (task == nullptr || task->run != run || !vm->runs.contains(task) ||
@@ -431,11 +434,11 @@
       if (current) {
         task->confirmed = now;
       }
-      this->SetSilent(*vm, now);
+      this->SetSilent(*vm, "start", now);
       vm->next_look = now;
       return;
     case StartAnswer::kNotSent:
-      this->SetSilent(*vm, now);
+      this->SetSilent(*vm, "connect", now);
       break;
     case StartAnswer::kOldRun:
       if (current) {
@@ -505,7 +508,7 @@
   }
   // The first lost look is repeated at once on another connection.
   vm->next_look = vm->silent ? now + this->limits.look_retry : now;
-  this->SetSilent(*vm, now);
+  this->SetSilent(*vm, "look", now);
 }
 
 // Every further order with this fence would be refused as well.
@@ -516,14 +519,17 @@
   }
 }
 
-void Scheduler::SetSilent(Vm& vm, Time now) {
+void Scheduler::SetSilent(Vm& vm, std::string_view unanswered, Time now) {
   if (vm.silent) {
     return;
   }
   vm.silent = true;
   vm.silent_since = now;
-  this->NoteThat("vm_silent", {{"vm", vm.facts.id.str()},
-                               {"runs", std::to_string(vm.runs.size())}});
+  this->NoteThat("vm_silent",
+                 {{"vm", vm.facts.id.str()},
+                  {"runs", std::to_string(vm.runs.size())},
+                  {"unanswered", std::string(unanswered)},
+                  {"heard_ms_ago", std::to_string(ToMs(now - vm.clock_at))}});
 }
 
 void Scheduler::LoseRuns(Vm& vm, std::string_view reason) {
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -9,8 +9,10 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <memory>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -40,6 +42,54 @@
 constexpr double kLinesPerSecond = 300;
 constexpr double kLineBurst = 600;
 
+// Lines that may be written now. A line is counted before it is put together,
+// so that one that is left out costs next to nothing.
+class LineBudget {
+ public:
+  bool Take() {
+    const std::lock_guard lock(this->mutex);
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::duration<double> passed = now - this->last;
+    this->last = now;
+    this->lines =
+        std::min(kLineBurst, this->lines + passed.count() * kLinesPerSecond);
+    if (this->lines < 1) {
+      ++this->left_out;
+      return false;
+    }
+    this->lines -= 1;
+    return true;
+  }
+  void LeaveOut() {
+    const std::lock_guard lock(this->mutex);
+    ++this->left_out;
+  }
+  // Lines left out since they were last reported; 0 until the next report.
+  std::uint64_t Report() {
+    const std::lock_guard lock(this->mutex);
+    const auto now = std::chrono::steady_clock::now();
+    if (this->left_out == 0 || now - this->reported < kReportInterval) {
+      return 0;
+    }
+    this->reported = now;
+    return std::exchange(this->left_out, 0);
+  }
+
+ private:
+  static constexpr auto kReportInterval = std::chrono::seconds(1);
+
+  std::mutex mutex;  // guards the members below
+  std::chrono::steady_clock::time_point last;
+  std::chrono::steady_clock::time_point reported;
+  double lines = kLineBurst;
+  std::uint64_t left_out = 0;
+};
+
+LineBudget& Budget() {
+  static LineBudget budget;
+  return budget;
+}
+
 // Writes to standard output without ever waiting for its reader: a pipe that
 // polls as writable takes PIPE_BUF bytes at once.
 class BoundedAppender : public log4cplus::Appender {
@@ -49,36 +99,19 @@
 
  protected:
   void append(const log4cplus::spi::InternalLoggingEvent& event) override {
-    const auto now = std::chrono::steady_clock::now();
-    const std::chrono::duration<double> passed = now - this->last;
-    this->last = now;
-    this->budget =
-        std::min(kLineBurst, this->budget + passed.count() * kLinesPerSecond);
-    if (this->budget < 1) {
-      ++this->left_out;
-      return;
-    }
-    this->budget -= 1;
     std::string line;
-    if (this->left_out > 0) {
-      line = R"({"event":"lines_left_out","count":)" +
-             std::to_string(this->left_out) + "}\n";
+    if (const std::uint64_t count = Budget().Report(); count > 0) {
+      line = R"({"event":"lines_left_out","count":)" + std::to_string(count) +
+             "}\n";
     }
     line += this->formatEvent(event);
     pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
     const bool room =
         poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
-    if (room && write(STDOUT_FILENO, line.data(), line.size()) > 0) {
-      this->left_out = 0;
-    } else {
-      ++this->left_out;
+    if (!room || write(STDOUT_FILENO, line.data(), line.size()) <= 0) {
+      Budget().LeaveOut();
     }
   }
-
- private:
-  std::chrono::steady_clock::time_point last;
-  double budget = kLineBurst;
-  std::uint64_t left_out = 0;
 };
 
 // Adds the time and the instance to an event that is JSON already.
@@ -107,6 +140,12 @@
   return logger;
 }
 
+std::atomic<bool> bounded = false;  // lines are subject to the budget
+
+bool MayWrite() {
+  return !bounded || Budget().Take();
+}
+
 void Install(const std::string& instance,
              log4cplus::SharedAppenderPtr appender,
              std::unique_ptr<log4cplus::Layout> layout) {
@@ -131,9 +170,13 @@
   static const log4cplus::Initializer initializer;
   Install(instance, log4cplus::SharedAppenderPtr(new BoundedAppender()),
           std::make_unique<EventLayout>());
+  bounded = true;
 }
 
 void LogEvent(std::string_view event, const LogFields& fields) {
+  if (!MayWrite()) {
+    return;
+  }
   nlohmann::ordered_json line{{"event", event}};
   for (const auto& [name, value] : fields) {
     line[std::string(name)] = value;
@@ -144,6 +187,9 @@
 }
 
 void Log(LogLevel level, const std::string& text) {
+  if (!MayWrite()) {
+    return;
+  }
   switch (level) {
     case LogLevel::kInfo:
       Target().log(log4cplus::INFO_LOG_LEVEL, text);
