Add tests of an owner that calls all VMs and of a takeover that reads the past

- process.OwnerMakesAllCallsOfALargeFleet: 100 VMs, 4 instances.
- process.TakeoverReadsEndedJobs: the successor enters jobs that have ended.

The stand-in's fleet can read the counters that an instance serves.

--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -279,5 +279,65 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// More VMs than an owner calls itself.
+constexpr std::size_t kManyVms = 100;
+
+// Guards against an owner that calls every VM of a large fleet itself, which
+// takes more than a small machine has.
+BOOST_AUTO_TEST_CASE(OwnerMakesAllCallsOfALargeFleet) {
+  PlatformFleet fleet(4, {.vms = kManyVms, .addresses = 4});
+  std::vector<jobs::JobSpec> wanted;
+  for (const std::string id : {"1", "2", "3", "4", "5", "6"}) {
+    wanted.push_back(PlainJob(id, 40, 300));
+    fleet.Accept(wanted.back());
+  }
+  fleet.WaitForCompleted(wanted);
+  const std::size_t owner = fleet.WaitForOwner();
+  const double looks = fleet.Counter(owner, "kch_looks_total");
+  double relayed = 0;
+  for (std::size_t i = 0; i < 4; ++i) {
+    relayed += i == owner ? 0 : fleet.Counter(i, "kch_relayed_calls_total");
+  }
+  BOOST_TEST(looks > 0);
+  BOOST_TEST(relayed > looks / 2);
+  BOOST_TEST(fleet.Log(owner).find("relay_lost") == std::string::npos);
+  BOOST_TEST(fleet.starts() == 6 * 40);
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
+// Guards against takeovers that take longer the more jobs have ended, up to
+// more than the lease of the runs.
+BOOST_AUTO_TEST_CASE(TakeoverReadsEndedJobs) {
+  PlatformFleet fleet;
+  std::vector<jobs::JobSpec> ended;
+  for (int i = 0; i < 12; ++i) {
+    ended.push_back(PlainJob("e" + std::to_string(i), 2, 50));
+    fleet.Accept(ended.back());
+  }
+  fleet.WaitForCompleted(ended);
+  const jobs::JobSpec lasting = StartLasting(fleet);
+  const std::size_t killed = fleet.WaitForOwner();
+  fleet.Signal(killed, SIGKILL);
+  fleet.WaitForExit(killed);
+  const std::size_t successor = WaitForSuccessor(fleet, killed);
+  fleet.WaitFor("the takeover", [&] {
+    return fleet.Log(successor).find("\"recovered\"") != std::string::npos;
+  });
+  const std::string log = fleet.Log(successor);
+  BOOST_TEST(log.find("\"event\":\"takeover_entered\",\"jobs\":\"1\"") !=
+             std::string::npos);
+  // Their submitters may still ask, at any instance, and hand them in again.
+  for (const jobs::JobSpec& job : ended) {
+    BOOST_TEST(fleet.StateOf(job) == "completed");
+  }
+  constexpr int ok = 200;
+  BOOST_TEST(fleet.Submit(successor, ended[0]) == ok);
+  fleet.Cancel(ended[1]);
+  BOOST_TEST(fleet.StateOf(ended[1]) == "completed");
+  BOOST_TEST(AllRun(fleet, lasting));
+  BOOST_TEST(fleet.starts() == 12 * 2 + 3);
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 }  // namespace
 }  // namespace kch::test
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -102,6 +102,23 @@
   return ReadFile(this->LogOf(this->instances.at(instance)));
 }
 
+double PlatformFleet::Counter(std::size_t instance, const std::string& name) {
+  const std::string body =
+      this->client
+          ->SendAndWait({.url = "http://" + this->instances.at(instance).peers +
+                                "/metrics"})
+          .body;
+  double total = 0;
+  std::istringstream lines(body);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with(name) &&
+        line.find_first_of(" {", name.size()) == name.size()) {
+      total += std::stod(line.substr(line.rfind(' ')));
+    }
+  }
+  return total;
+}
+
 void PlatformFleet::Start(Process& process) {
   ++process.starts;
   const std::string shared = this->platform->address(process.number);
@@ -129,6 +146,7 @@
   process.callers = "127.0.0.1:" + listening.at("callers").get<std::string>();
   process.readiness =
       "127.0.0.1:" + listening.at("readiness").get<std::string>();
+  process.peers = "127.0.0.1:" + listening.at("peers").get<std::string>();
   this->WaitFor(process.name + " to be ready", [&] {
     return this->client
         ->SendAndWait(
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -52,6 +52,8 @@
   int WaitForExit(std::size_t instance);
   /*! @brief Starts an instance that has ended. */
   void Restart(std::size_t instance);
+  /*! @brief A counter that an instance serves, over all labels; 0: none. */
+  [[nodiscard]] double Counter(std::size_t instance, const std::string& name);
   /*! @brief What an instance has logged since its last start. */
   [[nodiscard]] std::string Log(std::size_t instance) const;
 
@@ -66,6 +68,7 @@
     std::size_t number = 0;
     std::string callers;  // host:port
     std::string readiness;
+    std::string peers;
     pid_t pid = 0;  // 0: ended
     int starts = 0;
   };
