Share the owner's calls to VMs among all processes, and pause between passes

Callers saw: endless tasks that had been accepted did not run (LOST), and less than the floor was served (SHORT), on both grown sites.

Cause: the owner made every call to every VM. With 350 VMs and 750 starts a second at the mean that takes more processor time than the smallest machine has. The owner then read answers late, took VMs for silent whose answers waited in its own sockets, renewed its lease and theirs too late, and each false silence made more work: 94 VMs counted as silent before the first loss, half of them within 271 ms of their last answer, and the owner's lease ended without a fault of the store. Class of fault: one process carries work that grows with the fleet, and its own lateness reads as the silence of others.

Change: with more than 64 VMs, other processes make the calls to about 32 VMs each. relay::Roster, at the owner, shares the VMs out and settles what a lost, late or leaving relay leaves open; relay::Guard, in the relay, refuses calls that are old by the relay's own clock or under an old fence. A process reports to the owner that its record in the store names, over the existing bus; a superseded owner is told by the processes that leave it. After a pass of decisions it pauses three times as long as the pass took, so that events are taken in meanwhile.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -4,7 +4,6 @@
 #include <asio/post.hpp>
 #include <chrono>
 #include <csignal>
-#include <ctime>
 #include <utility>
 
 #include "app/fleet/effects.h"
@@ -13,6 +12,7 @@
 namespace kch::app {
 namespace {
 
+using net::BootMs;
 using net::Now;
 using net::WallMs;
 
@@ -22,6 +22,9 @@
 constexpr auto kMachineInterval = std::chrono::milliseconds(25);
 // Without the fleet only ownership has to be watched.
 constexpr auto kIdleTickInterval = std::chrono::milliseconds(100);
+// Pause after a pass of decisions, in its own lengths, and at most.
+constexpr int kTurnPause = 3;
+constexpr Duration kMaxTurnPause = std::chrono::milliseconds(40);
 // Watches of the operators' records and of the owner; a silent connection is
 // noticed at the end of the wait.
 constexpr int kOperatorWaitMs = 1000;
@@ -32,15 +35,6 @@
 // The platform sends no new connections after two missed checks of one second.
 constexpr auto kBalancerTime = std::chrono::milliseconds(2600);
 
-// Counts the time in which the machine is suspended, unlike the steady clock.
-std::int64_t BootMs() {
-  timespec now{};
-  clock_gettime(CLOCK_BOOTTIME, &now);
-  constexpr std::int64_t ms_per_s = 1000;
-  constexpr std::int64_t ns_per_ms = 1'000'000;
-  return now.tv_sec * ms_per_s + now.tv_nsec / ns_per_ms;
-}
-
 upkeep::VmLoad LoadOf(const jobs::Vm& vm, double pool_use_without) {
   return {.runs = vm.runs.size() + vm.strays.size(),
           .endless = static_cast<std::size_t>(std::ranges::count_if(
@@ -66,24 +60,42 @@
       load(parts.metrics),
       timer(context),
       write_timer(context),
+      turn_timer(context),
       signals(context, SIGTERM, SIGINT, SIGHUP),
       ownership({.instance = this->options.instance,
                  .incarnation = this->options.incarnation,
-                 .address = this->options.peer_address},
+                 .address = this->options.peer_address,
+                 .bus_address = this->options.bus_address},
                 CandidateDelay(this->options.incarnation)) {}
 
 void Driver::Post(std::function<void()> event) {
   asio::post(this->context, [this, came = Now(), event = std::move(event)] {
     this->load.OnEvent(Now() - came);
     event();
-    // Events that are queued already are handled before the next decisions, so
-    // that one pass serves them all.
-    if (!this->turn_posted) {
-      this->turn_posted = true;
-      asio::post(this->context, [this] {
-        this->turn_posted = false;
-        this->Turn();
-      });
+    this->ScheduleTurn();
+  });
+}
+
+// One pass serves all events that came before it. Its cost grows with the fleet
+// and the backlog, so the pause after it does, too: decisions take a bounded
+// part of the time, and events are taken in meanwhile.
+void Driver::ScheduleTurn() {
+  if (std::exchange(this->turn_set, true)) {
+    return;
+  }
+  const auto run = [this] {
+    this->turn_set = false;
+    this->Turn();
+  };
+  const Duration wait = this->next_turn - Now();
+  if (wait <= Duration::zero()) {
+    asio::post(this->context, run);
+    return;
+  }
+  this->turn_timer.expires_after(wait);
+  this->turn_timer.async_wait([run](const asio::error_code& error) {
+    if (!error) {
+      run();
     }
   });
 }
@@ -98,8 +110,19 @@
 
 void Driver::Turn() {
   const Time now = Now();
+  this->Decide(now);
+  const Time end = Now();
+  this->next_turn = end + std::min(kMaxTurnPause, kTurnPause * (end - now));
+}
+
+void Driver::Decide(Time now) {
   this->ownership.Tick(now);
   this->Perform(this->ownership.Take());
+  if (this->roster) {
+    this->roster->SetVmCount(this->scheduler->vms().size());
+    this->roster->Tick(now);
+    this->Perform(this->roster->Take());
+  }
   if (this->scheduler != nullptr && !this->takeover) {
     const std::int64_t wall_ms = WallMs();
     this->scheduler->Plan(now, wall_ms);
@@ -116,6 +139,9 @@
     this->gate->Tick(now);
     this->Perform(this->gate->Take());
   }
+  if (this->roster) {
+    this->Perform(this->roster->Take());
+  }
   this->WakeForWrite(now);
   this->load.OnPass(Now() - now);
 }
@@ -193,6 +219,7 @@
   }
   this->last_boot_ms = boot_ms;
   this->last_tick = now;
+  this->parts.relay.Tick(now);
   if (this->shutdown_begun) {
     const Duration passed = now - *this->shutdown_begun;
     const bool drained =
@@ -271,6 +298,7 @@
   net::LogEvent("stopping",
                 {{"owner", this->scheduler != nullptr ? "yes" : "no"}});
   this->parts.front.BeginShutdown();
+  this->parts.relay.BeginShutdown();
   this->ownership.Resign(Now());
   this->Perform(this->ownership.Take());
 }
@@ -409,6 +437,7 @@
     record = *std::move(decoded);
   }
   this->parts.front.SetOwner(record ? record->address : "");
+  this->parts.relay.Follow(record);
   net::LogEvent("owner",
                 {{"instance", record ? record->instance : ""},
                  {"fence", std::to_string(record ? record->revision : 0)}});
@@ -441,6 +470,14 @@
   });
 }
 
+void Driver::OnRelayReport(relay::Report report) {
+  this->Post([this, report = std::move(report)] {
+    if (this->roster) {
+      this->roster->OnReport(report, Now());
+    }
+  });
+}
+
 void Driver::Perform(std::vector<lead::Effect> decided) {
   for (lead::Effect& effect : decided) {
     std::visit(LeadEffectVisitor{*this}, effect);
@@ -453,6 +490,15 @@
   }
 }
 
+void Driver::Perform(std::vector<relay::Effect> decided) {
+  for (relay::Effect& effect : decided) {
+    // A reply may end this process's ownership.
+    if (this->roster) {
+      std::visit(RelayEffectVisitor{*this, this->fence}, effect);
+    }
+  }
+}
+
 // Orders to machines wait until their machines are named in the store.
 void Driver::PassOrders(std::vector<upkeep::Effect> decided) {
   for (upkeep::Effect& effect : decided) {
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -16,9 +16,11 @@
 
 #include "app/fleet/front.h"
 #include "app/fleet/load_meter.h"
+#include "app/fleet/relay_worker.h"
 #include "jobs/jobs.h"
 #include "lead/lead.h"
 #include "platform/platform.h"
+#include "relay/relay.h"
 #include "upkeep/upkeep.h"
 
 namespace kch::app {
@@ -28,6 +30,7 @@
   std::string instance;
   std::string incarnation;
   std::string peer_address;  // host:port of this process for others
+  std::string bus_address;   // host:port of its bus for relays
   jobs::Limits limits;
   upkeep::Limits upkeep_limits;
   upkeep::MoveLimits move_limits{};
@@ -63,6 +66,8 @@
     platform::MachineClient& machines;
     platform::AdviceClient& advice;
     Front& front;
+    net::PeerBus& bus;
+    RelayWorker& relay;
     net::Metrics& metrics;
   };
 
@@ -78,11 +83,14 @@
   void AskPending(const jobs::QueueId& queue,
                   std::function<void(PendingAnswer)> done);
   void TellCancel(const jobs::JobId& job);
+  /*! @brief Another process's report to this one as the owner. Any thread. */
+  void OnRelayReport(relay::Report report);
 
  private:
   friend struct FleetEffectVisitor;
   friend struct LeadEffectVisitor;
   friend struct UpkeepEffectVisitor;
+  friend struct RelayEffectVisitor;
 
   // A wave as the operators wrote it, and when this process first saw it.
   struct SeenWave {
@@ -93,7 +101,9 @@
   void Post(std::function<void()> event);
   /*! @brief As Post, for a scheduler; dropped if another one came since. */
   void PostFor(std::uint64_t fence, std::function<void()> event);
+  void ScheduleTurn();
   void Turn();
+  void Decide(Time now);
   void OnTick();
   void OnSignal(int signal);
   void BeginShutdown();
@@ -130,6 +140,7 @@
   void Perform(std::vector<lead::Effect> decided);
   void Perform(std::vector<jobs::Effect> decided);
   void Perform(std::vector<upkeep::Effect> decided);
+  void Perform(std::vector<relay::Effect> decided);
   void PassOrders(std::vector<upkeep::Effect> decided);
   void TickMachines(Time now);
   void PublishGauges(Time now);
@@ -142,8 +153,10 @@
   asio::steady_timer timer;
   asio::steady_timer write_timer;
   bool write_timer_set = false;
+  asio::steady_timer turn_timer;
+  bool turn_set = false;
+  Time next_turn;
   asio::signal_set signals;
-  bool turn_posted = false;
   std::int64_t last_boot_ms = 0;
   Time last_tick;
 
@@ -162,6 +175,7 @@
   std::unique_ptr<upkeep::Planner> planner;
   std::unique_ptr<upkeep::Mover> mover;
   std::unique_ptr<upkeep::OrderGate> gate;
+  std::optional<relay::Roster> roster;
 
   std::shared_ptr<platform::PrefixView> operators;
   std::shared_ptr<platform::PrefixView> owner_view;
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -5,6 +5,7 @@
 
 #include "app/fleet/keys.h"
 #include "app/fleet/machines_record.h"
+#include "wire/relay_codec.h"
 
 namespace kch::app {
 namespace {
@@ -121,6 +122,42 @@
   return false;
 }
 
+// Tells the scheduler what became of an order.
+struct DeliverVisitor {
+  jobs::Scheduler& scheduler;
+  const relay::Deliver& delivered;
+
+  void operator()(const jobs::StartRun& order) const {
+    const auto& reply = std::get<relay::StartReply>(this->delivered.reply);
+    this->scheduler.OnStart(order.to.vm, order.task, order.run, reply.answer,
+                            reply.clock_ms, Now());
+  }
+  void operator()(const jobs::StopRun& order) const {
+    this->scheduler.OnStop(order.to.vm, order.task, order.run, this->Answered(),
+                           Now());
+  }
+  void operator()(const jobs::PaceRun& order) const {
+    this->scheduler.OnPace(order.to.vm, order.task, order.run,
+                           this->Answered());
+  }
+  void operator()(const jobs::LookAt& order) const {
+    const auto& reply = std::get<relay::LookReply>(this->delivered.reply);
+    if (reply.outcome == relay::LookOutcome::kReport) {
+      this->scheduler.OnReport(order.to.vm, reply.report, this->delivered.given,
+                               Now());
+    } else {
+      this->scheduler.OnNoReport(
+          order.to.vm, reply.outcome == relay::LookOutcome::kFenced,
+          reply.outcome == relay::LookOutcome::kOtherVm, Now());
+    }
+  }
+
+ private:
+  [[nodiscard]] bool Answered() const {
+    return std::get<relay::OrderReply>(this->delivered.reply).answered;
+  }
+};
+
 }  // namespace
 
 void LeadEffectVisitor::operator()(const lead::CreateLease& /*effect*/) const {
@@ -187,56 +224,21 @@
 
 void FleetEffectVisitor::operator()(const jobs::StartRun& effect) const {
   this->driver.parts.metrics.Count("task_starts");
-  this->driver.parts.vms.Start(
-      effect, this->fence,
-      [&driver = this->driver, fence = this->fence, vm = effect.to.vm,
-       task = effect.task, run = effect.run](platform::StartReply reply) {
-        driver.PostFor(fence, [&driver, vm, task, run, reply] {
-          driver.scheduler->OnStart(vm, task, run, reply.answer, reply.clock_ms,
-                                    Now());
-        });
-      });
+  this->driver.roster->Give(effect, Now());
 }
 
 void FleetEffectVisitor::operator()(const jobs::StopRun& effect) const {
   this->driver.parts.metrics.Count("task_stops");
-  this->driver.parts.vms.Stop(
-      effect, this->fence,
-      [&driver = this->driver, fence = this->fence, vm = effect.to.vm,
-       task = effect.task, run = effect.run](bool answered) {
-        driver.PostFor(fence, [&driver, vm, task, run, answered] {
-          driver.scheduler->OnStop(vm, task, run, answered, Now());
-        });
-      });
+  this->driver.roster->Give(effect, Now());
 }
 
 void FleetEffectVisitor::operator()(const jobs::PaceRun& effect) const {
-  this->driver.parts.vms.Pace(
-      effect, this->fence,
-      [&driver = this->driver, fence = this->fence, vm = effect.to.vm,
-       task = effect.task, run = effect.run](bool answered) {
-        driver.PostFor(fence, [&driver, vm, task, run, answered] {
-          driver.scheduler->OnPace(vm, task, run, answered);
-        });
-      });
+  this->driver.roster->Give(effect, Now());
 }
 
 void FleetEffectVisitor::operator()(const jobs::LookAt& effect) const {
   this->driver.parts.metrics.Count("looks");
-  this->driver.parts.vms.Look(
-      effect, this->fence,
-      [&driver = this->driver, fence = this->fence, vm = effect.to.vm,
-       sent = Now()](platform::LookReply reply) {
-        driver.PostFor(fence, [&driver, vm, sent, reply = std::move(reply)] {
-          if (reply.outcome == platform::LookOutcome::kReport) {
-            driver.scheduler->OnReport(vm, reply.report, sent, Now());
-          } else {
-            driver.scheduler->OnNoReport(
-                vm, reply.outcome == platform::LookOutcome::kFenced,
-                reply.outcome == platform::LookOutcome::kOtherVm, Now());
-          }
-        });
-      });
+  this->driver.roster->Give(effect, Now());
 }
 
 void FleetEffectVisitor::operator()(const jobs::AskAdvice& effect) const {
@@ -324,6 +326,7 @@
 
 // Repeated, since a successor would wait for the answer of a VM that is gone.
 void FleetEffectVisitor::operator()(const jobs::ForgetVm& effect) const {
+  this->driver.roster->ForgetVm(effect.vm);
   platform::Transaction transaction = OwnersTransaction(this->fence);
   transaction.erasures.push_back(std::string(kKeptVmPrefix) + effect.vm.str());
   this->driver.parts.store.Write(
@@ -357,8 +360,12 @@
 void FleetEffectVisitor::operator()(const jobs::Superseded& effect) const {
   net::LogEvent("fenced", {{"vm", effect.seen_at.str()},
                            {"fence", std::to_string(this->fence)}});
-  // In an event of its own: the loss destroys the scheduler whose effects are
-  // being performed.
+  this->GiveUp();
+}
+
+// In an event of its own: the loss destroys the scheduler whose effects are
+// being performed.
+void FleetEffectVisitor::GiveUp() const {
   this->driver.PostFor(this->fence, [&driver = this->driver] {
     driver.ownership.OnSuperseded(Now());
     driver.Perform(driver.ownership.Take());
@@ -471,4 +478,42 @@
   FleetEffectVisitor{this->driver, this->fence}(jobs::Superseded{});
 }
 
+void RelayEffectVisitor::operator()(const relay::Connect& effect) const {
+  this->driver.parts.bus.Connect(effect.relay, effect.address);
+}
+
+void RelayEffectVisitor::operator()(const relay::Disconnect& effect) const {
+  this->driver.parts.bus.Drop(effect.relay);
+}
+
+void RelayEffectVisitor::operator()(relay::Forward& effect) const {
+  this->driver.parts.bus.Send(
+      effect.relay, wire::Encode(relay::Message(std::move(effect.orders))));
+}
+
+void RelayEffectVisitor::operator()(relay::CallHere& effect) const {
+  this->driver.parts.vms.Carry(
+      effect.call.order, this->fence,
+      [&driver = this->driver, fence = this->fence,
+       number = effect.call.number](relay::Reply reply) {
+        driver.PostFor(fence, [&driver, number, reply = std::move(reply)] {
+          driver.roster->OnAnswer({number, reply}, Now());
+        });
+      });
+}
+
+void RelayEffectVisitor::operator()(relay::Deliver& effect) const {
+  std::visit(DeliverVisitor{*this->driver.scheduler, effect}, effect.order);
+}
+
+void RelayEffectVisitor::operator()(const relay::Superseded& effect) const {
+  net::LogEvent("left_by_relay", {{"relay", effect.seen_at.str()},
+                                  {"fence", std::to_string(this->fence)}});
+  FleetEffectVisitor{this->driver, this->fence}.GiveUp();
+}
+
+void RelayEffectVisitor::operator()(const relay::Note& effect) const {
+  net::LogEvent(effect.event, effect.fields);
+}
+
 }  // namespace kch::app
--- a/src/app/fleet/effects.h
+++ b/src/app/fleet/effects.h
@@ -35,6 +35,9 @@
   void operator()(const jobs::ForgetEnded& effect) const;
   void operator()(const jobs::Superseded& effect) const;
   void operator()(const jobs::Note& effect) const;
+
+  /*! @brief Ends the ownership, since a later owner has been seen. */
+  void GiveUp() const;
 };
 
 /*! @brief Performs what the planner of upkeep decided. */
@@ -54,6 +57,20 @@
   void operator()(const upkeep::Superseded& effect) const;
 };
 
+/*! @brief Performs what the roster of relays decided. */
+struct RelayEffectVisitor {
+  Driver& driver;
+  std::uint64_t fence;
+
+  void operator()(const relay::Connect& effect) const;
+  void operator()(const relay::Disconnect& effect) const;
+  void operator()(relay::Forward& effect) const;
+  void operator()(relay::CallHere& effect) const;
+  void operator()(relay::Deliver& effect) const;
+  void operator()(const relay::Superseded& effect) const;
+  void operator()(const relay::Note& effect) const;
+};
+
 }  // namespace kch::app
 
 #endif  // APP_FLEET_EFFECTS_H_
--- a/src/app/fleet/main.cc
+++ b/src/app/fleet/main.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "app/fleet/driver.h"
+#include "wire/relay_codec.h"
 
 namespace {
 
@@ -28,6 +29,9 @@
                    "host:port to listen on for the load balancer's checks"),
       RequiredText("peers",
                    "host:port to listen on for other instances and metrics"),
+      RequiredText("bus",
+                   "host:port to listen on for relayed calls to VMs; port 0: "
+                   "the kernel picks one"),
       Number("max-body-bytes", 1 << 18, 1024, 16 << 20,
              "largest request body in bytes"),
       Number("max-lease-ms", 6000, 1000, kMaxMs,
@@ -157,6 +161,22 @@
   }
 }
 
+// Messages between the owner and its relays.
+void HandleBus(kch::app::Driver* driver,
+               kch::app::RelayWorker* relay,
+               std::string_view bytes) {
+  auto message = kch::wire::DecodeRelay(bytes);
+  if (!message) {
+    kch::net::LogEvent("relay_unreadable", {{"error", message.error().Text()}});
+  } else if (auto* report = std::get_if<kch::relay::Report>(&*message)) {
+    if (driver != nullptr) {
+      driver->OnRelayReport(std::move(*report));
+    }
+  } else if (relay != nullptr) {
+    relay->Carry(std::get<kch::relay::Orders>(*message));
+  }
+}
+
 int Run(const Settings& settings) {
   const std::string& name = settings.text("name");
   kch::net::StartEventLog(name);
@@ -177,8 +197,9 @@
                        {{"error", upkeep_limits.error().Text()}});
     return 2;
   }
-  // Servers may be called before the driver exists.
+  // Servers and the bus may be called before the driver exists.
   std::atomic<kch::app::Driver*> control = nullptr;
+  std::atomic<kch::app::RelayWorker*> relay_worker = nullptr;
   kch::app::Front front(
       {.client = **client,
        .store = store,
@@ -203,11 +224,32 @@
     kch::net::LogEvent("start_failed", {{"error", peers.error().Text()}});
     return 1;
   }
+  const auto bus_address = AddressIn(settings, "bus");
+  auto bus = bus_address ? kch::net::PeerBus::Create(
+                               bus_address->host, bus_address->port,
+                               [&](const std::string& bytes) {
+                                 HandleBus(control, relay_worker, bytes);
+                               })
+                         : tl::unexpected(bus_address.error());
+  if (!bus) {
+    kch::net::LogEvent("start_failed", {{"error", bus.error().Text()}});
+    return 1;
+  }
   const std::string peer_host = AddressIn(settings, "peers")->host;
+  const std::string incarnation = IncarnationNow(name);
+  const std::string bus_for_others =
+      bus_address->host + ":" + std::to_string((*bus)->port());
+  kch::app::RelayWorker relay(
+      {.instance = kch::InstanceId(name),
+       .incarnation = incarnation,
+       .address = bus_for_others},
+      {.client = **client, .vms = vms, .bus = **bus, .metrics = metrics});
+  relay_worker = &relay;
   kch::app::Driver driver(
       {.instance = name,
-       .incarnation = IncarnationNow(name),
+       .incarnation = incarnation,
        .peer_address = peer_host + ":" + std::to_string((*peers)->port()),
+       .bus_address = bus_for_others,
        .limits = LimitsFrom(settings),
        .upkeep_limits = *upkeep_limits,
        .shutdown_time =
@@ -218,6 +260,8 @@
        .machines = machines,
        .advice = advice,
        .front = front,
+       .bus = **bus,
+       .relay = relay,
        .metrics = metrics});
   control = &driver;
   auto readiness =
@@ -245,6 +289,8 @@
   callers->reset();
   readiness->reset();
   peers->reset();
+  relay.Stop();
+  bus->reset();
   client->reset();
   kch::net::LogEvent("exiting", {});
   // The end of the logging library's own threads has been seen to block until
--- /dev/null
+++ b/src/app/fleet/relay_worker.cc
@@ -0,0 +1,155 @@
+#include "app/fleet/relay_worker.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "wire/relay_codec.h"
+
+namespace kch::app {
+namespace {
+
+using net::BootMs;
+using net::Now;
+
+// Replies that arrive within this time share a message.
+constexpr int kFlushMs = 8;
+// A process that has carried nothing for this long reports less often.
+constexpr auto kIdleAfter = std::chrono::seconds(3);
+
+bool IsFenced(const relay::Reply& reply) {
+  if (const auto* start = std::get_if<relay::StartReply>(&reply)) {
+    return start->answer == jobs::StartAnswer::kFenced;
+  }
+  const auto* look = std::get_if<relay::LookReply>(&reply);
+  return look != nullptr && look->outcome == relay::LookOutcome::kFenced;
+}
+
+}  // namespace
+
+RelayWorker::RelayWorker(relay::Report self, Parts parts)
+    : parts(parts), self(std::move(self)) {}
+
+// Until there is a successor, an owner whose record has gone may still give
+// orders.
+void RelayWorker::Follow(const std::optional<lead::OwnerRecord>& next) {
+  const std::lock_guard lock(this->mutex);
+  if (!next || next->revision <= this->self.fence) {
+    return;
+  }
+  this->self.fence = next->revision;
+  this->answers.clear();
+  if (!this->left.empty() && this->left != next->instance) {
+    this->parts.bus.Drop(InstanceId(this->left));
+  }
+  this->left = this->owner ? this->owner->instance : "";
+  this->owner.reset();
+  if (!this->left.empty()) {
+    // An owner that cannot reach the store learns of its successor here.
+    this->Send({}, this->left);
+  }
+  if (next->instance != this->self.instance.str() &&
+      !next->bus_address.empty()) {
+    this->owner = next;
+    this->next_report = Time();
+    this->parts.bus.Connect(InstanceId(next->instance), next->bus_address);
+  }
+}
+
+void RelayWorker::Stop() {
+  const std::lock_guard lock(this->mutex);
+  this->owner.reset();
+}
+
+void RelayWorker::Carry(const relay::Orders& orders) {
+  relay::Verdict verdict = relay::Verdict::kStale;
+  {
+    const std::lock_guard lock(this->mutex);
+    verdict = this->guard.Judge(orders, BootMs());
+    this->last_orders = Now();
+    this->next_report =
+        std::min(this->next_report, this->last_orders + relay::kReportInterval);
+  }
+  for (const relay::Call& call : orders.calls) {
+    switch (verdict) {
+      case relay::Verdict::kCarry:
+        this->parts.metrics.Count("relayed_calls");
+        this->parts.vms.Carry(call.order, orders.fence,
+                              [this, number = call.number,
+                               fence = orders.fence](relay::Reply reply) {
+                                this->Add(fence, {number, std::move(reply)});
+                              });
+        break;
+      case relay::Verdict::kStale:
+        this->Add(orders.fence, {call.number, relay::LostReply(call.order)});
+        break;
+      case relay::Verdict::kFenced:
+        this->Add(orders.fence, {call.number, relay::FencedReply(call.order)});
+        break;
+    }
+  }
+  if (verdict != relay::Verdict::kCarry) {
+    net::LogEvent("relay_refused",
+                  {{"reason", std::string(NameOf(verdict))},
+                   {"fence", std::to_string(orders.fence)},
+                   {"calls", std::to_string(orders.calls.size())}});
+  }
+}
+
+void RelayWorker::Add(std::uint64_t fence, relay::Answer answer) {
+  {
+    const std::lock_guard lock(this->mutex);
+    if (IsFenced(answer.reply)) {
+      this->guard.OnFenced(fence);
+    }
+    if (!this->owner || this->owner->revision != fence) {
+      return;  // the call was another owner's
+    }
+    this->answers.push_back(std::move(answer));
+    if (std::exchange(this->flush_set, true)) {
+      return;
+    }
+  }
+  this->parts.client.Delay(kFlushMs, [this] { this->Flush(); });
+}
+
+// Every report tells the clock, so that the owner's orders can be dated.
+void RelayWorker::Send(std::vector<relay::Answer> with, const std::string& to) {
+  relay::Report report = this->self;
+  report.clock_ms = BootMs();
+  report.answers = std::move(with);
+  this->parts.bus.Send(InstanceId(to),
+                       wire::Encode(relay::Message(std::move(report))));
+}
+
+void RelayWorker::Flush() {
+  const std::lock_guard lock(this->mutex);
+  this->flush_set = false;
+  if (!this->owner) {
+    return;
+  }
+  this->Send(std::exchange(this->answers, {}), this->owner->instance);
+  const Time now = Now();
+  this->next_report =
+      now + (now - this->last_orders < kIdleAfter ? relay::kReportInterval
+                                                  : relay::kIdleReportInterval);
+}
+
+void RelayWorker::Tick(Time now) {
+  {
+    const std::lock_guard lock(this->mutex);
+    if (!this->owner || now < this->next_report) {
+      return;
+    }
+  }
+  this->Flush();
+}
+
+void RelayWorker::BeginShutdown() {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->self.leaving = true;
+  }
+  this->Flush();
+}
+
+}  // namespace kch::app
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -17,6 +17,8 @@
 constexpr int kIntakeWaitMs = 1000;
 constexpr int kVmWaitMs = 1500;
 constexpr int kRetryMs = 100;
+// Other processes learn of a new owner by their watches within this time.
+constexpr auto kJoinTime = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -37,6 +39,7 @@
   this->mover = std::make_unique<upkeep::Mover>(this->options.move_limits);
   this->gate =
       std::make_unique<upkeep::OrderGate>(this->options.upkeep_limits.handover);
+  this->roster.emplace(gained, Now() + kJoinTime);
   this->parts.front.SetOwner(this->options.peer_address);
   this->ReadKeptVms(gained);
   this->ReadEndedVms(gained);
@@ -57,6 +60,7 @@
   this->planner.reset();
   this->mover.reset();
   this->gate.reset();
+  this->roster.reset();
   this->scheduler.reset();
 }
 
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -8,7 +8,8 @@
 std::string Encode(const OwnerRecord& record) {
   return nlohmann::json{{"instance", record.instance},
                         {"incarnation", record.incarnation},
-                        {"address", record.address}}
+                        {"address", record.address},
+                        {"bus_address", record.bus_address}}
       .dump();
 }
 
@@ -18,6 +19,7 @@
     return OwnerRecord{.instance = row.at("instance"),
                        .incarnation = row.at("incarnation"),
                        .address = row.at("address"),
+                       .bus_address = row.value("bus_address", ""),
                        .revision = revision};
   } catch (const std::exception& error) {
     return Fail(
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -34,6 +34,7 @@
   std::string instance;
   std::string incarnation;     // differs between starts of one instance
   std::string address;         // host:port for other instances
+  std::string bus_address;     // host:port for relays; empty: none
   std::uint64_t revision = 0;  // of its creation; the fence of all orders
 
   bool operator==(const OwnerRecord&) const = default;
--- a/src/net/clock.h
+++ b/src/net/clock.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 #include "base/time.h"
 
@@ -21,6 +22,16 @@
       .count();
 }
 
+/*! @brief Milliseconds since the machine started, with those in which it was
+ * suspended. */
+[[nodiscard]] inline std::int64_t BootMs() {
+  constexpr std::int64_t ms_per_s = 1000;
+  constexpr std::int64_t ns_per_ms = 1'000'000;
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return now.tv_sec * ms_per_s + now.tv_nsec / ns_per_ms;
+}
+
 }  // namespace kch::net
 
 #endif  // NET_CLOCK_H_
--- /dev/null
+++ b/src/relay/call.h
@@ -0,0 +1,88 @@
+#ifndef RELAY_CALL_H_
+#define RELAY_CALL_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "jobs/jobs.h"
+
+namespace kch::relay {
+
+/*! @brief What the scheduler wants of a VM. */
+using Order =
+    std::variant<jobs::StartRun, jobs::StopRun, jobs::PaceRun, jobs::LookAt>;
+
+[[nodiscard]] const jobs::Destination& DestinationOf(const Order& order);
+
+/*! @brief An order on its way, under a number of the owner's. */
+struct Call {
+  std::uint64_t number = 0;
+  Order order;
+};
+
+/*! @brief Answer to an order to start a run. */
+struct StartReply {
+  jobs::StartAnswer answer = jobs::StartAnswer::kNoAnswer;
+  std::int64_t clock_ms = 0;  // the VM's clock; 0: not told
+};
+
+/*! @brief Answer to an order to stop or pace a run. */
+struct OrderReply {
+  bool answered = false;
+};
+
+/*! @brief How a look ended. */
+enum class LookOutcome : std::uint8_t { kReport, kFenced, kOtherVm, kNoAnswer };
+
+/*! @brief Answer to a look. */
+struct LookReply {
+  LookOutcome outcome = LookOutcome::kNoAnswer;
+  jobs::VmReport report;
+};
+
+using Reply = std::variant<StartReply, OrderReply, LookReply>;
+
+/*! @brief The reply to a call. */
+struct Answer {
+  std::uint64_t number = 0;
+  Reply reply;
+};
+
+/*! @brief Calls of an owner to one relay. */
+struct Orders {
+  std::uint64_t fence = 0;
+  std::int64_t clock_ms = 0;  // the relay's clock as the owner last heard it
+  std::vector<Call> calls;
+};
+
+/*! @brief What a process tells the owner: that it can relay, and replies. */
+struct Report {
+  std::uint64_t fence = 0;  // of the owner that it follows
+  InstanceId instance;
+  std::string incarnation;    // differs between starts of one instance
+  std::string address;        // host:port of its bus
+  std::int64_t clock_ms = 0;  // its clock, which counts suspensions
+  bool leaving = false;       // it shuts down and takes no more calls
+  std::vector<Answer> answers;
+};
+
+using Message = std::variant<Orders, Report>;
+
+}  // namespace kch::relay
+
+template <>
+struct kch::NameTable<kch::relay::LookOutcome> {
+  using E = kch::relay::LookOutcome;
+  static constexpr std::array<std::pair<E, std::string_view>, 4> kEntries{
+      {{E::kReport, "report"},
+       {E::kFenced, "fenced"},
+       {E::kOtherVm, "other_vm"},
+       {E::kNoAnswer, "no_answer"}}};
+};
+
+#endif  // RELAY_CALL_H_
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -305,6 +305,44 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against runs that end, or start twice, when processes that relay calls
+// are killed, paused or stopped while the owner lives.
+BOOST_AUTO_TEST_CASE(LostRelaysInterruptNothing) {
+  PlatformFleet fleet(4, {.vms = kManyVms, .addresses = 4});
+  const jobs::JobSpec lasting = StartLasting(fleet);
+  const std::size_t owner = fleet.WaitForOwner();
+  std::vector<std::size_t> others;
+  for (std::size_t i = 0; i < 4; ++i) {
+    if (i != owner) {
+      others.push_back(i);
+    }
+  }
+  std::vector<jobs::JobSpec> wanted;
+  const auto hand_in = [&](const std::string& id) {
+    wanted.push_back(ChainJob(id));
+    fleet.Accept(wanted.back());
+  };
+  hand_in("1");
+  fleet.Signal(others[0], SIGKILL);
+  fleet.WaitForExit(others[0]);
+  hand_in("2");
+  fleet.Restart(others[0]);
+  fleet.Signal(others[1], SIGSTOP);
+  hand_in("3");
+  fleet.WaitFor("the owner to pass over the paused relay", [&] {
+    return fleet.Log(owner).find("\"reason\":\"silent\"") != std::string::npos;
+  });
+  fleet.Signal(others[1], SIGCONT);
+  fleet.Signal(others[2], SIGTERM);
+  hand_in("4");
+  fleet.WaitForExit(others[2]);
+  fleet.WaitForCompleted(wanted);
+  BOOST_TEST(AllRun(fleet, lasting));
+  // What lasts was renewed in time and not started again.
+  BOOST_TEST(fleet.Log(owner).find("lease_expired") == std::string::npos);
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 // Guards against takeovers that take longer the more jobs have ended, up to
 // more than the lease of the runs.
 BOOST_AUTO_TEST_CASE(TakeoverReadsEndedJobs) {
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -122,12 +122,12 @@
 void PlatformFleet::Start(Process& process) {
   ++process.starts;
   const std::string shared = this->platform->address(process.number);
-  process.pid =
-      Spawn({BinaryPath("kch-fleet"), "--name=" + process.name,
-             "--store=" + shared, "--machines=" + shared, "--advice=" + shared,
-             "--callers=127.0.0.1:0", "--readiness=127.0.0.1:0",
-             "--peers=127.0.0.1:0", "--handover-ms=500", "--upkeep-s=0.4"},
-            this->LogOf(process));
+  process.pid = Spawn(
+      {BinaryPath("kch-fleet"), "--name=" + process.name, "--store=" + shared,
+       "--machines=" + shared, "--advice=" + shared, "--callers=127.0.0.1:0",
+       "--readiness=127.0.0.1:0", "--peers=127.0.0.1:0", "--bus=127.0.0.1:0",
+       "--handover-ms=500", "--upkeep-s=0.4"},
+      this->LogOf(process));
 }
 
 void PlatformFleet::ReadPorts(Process& process) {
