Replace the records of an ended job by one that a takeover does not read

Cause: a takeover read and entered every job of the last 150 s, ended or not. Class of fault: work after a loss that grows with the past instead of with what is left to do.

Change: the write that ends a job replaces its record, progress and cancellation by one small record under kch/done/. A new owner reads these later, page by page, only to erase them in time. Fronts accept a job only if neither record exists, and tell an ended job's state from the new one; a cancellation expects the job's record, so that it cannot outlive it.

--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -136,6 +136,7 @@
   void AddJob(jobs::JobSpec spec, bool inherited);
   void OnVmItem(const platform::Item& item);
   void FinishTakeover();
+  void ReadEndedJobs(std::uint64_t fence, const std::string& after);
 
   void Perform(std::vector<lead::Effect> decided);
   void Perform(std::vector<jobs::Effect> decided);
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -50,6 +50,34 @@
   }
 }
 
+// The record whose revision a write expects.
+std::string ConditionKey(const jobs::RecordWrite& record) {
+  return KeyOf(record.step == jobs::RecordStep::kErase ? kEndedJobPrefix
+                                                       : kProgressPrefix,
+               record.job);
+}
+
+void AddTo(platform::Transaction& transaction,
+           const jobs::RecordWrite& record) {
+  const std::string key = ConditionKey(record);
+  transaction.conditions.push_back({key, record.expected});
+  switch (record.step) {
+    case jobs::RecordStep::kProgress:
+      transaction.puts.push_back({key, record.value, 0});
+      break;
+    case jobs::RecordStep::kEnd:
+      transaction.puts.push_back(
+          {KeyOf(kEndedJobPrefix, record.job), record.value, 0});
+      transaction.erasures.push_back(key);
+      transaction.erasures.push_back(KeyOf(kJobPrefix, record.job));
+      transaction.erasures.push_back(KeyOf(kCancelPrefix, record.job));
+      break;
+    case jobs::RecordStep::kErase:
+      transaction.erasures.push_back(key);
+      break;
+  }
+}
+
 // Revisions in force of the records of a write that met a conflict; a record
 // that is not among the answer's items does not exist.
 jobs::WriteResult ConflictOf(const jobs::WriteRecords& write,
@@ -58,7 +86,7 @@
   for (const jobs::RecordWrite& record : write.records) {
     std::uint64_t revision = 0;
     for (const platform::Item& item : items) {
-      if (item.key == KeyOf(kProgressPrefix, record.job)) {
+      if (item.key == ConditionKey(record)) {
         revision = item.revision;
       }
     }
@@ -260,15 +288,7 @@
 void FleetEffectVisitor::operator()(const jobs::WriteRecords& effect) const {
   platform::Transaction transaction = OwnersTransaction(this->fence);
   for (const jobs::RecordWrite& record : effect.records) {
-    const std::string key = KeyOf(kProgressPrefix, record.job);
-    transaction.conditions.push_back({key, record.expected});
-    if (record.erase) {
-      transaction.erasures.push_back(key);
-      transaction.erasures.push_back(KeyOf(kJobPrefix, record.job));
-      transaction.erasures.push_back(KeyOf(kCancelPrefix, record.job));
-    } else {
-      transaction.puts.push_back({key, record.value, 0});
-    }
+    AddTo(transaction, record);
   }
   this->driver.parts.metrics.Count("record_writes");
   this->driver.parts.store.Write(
--- a/src/app/fleet/front.cc
+++ b/src/app/fleet/front.cc
@@ -237,6 +237,8 @@
                                    DeadlineOf(request), std::move(reply));
   const std::string key = KeyOf(kJobPrefix, admitted.job);
   submission->transaction.conditions.push_back({key, 0});
+  submission->transaction.conditions.push_back(
+      {KeyOf(kEndedJobPrefix, admitted.job), 0});
   submission->transaction.puts.push_back({key, EncodeSpec(*decoded), 0});
   submission->Try();
 }
@@ -271,18 +273,18 @@
 }
 
 // Finds a stored job that a team may read; anyone else is told that it does not
-// exist.
+// exist. The record of an accepted job is replaced by that of its end in one
+// transaction, so one of two reads in this order finds it.
 void Front::FindJob(const jobs::JobId& job,
                     const TeamId& team,
                     Reply reply,
-                    std::function<void()> found) {
+                    FoundJob found) {
   this->parts.store.Get(
       KeyOf(kJobPrefix, job),
-      [job, team, reply = std::move(reply),
+      [this, job, team, reply = std::move(reply),
        found = std::move(found)](const platform::GetReply& accepted) {
         if (accepted.outcome == Outcome::kMissing) {
-          net::LogEvent("state_gone", {{"job", job.str()}});
-          reply({.status = kGone});
+          this->FindEnded(job, team, reply, found);
           return;
         }
         if (accepted.outcome != Outcome::kOk) {
@@ -296,7 +298,36 @@
         } else if (!MayRead(spec->team, team)) {
           reply({.status = kGone});
         } else {
-          found();
+          found(std::nullopt, accepted.item.revision);
+        }
+      });
+}
+
+void Front::FindEnded(const jobs::JobId& job,
+                      const TeamId& team,
+                      const Reply& reply,
+                      const FoundJob& found) {
+  this->parts.store.Get(
+      KeyOf(kEndedJobPrefix, job),
+      [job, team, reply, found](const platform::GetReply& ended) {
+        if (ended.outcome == Outcome::kMissing) {
+          net::LogEvent("state_gone", {{"job", job.str()}});
+          reply({.status = kGone});
+          return;
+        }
+        if (ended.outcome != Outcome::kOk) {
+          reply(NotRun(kUnavailable, "store_down"));
+          return;
+        }
+        const auto view = jobs::DecodeEnded(ended.item.value);
+        if (!view) {
+          net::LogEvent("job_unreadable",
+                        {{"job", job.str()}, {"error", view.error().Text()}});
+          reply(NotRun(kUnavailable, "job_unreadable"));
+        } else if (!MayRead(view->team, team)) {
+          reply({.status = kGone});
+        } else {
+          found(view->state, ended.item.revision);
         }
       });
 }
@@ -305,57 +336,102 @@
                       const TeamId& team,
                       const Reply& reply) {
   this->parts.metrics.Count("state_reads");
-  this->FindJob(job, team, reply, [this, job, reply] {
-    this->parts.store.Get(
-        KeyOf(kProgressPrefix, job),
-        [job, reply](const platform::GetReply& progress) {
-          if (progress.outcome == Outcome::kMissing) {
-            reply({.status = kOk,
-                   .body = platform::EncodeState(jobs::JobState::kQueued)});
-            return;
-          }
-          if (progress.outcome != Outcome::kOk) {
-            reply(NotRun(kUnavailable, "store_down"));
-            return;
-          }
-          const auto state = jobs::DecodeState(progress.item.value);
-          if (!state) {
-            net::LogEvent("job_unreadable", {{"job", job.str()},
-                                             {"error", state.error().Text()}});
-            reply(NotRun(kUnavailable, "job_unreadable"));
-            return;
-          }
-          reply({.status = kOk, .body = platform::EncodeState(*state)});
-        });
-  });
+  this->FindJob(
+      job, team, reply,
+      [this, job, team, reply](std::optional<jobs::JobState> ended,
+                               std::uint64_t /*revision*/) {
+        if (ended) {
+          reply({.status = kOk, .body = platform::EncodeState(*ended)});
+        } else {
+          this->ReadProgress(job, team, reply);
+        }
+      });
+}
+
+void Front::ReadProgress(const jobs::JobId& job,
+                         const TeamId& team,
+                         const Reply& reply) {
+  this->parts.store.Get(
+      KeyOf(kProgressPrefix, job),
+      [this, job, team, reply](const platform::GetReply& progress) {
+        if (progress.outcome == Outcome::kMissing) {
+          // It has not begun, or it has ended since its record was read.
+          const Reply queued = [reply](HttpResponse response) {
+            reply(response.status == kGone
+                      ? HttpResponse{.status = kOk,
+                                     .body = platform::EncodeState(
+                                         jobs::JobState::kQueued)}
+                      : std::move(response));
+          };
+          this->FindEnded(
+              job, team, queued,
+              [reply](std::optional<jobs::JobState> ended,
+                      std::uint64_t /*revision*/) {
+                reply({.status = kOk, .body = platform::EncodeState(*ended)});
+              });
+          return;
+        }
+        if (progress.outcome != Outcome::kOk) {
+          reply(NotRun(kUnavailable, "store_down"));
+          return;
+        }
+        const auto state = jobs::DecodeState(progress.item.value);
+        if (!state) {
+          net::LogEvent("job_unreadable",
+                        {{"job", job.str()}, {"error", state.error().Text()}});
+          reply(NotRun(kUnavailable, "job_unreadable"));
+          return;
+        }
+        reply({.status = kOk, .body = platform::EncodeState(*state)});
+      });
 }
 
 void Front::Cancel(const Admitted& admitted, const Reply& reply) {
   const jobs::JobId job = admitted.job;
-  this->FindJob(job, admitted.team, reply, [this, job, reply] {
-    platform::Transaction transaction;
-    transaction.puts.push_back({KeyOf(kCancelPrefix, job), "{}", 0});
-    this->parts.store.Write(
-        transaction, kWriteTimeoutMs,
-        [this, job, reply](const platform::WriteReply& result) {
-          const bool stored = result.outcome == Outcome::kOk;
-          net::LogEvent("cancel",
-                        {{"job", job.str()},
-                         {"outcome", stored ? "stored" : "not_stored"}});
-          if (result.outcome == Outcome::kUnknown) {
-            reply(Unknown());
-          } else if (!stored) {
-            reply(NotRun(kUnavailable, "store_down"));
-          } else {
-            this->parts.tell_cancel(job);
-            if (const std::string address = this->OwnerAddress();
-                !address.empty()) {
-              this->peer.TellCancel(address, job);
-            }
-            reply({.status = kOk, .body = "{}"});
+  this->FindJob(job, admitted.team, reply,
+                [this, admitted, reply](std::optional<jobs::JobState> ended,
+                                        std::uint64_t revision) {
+                  if (ended) {
+                    reply({.status = kOk, .body = "{}"});
+                  } else {
+                    this->StoreCancel(admitted, revision, reply);
+                  }
+                });
+}
+
+// The record of the job is a condition, so that no cancellation outlives the
+// job that it belongs to.
+void Front::StoreCancel(const Admitted& admitted,
+                        std::uint64_t revision,
+                        const Reply& reply) {
+  const jobs::JobId job = admitted.job;
+  platform::Transaction transaction;
+  transaction.conditions.push_back({KeyOf(kJobPrefix, job), revision});
+  transaction.puts.push_back({KeyOf(kCancelPrefix, job), "{}", 0});
+  this->parts.store.Write(
+      transaction, kWriteTimeoutMs,
+      [this, job, admitted, reply](const platform::WriteReply& result) {
+        if (result.outcome == Outcome::kConflict) {
+          this->Cancel(admitted, reply);  // it has ended meanwhile
+          return;
+        }
+        const bool stored = result.outcome == Outcome::kOk;
+        net::LogEvent("cancel",
+                      {{"job", job.str()},
+                       {"outcome", stored ? "stored" : "not_stored"}});
+        if (result.outcome == Outcome::kUnknown) {
+          reply(Unknown());
+        } else if (!stored) {
+          reply(NotRun(kUnavailable, "store_down"));
+        } else {
+          this->parts.tell_cancel(job);
+          if (const std::string address = this->OwnerAddress();
+              !address.empty()) {
+            this->peer.TellCancel(address, job);
           }
-        });
-  });
+          reply({.status = kOk, .body = "{}"});
+        }
+      });
 }
 
 void Front::ReportPending(const Admitted& admitted, Reply reply) {
--- a/src/app/fleet/front.h
+++ b/src/app/fleet/front.h
@@ -46,6 +46,9 @@
  private:
   struct Submission;
   using Reply = std::function<void(net::HttpResponse)>;
+  // The state of a job that has ended, and the revision of the record found.
+  using FoundJob = std::function<void(std::optional<jobs::JobState> ended,
+                                      std::uint64_t revision)>;
 
   void Refuse(const ingress::Call& call,
               ingress::Refusal refusal,
@@ -60,11 +63,21 @@
   void FindJob(const jobs::JobId& job,
                const TeamId& team,
                Reply reply,
-               std::function<void()> found);
+               FoundJob found);
+  void FindEnded(const jobs::JobId& job,
+                 const TeamId& team,
+                 const Reply& reply,
+                 const FoundJob& found);
   void ReadState(const jobs::JobId& job,
                  const TeamId& team,
                  const Reply& reply);
+  void ReadProgress(const jobs::JobId& job,
+                    const TeamId& team,
+                    const Reply& reply);
   void Cancel(const ingress::Admitted& admitted, const Reply& reply);
+  void StoreCancel(const ingress::Admitted& admitted,
+                   std::uint64_t revision,
+                   const Reply& reply);
   void ReportPending(const ingress::Admitted& admitted, Reply reply);
   void AskOwner(const jobs::JobId& job, std::function<void(JobAnswer)> done);
   [[nodiscard]] std::string OwnerAddress() const;
--- a/src/app/fleet/keys.h
+++ b/src/app/fleet/keys.h
@@ -15,6 +15,9 @@
 inline constexpr std::string_view kJobPrefix = "kch/in/job/";
 inline constexpr std::string_view kCancelPrefix = "kch/in/stop/";
 inline constexpr std::string_view kProgressPrefix = "kch/progress/";
+// A job that has ended; its other records are gone, so that a takeover reads
+// only what is left to do.
+inline constexpr std::string_view kEndedJobPrefix = "kch/done/";
 inline constexpr std::string_view kKeptVmPrefix = "kch/vm/";
 inline constexpr std::string_view kEndedVmPrefix = "kch/ended/";
 inline constexpr std::string_view kOrdersKey = "kch/orders";
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -17,6 +17,8 @@
 constexpr int kIntakeWaitMs = 1000;
 constexpr int kVmWaitMs = 1500;
 constexpr int kRetryMs = 100;
+// Before each page of ended jobs.
+constexpr int kEndedPauseMs = 2000;
 // Other processes learn of a new owner by their watches within this time.
 constexpr auto kJoinTime = std::chrono::milliseconds(500);
 
@@ -292,6 +294,36 @@
   this->scheduler->SetVm(*vm, Now());
 }
 
+// Ended jobs only wait for their erasure, so they are read when there is time:
+// one page after the other with a pause.
+void Driver::ReadEndedJobs(std::uint64_t by, const std::string& after) {
+  this->parts.store.List(
+      std::string(kEndedJobPrefix), after,
+      [this, by, after](const platform::ListReply& reply) {
+        this->PostFor(by, [this, by, after, reply] {
+          for (const platform::Item& item : reply.items) {
+            const jobs::JobId job(item.key.substr(kEndedJobPrefix.size()));
+            if (const auto view = jobs::DecodeEnded(item.value)) {
+              this->scheduler->AddEnded(job, *view, item.revision, Now());
+            } else {
+              net::LogEvent("job_unreadable", {{"job", job.str()},
+                                               {"error", view.error().Text()}});
+            }
+          }
+          const bool answered = reply.outcome == platform::Outcome::kOk;
+          if (answered && (!reply.more || reply.items.empty())) {
+            return;
+          }
+          const std::string next =
+              reply.items.empty() ? after : reply.items.back().key;
+          this->parts.client.Delay(kEndedPauseMs, [this, by, next] {
+            this->PostFor(by,
+                          [this, by, next] { this->ReadEndedJobs(by, next); });
+          });
+        });
+      });
+}
+
 void Driver::FinishTakeover() {
   if (!this->takeover->progress_known || !this->takeover->intake_known ||
       !this->takeover->vms_known || !this->takeover->waves_known ||
@@ -327,6 +359,9 @@
       Now(), this->store_regained == Time()
                  ? Time()
                  : this->store_regained + registration_return);
+  this->parts.client.Delay(kEndedPauseMs, [this, by = this->fence] {
+    this->PostFor(by, [this, by] { this->ReadEndedJobs(by, ""); });
+  });
 }
 
 }  // namespace kch::app
--- a/src/jobs/effect.h
+++ b/src/jobs/effect.h
@@ -61,12 +61,19 @@
   std::vector<VmId> vms;
 };
 
-/*! @brief One record to write or erase. */
+/*! @brief What a write does to a job's records. */
+enum class RecordStep : std::uint8_t {
+  kProgress,  // writes its progress
+  kEnd,       // replaces all its records by one that tells its end
+  kErase,     // erases that one
+};
+
+/*! @brief Writes of one job's records. */
 struct RecordWrite {
   JobId job;
-  std::uint64_t expected = 0;  // revision of the record; 0: absent
+  std::uint64_t expected = 0;  // revision of the present record; 0: absent
   std::string value;           // unused if erased
-  bool erase = false;
+  RecordStep step = RecordStep::kProgress;
 };
 
 /*! @brief Writes progress records, all or none, if this scheduler still owns
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -127,6 +127,13 @@
   [[nodiscard]] std::int64_t ChainMs() const;
 };
 
+/*! @brief A job's state as stored, for its submitter. */
+struct JobView {
+  JobState state = JobState::kQueued;
+  TeamId team;
+  QueueId queue;
+};
+
 }  // namespace kch::jobs
 
 #endif  // JOBS_JOB_H_
--- a/src/jobs/limits.h
+++ b/src/jobs/limits.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "base/time.h"
+#include "jobs/effect.h"
 
 namespace kch::jobs {
 
@@ -40,12 +41,12 @@
   std::size_t write_entries = 31;
 };
 
-/*! @brief Entries of a transaction for one record: its condition and its
- * write. */
-inline constexpr std::size_t kEntriesPerWrite = 2;
-/*! @brief For an erased job: a condition and the erasure of its three records.
- */
-inline constexpr std::size_t kEntriesPerErasure = 4;
+/*! @brief Entries of a transaction: conditions, writes and erasures. */
+[[nodiscard]] constexpr std::size_t EntriesOf(RecordStep step) {
+  constexpr std::size_t write = 2;  // a condition and the write or erasure
+  constexpr std::size_t end = 5;    // and the erasure of three other records
+  return step == RecordStep::kEnd ? end : write;
+}
 /*! @brief A VM's clock may run this much slower than ours. */
 inline constexpr double kSlowestVmClock = 0.98;
 
--- a/src/jobs/record.cc
+++ b/src/jobs/record.cc
@@ -244,17 +244,31 @@
 }
 
 std::string EncodeProgress(const Job& job) {
-  json record{{"state", NameOf(job.state)}};
-  // An ended job's tasks are of no further use.
-  if (!job.Ended()) {
-    json open = json::array();
-    for (const auto& [number, occurrence] : job.open) {
-      open.push_back(EncodeOccurrence(occurrence));
-    }
-    record["open"] = open;
-    record["finished"] = job.finished;
+  json open = json::array();
+  for (const auto& [number, occurrence] : job.open) {
+    open.push_back(EncodeOccurrence(occurrence));
   }
-  return record.dump();
+  return json{
+      {"state", NameOf(job.state)}, {"open", open}, {"finished", job.finished}}
+      .dump();
+}
+
+std::string EncodeEnded(const Job& job) {
+  return json{{"state", NameOf(job.state)},
+              {"team", job.spec.team.str()},
+              {"queue", job.spec.queue.id.str()}}
+      .dump();
+}
+
+Result<JobView> DecodeEnded(std::string_view text) {
+  const auto state = DecodeState(text);
+  if (!state) {
+    return tl::unexpected(state.error());
+  }
+  const json record = json::parse(text);
+  return JobView{.state = *state,
+                 .team = TeamId(record.value("team", "")),
+                 .queue = QueueId(record.value("queue", ""))};
 }
 
 Result<void> DecodeProgress(std::string_view text, Job& job) {
@@ -266,9 +280,6 @@
       return Corrupt("job " + job.spec.id.str() + " has an unknown state");
     }
     job.state = *state;
-    if (job.Ended()) {
-      return {};
-    }
     job.finished = record.at("finished").get<std::set<std::int32_t>>();
     for (const std::int32_t number : job.finished) {
       job.next_occurrence = std::max(job.next_occurrence, number + 1);
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -26,6 +26,9 @@
 [[nodiscard]] std::string EncodeProgress(const Job& job);
 /*! @brief Enters a stored progress into a job that has none. */
 [[nodiscard]] Result<void> DecodeProgress(std::string_view text, Job& job);
+/*! @brief The record of a job that has ended: what its submitter may ask. */
+[[nodiscard]] std::string EncodeEnded(const Job& job);
+[[nodiscard]] Result<JobView> DecodeEnded(std::string_view text);
 /*! @brief The record of a VM that may run tasks without being registered. */
 [[nodiscard]] std::string EncodeVm(const VmFacts& vm);
 [[nodiscard]] Result<VmFacts> DecodeKeptVm(const VmId& id,
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -347,10 +347,6 @@
                                 {"queue", job.spec.queue.id.str()},
                                 {"team", job.spec.team.str()}});
   }
-  if (job.Ended()) {
-    this->ended_jobs.emplace_back(now, id);
-    return;
-  }
   if (job.spec.schedule.times > 0) {
     this->scheduled.insert(id);
   } else {
@@ -367,6 +363,25 @@
   }
 }
 
+// It waits for its erasure, and can be asked for.
+void Scheduler::AddEnded(const JobId& id,
+                         const JobView& view,
+                         std::uint64_t revision,
+                         Time now) {
+  const auto [row, added] = this->jobs.try_emplace(id);
+  if (!added) {
+    return;
+  }
+  row->second = std::make_unique<Job>();
+  Job& job = *row->second;
+  job.spec.id = id;
+  job.spec.team = view.team;
+  job.spec.queue.id = view.queue;
+  job.state = view.state;
+  job.revision = revision;
+  this->ended_jobs.emplace_back(now, id);
+}
+
 void Scheduler::CancelJob(const JobId& id, Time now) {
   Job* job = this->FindJob(id);
   if (job == nullptr) {
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -20,13 +20,6 @@
 
 namespace kch::jobs {
 
-/*! @brief A job's state as stored, for its submitter. */
-struct JobView {
-  JobState state = JobState::kQueued;
-  TeamId team;
-  QueueId queue;
-};
-
 /*! @brief Counters for metrics. */
 struct Counters {
   std::uint64_t starts = 0;
@@ -77,6 +70,12 @@
               bool inherited,
               Time arrived,
               Time now);
+  /*! @brief A job that ended under a predecessor, with its record's revision.
+   */
+  void AddEnded(const JobId& job,
+                const JobView& view,
+                std::uint64_t revision,
+                Time now);
   void CancelJob(const JobId& job, Time now);
   /*! @brief Ends the time in which facts and jobs of the predecessor are
    * entered: looks at all VMs before anything starts, and waits until
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -21,6 +21,24 @@
 // The next look at a VM on which nothing runs.
 constexpr auto kNever = std::chrono::hours(24);
 
+RecordStep StepFor(const Job& job) {
+  return job.erasing   ? RecordStep::kErase
+         : job.Ended() ? RecordStep::kEnd
+                       : RecordStep::kProgress;
+}
+
+std::string RecordOf(const Job& job, RecordStep step) {
+  switch (step) {
+    case RecordStep::kProgress:
+      return EncodeProgress(job);
+    case RecordStep::kEnd:
+      return EncodeEnded(job);
+    case RecordStep::kErase:
+      return "";
+  }
+  return "";
+}
+
 }  // namespace
 
 // Whatever a predecessor started on a VM that does not answer ends with its
@@ -226,7 +244,7 @@
     std::size_t entries = 0;
     for (auto it = this->dirty.begin();
          it != this->dirty.end() &&
-         entries + kEntriesPerErasure <= this->limits.write_entries;) {
+         entries + EntriesOf(RecordStep::kEnd) <= this->limits.write_entries;) {
       Job* job = this->FindJob(*it);
       if (job == nullptr) {
         it = this->dirty.erase(it);
@@ -237,10 +255,10 @@
         continue;
       }
       job->writing = job->changes;
-      entries += job->erasing ? kEntriesPerErasure : kEntriesPerWrite;
-      write.records.push_back({job->spec.id, job->revision,
-                               job->erasing ? "" : EncodeProgress(*job),
-                               job->erasing});
+      const RecordStep step = StepFor(*job);
+      entries += EntriesOf(step);
+      write.records.push_back(
+          {job->spec.id, job->revision, RecordOf(*job, step), step});
       included.push_back(job->spec.id);
       it = this->dirty.erase(it);
     }
--- a/test/jobs/fleet_sim.cc
+++ b/test/jobs/fleet_sim.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "jobs/record.h"
+
 namespace kch::jobs::test {
 namespace {
 
@@ -89,16 +91,19 @@
 void FleetSim::Write(const WriteRecords& write, std::uint64_t by) {
   std::size_t entries = 1;
   for (const RecordWrite& record : write.records) {
-    entries += record.erase ? kEntriesPerErasure : kEntriesPerWrite;
+    entries += EntriesOf(record.step);
   }
   this->store.most_entries = std::max(this->store.most_entries, entries);
   WriteResult result{.answer = WriteAnswer::kUnavailable};
   if (!this->store.down && entries <= kMostEntries && by == this->fence) {
     result.answer = WriteAnswer::kWritten;
     for (const RecordWrite& record : write.records) {
-      const auto found = this->store.records.find(record.job);
+      const auto& records = record.step == RecordStep::kErase
+                                ? this->store.ended
+                                : this->store.records;
+      const auto found = records.find(record.job);
       const std::uint64_t revision =
-          found == this->store.records.end() ? 0 : found->second.revision;
+          found == records.end() ? 0 : found->second.revision;
       result.revisions.emplace_back(record.job, revision);
       if (revision != record.expected) {
         result.answer = WriteAnswer::kConflict;
@@ -108,10 +113,18 @@
       result.revision = ++this->store.revision;
       result.revisions.clear();
       for (const RecordWrite& record : write.records) {
-        if (record.erase) {
-          this->store.records.erase(record.job);
-        } else {
-          this->store.records[record.job] = {result.revision, record.value};
+        const SimStore::Record written{result.revision, record.value};
+        switch (record.step) {
+          case RecordStep::kProgress:
+            this->store.records[record.job] = written;
+            break;
+          case RecordStep::kEnd:
+            this->store.records.erase(record.job);
+            this->store.ended[record.job] = written;
+            break;
+          case RecordStep::kErase:
+            this->store.ended.erase(record.job);
+            break;
         }
       }
     }
@@ -320,6 +333,9 @@
     this->scheduler->SetEndedVm(id, boot_ms);
   }
   for (const auto& [id, spec] : this->submitted) {
+    if (this->store.ended.contains(id)) {
+      continue;
+    }
     const auto record = this->store.records.find(id);
     const bool stored = record != this->store.records.end();
     this->scheduler->AddJob(spec, stored ? record->second.value : "",
@@ -329,6 +345,10 @@
   for (const JobId& job : this->cancelled) {
     this->scheduler->CancelJob(job, this->now);
   }
+  for (const auto& [id, record] : this->store.ended) {
+    this->scheduler->AddEnded(id, DecodeEnded(record.value).value(),
+                              record.revision, this->now);
+  }
   this->scheduler->BeginRecovery(this->now);
 }
 
--- a/test/jobs/fleet_sim.h
+++ b/test/jobs/fleet_sim.h
@@ -16,13 +16,14 @@
 
 using fake::FakeVm;
 
-// The store's progress records.
+// The store's records of progress and of ends.
 struct SimStore {
   struct Record {
     std::uint64_t revision = 0;
     std::string value;
   };
   std::map<JobId, Record> records;
+  std::map<JobId, Record> ended;
   std::uint64_t revision = 100;
   bool down = false;
   bool loses_answers = false;
--- a/test/jobs/record_test.cc
+++ b/test/jobs/record_test.cc
@@ -78,6 +78,20 @@
   BOOST_TEST(!DecodeProgress(EncodeProgress(job), other).has_value());
 }
 
+// Guards against submitters who are told another job's end, or none.
+BOOST_AUTO_TEST_CASE(EndOfAJobRoundTrips) {
+  Job job;
+  job.spec = SimpleJob("a", "q", 1, 1, 1);
+  job.spec.team = TeamId("t");
+  job.state = JobState::kFailed;
+  const auto view = DecodeEnded(EncodeEnded(job));
+  BOOST_REQUIRE(view.has_value());
+  BOOST_TEST((view->state == JobState::kFailed));
+  BOOST_TEST(view->team == TeamId("t"));
+  BOOST_TEST(view->queue == job.spec.queue.id);
+  BOOST_TEST(!DecodeEnded("{}").has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::jobs::test
