Let the candidate on the largest machine claim the fleet first

Cause: candidates waited for up to 120 ms by a hash of their names. A site has a few machines of 0.5 of a core among many of 0.12; passes of decisions on the same load took 0.25 s of a second on the former and 0.6 on the latter.

Change: a candidate waits 20 to 30 ms divided by its cores, at most 0.3 s. The processor time that a process may use is a new setting, `cores`.

Test: lead, SmallMachineClaimsBeforeALargerOne (the function is new).

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -46,14 +46,6 @@
           .pool_use_without = pool_use_without};
 }
 
-// Spreads the candidates over the delay by their names.
-Duration CandidateDelay(const std::string& incarnation) {
-  constexpr std::size_t steps = 64;
-  return lead::kMaxCandidateDelay *
-         static_cast<int>(std::hash<std::string>()(incarnation) % steps) /
-         static_cast<int>(steps);
-}
-
 }  // namespace
 
 Driver::Driver(FleetOptions options, Parts parts)
@@ -68,7 +60,8 @@
                  .incarnation = this->options.incarnation,
                  .address = this->options.peer_address,
                  .bus_address = this->options.bus_address},
-                CandidateDelay(this->options.incarnation)) {}
+                lead::CandidateDelay(this->options.cores,
+                                     this->options.incarnation)) {}
 
 void Driver::Post(std::function<void()> event) {
   asio::post(this->context, [this, came = Now(), event = std::move(event)] {
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -31,6 +31,7 @@
   std::string incarnation;
   std::string peer_address;  // host:port of this process for others
   std::string bus_address;   // host:port of its bus for relays
+  double cores = 1;          // processor time that this process may use
   jobs::Limits limits;
   upkeep::Limits upkeep_limits;
   upkeep::MoveLimits move_limits{};
--- a/src/app/fleet/main.cc
+++ b/src/app/fleet/main.cc
@@ -48,6 +48,9 @@
       Number("handover-ms", 3000, 0, kMaxMs,
              "time between two instances' orders to one machine, in ms"),
       kch::net::Text("upkeep-s", "2", "time that upkeep takes, in s"),
+      kch::net::Text("cores", "1",
+                     "processor time that this process may use, in cores; of "
+                     "several processes the largest owns the fleet"),
       Number("shutdown-ms", 6000, 1000, kMaxMs,
              "time from SIGTERM until the process is killed, in ms")};
 }
@@ -76,18 +79,28 @@
   return limits;
 }
 
-kch::Result<kch::upkeep::Limits> UpkeepLimitsFrom(const Settings& settings) {
+// A setting with a fraction.
+Result<double> PositiveIn(const Settings& settings, const std::string& name) {
+  const std::string& text = settings.text(name);
+  const char* const end = text.data() + text.size();
+  double value = 0;
+  if (std::from_chars(text.data(), end, value).ptr != end || value <= 0) {
+    return kch::Fail(kch::ErrorKind::kInvalid,
+                     "--" + name + " is '" + text + "'",
+                     "give it as a positive number, for example 0.5");
+  }
+  return value;
+}
+
+Result<kch::upkeep::Limits> UpkeepLimitsFrom(const Settings& settings) {
   kch::upkeep::Limits limits;
   limits.handover = std::chrono::milliseconds(settings.number("handover-ms"));
-  const std::string& text = settings.text("upkeep-s");
-  double seconds = 0;
-  const char* const end = text.data() + text.size();
-  if (std::from_chars(text.data(), end, seconds).ptr != end || seconds <= 0) {
-    return kch::Fail(kch::ErrorKind::kInvalid, "--upkeep-s is '" + text + "'",
-                     "give it as a positive number of seconds");
+  const auto seconds = PositiveIn(settings, "upkeep-s");
+  if (!seconds) {
+    return tl::unexpected(seconds.error());
   }
   limits.away = std::chrono::duration_cast<kch::Duration>(
-      std::chrono::duration<double>(seconds));
+      std::chrono::duration<double>(*seconds));
   return limits;
 }
 
@@ -192,9 +205,10 @@
                                         name);
   kch::platform::AdviceClient advice(**client, settings.text("advice"));
   const auto upkeep_limits = UpkeepLimitsFrom(settings);
-  if (!upkeep_limits) {
-    kch::net::LogEvent("start_failed",
-                       {{"error", upkeep_limits.error().Text()}});
+  const auto cores = PositiveIn(settings, "cores");
+  if (!upkeep_limits || !cores) {
+    const auto& error = upkeep_limits ? cores.error() : upkeep_limits.error();
+    kch::net::LogEvent("start_failed", {{"error", error.Text()}});
     return 2;
   }
   // Servers and the bus may be called before the driver exists.
@@ -250,6 +264,7 @@
        .incarnation = incarnation,
        .peer_address = peer_host + ":" + std::to_string((*peers)->port()),
        .bus_address = bus_for_others,
+       .cores = *cores,
        .limits = LimitsFrom(settings),
        .upkeep_limits = *upkeep_limits,
        .shutdown_time =
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -1,5 +1,7 @@
 #include "lead/ownership.h"
 
+#include <algorithm>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -29,6 +31,17 @@
   }
 }
 
+Duration CandidateDelay(double cores, const std::string& incarnation) {
+  constexpr std::size_t steps = 64;
+  const double spread =
+      static_cast<double>(std::hash<std::string>()(incarnation) % steps) /
+      (2.0 * steps);
+  const double wait =
+      static_cast<double>(kCandidateDelay.count()) * (1 + spread) / cores;
+  return std::min(kMaxCandidateDelay,
+                  Duration(static_cast<Duration::rep>(wait)));
+}
+
 Ownership::Ownership(OwnerRecord self, Duration delay)
     : record(std::move(self)), delay(delay) {}
 
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -26,8 +26,16 @@
 inline constexpr Duration kRenewRetry = std::chrono::milliseconds(80);
 /*! @brief Pause before a failed claim is repeated. */
 inline constexpr Duration kRetryInterval = std::chrono::milliseconds(250);
-/*! @brief Candidates wait up to this long, so that they seldom collide. */
-inline constexpr Duration kMaxCandidateDelay = std::chrono::milliseconds(120);
+/*! @brief Wait of a candidate with one whole core; see CandidateDelay. */
+inline constexpr Duration kCandidateDelay = std::chrono::milliseconds(20);
+/*! @brief Longest wait of a candidate, however small its machine is. */
+inline constexpr Duration kMaxCandidateDelay = std::chrono::milliseconds(300);
+
+/*! @brief How long a candidate waits before it claims the fleet. The owner's
+ * decisions need one process's processor, so machines with more of it come
+ * first; those of equal size are spread by their names. */
+[[nodiscard]] Duration CandidateDelay(double cores,
+                                      const std::string& incarnation);
 
 /*! @brief The owner's record in the store. */
 struct OwnerRecord {
@@ -90,7 +98,7 @@
 /*! @brief Decides when to claim, renew and give up the fleet. */
 class Ownership {
  public:
-  /*! @brief `delay` spreads the candidates; up to kMaxCandidateDelay. */
+  /*! @brief `delay` is the wait before each claim. */
   Ownership(OwnerRecord self, Duration delay);
 
   /*! @brief The record as read or watched; nothing if absent. */
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -157,6 +157,22 @@
   BOOST_TEST(After(10'000).empty());
 }
 
+// Guards against a small machine that schedules the fleet while a larger one is
+// free: the decisions of a takeover and of a peak take what one processor has.
+BOOST_AUTO_TEST_CASE(SmallMachineClaimsBeforeALargerOne) {
+  for (int i = 0; i < 100; ++i) {
+    const std::string name = "e" + std::to_string(i);
+    BOOST_TEST(CandidateDelay(0.12, name).count() >
+               CandidateDelay(0.25, "x" + name).count());
+    BOOST_TEST(CandidateDelay(0.25, name).count() >
+               CandidateDelay(0.5, "x" + name).count());
+    BOOST_TEST(CandidateDelay(0.001, name).count() ==
+               kMaxCandidateDelay.count());
+  }
+  BOOST_TEST(CandidateDelay(0.5, "a").count() !=
+             CandidateDelay(0.5, "b").count());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::lead
