Pause between two watches of jobs and of VMs

A watch answers at the first change, so with 149 jobs handed in a second and 350 VMs that report every 1.5 s the owner asked the store some hundred times a second, one change an answer. It now waits 20 ms (jobs) and 60 ms (VMs) before it watches on, and one answer brings what came meanwhile. Watches of configurations and of the owner are as before.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -303,7 +303,7 @@
 void Driver::FollowOperators() {
   this->operators = platform::PrefixView::Create(
       this->parts.client, this->parts.store, std::string(kOperatorPrefix),
-      kOperatorWaitMs,
+      {.wait_ms = kOperatorWaitMs},
       {.on_put =
            [this](const platform::Item& item) {
              this->Post([this, item] { this->OnOperatorItem(item); });
@@ -403,7 +403,7 @@
   const auto seen = std::make_shared<bool>(false);
   this->owner_view = platform::PrefixView::Create(
       this->parts.client, this->parts.store, std::string(kOwnerKey),
-      kOwnerWaitMs,
+      {.wait_ms = kOwnerWaitMs},
       {.on_put =
            [this, seen](const platform::Item& item) {
              *seen = true;
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -16,6 +16,10 @@
 
 constexpr int kIntakeWaitMs = 1000;
 constexpr int kVmWaitMs = 1500;
+// A job waits a little for others, so that one answer of the store brings them
+// all; VMs only change their registrations at heartbeats.
+constexpr int kIntakePauseMs = 20;
+constexpr int kVmPauseMs = 60;
 constexpr int kRetryMs = 100;
 // Before each page of ended jobs.
 constexpr int kEndedPauseMs = 2000;
@@ -188,7 +192,7 @@
 void Driver::FollowIntake(std::uint64_t by) {
   this->intake = platform::PrefixView::Create(
       this->parts.client, this->parts.store, std::string(kIntakePrefix),
-      kIntakeWaitMs,
+      {.wait_ms = kIntakeWaitMs, .pause_ms = kIntakePauseMs},
       {.on_put =
            [this, by](const platform::Item& item) {
              this->PostFor(by, [this, item] { this->OnIntake(item); });
@@ -216,7 +220,8 @@
 
 void Driver::FollowVms(std::uint64_t by) {
   this->vm_view = platform::PrefixView::Create(
-      this->parts.client, this->parts.store, std::string(kVmPrefix), kVmWaitMs,
+      this->parts.client, this->parts.store, std::string(kVmPrefix),
+      {.wait_ms = kVmWaitMs, .pause_ms = kVmPauseMs},
       {.on_put =
            [this, by](const platform::Item& item) {
              this->PostFor(by, [this, item] { this->OnVmItem(item); });
