--- a/test/process/settings_test.cc
+++ b/test/process/settings_test.cc
@@ -36,7 +36,7 @@
        "0 to 65535"},
       {"kch-fleet",
        {"--name=a", "--store=h:1", "--callers=h:1", "--readiness=h:1",
-        "--peers=h:1", "--machines=h:1"},
+        "--peers=h:1", "--bus=h:1", "--machines=h:1"},
        "max-lease-ms",
        "10",
        "1000 to 3600000"},
