Do not send a call that expired while it waited for its connection

Cause: valid_until was checked only when the transfer was handed to libcurl. libcurl sends the request later, once there is a connection: after the handshake, after a wait for one of the host's connections, or as a second try if a reused connection turns out closed. A pause or a wait in between let the expired request go out.

The check now also runs in libcurl's pre-request callback, which is called before each try when its connection is there. A call of which no try was released ends as not sent, so that "not run" stays true; one whose first try may have left ends as broken.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -15,6 +15,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "net/clock.h"
+
 namespace kch::net {
 namespace {
 
@@ -26,6 +28,7 @@
 constexpr int kMaxPollMs = 1000;
 constexpr int kFirstSuccess = 200;
 constexpr int kLastSuccess = 299;
+constexpr std::string_view kExpiredError = "expired before it was sent";
 
 struct ListFree {
   void operator()(curl_slist* list) const { curl_slist_free_all(list); }
@@ -41,8 +44,31 @@
   std::unique_ptr<CURL, EasyFree> easy;
   std::unique_ptr<curl_slist, ListFree> headers;
   HttpResult result;
+  bool released = false;  // some try was allowed to send
+  bool expired = false;
 };
 
+bool Expired(const HttpCall& call) {
+  return call.valid_until && Now() > *call.valid_until;
+}
+
+// Called before each try, once its connection exists. That can be long after
+// the start: the host may be slow to accept, all its connections may be in use
+// or this process may have been paused.
+int OnRequest(void* user,
+              char* /*remote_ip*/,
+              char* /*local_ip*/,
+              int /*remote_port*/,
+              int /*local_port*/) {
+  auto& transfer = *static_cast<Transfer*>(user);
+  if (Expired(transfer.call)) {
+    transfer.expired = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  transfer.released = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 std::size_t OnBody(char* data, std::size_t size, std::size_t n, void* user) {
   static_cast<Transfer*>(user)->result.body.append(data, size * n);
   return size * n;
@@ -83,6 +109,8 @@
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocket);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnRequest);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
@@ -130,11 +158,14 @@
   curl_off_t connect_us = 0;
   curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connect_us);
   // libcurl sends a request again if a reused connection turns out closed. The
-  // bytes of the first try count even if the second one cannot connect.
-  const bool never_connected =
-      request_bytes == 0 && (code == CURLE_COULDNT_CONNECT || connect_us == 0);
-  result.status = never_connected ? CallStatus::kNotSent : CallStatus::kBroken;
-  result.error = curl_easy_strerror(code);
+  // bytes of the first try count even if the second one cannot connect or has
+  // expired.
+  const bool never_sent = !transfer.released ||
+                          (request_bytes == 0 &&
+                           (code == CURLE_COULDNT_CONNECT || connect_us == 0));
+  result.status = never_sent ? CallStatus::kNotSent : CallStatus::kBroken;
+  result.error = never_sent && transfer.expired ? std::string(kExpiredError)
+                                                : curl_easy_strerror(code);
 }
 
 }  // namespace
@@ -260,10 +291,8 @@
   }
 
   void Start(std::unique_ptr<Transfer> transfer) {
-    const Time now = std::chrono::time_point_cast<Duration>(
-        std::chrono::steady_clock::now());
-    if (transfer->call.valid_until && now > *transfer->call.valid_until) {
-      transfer->result.error = "expired before it was sent";
+    if (Expired(transfer->call)) {
+      transfer->result.error = kExpiredError;
       transfer->done(std::move(transfer->result));
       return;
     }
--- a/test/net/http_test.cc
+++ b/test/net/http_test.cc
@@ -1,6 +1,18 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <future>
+#include <memory>
 #include <string>
+#include <thread>
+#include <utility>
+#include <vector>
 
 #include "net/net.h"
 
@@ -15,6 +27,86 @@
   return "http://127.0.0.1:" + std::to_string(server.port()) + path;
 }
 
+Time After(std::chrono::milliseconds time) {
+  return Now() + time;
+}
+
+std::future<HttpResult> Send(HttpClient& client, HttpCall call) {
+  auto promise = std::make_shared<std::promise<HttpResult>>();
+  auto future = promise->get_future();
+  client.Send(std::move(call), [promise](HttpResult result) {
+    promise->set_value(std::move(result));
+  });
+  return future;
+}
+
+void WaitUntilPast(Time time) {
+  while (Now() <= time) {
+    std::this_thread::sleep_until(time + std::chrono::milliseconds(1));
+  }
+}
+
+class Socket {
+ public:
+  explicit Socket(int fd) : fd(fd) { BOOST_REQUIRE(fd >= 0); }
+  ~Socket() { close(this->fd); }
+  Socket(const Socket&) = delete;
+  Socket& operator=(const Socket&) = delete;
+
+  // Everything up to the end of a request without a body, or of the stream.
+  [[nodiscard]] std::string ReadRequest() const {
+    std::string text;
+    std::array<char, 1024> part{};
+    while (!text.ends_with("\r\n\r\n")) {
+      const ssize_t n = recv(this->fd, part.data(), part.size(), 0);
+      if (n <= 0) {
+        break;
+      }
+      text.append(part.data(), static_cast<std::size_t>(n));
+    }
+    return text;
+  }
+  void Write(const std::string& text) const {
+    BOOST_REQUIRE(send(this->fd, text.data(), text.size(), MSG_NOSIGNAL) ==
+                  static_cast<ssize_t>(text.size()));
+  }
+
+  const int fd;
+};
+
+// Accepts connections only when told to.
+class Listener {
+ public:
+  explicit Listener(int backlog) : socket(::socket(AF_INET, SOCK_STREAM, 0)) {
+    this->address.sin_family = AF_INET;
+    this->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(this->address);
+    auto* generic = reinterpret_cast<sockaddr*>(&this->address);
+    BOOST_REQUIRE(bind(this->socket.fd, generic, size) == 0);
+    BOOST_REQUIRE(listen(this->socket.fd, backlog) == 0);
+    BOOST_REQUIRE(getsockname(this->socket.fd, generic, &size) == 0);
+  }
+
+  [[nodiscard]] std::string url() const {
+    return "http://127.0.0.1:" + std::to_string(ntohs(this->address.sin_port)) +
+           "/";
+  }
+  [[nodiscard]] std::unique_ptr<Socket> Connect() const {
+    auto result = std::make_unique<Socket>(::socket(AF_INET, SOCK_STREAM, 0));
+    BOOST_REQUIRE(connect(result->fd,
+                          reinterpret_cast<const sockaddr*>(&this->address),
+                          sizeof(this->address)) == 0);
+    return result;
+  }
+  [[nodiscard]] std::unique_ptr<Socket> Accept() const {
+    return std::make_unique<Socket>(accept(this->socket.fd, nullptr, nullptr));
+  }
+
+ private:
+  Socket socket;
+  sockaddr_in address{};
+};
+
 // Guards against losing parts of a request between client and handler.
 BOOST_AUTO_TEST_CASE(RequestArrivesWhole) {
   const auto server =
@@ -83,6 +175,85 @@
   BOOST_TEST(!reached);
 }
 
+// Guards against a start that leaves late because its connection took long.
+BOOST_AUTO_TEST_CASE(CallThatExpiresWhileConnectingIsNotSent) {
+  const Listener listener(0);
+  // Fills the queue, so that the kernel completes no other connection.
+  const auto first = listener.Connect();
+  const auto client = MakeClient();
+  const Time valid_until = After(std::chrono::milliseconds(100));
+  auto result = Send(*client, {.url = listener.url(),
+                               .connect_timeout_ms = 20'000,
+                               .timeout_ms = 20'000,
+                               .valid_until = valid_until});
+  WaitUntilPast(valid_until);
+  const auto accepted_first = listener.Accept();
+  const auto accepted = listener.Accept();
+  const std::string request = accepted->ReadRequest();
+  BOOST_TEST(request.empty(), request);
+  shutdown(accepted->fd, SHUT_RDWR);
+  const HttpResult end = result.get();
+  BOOST_TEST((end.status == CallStatus::kNotSent));
+  BOOST_TEST(end.error.starts_with("expired"), end.error);
+}
+
+// Guards against a start that leaves late because it waited for a connection
+// that other calls used.
+BOOST_AUTO_TEST_CASE(CallThatExpiresBehindOthersIsNotSent) {
+  std::promise<HttpReply> first_reply;
+  std::atomic<int> reached = 0;
+  const auto server =
+      HttpServer::Create({}, [&](const HttpRequest& request, HttpReply reply) {
+        ++reached;
+        if (request.path == "/first") {
+          first_reply.set_value(std::move(reply));
+        } else {
+          reply({});
+        }
+      }).value();
+  const auto client =
+      HttpClient::Create({.max_connections_per_host = 1}).value();
+  auto first = Send(*client, {.url = Url(*server, "/first")});
+  const HttpReply reply = first_reply.get_future().get();
+  const Time valid_until = After(std::chrono::milliseconds(100));
+  auto second = Send(
+      *client, {.url = Url(*server, "/second"), .valid_until = valid_until});
+  WaitUntilPast(valid_until);
+  reply({});
+  BOOST_TEST(first.get().Success());
+  const HttpResult end = second.get();
+  BOOST_TEST((end.status == CallStatus::kNotSent));
+  BOOST_TEST(end.error.starts_with("expired"), end.error);
+  BOOST_TEST(reached == 1);
+  // The host stays usable.
+  BOOST_TEST(client->SendAndWait({.url = Url(*server, "/third")}).Success());
+}
+
+// Guards against reporting "not sent" if a first try was sent and only the
+// second one was held back.
+BOOST_AUTO_TEST_CASE(CallThatExpiresBeforeItsSecondTryIsBroken) {
+  const Listener listener(8);
+  const auto client = MakeClient();
+  auto first = Send(*client, {.url = listener.url()});
+  auto connection = listener.Accept();
+  BOOST_TEST(!connection->ReadRequest().empty());
+  connection->Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  BOOST_TEST(first.get().Success());
+
+  const Time valid_until = After(std::chrono::milliseconds(500));
+  auto second =
+      Send(*client, {.url = listener.url(), .valid_until = valid_until});
+  BOOST_TEST(!connection->ReadRequest().empty());
+  WaitUntilPast(valid_until);
+  connection.reset();
+  const auto again = listener.Accept();
+  const std::string request = again->ReadRequest();
+  BOOST_TEST(request.empty(), request);
+  shutdown(again->fd, SHUT_RDWR);
+  const HttpResult end = second.get();
+  BOOST_TEST((end.status == CallStatus::kBroken));
+}
+
 // Guards against a body over the limit reaching a handler.
 BOOST_AUTO_TEST_CASE(OversizedBodyIsRefused) {
   bool reached = false;
