Keep a relay that started anew from getting its lost calls back

A relay that reports under a new incarnation has forgotten its calls. While these are given to others, it must not be chosen itself: its entry is replaced right after, and calls noted there would wait for ever.

--- a/src/relay/roster.cc
+++ b/src/relay/roster.cc
@@ -67,6 +67,7 @@
   if (known != this->members.end() &&
       (known->second.incarnation != report.incarnation ||
        known->second.address != report.address)) {
+    known->second.barred_until = Time::max();  // gets none of the calls back
     this->Lose(report.instance, "restarted", now);
     this->members.erase(known);
   }
@@ -215,7 +216,7 @@
   std::erase_if(this->assigned,
                 [&](const auto& row) { return row.second == relay; });
   member.vms = 0;
-  member.barred_until = now + kPause;
+  member.barred_until = std::max(member.barred_until, now + kPause);
 }
 
 void Roster::Lose(const InstanceId& relay, std::string_view reason, Time now) {
