Model orders that are carried out late, and gangs that wait

VMs of the test model can carry out orders to start and stop runs seconds later and without an answer, as the platform's `applied_late` does.

Members of a gang worked and ended alone in the model. On the platform they work only once all of a run are present. A member that waits for 3 s now ends `alone`.

--- a/fake/vms/world.cc
+++ b/fake/vms/world.cc
@@ -12,6 +12,8 @@
 // Time from an order to stop until the run has ended.
 constexpr std::int64_t kStopMs = 40;
 constexpr std::int64_t kClockOffsetMs = 5000;
+// Time for which a member of a gang waits for the others.
+constexpr std::int64_t kGangWaitMs = 3000;
 
 std::string StepName(const jobs::AskAdvice& question) {
   return question.job.str() + "." + std::to_string(question.occurrence) + "." +
@@ -88,6 +90,9 @@
   if (how == RunEnd::kDone) {
     this->ever_done.insert(task);
   }
+  if (how == RunEnd::kStopped && found->second.endless) {
+    this->endless_stopped.push_back(task);
+  }
   vm.runs.erase(found);
 }
 
@@ -96,13 +101,19 @@
     const std::int64_t clock = this->ClockOf(*vm);
     std::vector<std::pair<std::string, RunEnd>> ends;
     for (auto& [name, run] : vm->runs) {
-      run.left_ms -= ms;
+      if (!run.gang || this->Assembled(run)) {
+        run.left_ms -= ms;
+      } else {
+        run.waited_ms += ms;
+      }
       if (clock >= vm->until_ms) {
         ends.emplace_back(name, RunEnd::kExpired);
       } else if (run.stopping && clock >= run.stops_at_ms) {
         ends.emplace_back(name, RunEnd::kStopped);
       } else if (run.fails || vm->fails_all) {
         ends.emplace_back(name, RunEnd::kFailed);
+      } else if (run.waited_ms >= kGangWaitMs) {
+        ends.emplace_back(name, RunEnd::kAlone);
       } else if (!run.endless && run.left_ms <= 0) {
         ends.emplace_back(name, RunEnd::kDone);
       }
@@ -113,6 +124,26 @@
   }
 }
 
+bool World::Assembled(const VmRun& run) const {
+  const std::int32_t count = this->submitted.at(run.task.job)
+                                 .steps[static_cast<std::size_t>(run.task.step)]
+                                 .count;
+  for (std::int32_t i = 0; i < count; ++i) {
+    jobs::TaskRef member = run.task;
+    member.index = i;
+    const std::string name = member.Name();
+    if (!this->ever_done.contains(name) &&
+        std::ranges::none_of(this->vms, [&](const auto& row) {
+          const auto found = row.second->runs.find(name);
+          return found != row.second->runs.end() &&
+                 found->second.run == run.run;
+        })) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void World::CheckStart(const FakeVm& vm, const VmRun& run) {
   const std::string name = run.task.Name();
   const auto breach = [&](const std::string& rule) {
@@ -207,6 +238,7 @@
             .run = order.run,
             .left_ms = step.estimate_ms,
             .endless = step.endless,
+            .gang = step.gang,
             .fails = spec.payload == "fails",
             .occupied = step.Occupies(),
             .need = step.need,
--- a/fake/vms/world.h
+++ b/fake/vms/world.h
@@ -20,6 +20,8 @@
   std::int64_t run = 0;
   std::int64_t left_ms = 0;
   bool endless = false;
+  bool gang = false;
+  std::int64_t waited_ms = 0;  // for the other members of its gang
   bool fails = false;
   bool stopping = false;
   std::int64_t stops_at_ms = 0;
@@ -43,7 +45,10 @@
   bool dark = false;  // answers nothing, but runs on
   bool fails_all = false;
   bool loses_answers = false;  // carries out orders without an answer
-  std::int64_t tail_ms = 0;    // gauge of serving tasks
+  // Orders to start and stop runs are carried out this much later, without an
+  // answer.
+  std::int64_t late_ms = 0;
+  std::int64_t tail_ms = 0;  // gauge of serving tasks
 
   /*! @brief Starts again under its id and knows nothing of before. */
   void Restart();
@@ -110,11 +115,14 @@
   std::map<jobs::JobId, jobs::JobSpec> submitted;
   FakeAdvice advice;
   std::vector<std::string> breaches;
+  std::vector<std::string> endless_stopped;  // endless tasks ended by a stop
   Time now{std::chrono::seconds(1000)};
 
  private:
   void End(FakeVm& vm, const std::string& task, jobs::RunEnd how);
   void CheckStart(const FakeVm& vm, const VmRun& run);
+  /*! @brief True if all members of a gang's run are present or done. */
+  [[nodiscard]] bool Assembled(const VmRun& run) const;
   [[nodiscard]] bool Permits(const FakeVm& vm,
                              const jobs::StartRun& order) const;
 
--- a/test/jobs/fleet_sim.cc
+++ b/test/jobs/fleet_sim.cc
@@ -160,8 +160,34 @@
     });
   }
 
+  // An order under way ends with the incarnation that it was sent to.
+  template <typename Action>
+  void CarryOutLate(const FakeVm& vm,
+                    const Destination& to,
+                    Action action) const {
+    this->sim.Later(vm.late_ms,
+                    [&at = this->sim, boot_ms = vm.facts.boot_ms, to, action] {
+                      FakeVm& present = *at.vms.at(to.vm.str());
+                      if (!present.dark && present.facts.boot_ms == boot_ms) {
+                        action(present);
+                      }
+                    });
+  }
+
   void operator()(const StartRun& order) const {
     FleetSim& at = this->sim;
+    if (const FakeVm& vm = *at.vms.at(order.to.vm.str()); vm.late_ms > 0) {
+      this->CarryOutLate(vm, order.to, [&at, order, by = this->by](FakeVm& to) {
+        at.Carry(to, order, by);
+      });
+      at.Later(kOrderTimeoutMs, [&at, order, by = this->by] {
+        if (by == at.fence) {
+          at.scheduler->OnStart(order.to.vm, order.task, order.run,
+                                StartAnswer::kNoAnswer, 0, at.now);
+        }
+      });
+      return;
+    }
     at.Later(kLatencyMs, [&at, order, by = this->by] {
       FakeVm& vm = *at.vms.at(order.to.vm.str());
       const StartAnswer carried =
@@ -178,6 +204,20 @@
     });
   }
   void operator()(const StopRun& order) const {
+    FleetSim& late_at = this->sim;
+    if (const FakeVm& vm = *late_at.vms.at(order.to.vm.str()); vm.late_ms > 0) {
+      this->CarryOutLate(vm, order.to,
+                         [&at = late_at, order, by = this->by](FakeVm& to) {
+                           at.Stop(to, order, by);
+                         });
+      late_at.Later(kOrderTimeoutMs, [&at = late_at, order, by = this->by] {
+        if (by == at.fence) {
+          at.scheduler->OnStop(order.to.vm, order.task, order.run, false,
+                               at.now);
+        }
+      });
+      return;
+    }
     this->Call(order.to, kOrderTimeoutMs, [&at = this->sim, order](FakeVm* vm) {
       if (vm != nullptr) {
         at.Stop(*vm, order, at.fence);
