Wait for the lease of an endless task's start before a stop bars it

Cause: a start without an answer that the next report did not list was barred by a stop. Where the start was carried out late, the stop, late or sent again, ended a task that was at work by then. Most of its step were in the same state, since their starts went the same way.

A start of an endless task is now barred only when a report's clock has passed the lease in that order and the report does not list the run. The VM refuses the order from then on, so the stop ends nothing at work, and the task starts again. It occupies its VM meanwhile, so limits hold, and it starts elsewhere only after the stop, so it runs once. Looks meanwhile wait no longer than for the end of that lease. Finite tasks are barred at once as before. `start_found` logs a start without an answer that a report lists.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -44,8 +44,9 @@
   // When the latest order was answered or given up; unset while it is under
   // way.
   Time confirmed;
-  bool stop_unsent = false;  // the order to stop has to be sent again
-  std::uint64_t seen = 0;    // latest report that listed the run
+  std::int64_t until_ms = 0;  // lease in the order to start, on the VM's clock
+  bool stop_unsent = false;   // the order to stop has to be sent again
+  std::uint64_t seen = 0;     // latest report that listed the run
   std::int32_t percent = 0;
   std::int64_t gauge = 0;
   std::int32_t pace = 100;  // share of the work that it may do, in percent
@@ -57,6 +58,13 @@
     constexpr std::int32_t all = 100;
     return this->phase == TaskPhase::kRunning && this->percent == all;
   }
+  /*! @brief True if its order to start has no answer and is waited for: a stop
+   * could be carried out late as well, and end the task when others of its step
+   * are away. */
+  [[nodiscard]] bool MayStartLate() const {
+    return this->phase == TaskPhase::kStarting && this->confirmed != Time() &&
+           this->spec().endless;
+  }
   /*! @brief True while it occupies a VM. */
   [[nodiscard]] bool Placed() const {
     return this->phase == TaskPhase::kStarting ||
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -87,6 +87,14 @@
                                    {"vm", vm.facts.id.str()}});
   }
   if (task->phase == TaskPhase::kStarting) {
+    if (task->confirmed != Time()) {
+      this->NoteThat(
+          "start_found",
+          {{"task", row.task},
+           {"run", std::to_string(row.run)},
+           {"vm", vm.facts.id.str()},
+           {"lease_left_ms", std::to_string(task->until_ms - vm.clock_ms)}});
+    }
     task->phase = TaskPhase::kRunning;
     task->confirmed = now;
   }
@@ -108,8 +116,11 @@
     const bool settled = task->confirmed != Time() && task->confirmed < sent;
     switch (task->phase) {
       case TaskPhase::kStarting:
-        // The order is lost or late; a stop bars it for good.
-        if (settled) {
+        // The order is lost or late; a stop bars it for good. The VM refuses
+        // it by itself once its lease is over, so that a stop sent then ends
+        // nothing that is at work.
+        if (settled &&
+            !(task->MayStartLate() && vm.clock_ms < task->until_ms)) {
           this->NoteThat("start_barred", {{"task", task->Ref().Name()},
                                           {"run", std::to_string(task->run)},
                                           {"vm", vm.facts.id.str()}});
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -143,17 +143,25 @@
   } else if ((!vm.runs.empty() || !vm.strays.empty()) && vm.clock_known) {
     look.until_ms = vm.ClockAt(now) + ToMs(this->limits.lease);
     vm.until_ms = std::max(vm.until_ms, *look.until_ms);
-    const bool unsettled = !vm.unrecorded.empty() || !vm.strays.empty() ||
-                           (!fresh && vm.acknowledged < vm.last_seen) ||
-                           std::ranges::any_of(vm.runs, [](const Task* task) {
-                             return task->phase == TaskPhase::kStopping ||
-                                    task->phase == TaskPhase::kDone ||
-                                    (task->phase == TaskPhase::kStarting &&
-                                     task->confirmed != Time());
-                           });
+    const bool unsettled =
+        !vm.unrecorded.empty() || !vm.strays.empty() ||
+        (!fresh && vm.acknowledged < vm.last_seen) ||
+        std::ranges::any_of(vm.runs, [](const Task* task) {
+          return task->phase == TaskPhase::kStopping ||
+                 task->phase == TaskPhase::kDone ||
+                 (task->phase == TaskPhase::kStarting &&
+                  task->confirmed != Time() && !task->MayStartLate());
+        });
     look.wait_ms = unsettled  ? 0
                    : vm.mixed ? ToMs(this->limits.watch_wait)
                               : ToMs(this->limits.look_wait);
+    for (const Task* task : vm.runs) {
+      if (task->MayStartLate()) {
+        const std::int64_t left_ms = task->until_ms - vm.ClockAt(now);
+        look.wait_ms =
+            std::min(look.wait_ms, std::max(left_ms, ToMs(kStopPoll)));
+      }
+    }
   }
   vm.acknowledged = std::max(vm.acknowledged, look.last_seen);
   vm.looking = true;
--- a/test/jobs/chaos_test.cc
+++ b/test/jobs/chaos_test.cc
@@ -16,7 +16,8 @@
 
 class Chaos {
  public:
-  explicit Chaos(std::uint64_t seed) : random(seed) {
+  explicit Chaos(std::uint64_t seed, bool late_orders = false)
+      : random(seed), late(late_orders) {
     this->sim.config.teams[TeamId("t")] = {.maximum = {20'000, 0, 0}};
     ++this->sim.config.version;
     this->sim.scheduler->SetConfig(this->sim.config, this->sim.now);
@@ -35,6 +36,9 @@
     const Time end = this->sim.now + std::chrono::milliseconds(kFaultyMs);
     while (this->sim.now < end) {
       this->Act();
+      if (this->late) {
+        this->DelayOrders();
+      }
       this->sim.Run(this->Draw(20, 400));
     }
     this->Heal();
@@ -106,6 +110,11 @@
     }
   }
 
+  // A VM carries out orders late, before or after their lease, or no longer.
+  void DelayOrders() {
+    this->AnyVm().late_ms = this->Draw(0, 1) == 0 ? 0 : this->Draw(1500, 8000);
+  }
+
   // The VM starts again under its id and knows nothing of before.
   void Reboot(FakeVm& vm) {
     vm.Restart();
@@ -146,14 +155,29 @@
     for (auto& [id, vm] : this->sim.vms) {
       vm->dark = false;
       vm->loses_answers = false;
+      vm->late_ms = 0;
       this->sim.Register(id);
     }
   }
 
   std::mt19937_64 random;
+  bool late;
   int last_job = 0;
 };
 
+void Check(const Chaos& chaos) {
+  for (const std::string& breach : chaos.sim.breaches) {
+    BOOST_ERROR(breach);
+  }
+  for (const std::string& job : chaos.finite) {
+    const JobState state = chaos.sim.StateOf(job);
+    BOOST_TEST((state == JobState::kCompleted), job << " is " << NameOf(state));
+  }
+  for (const std::string& task : chaos.endless) {
+    BOOST_TEST(chaos.sim.Runs(task), task << " does not run");
+  }
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(ChaosTest)
@@ -164,16 +188,20 @@
     Chaos chaos(seed);
     chaos.Run();
     BOOST_TEST_CONTEXT("seed " << seed) {
-      for (const std::string& breach : chaos.sim.breaches) {
-        BOOST_ERROR(breach);
-      }
-      for (const std::string& job : chaos.finite) {
-        const JobState state = chaos.sim.StateOf(job);
-        BOOST_TEST((state == JobState::kCompleted),
-                   job << " is " << NameOf(state));
-      }
-      for (const std::string& task : chaos.endless) {
-        BOOST_TEST(chaos.sim.Runs(task), task << " does not run");
+      Check(chaos);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(OrdersThatAreCarriedOutLateRepeatNothing) {
+  constexpr std::uint64_t seeds = 200;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    Chaos chaos(seed, true);
+    chaos.Run();
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      Check(chaos);
+      for (const std::string& task : chaos.sim.endless_stopped) {
+        BOOST_ERROR(task << " was stopped");
       }
     }
   }
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -539,6 +539,87 @@
       5000));
 }
 
+// deploy/days/late-grants.toml: a start without an answer was barred by a stop.
+// Both were carried out seconds later, and the stop ended tasks that were at
+// work while others of their step were away.
+BOOST_AUTO_TEST_CASE(EndlessTasksThatStartLateAreNotStopped) {
+  FleetSim sim;
+  WithVms(sim, 3);
+  sim.Run(100);
+  for (auto& [id, vm] : sim.vms) {
+    vm->late_ms = 2500;
+  }
+  JobSpec job = EndlessJob("a", 3);
+  job.steps[0].may_miss = 1;
+  job.steps[0].max_per_vm = 1;
+  sim.Submit(job);
+  sim.Run(3000);
+  for (const char* task : {"a.0.0.0", "a.0.0.1", "a.0.0.2"}) {
+    BOOST_TEST(sim.Runs(task), task << " does not run");
+  }
+  sim.Run(9000);
+  for (const auto& [id, vm] : sim.vms) {
+    BOOST_TEST(vm->last_number == 0, "a run ended on " << id);
+  }
+  BOOST_TEST(sim.starts() == 3);
+  BOOST_TEST(Breaches(sim) == "");
+}
+
+// The VM refuses the order once its lease is over, so the task need not wait
+// for longer than that.
+BOOST_AUTO_TEST_CASE(EndlessTaskStartsAgainAfterTheLeaseOfALostStart) {
+  FleetSim sim;
+  WithVms(sim, 2);
+  sim.Run(100);
+  for (auto& [id, vm] : sim.vms) {
+    vm->late_ms = 6000;
+  }
+  sim.Submit(EndlessJob("a", 1));
+  sim.Run(100);
+  for (auto& [id, vm] : sim.vms) {
+    vm->late_ms = 0;
+  }
+  sim.Run(3800);
+  BOOST_TEST(sim.starts() == 0);
+  BOOST_TEST(sim.RunUntil([&] { return sim.Runs("a.0.0.0"); }, 400));
+  sim.Run(8000);
+  BOOST_TEST(sim.starts() == 1);
+  BOOST_TEST(sim.Runs("a.0.0.0"));
+  BOOST_TEST(Breaches(sim) == "");
+}
+
+// What ends by itself is not delayed by the wait of endless tasks, also on the
+// same VM.
+BOOST_AUTO_TEST_CASE(LostStartOfAFiniteTaskIsRepeatedBeforeItsLeaseIsOver) {
+  FleetSim sim;
+  WithVms(sim, 1);
+  sim.Run(100);
+  sim.vms.at("vm0")->late_ms = 6000;
+  sim.Submit(EndlessJob("lasts", 1));
+  sim.Submit(SimpleJob("short", "q", 1, 1000, 300));
+  sim.Run(100);
+  sim.vms.at("vm0")->late_ms = 0;
+  BOOST_TEST(sim.Completes("short", 1600));
+  BOOST_TEST(Breaches(sim) == "");
+}
+
+// A task whose start is awaited has to stop all the same once its job is
+// cancelled.
+BOOST_AUTO_TEST_CASE(CancelledJobStopsWhatStartsLate) {
+  FleetSim sim;
+  WithVms(sim, 1);
+  sim.Run(100);
+  sim.vms.at("vm0")->late_ms = 2500;
+  sim.Submit(EndlessJob("a", 1));
+  sim.Run(1500);
+  sim.vms.at("vm0")->late_ms = 0;
+  sim.Cancel("a");
+  sim.Run(6000);
+  BOOST_TEST(!sim.Runs("a.0.0.0"));
+  BOOST_TEST(sim.vms.at("vm0")->runs.empty());
+  BOOST_TEST(sim.scheduler->team_use().at(TeamId()).cpu_m == 0);
+}
+
 // Such a VM without any endless task may be ordered away at any moment.
 BOOST_AUTO_TEST_CASE(NothingStartsOnAnEmptiedVm) {
   FleetSim sim;
