Share VMs anew when a relay is added

The first process that reported to a new owner was given all VMs that waited for a relay, and kept them: VMs stay with their relay, and relays added later got only VMs without one. With 352 VMs and 40 processes, of which one reports 50 ms before the others, that relay went on making all 352 calls where 32 are its share.

A relay that is added now takes its share: those with more than the mean give the surplus up, whose next calls go to the relay with the fewest VMs. The test fails on the code before (352 > 32).

--- a/src/relay/roster.cc
+++ b/src/relay/roster.cc
@@ -142,6 +142,7 @@
       return;
     }
     this->serving.insert(free->first);
+    this->ShedSurplus();
     this->effects.emplace_back(
         Note{"relay_added",
              {{"relay", free->first.str()},
@@ -149,6 +150,18 @@
   }
 }
 
+// The first relay of a new owner is given all VMs, since it is the only one.
+void Roster::ShedSurplus() {
+  const std::size_t share =
+      (this->vm_count + this->serving.size() - 1) / this->serving.size();
+  std::erase_if(this->assigned, [&](const auto& row) {
+    Member& member = this->members.at(row.second);
+    const bool surplus = member.vms > share;
+    member.vms -= surplus ? 1 : 0;
+    return surplus;
+  });
+}
+
 // A VM stays with its relay, so that connections are kept.
 std::optional<InstanceId> Roster::RelayOf(const VmId& vm) {
   if (const auto found = this->assigned.find(vm);
--- a/src/relay/roster.h
+++ b/src/relay/roster.h
@@ -112,6 +112,7 @@
   [[nodiscard]] std::size_t Wanted() const;
   void Join(const Report& report, Time now);
   void FillServing(Time now);
+  void ShedSurplus();
   std::optional<InstanceId> RelayOf(const VmId& vm);
   void Send(std::uint64_t number, Open open, Time now);
   void Retire(const InstanceId& relay, std::string_view reason, Time now);
--- a/test/relay/roster_test.cc
+++ b/test/relay/roster_test.cc
@@ -356,6 +356,31 @@
   }
 }
 
+// Guards against a relay that makes the calls of most VMs since it was the
+// first one to report.
+BOOST_AUTO_TEST_CASE(FirstRelayKeepsAllVms) {
+  Site site(0);
+  for (std::size_t vm = 0; vm < kVms; ++vm) {
+    site.roster.Give(LookOf(vm), site.now);
+  }
+  site.alive[InstanceId("p0")] = "1";
+  site.Run(50);
+  for (int i = 1; i < 40; ++i) {
+    site.alive[InstanceId("p" + std::to_string(i))] = "1";
+  }
+  site.Run(200);
+  for (int i = 0; i < 40; ++i) {
+    site.AnswerAll(InstanceId("p" + std::to_string(i)));
+  }
+  for (std::size_t vm = 0; vm < kVms; ++vm) {
+    site.roster.Give(LookOf(vm), site.now);
+  }
+  site.Pass();
+  for (const auto& [relay, given] : site.given) {
+    BOOST_TEST(given.size() <= kVmsPerRelay);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(GuardTest)
