Notice a lost relay also while passes are long

The owner moved all bounds by the whole gap between two ticks if that was over 150 ms. If every gap is, the bounds move as fast as time passes, so that a relay that is gone was never passed over and the leases of its VMs' runs ended.

Only the part over 150 ms is excused, so some time counts at each gap, and a single long stall still drops no relay. The test, with ticks 160 ms apart, fails on the code before: the call stays with the lost relay.

--- a/src/relay/roster.cc
+++ b/src/relay/roster.cc
@@ -252,7 +252,9 @@
   }
 }
 
-// The time that this process stood still says nothing about relays.
+// The time that this process stood still says nothing about relays. A part of
+// each gap counts all the same: with long passes there are only gaps, and a
+// relay that is gone must still be noticed.
 void Roster::Excuse(Duration stalled) {
   for (auto& [id, member] : this->members) {
     member.heard += stalled;
@@ -293,7 +295,7 @@
 
 void Roster::Tick(Time now) {
   if (this->last_tick != Time() && now - this->last_tick > kStall) {
-    this->Excuse(now - this->last_tick);
+    this->Excuse(now - this->last_tick - kStall);
   }
   this->last_tick = now;
   this->LoseOverdue(now);
--- a/test/relay/roster_test.cc
+++ b/test/relay/roster_test.cc
@@ -381,6 +381,26 @@
   }
 }
 
+// Guards against an owner whose passes are always long and which therefore
+// never notices that a relay is gone.
+BOOST_AUTO_TEST_CASE(SlowOwnerKeepsALostRelay) {
+  Site site(40);
+  site.roster.Give(LookOf(1), site.now);
+  site.Pass();
+  const InstanceId lost = site.Busiest();
+  site.alive.erase(lost);
+  site.given.erase(lost);
+  constexpr auto gap = milliseconds(160);
+  for (int pass = 0; pass < 10; ++pass) {
+    site.now += gap;
+    for (const auto& [id, incarnation] : site.alive) {
+      site.roster.OnReport(site.ReportOf(id), site.now);
+    }
+    site.Pass();
+  }
+  BOOST_TEST(site.given.size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(GuardTest)
