Repeat a lost relay's looks without a wait or an acknowledgement

A look of a lost relay was repeated as it was: with the renewal of its first sending and up to 1.2 s of waiting at the VM. Up to 2.3 s pass until the loss is found, so the next renewal came up to 3.5 s after the one before, under leases of 4 s, and a second loss ended them. The repeated look also carried an acknowledgement decided for a VM that had just answered, up to 2.3 s before; one that restarted under its id since then would forget ends that nobody has seen.

The repeated look is answered at once and acknowledges nothing; the next one does. The test fails on the code before (wait 1200 ms, acknowledgement 3).

--- a/src/relay/roster.cc
+++ b/src/relay/roster.cc
@@ -246,6 +246,12 @@
     }
     Open open = std::move(this->calls.at(number));
     this->calls.erase(number);
+    if (auto* look = std::get_if<jobs::LookAt>(&open.order)) {
+      // Its renewal is old, so the next look must follow soon. Its VM may have
+      // restarted since the acknowledgement was decided.
+      look->wait_ms = 0;
+      look->last_seen = 0;
+    }
     // Under a new number, so that a late answer of the lost relay is no answer
     // to the repeated call.
     this->Send(++this->last_number, std::move(open), now);
--- a/test/relay/roster_test.cc
+++ b/test/relay/roster_test.cc
@@ -401,6 +401,24 @@
   BOOST_TEST(site.given.size() == 1);
 }
 
+// Guards against runs whose leases end while a repeated look waits at the VM,
+// and against acknowledgements to a VM that has restarted since they were
+// decided.
+BOOST_AUTO_TEST_CASE(RepeatedLookWaitsOrAcknowledges) {
+  Site site(40);
+  site.roster.Give(LookOf(1), site.now);
+  site.Pass();
+  const InstanceId lost = site.Busiest();
+  site.alive.erase(lost);
+  site.given.erase(lost);
+  site.Run(ToMs(kRelaySilence) + 50);
+  BOOST_REQUIRE(site.given.size() == 1);
+  const auto& look =
+      std::get<jobs::LookAt>(site.given.begin()->second.front().order);
+  BOOST_TEST(look.wait_ms == 0);
+  BOOST_TEST(look.last_seen == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(GuardTest)
