--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -72,8 +72,8 @@
 }
 
 // One pass serves all events that came before it. Its cost grows with the fleet
-// and the backlog, so the pause after it does, too: decisions take a bounded
-// part of the time, and events are taken in meanwhile.
+// and the backlog, so the pause after it does, too, up to a bound; events are
+// taken in meanwhile.
 void Driver::ScheduleTurn() {
   if (std::exchange(this->turn_set, true)) {
     return;
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -45,6 +45,8 @@
   this->mover = std::make_unique<upkeep::Mover>(this->options.move_limits);
   this->gate =
       std::make_unique<upkeep::OrderGate>(this->options.upkeep_limits.handover);
+  // Before the first relay connects: what it followed so far may be dropped.
+  this->parts.relay.Follow(this->ownership.seen());
   this->roster.emplace(gained, Now() + kJoinTime);
   this->parts.front.SetOwner(this->options.peer_address);
   this->ReadKeptVms(gained);
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -264,6 +264,7 @@
   void PaceVm(Vm& vm, Time now);
   void WriteChanges(Time now);
   void Acknowledge(Vm& vm, Time now);
+  bool HasRuns(Job& job);
   void EraseOld(Time now);
 
   Limits limits;
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -165,11 +165,14 @@
     if (too_large && too_large->Within(step.Occupies())) {
       continue;
     }
+    const std::uint64_t starts = this->counted.starts;
     const bool placed = step.gang ? this->PlanGang(ranked, pool, room, now)
                                   : this->PlanUnit(ranked, pool, room, now);
-    std::erase_if(room.vms, [&room](const Candidate& candidate) {
-      return !room.smallest.Within(candidate.vm->Free());
-    });
+    if (this->counted.starts != starts) {
+      std::erase_if(room.vms, [&room](const Candidate& candidate) {
+        return !room.smallest.Within(candidate.vm->Free());
+      });
+    }
     const bool plain = step.label.empty() && step.max_per_vm == 0 &&
                        !step.gang && !this->QueueOf(*ranked.unit.job).advised;
     if (!placed && plain && this->WithinLimit(*ranked.unit.job, step.need)) {
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -331,6 +331,21 @@
   }
 }
 
+// Looks at the job's tasks, which are few beside all runs of the fleet.
+bool Scheduler::HasRuns(Job& job) {
+  for (auto& [number, occurrence] : job.open) {
+    for (Step& step : occurrence.steps) {
+      for (Task& task : step.tasks) {
+        const Vm* vm = this->FindVm(task.vm);
+        if (vm != nullptr && vm->runs.contains(&task)) {
+          return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
 // Ended jobs leave the store and memory once their submitters had time to ask.
 void Scheduler::EraseOld(Time now) {
   while (!this->ended_jobs.empty() &&
@@ -341,13 +356,7 @@
     if (job == nullptr || job->erasing) {
       continue;
     }
-    const bool placed =
-        std::ranges::any_of(this->fleet, [job](const auto& row) {
-          return std::ranges::any_of(row.second->runs, [job](const Task* task) {
-            return task->job == job;
-          });
-        });
-    if (placed) {
+    if (this->HasRuns(*job)) {
       this->ended_jobs.emplace_back(now, id);
       return;
     }
