Repeat a stop only while others of its step are at work

Callers could see AVAIL broken: an endless task ended by a stop while more others of its step were away than may be.

Cause: a task is evicted only while few enough others of its step are away, but a stop without an answer was sent again whatever had become of the others since.

A report that still lists such a task now leads to another stop only under the condition of the first one. Until then the task counts as away for the others, so no two tasks wait for each other. Stops for cancelled jobs and on VMs that leave are repeated as before, and so are those of runs that no report lists.

--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -242,6 +242,13 @@
          now - vm->second->clock_at <= 2 * this->limits.look_wait;
 }
 
+std::int32_t Scheduler::OthersAway(const Task& task, Time now) {
+  return static_cast<std::int32_t>(std::ranges::count_if(
+      this->StepOf(task).tasks, [this, &task, now](const Task& other) {
+        return &other != &task && !this->AtWork(other, now);
+      }));
+}
+
 void Scheduler::EvictEndless(const VmId& id, Time now) {
   Vm* vm = this->FindVm(id);
   if (vm == nullptr || vm->silent) {
@@ -254,11 +261,7 @@
     }
     // Whether the task itself is at work may be known late, so only the others
     // count.
-    const Step& step = this->StepOf(*task);
-    const auto away =
-        std::ranges::count_if(step.tasks, [this, task, now](const Task& other) {
-          return &other != task && !this->AtWork(other, now);
-        });
+    const std::int32_t away = this->OthersAway(*task, now);
     const std::int32_t may_miss = std::max(1, task->spec().may_miss);
     if (away >= may_miss) {
       continue;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -212,9 +212,11 @@
   void SetBegun(Job& job);
   Duration LongestLease() const;
   bool AtWork(const Task& task, Time now) const;
+  /*! @brief Other tasks of its step that are not known to be at work. */
+  std::int32_t OthersAway(const Task& task, Time now);
 
   // scheduler_report.cc
-  void Resolve(Vm& vm, Time sent);
+  void Resolve(Vm& vm, Time sent, Time now);
   void HandleRunning(Vm& vm, const RunningRow& row, Time now);
   void HandleEnd(Vm& vm, const EndedRow& row, Time now);
   void AwaitRecord(Vm& vm, const Job& job);
@@ -223,6 +225,7 @@
   void CompleteStep(Job& job, Occurrence& occurrence, Time now);
   void StopTask(Task& task);
   void SendStop(Task& task, const Vm& vm);
+  bool MayRepeatStop(const Task& task, const Vm& vm, Time now);
   void StopStray(Vm& vm, const TaskRef& ref, std::int64_t run, Time now);
   void ForgetStrays(Vm& vm, std::uint64_t listed_in);
   void RestartVm(Vm& vm, const VmFacts& facts, Time now);
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -59,7 +59,7 @@
     this->HandleRunning(*vm, row, now);
   }
   this->ForgetStrays(*vm, vm->reports);
-  this->Resolve(*vm, sent);
+  this->Resolve(*vm, sent, now);
   this->PaceVm(*vm, now);
   this->Acknowledge(*vm, now);
 }
@@ -108,7 +108,7 @@
 
 // Settles the runs that a report does not list, and repeats stops that had no
 // answer.
-void Scheduler::Resolve(Vm& vm, Time sent) {
+void Scheduler::Resolve(Vm& vm, Time sent, Time now) {
   const std::vector<Task*> runs(vm.runs.begin(), vm.runs.end());
   for (Task* task : runs) {
     const bool listed = task->seen == vm.reports;
@@ -140,7 +140,9 @@
       case TaskPhase::kStopping:
       case TaskPhase::kDone:
         if (task->stop_unsent) {
-          this->SendStop(*task, vm);
+          if (!listed || this->MayRepeatStop(*task, vm, now)) {
+            this->SendStop(*task, vm);
+          }
         } else if (!listed && settled) {
           if (task->phase == TaskPhase::kDone) {
             this->Release(*task);
@@ -327,6 +329,13 @@
   this->effects.emplace_back(StopRun{vm.Address(), task.Ref(), task.run});
 }
 
+// The others of its step may have gone since the first order. A task that must
+// end is stopped all the same.
+bool Scheduler::MayRepeatStop(const Task& task, const Vm& vm, Time now) {
+  return !task.spec().endless || task.job->Ended() || vm.facts.leaving ||
+         this->OthersAway(task, now) < std::max(1, task.spec().may_miss);
+}
+
 void Scheduler::StopStray(Vm& vm,
                           const TaskRef& ref,
                           std::int64_t run,
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -399,6 +399,38 @@
   BOOST_TEST(!sim.vms.at(hosts[1])->runs.empty());
 }
 
+// A stop without an answer was sent again when the others of the step had gone
+// meanwhile.
+BOOST_AUTO_TEST_CASE(AStopIsNotRepeatedWhileOthersOfItsStepAreAway) {
+  FleetSim sim;
+  WithVms(sim, 3);
+  JobSpec job = EndlessJob("a", 2);
+  job.steps[0].may_miss = 1;
+  job.steps[0].max_per_vm = 1;
+  sim.Submit(job);
+  sim.Run(1500);
+  std::vector<std::string> hosts;
+  for (const auto& [id, vm] : sim.vms) {
+    if (!vm->runs.empty()) {
+      hosts.push_back(id);
+    }
+  }
+  BOOST_REQUIRE(hosts.size() == 2);
+  FakeVm& vm = *sim.vms.at(hosts[0]);
+  vm.late_ms = 60'000;
+  sim.scheduler->Cordon(VmId(hosts[0]), true);
+  sim.scheduler->EvictEndless(VmId(hosts[0]), sim.now);
+  sim.Run(200);
+  sim.vms.at(hosts[1])->dark = true;
+  vm.late_ms = 0;
+  sim.Run(2500);
+  BOOST_TEST(sim.endless_stopped.empty());
+  // Once the other task is back, the VM is emptied.
+  sim.vms.at(hosts[1])->dark = false;
+  BOOST_TEST(sim.RunUntil([&] { return vm.runs.empty(); }, 4000));
+  BOOST_TEST(Breaches(sim) == "");
+}
+
 BOOST_AUTO_TEST_CASE(EvictedTaskStartsElsewhere) {
   FleetSim sim;
   WithVms(sim, 2);
