Keep idle connections and reuse libcurl handles in the HTTP client

Programs with few open calls to many hosts, such as kch-fleet, spent much processor time on connections. libcurl limits the connections that it keeps to four times the number of open calls, so nearly every connection was closed after use and opened again for the next call. Each call also made and destroyed a handle and set all its options.

The client now sets the number of connections that it keeps, at most half the limit of open files, and takes handles from a small pool whose options are set once but for those in which calls differ.

The new tests guard what the pool must not change: calls that use a handle in turn, aborts, destruction, and timers and calls made by callbacks. The first of them fails if the method of a handle is left in place.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -25,6 +26,8 @@
 // A peer that acknowledges nothing for this long is gone, whatever the task.
 constexpr unsigned kUnacknowledgedMs = 3000;
 constexpr long kMaxIdleConnectionSeconds = 20;
+constexpr long kMaxConnections = 4096;
+constexpr std::size_t kMaxIdleHandles = 64;
 constexpr int kMaxPollMs = 1000;
 constexpr int kFirstSuccess = 200;
 constexpr int kLastSuccess = 299;
@@ -37,11 +40,13 @@
   void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
 };
 
+using Easy = std::unique_ptr<CURL, EasyFree>;
+
 struct Transfer {
   std::uint64_t number = 0;
   HttpCall call;
   HttpDone done;
-  std::unique_ptr<CURL, EasyFree> easy;
+  Easy easy;
   std::unique_ptr<curl_slist, ListFree> headers;
   HttpResult result;
   bool released = false;  // some try was allowed to send
@@ -99,34 +104,45 @@
   return CURL_SOCKOPT_OK;
 }
 
+// A handle with the options that all calls share.
+Easy MakeEasy() {
+  Easy result(curl_easy_init());
+  CURL* easy = result.get();
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocket);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnRequest);
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleConnectionSeconds);
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, 5L);
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, 1L);
+  return result;
+}
+
+// Sets all options in which calls differ, since the handle may have served
+// another call.
 void Prepare(Transfer& transfer) {
   CURL* easy = transfer.easy.get();
   const HttpCall& call = transfer.call;
+  const long fresh = call.new_connection ? 1 : 0;
   curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
-  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
-  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
-  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocket);
-  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnRequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
-  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
-  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(call.connect_timeout_ms));
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(call.timeout_ms));
-  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleConnectionSeconds);
-  curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
-  curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, 5L);
-  curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, 1L);
-  if (call.new_connection) {
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-  }
-  if (call.method != "GET") {
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, fresh);
+  if (call.method == "GET") {
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, nullptr);
+    curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+  } else {
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(call.body.size()));
@@ -168,6 +184,19 @@
                                                 : curl_easy_strerror(code);
 }
 
+// How many connections stay open, in use or not. libcurl's own limit follows
+// the number of open calls, so a quiet moment would close the connections to
+// most hosts of a large fleet.
+long ConnectionLimit(const HttpClient::Options& options) {
+  long limit = kMaxConnections;
+  rlimit files{};
+  if (getrlimit(RLIMIT_NOFILE, &files) == 0 &&
+      files.rlim_cur / 2 < kMaxConnections) {
+    limit = static_cast<long>(files.rlim_cur / 2);
+  }
+  return std::max(limit, options.max_connections_per_host);
+}
+
 }  // namespace
 
 std::string_view HttpResult::Header(std::string_view name) const {
@@ -185,6 +214,8 @@
   explicit Impl(const Options& options) : multi(curl_multi_init()) {
     curl_multi_setopt(this->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                       options.max_connections_per_host);
+    curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS,
+                      ConnectionLimit(options));
     this->thread = std::thread([this] { this->Run(); });
   }
 
@@ -290,13 +321,22 @@
     return !stop;
   }
 
+  Easy TakeEasy() {
+    if (this->idle.empty()) {
+      return MakeEasy();
+    }
+    Easy result = std::move(this->idle.back());
+    this->idle.pop_back();
+    return result;
+  }
+
   void Start(std::unique_ptr<Transfer> transfer) {
     if (Expired(transfer->call)) {
       transfer->result.error = kExpiredError;
       transfer->done(std::move(transfer->result));
       return;
     }
-    transfer->easy.reset(curl_easy_init());
+    transfer->easy = this->TakeEasy();
     Prepare(*transfer);
     curl_multi_add_handle(this->multi, transfer->easy.get());
     const std::uint64_t number = transfer->number;
@@ -324,12 +364,16 @@
     this->active.erase(found);
     Finish(*transfer, code);
     curl_multi_remove_handle(this->multi, transfer->easy.get());
+    if (this->idle.size() < kMaxIdleHandles) {
+      this->idle.push_back(std::move(transfer->easy));
+    }
     transfer->done(std::move(transfer->result));
   }
 
   CURLM* multi;
   std::thread thread;
   std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> active;
+  std::vector<Easy> idle;
 
   std::mutex mutex;  // guards the members below
   bool stopping = false;
--- a/test/net/http_test.cc
+++ b/test/net/http_test.cc
@@ -7,8 +7,12 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
 #include <future>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <utility>
@@ -254,6 +258,105 @@
   BOOST_TEST((end.status == CallStatus::kBroken));
 }
 
+// Holds every request until it is destroyed.
+class SilentServer {
+ public:
+  SilentServer()
+      : server(
+            HttpServer::Create({}, [this](const HttpRequest&, HttpReply reply) {
+              const std::lock_guard lock(this->mutex);
+              this->held.push_back(std::move(reply));
+              this->arrived.notify_all();
+            }).value()) {}
+
+  void WaitFor(std::size_t requests) {
+    std::unique_lock lock(this->mutex);
+    this->arrived.wait(lock, [&] { return this->held.size() >= requests; });
+  }
+  [[nodiscard]] std::string url() const { return Url(*this->server, "/"); }
+
+ private:
+  std::mutex mutex;
+  std::condition_variable arrived;
+  std::vector<HttpReply> held;
+  std::unique_ptr<HttpServer> server;
+};
+
+// Guards against an abort that leaves the call open or says it was not sent.
+BOOST_AUTO_TEST_CASE(AbortedCallIsBroken) {
+  SilentServer server;
+  const auto client = MakeClient();
+  std::promise<HttpResult> end;
+  const std::uint64_t call = client->Send(
+      {.url = server.url(), .timeout_ms = 0},
+      [&](HttpResult result) { end.set_value(std::move(result)); });
+  server.WaitFor(1);
+  client->Abort(call);
+  BOOST_TEST((end.get_future().get().status == CallStatus::kBroken));
+}
+
+// Guards against a client that is destroyed and never ends its open calls.
+BOOST_AUTO_TEST_CASE(DestroyedClientEndsItsCalls) {
+  SilentServer server;
+  auto client = MakeClient();
+  auto first = Send(*client, {.url = server.url(), .timeout_ms = 0});
+  auto second = Send(*client, {.url = server.url(), .timeout_ms = 0});
+  server.WaitFor(2);
+  client.reset();
+  BOOST_TEST((first.get().status == CallStatus::kBroken));
+  BOOST_TEST((second.get().status == CallStatus::kBroken));
+}
+
+// Guards against timers and calls that are made on the client's own thread and
+// wait for other traffic to wake it.
+BOOST_AUTO_TEST_CASE(OrdersOfCallbacksAreTakenAtOnce) {
+  constexpr int steps = 20;
+  constexpr auto longest = std::chrono::seconds(5);
+  const auto server =
+      HttpServer::Create({}, [](const HttpRequest&, const HttpReply& reply) {
+        reply({});
+      }).value();
+  const auto client = MakeClient();
+  std::promise<void> done;
+  std::function<void(int)> step = [&](int left) {
+    if (left == 0) {
+      done.set_value();
+      return;
+    }
+    client->Send({.url = Url(*server, "/")}, [&, left](const HttpResult&) {
+      client->Delay(1, [&, left] { step(left - 1); });
+    });
+  };
+  const Time began = Now();
+  client->Delay(0, [&] { step(steps); });
+  done.get_future().get();
+  BOOST_TEST(ToMs(Now() - began) < ToMs(longest));
+}
+
+// Guards against options of one call that stay with the handle for the next.
+BOOST_AUTO_TEST_CASE(CallsAreIndependent) {
+  const auto server = HttpServer::Create({}, [](const HttpRequest& request,
+                                                const HttpReply& reply) {
+                        reply({.body = request.method + " " +
+                                       std::string(request.Header("kch-team")) +
+                                       " " + request.body});
+                      }).value();
+  const auto client = MakeClient();
+  const std::string url = Url(*server, "/");
+  const HttpCall post{.method = "POST",
+                      .url = url,
+                      .headers = {{"Kch-Team", "north"}},
+                      .body = "payload"};
+  for (int i = 0; i < 2; ++i) {
+    BOOST_TEST(client->SendAndWait(post).body == "POST north payload");
+    BOOST_TEST(client->SendAndWait({.url = url}).body == "GET  ");
+    BOOST_TEST(client->SendAndWait({.method = "PUT", .url = url}).body ==
+               "PUT  ");
+    BOOST_TEST(client->SendAndWait({.method = "DELETE", .url = url}).body ==
+               "DELETE  ");
+  }
+}
+
 // Guards against a body over the limit reaching a handler.
 BOOST_AUTO_TEST_CASE(OversizedBodyIsRefused) {
   bool reached = false;
