Serve only ready sockets in the HTTP client

A client with many open calls paid for all of them whenever one made progress: curl_multi_poll and curl_multi_perform visit every transfer.

The client now drives libcurl by curl_multi_socket_action with an epoll set and wakes its thread only if it waits. Abort, Delay, valid_until, timeouts and destruction work as before.

Calls that only wait no longer cost much.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -3,10 +3,14 @@
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <chrono>
 #include <future>
@@ -28,7 +32,8 @@
 constexpr long kMaxIdleConnectionSeconds = 20;
 constexpr long kMaxConnections = 4096;
 constexpr std::size_t kMaxIdleHandles = 64;
-constexpr int kMaxPollMs = 1000;
+constexpr int kMaxWaitMs = 1000;
+constexpr int kMaxEvents = 256;
 constexpr int kFirstSuccess = 200;
 constexpr int kLastSuccess = 299;
 constexpr std::string_view kExpiredError = "expired before it was sent";
@@ -211,7 +216,14 @@
 
 class HttpClient::Impl {
  public:
-  explicit Impl(const Options& options) : multi(curl_multi_init()) {
+  Impl(const Options& options, int epoll, int wake_event)
+      : epoll(epoll), wake_event(wake_event), multi(curl_multi_init()) {
+    epoll_event wake{.events = EPOLLIN, .data = {.fd = wake_event}};
+    epoll_ctl(this->epoll, EPOLL_CTL_ADD, wake_event, &wake);
+    curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &OnSocketWanted);
+    curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &OnTimerWanted);
+    curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
     curl_multi_setopt(this->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                       options.max_connections_per_host);
     curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS,
@@ -223,10 +235,12 @@
     {
       const std::lock_guard lock(this->mutex);
       this->stopping = true;
+      this->Wake();
     }
-    curl_multi_wakeup(this->multi);
     this->thread.join();
     curl_multi_cleanup(this->multi);
+    close(this->wake_event);
+    close(this->epoll);
   }
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
@@ -241,47 +255,121 @@
       number = ++this->last_number;
       transfer->number = number;
       this->added.push_back(std::move(transfer));
+      this->Wake();
     }
-    curl_multi_wakeup(this->multi);
     return number;
   }
 
   void Delay(int delay_ms, std::function<void()> action) {
-    {
-      const std::lock_guard lock(this->mutex);
-      this->timers.emplace(
-          SteadyClock::now() + std::chrono::milliseconds(delay_ms),
-          std::move(action));
-    }
-    curl_multi_wakeup(this->multi);
+    const std::lock_guard lock(this->mutex);
+    this->timers.emplace(
+        SteadyClock::now() + std::chrono::milliseconds(delay_ms),
+        std::move(action));
+    this->Wake();
   }
 
   void Abort(std::uint64_t number) {
-    {
-      const std::lock_guard lock(this->mutex);
-      this->aborted.push_back(number);
-    }
-    curl_multi_wakeup(this->multi);
+    const std::lock_guard lock(this->mutex);
+    this->aborted.push_back(number);
+    this->Wake();
   }
 
  private:
+  // Registers a socket for the events that libcurl waits for.
+  static int OnSocketWanted(CURL* /*easy*/,
+                            curl_socket_t socket,
+                            int what,
+                            void* user,
+                            void* known) {
+    const int epoll = static_cast<Impl*>(user)->epoll;
+    if (what == CURL_POLL_REMOVE) {
+      epoll_ctl(epoll, EPOLL_CTL_DEL, socket, nullptr);
+      return 0;
+    }
+    epoll_event wanted{.events = 0, .data = {.fd = socket}};
+    if ((what & CURL_POLL_IN) != 0) {
+      wanted.events |= EPOLLIN;
+    }
+    if ((what & CURL_POLL_OUT) != 0) {
+      wanted.events |= EPOLLOUT;
+    }
+    epoll_ctl(epoll, known == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, socket,
+              &wanted);
+    // Marks the socket as registered until libcurl removes it.
+    curl_multi_assign(static_cast<Impl*>(user)->multi, socket, user);
+    return 0;
+  }
+
+  static int OnTimerWanted(CURLM* /*multi*/, long wait_ms, void* user) {
+    auto& due = static_cast<Impl*>(user)->libcurl_due;
+    if (wait_ms < 0) {
+      due.reset();
+    } else {
+      due = SteadyClock::now() + std::chrono::milliseconds(wait_ms);
+    }
+    return 0;
+  }
+
+  // Ends the wait of the client's thread. The caller holds the mutex.
+  void Wake() {
+    if (std::exchange(this->waiting, false)) {
+      eventfd_write(this->wake_event, 1);
+    }
+  }
+
   void Run() {
     while (this->TakeOrders()) {
-      int running = 0;
-      curl_multi_perform(this->multi, &running);
+      this->Wait(this->RunTimers());
+      if (this->libcurl_due && *this->libcurl_due <= SteadyClock::now()) {
+        this->libcurl_due.reset();
+        this->Act(CURL_SOCKET_TIMEOUT, 0);
+      }
       this->Collect();
-      curl_multi_poll(this->multi, nullptr, 0, this->RunTimers(), nullptr);
     }
     while (!this->active.empty()) {
       this->End(this->active.begin()->first, CURLE_ABORTED_BY_CALLBACK);
     }
   }
 
-  // Runs the actions that are due and returns the time to the next in ms.
+  void Act(curl_socket_t socket, int events) {
+    int running = 0;
+    curl_multi_socket_action(this->multi, socket, events, &running);
+  }
+
+  // Waits for sockets that are ready, and serves them.
+  void Wait(int wait_ms) {
+    std::array<epoll_event, kMaxEvents> events{};
+    const int count =
+        epoll_wait(this->epoll, events.data(), kMaxEvents, wait_ms);
+    {
+      const std::lock_guard lock(this->mutex);
+      this->waiting = false;
+    }
+    for (int i = 0; i < count; ++i) {
+      const epoll_event& event = events[static_cast<std::size_t>(i)];
+      if (event.data.fd == this->wake_event) {
+        eventfd_t ignored = 0;
+        eventfd_read(this->wake_event, &ignored);
+        continue;
+      }
+      // libcurl looks at the socket itself if neither is set, as after an
+      // error.
+      int ready = 0;
+      ready |= (event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
+      ready |= (event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
+      this->Act(event.data.fd, ready);
+    }
+  }
+
+  // Runs the actions that are due and returns how long the thread may wait, in
+  // ms.
   int RunTimers() {
     std::vector<std::function<void()>> due;
     const auto now = SteadyClock::now();
-    int wait_ms = kMaxPollMs;
+    auto until = now + std::chrono::milliseconds(kMaxWaitMs);
+    if (this->libcurl_due) {
+      until = std::min(until, *this->libcurl_due);
+    }
     {
       const std::lock_guard lock(this->mutex);
       while (!this->timers.empty() && this->timers.begin()->first <= now) {
@@ -289,16 +377,19 @@
         this->timers.erase(this->timers.begin());
       }
       if (!this->timers.empty()) {
-        const auto left = std::chrono::ceil<std::chrono::milliseconds>(
-            this->timers.begin()->first - now);
-        wait_ms =
-            static_cast<int>(std::min<std::int64_t>(wait_ms, left.count()));
+        until = std::min(until, this->timers.begin()->first);
+      }
+      if (!due.empty() || !this->added.empty() || !this->aborted.empty() ||
+          this->stopping) {
+        until = now;
       }
+      this->waiting = until > now;
     }
     for (const auto& action : due) {
       action();
     }
-    return due.empty() ? wait_ms : 0;
+    return static_cast<int>(std::max<std::int64_t>(
+        0, std::chrono::ceil<std::chrono::milliseconds>(until - now).count()));
   }
 
   // Returns false once the client is to stop.
@@ -370,13 +461,17 @@
     transfer->done(std::move(transfer->result));
   }
 
+  const int epoll;
+  const int wake_event;
   CURLM* multi;
   std::thread thread;
+  std::optional<SteadyClock::time_point> libcurl_due;
   std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> active;
   std::vector<Easy> idle;
 
   std::mutex mutex;  // guards the members below
   bool stopping = false;
+  bool waiting = false;
   std::uint64_t last_number = 0;
   std::vector<std::unique_ptr<Transfer>> added;
   std::vector<std::uint64_t> aborted;
@@ -391,8 +486,17 @@
         std::string("libcurl did not start: ") + curl_easy_strerror(global),
         "check the installed libcurl");
   }
+  const int epoll = epoll_create1(EPOLL_CLOEXEC);
+  const int wake_event = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+  if (epoll < 0 || wake_event < 0) {
+    close(epoll);
+    close(wake_event);
+    return Fail(ErrorKind::kUnavailable,
+                "the HTTP client got no file descriptors",
+                "raise the limit of open files");
+  }
   return std::unique_ptr<HttpClient>(
-      new HttpClient(std::make_unique<Impl>(options)));
+      new HttpClient(std::make_unique<Impl>(options, epoll, wake_event)));
 }
 
 HttpClient::HttpClient(std::unique_ptr<Impl> impl) : impl(std::move(impl)) {}
