Await answers of the store as long as they arrive

A watch was broken off 1.9 s after it was sent and a page of a list after 1 s, even while the answer was arriving, and the next try began it anew. How much of each answer had arrived was not logged.

A call may now limit the pause between parts of its answer in place of its whole time. The check runs after what has arrived is read, so a process that got no processor time does not take an answer in its own socket for lost.

SlowAnswersOfTheStoreAreAwaited fails with the store client before; so it does for lists and watches.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -56,6 +56,16 @@
   HttpResult result;
   bool released = false;  // some try was allowed to send
   bool expired = false;
+  SteadyClock::time_point started;
+  std::optional<SteadyClock::time_point> last_part;  // of the answer
+
+  // When a call with a limit on pauses is given up, unless more arrives.
+  [[nodiscard]] SteadyClock::time_point StallDeadline() const {
+    using std::chrono::milliseconds;
+    return this->last_part
+               ? *this->last_part + milliseconds(this->call.stall_timeout_ms)
+               : this->started + milliseconds(this->call.timeout_ms);
+  }
 };
 
 bool Expired(const HttpCall& call) {
@@ -80,11 +90,14 @@
 }
 
 std::size_t OnBody(char* data, std::size_t size, std::size_t n, void* user) {
-  static_cast<Transfer*>(user)->result.body.append(data, size * n);
+  auto* const transfer = static_cast<Transfer*>(user);
+  transfer->last_part = SteadyClock::now();
+  transfer->result.body.append(data, size * n);
   return size * n;
 }
 
 std::size_t OnHeader(char* data, std::size_t size, std::size_t n, void* user) {
+  static_cast<Transfer*>(user)->last_part = SteadyClock::now();
   const std::string_view line(data, size * n);
   const std::size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
@@ -140,8 +153,8 @@
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(call.connect_timeout_ms));
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(call.timeout_ms));
+  const int total_ms = call.stall_timeout_ms > 0 ? 0 : call.timeout_ms;
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(total_ms));
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh);
   curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, fresh);
   if (call.method == "GET") {
@@ -429,11 +442,33 @@
     }
     transfer->easy = this->TakeEasy();
     Prepare(*transfer);
+    transfer->started = SteadyClock::now();
     curl_multi_add_handle(this->multi, transfer->easy.get());
     const std::uint64_t number = transfer->number;
+    if (transfer->call.stall_timeout_ms > 0) {
+      this->CheckStallAt(transfer->StallDeadline(), number);
+    }
     this->active.emplace(number, std::move(transfer));
   }
 
+  void CheckStallAt(SteadyClock::time_point when, std::uint64_t number) {
+    const std::lock_guard lock(this->mutex);
+    this->timers.emplace(when, [this, number] { this->CheckStall(number); });
+  }
+
+  void CheckStall(std::uint64_t number) {
+    const auto found = this->active.find(number);
+    if (found == this->active.end()) {
+      return;
+    }
+    const SteadyClock::time_point deadline = found->second->StallDeadline();
+    if (SteadyClock::now() < deadline) {
+      this->CheckStallAt(deadline, number);
+    } else {
+      this->End(number, CURLE_OPERATION_TIMEDOUT);
+    }
+  }
+
   void Collect() {
     int left = 0;
     while (CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -45,6 +45,10 @@
   std::string body;
   int connect_timeout_ms = 1000;
   int timeout_ms = 5000;  // 0: none
+  // Longest pause between parts of an answer. If set, timeout_ms limits only
+  // the time to the answer's first byte, so an answer that is arriving over a
+  // slow link is not broken off.
+  int stall_timeout_ms = 0;
   // libcurl sends a request again if a reused connection was closed by the
   // other end; a new connection rules that out.
   bool new_connection = false;
--- a/test/net/http_test.cc
+++ b/test/net/http_test.cc
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "net/net.h"
+#include "test/slow_server.h"
 
 namespace kch::net {
 namespace {
@@ -375,5 +376,32 @@
   BOOST_TEST(!reached);
 }
 
+// Guards against a limit that breaks off an answer while it arrives, and
+// against waiting for one that has come to a stop.
+BOOST_AUTO_TEST_CASE(StallTimeoutEndsOnlySilentAnswers) {
+  using namespace std::chrono_literals;
+  const std::string body(100, 'x');
+  SlowServer server([&body](const std::string& head, std::size_t) {
+    const bool whole = head.find("GET /whole") != std::string::npos;
+    return SlowServer::Answer{.body = body,
+                              .parts = 8,
+                              .parts_sent = whole ? 8U : 3U,
+                              .pause = 100ms};
+  });
+  const auto client = MakeClient();
+  const HttpCall call{.timeout_ms = 300, .stall_timeout_ms = 400};
+  HttpCall whole = call;
+  whole.url = "http://" + server.address() + "/whole";
+  const HttpResult arrived = client->SendAndWait(whole);
+  BOOST_TEST(arrived.Success());
+  BOOST_TEST(arrived.body == body);
+  HttpCall half = call;
+  half.url = "http://" + server.address() + "/half";
+  const auto begun = std::chrono::steady_clock::now();
+  const HttpResult stalled = client->SendAndWait(half);
+  BOOST_TEST((stalled.status == CallStatus::kBroken));
+  BOOST_TEST((std::chrono::steady_clock::now() - begun < 2s));
+}
+
 }  // namespace
 }  // namespace kch::net
--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -3,6 +3,7 @@
 #include <mutex>
 
 #include "platform/platform.h"
+#include "test/slow_server.h"
 
 // The clients against a server of this process that answers as the platform's
 // pages say.
@@ -193,6 +194,34 @@
              text);
 }
 
+// Guards against breaking off an answer that arrives over a slow link, and
+// beginning it anew without end.
+BOOST_AUTO_TEST_CASE(SlowAnswersOfTheStoreAreAwaited) {
+  using namespace std::chrono_literals;
+  SlowServer server([](const std::string& head, std::size_t) {
+    const bool list = head.find("kv-range") != std::string::npos;
+    return SlowServer::Answer{
+        .body = std::string(list ? R"({"items": [)" : R"({"events": [)") +
+                R"({"Key": "op/config", "Value": "bm9kZS0x",)"
+                R"( "Revision": 5}], "StoreRevision": 6})",
+        .parts = 10,
+        .pause = 250ms};
+  });
+  const auto client = net::HttpClient::Create({}).value();
+  net::Metrics metrics;
+  Store store(*client, server.address(), metrics);
+  Waiter<ListReply> listed;
+  store.List("op/", "", listed.Callback());
+  const ListReply list = listed.Wait();
+  BOOST_TEST((list.outcome == Outcome::kOk));
+  BOOST_TEST(list.items.size() == 1U);
+  Waiter<WatchReply> watched;
+  store.Watch("op/", 4, 1000, watched.Callback());
+  const WatchReply watch = watched.Wait();
+  BOOST_TEST((watch.outcome == Outcome::kOk));
+  BOOST_TEST(watch.changes.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(OrdersToMachinesNameTheirHolder) {
   Stand stand;
   MachineClient machines(*stand.client, stand.Address(), "edge-1");
