--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -74,6 +74,93 @@
   return reply.Wait();
 }
 
+std::string ConfigItem(int revision) {
+  return R"({"Key": "op/config", "Value": "bm9kZS0x", "Revision": )" +
+         std::to_string(revision) + "}";
+}
+
+// A store that answers lists with one item and does not answer its first two
+// watches; later ones tell three versions of the item.
+struct SilentStore {
+  // Connections that are open when the store falls silent.
+  static constexpr std::size_t kPooled = 2;
+
+  struct Read {
+    bool list = false;
+    std::string wait;  // of a watch
+    std::size_t connection = 0;
+  };
+
+  std::mutex mutex;
+  std::vector<Read> reads;
+  std::vector<std::uint64_t> revisions;  // that the view told
+  int watches = 0;
+  std::promise<void> newest;
+  net::Metrics metrics;
+  std::unique_ptr<net::HttpClient> client = net::HttpClient::Create({}).value();
+  SlowServer server{[this](const std::string& head, std::size_t connection) {
+    return this->Answer(head, connection);
+  }};
+  Store store{*this->client, this->server.address(), this->metrics};
+
+  SlowServer::Answer Answer(const std::string& head, std::size_t connection) {
+    constexpr int silent_watches = 2;
+    const bool list = head.find("kv-range") != std::string::npos;
+    const std::size_t wait = head.find("WaitMs=");
+    const std::lock_guard lock(this->mutex);
+    this->reads.push_back(
+        {list,
+         list ? std::string() : head.substr(wait, head.find(' ', wait) - wait),
+         connection});
+    if (list) {
+      return {.body = R"({"items": [)" + ConfigItem(5) +
+                      R"(], "StoreRevision": 5})",
+              // Calls that are sent together use two connections.
+              .parts = 2,
+              .pause = std::chrono::milliseconds(150)};
+    }
+    if (++this->watches <= silent_watches ||
+        head.find("After=9") != std::string::npos) {
+      return {.silent = true};
+    }
+    return {.body = R"({"events": [)" + ConfigItem(7) + "," + ConfigItem(8) +
+                    "," + ConfigItem(9) + R"(], "StoreRevision": 9})"};
+  }
+
+  void OpenConnections() {
+    std::vector<Waiter<ListReply>> waiters(kPooled);
+    for (Waiter<ListReply>& waiter : waiters) {
+      this->store.List("op/", "", waiter.Callback());
+    }
+    for (Waiter<ListReply>& waiter : waiters) {
+      waiter.Wait();
+    }
+    const std::lock_guard lock(this->mutex);
+    this->reads.clear();
+  }
+
+  // Follows the item until its newest version is told.
+  void Follow(PrefixView::Pace pace) {
+    this->OpenConnections();
+    const auto view =
+        PrefixView::Create(*this->client, this->store, "op/", pace,
+                           {.on_put =
+                                [this](const Item& item) {
+                                  const std::lock_guard lock(this->mutex);
+                                  this->revisions.push_back(item.revision);
+                                  if (item.revision == 9) {
+                                    this->newest.set_value();
+                                  }
+                                },
+                            .on_removed = [](const std::string&) {},
+                            .on_listed = [] {},
+                            .on_reachable = [](bool) {}});
+    this->newest.get_future().wait();
+    view->Stop();
+    this->client.reset();
+  }
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(ClientsTest)
@@ -222,6 +309,22 @@
   BOOST_TEST(watch.changes.size() == 1U);
 }
 
+// Guards against learning late that the store answers again, for the wait of a
+// watch or for a connection that stays silent.
+BOOST_AUTO_TEST_CASE(LostWatchIsRepeatedShortlyOnANewConnection) {
+  SilentStore store;
+  store.Follow({.wait_ms = 300});
+  BOOST_REQUIRE(store.reads.size() >= 4U);
+  BOOST_TEST(store.reads[0].list);
+  BOOST_TEST(store.reads[1].wait == "WaitMs=300");
+  BOOST_TEST(store.reads[2].wait == "WaitMs=100");
+  BOOST_TEST(store.reads[3].wait == "WaitMs=100");
+  BOOST_TEST(store.reads[1].connection < SilentStore::kPooled);
+  BOOST_TEST(store.reads[2].connection == SilentStore::kPooled);
+  BOOST_TEST(store.reads[3].connection == SilentStore::kPooled + 1);
+  BOOST_TEST((store.revisions == std::vector<std::uint64_t>{5, 7, 8, 9}));
+}
+
 BOOST_AUTO_TEST_CASE(OrdersToMachinesNameTheirHolder) {
   Stand stand;
   MachineClient machines(*stand.client, stand.Address(), "edge-1");
