List the operators' records after an outage

A process that the store had refused for nine seconds took in seven configurations one after the other, two or three of them of 2,250 routes, while callers were refused by the older ones.

A watch tells every version that was written meanwhile; a list tells only the newest. The view of `op/` now lists after two failures in a row. One lost answer is still followed by a watch, as a list carries the whole configuration. The views of jobs and VMs, which have many records, always go on watching.

OnlyTheNewestVersionIsReadAfterAnOutage fails on the code before.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -303,7 +303,7 @@
 void Driver::FollowOperators() {
   this->operators = platform::PrefixView::Create(
       this->parts.client, this->parts.store, std::string(kOperatorPrefix),
-      {.wait_ms = kOperatorWaitMs},
+      {.wait_ms = kOperatorWaitMs, .list_after_outage = true},
       {.on_put =
            [this](const platform::Item& item) {
              this->Post([this, item] { this->OnOperatorItem(item); });
--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -113,8 +113,10 @@
          list ? std::string() : head.substr(wait, head.find(' ', wait) - wait),
          connection});
     if (list) {
-      return {.body = R"({"items": [)" + ConfigItem(5) +
-                      R"(], "StoreRevision": 5})",
+      const int revision = this->watches == 0 ? 5 : 9;
+      return {.body = R"({"items": [)" + ConfigItem(revision) +
+                      R"(], "StoreRevision": )" + std::to_string(revision) +
+                      "}",
               // Calls that are sent together use two connections.
               .parts = 2,
               .pause = std::chrono::milliseconds(150)};
@@ -325,6 +327,18 @@
   BOOST_TEST((store.revisions == std::vector<std::uint64_t>{5, 7, 8, 9}));
 }
 
+// Guards against reading every version of a large record that was written
+// during an outage, where the newest is enough.
+BOOST_AUTO_TEST_CASE(OnlyTheNewestVersionIsReadAfterAnOutage) {
+  SilentStore store;
+  store.Follow({.wait_ms = 300, .list_after_outage = true});
+  BOOST_REQUIRE(store.reads.size() >= 4U);
+  BOOST_TEST(!store.reads[2].list);  // one lost answer is no outage
+  BOOST_TEST(store.reads[3].list);
+  BOOST_TEST(store.reads[3].connection == SilentStore::kPooled + 1);
+  BOOST_TEST((store.revisions == std::vector<std::uint64_t>{5, 9}));
+}
+
 BOOST_AUTO_TEST_CASE(OrdersToMachinesNameTheirHolder) {
   Stand stand;
   MachineClient machines(*stand.client, stand.Address(), "edge-1");
