Take the store down in a test only once the owner has seen the job

process.WorkGoesOnWhileTheStoreIsDown waited for starts of a job that was accepted right before the store went down. It relied on the watch being faster than itself. It now waits for the first step's starts before the store goes down.

--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -246,6 +246,8 @@
     fleet.platform->With(
         [down](fake::World&, fake::KeyStore& store) { store.SetDown(down); });
   };
+  // An accepted job that the owner has not seen yet waits for the store.
+  fleet.WaitFor("the first step", [&] { return fleet.starts() >= 3 + 4; });
   set_down(true);
   // The second step starts from memory.
   fleet.WaitFor("all starts", [&] { return fleet.starts() >= 3 + 8; });
