Share the conversion of enums between the two codecs

Both codecs had the same two templates. Behaviour is unchanged; the tests of wire pass, clang-tidy and clang-format are clean on the changed sources.

--- a/src/wire/relay_codec.cc
+++ b/src/wire/relay_codec.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "relay.pb.h"
+#include "wire/enum_number.h"
 
 namespace kch::wire {
 namespace {
@@ -19,23 +20,6 @@
 enum class OrderKind : std::uint8_t { kStart = 1, kStop, kPace, kLook };
 enum class ReplyKind : std::uint8_t { kStart = 1, kOrder, kLook, kNotCarried };
 
-template <typename E>
-std::uint32_t ToNumber(E value) {
-  return static_cast<std::uint32_t>(value);
-}
-
-// An enum that was sent as a number; one that this version does not know yields
-// nothing.
-template <typename E>
-std::optional<E> ToEnum(std::uint32_t number) {
-  for (const auto& entry : NameTable<E>::kEntries) {
-    if (ToNumber(entry.first) == number) {
-      return entry.first;
-    }
-  }
-  return std::nullopt;
-}
-
 // The tasks of a step share their text, which is sent once a message.
 class PayloadTable {
  public:
--- a/src/wire/wire.cc
+++ b/src/wire/wire.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "peer.pb.h"
+#include "wire/enum_number.h"
 
 namespace kch::wire {
 namespace {
@@ -15,23 +16,6 @@
 using engine::Message;
 using engine::Outcome;
 
-// Converts an enum that was sent as a number; one that this version does not
-// know yields nothing.
-template <typename E>
-std::optional<E> ToEnum(std::uint32_t number) {
-  for (const auto& entry : NameTable<E>::kEntries) {
-    if (static_cast<std::uint32_t>(entry.first) == number) {
-      return entry.first;
-    }
-  }
-  return std::nullopt;
-}
-
-template <typename E>
-std::uint32_t ToNumber(E value) {
-  return static_cast<std::uint32_t>(value);
-}
-
 void Put(const permit::Subject& from, Subject& to) {
   to.set_kind(ToNumber(from.kind));
   to.set_name(from.name);
