Drop an unused parameter of the roster, and name what a bound is like

OnAnswer took a time that it never used, and the comment on kIdleSilence pointed at the bound that had come in between.

--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -517,7 +517,7 @@
       [&driver = this->driver, fence = this->fence,
        number = effect.call.number](relay::Reply reply) {
         driver.PostFor(fence, [&driver, number, reply = std::move(reply)] {
-          driver.roster->OnAnswer({number, reply}, Now());
+          driver.roster->OnAnswer({number, reply});
         });
       });
 }
--- a/src/relay/roster.cc
+++ b/src/relay/roster.cc
@@ -116,7 +116,7 @@
   }
 }
 
-void Roster::OnAnswer(Answer answer, Time /*now*/) {
+void Roster::OnAnswer(Answer answer) {
   const auto found = this->calls.find(answer.number);
   if (found != this->calls.end()) {
     this->Finish(answer.number, std::move(answer.reply));
--- a/src/relay/roster.h
+++ b/src/relay/roster.h
@@ -26,7 +26,7 @@
 /*! @brief A process is chosen as a relay if it has reported within this time;
  * older orders than its guard admits would be dated by an earlier report. */
 inline constexpr Duration kCandidateSilence = std::chrono::milliseconds(1250);
-/*! @brief The same for a process without calls. */
+/*! @brief As kRelaySilence and kReportInterval, for a process without calls. */
 inline constexpr Duration kIdleSilence = std::chrono::milliseconds(2500);
 inline constexpr Duration kIdleReportInterval = std::chrono::milliseconds(1000);
 
@@ -80,7 +80,7 @@
 
   void OnReport(const Report& report, Time now);
   /*! @brief The reply to a CallHere. */
-  void OnAnswer(Answer answer, Time now);
+  void OnAnswer(Answer answer);
   /*! @brief Has an order carried out; the reply comes by Deliver. */
   void Give(Order order, Time now);
   /*! @brief VMs that are known; the number of relays follows it. */
--- a/test/relay/roster_test.cc
+++ b/test/relay/roster_test.cc
@@ -401,7 +401,7 @@
         site.AnswerAll(id);
       }
       for (const Call& call : std::exchange(site.here, {})) {
-        site.roster.OnAnswer({call.number, LostReply(call.order)}, site.now);
+        site.roster.OnAnswer({call.number, LostReply(call.order)});
       }
       site.Run(50);
     }
