Log how an owner's lease stands when it gives orders

The logs told who ordered the second run, not whether that process still held its lease.

owner_lease_expired tells since when the lease of ownership is over and when the process last decided anything, so that a process that stood still differs from a store that is away. owner_lost and unleased_starts_total count runs that were ordered without a valid lease. No decision changes.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -110,9 +110,27 @@
   this->next_turn = end + std::min(kMaxTurnPause, kTurnPause * (end - now));
 }
 
+// Without a valid lease another instance may own the fleet. A long time since
+// the last pass tells a process that stood still from a store that is away.
+void Driver::LogExpiredLease(Time now) {
+  const bool expired =
+      this->scheduler != nullptr && !this->ownership.HoldsValidLease(now);
+  if (expired && !this->lease_expired) {
+    net::LogEvent(
+        "owner_lease_expired",
+        {{"fence", std::to_string(this->fence)},
+         {"expired_ms_ago",
+          std::to_string(ToMs(now - this->ownership.lease_until()))},
+         {"last_pass_ms_ago", std::to_string(ToMs(now - this->last_pass))}});
+  }
+  this->lease_expired = expired;
+  this->last_pass = now;
+}
+
 void Driver::Decide(Time now) {
   this->ownership.Tick(now);
   this->Perform(this->ownership.TakeEffects());
+  this->LogExpiredLease(now);
   if (this->roster) {
     this->roster->SetVmCount(this->scheduler->vms().size());
     this->roster->Tick(now);
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -105,6 +105,7 @@
   void ScheduleTurn();
   void Turn();
   void Decide(Time now);
+  void LogExpiredLease(Time now);
   void OnTick();
   void OnSignal(int signal);
   void BeginShutdown();
@@ -169,6 +170,9 @@
   std::optional<jobs::FleetConfig> fleet_config;
   std::set<ZoneId> zones_out;
   lead::Ownership ownership;
+  Time last_pass;                    // of decisions
+  bool lease_expired = false;        // at the last pass
+  std::int64_t unleased_starts = 0;  // ordered without a valid lease, this term
   std::unique_ptr<jobs::Scheduler> scheduler;
   std::uint64_t fence = 0;
   std::optional<Takeover> takeover;
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -253,6 +253,10 @@
 
 void FleetEffectVisitor::operator()(const jobs::StartRun& effect) const {
   this->driver.parts.metrics.Count("task_starts");
+  if (!this->driver.ownership.HoldsValidLease(Now())) {
+    this->driver.parts.metrics.Count("unleased_starts");
+    ++this->driver.unleased_starts;
+  }
   this->driver.roster->Submit(effect, Now());
 }
 
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -30,6 +30,7 @@
 
 void Driver::Gain(std::uint64_t gained) {
   this->fence = gained;
+  this->unleased_starts = 0;
   this->scheduler = std::make_unique<jobs::Scheduler>(this->options.limits);
   this->takeover.emplace();
   this->takeover->since = Now();
@@ -61,7 +62,9 @@
 void Driver::Lose(const std::string& reason) {
   this->parts.metrics.Count("owner_losses", {{"reason", reason}});
   net::LogEvent("owner_lost",
-                {{"fence", std::to_string(this->fence)}, {"reason", reason}});
+                {{"fence", std::to_string(this->fence)},
+                 {"reason", reason},
+                 {"unleased_starts", std::to_string(this->unleased_starts)}});
   this->intake->Stop();
   this->vm_view->Stop();
   this->takeover.reset();
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -137,6 +137,9 @@
   [[nodiscard]] bool HoldsValidLease(Time now) const {
     return this->owner() && now < this->valid_until;
   }
+  /*! @brief Time until which HoldsValidLease is true unless a renewal extends
+   * it; of the current or last term. */
+  [[nodiscard]] Time lease_until() const { return this->valid_until; }
   /*! @brief Fencing token of the current or last term. */
   [[nodiscard]] std::uint64_t fence() const { return this->record.revision; }
   /*! @brief The owner record as last observed. */
