Reproduce the second run of a task after a pause of its owner

process.ResumedOwnerRepeatsATask pauses the owner for longer than the lease of its runs, lets a successor that reaches only one of two VMs record the end of the run, and resumes the owner while the store's answers to it are lost. The stand-in's store can now be mute to one caller.

--- a/fake/fleet/fleet_platform.cc
+++ b/fake/fleet/fleet_platform.cc
@@ -149,6 +149,16 @@
   });
 }
 
+void FleetPlatform::Mute(std::size_t caller, bool mute) {
+  this->loop.Call([this, caller, mute] {
+    if (mute) {
+      this->muted.insert(caller);
+    } else {
+      this->muted.erase(caller);
+    }
+  });
+}
+
 void FleetPlatform::SetFaults(FaultRule rule) {
   this->loop.Call([this, &rule] { this->faults = std::move(rule); });
 }
@@ -300,7 +310,16 @@
                                                          : "advice/" + call;
   this->Faulted(name, request, reply, [&](const HttpReply& answer) {
     if (call.starts_with("kv-")) {
-      this->store.Handle(call, request, answer, this->world.now);
+      this->store.Handle(
+          call, request,
+          [this, caller, answer](const net::HttpResponse& response) {
+            if (this->muted.contains(caller)) {
+              this->silent.push_back(answer);
+            } else {
+              answer(response);
+            }
+          },
+          this->world.now);
     } else if (call == "machines") {
       this->ListMachines(answer);
     } else if (call == "machine-upkeep") {
--- a/fake/fleet/fleet_platform.h
+++ b/fake/fleet/fleet_platform.h
@@ -52,6 +52,9 @@
   [[nodiscard]] std::string address(std::size_t caller) const;
   /*! @brief The store refuses a caller while it serves the others, or not. */
   void CutOff(std::size_t caller, bool cut);
+  /*! @brief Answers of the store to a caller are lost, those to open calls too,
+   * or not. */
+  void Mute(std::size_t caller, bool muted);
   /*! @brief Runs a function with the model and the store; no other call is
    * handled meanwhile. */
   template <typename F>
@@ -119,6 +122,7 @@
   KeyStore store;
   FaultRule faults;
   std::set<std::size_t> cut_off;            // callers that the store refuses
+  std::set<std::size_t> muted;              // callers that get no answer
   std::map<std::string, Machine> machines;  // by name, as `m0`
   std::vector<Waiting> looks;
   std::vector<net::HttpReply> silent;  // connections that hang
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -1,9 +1,13 @@
 #include <sys/wait.h>
 
+#include <algorithm>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <memory>
 #include <set>
 
+#include "lead/lead.h"
 #include "test/process/fleet.h"
 #include "test/process/platform_fleet.h"
 
@@ -131,6 +135,57 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against a second run of a task that has ended: an owner that was
+// paused ordered it on a VM that its successor had not reached.
+BOOST_AUTO_TEST_CASE(ResumedOwnerRepeatsATask) {
+  PlatformFleet fleet(1, {.vms = 2, .addresses = 1});
+  const jobs::JobSpec job = PlainJob("a", 1, 3000);
+  fleet.Accept(job);
+  fleet.WaitFor("the start", [&] { return fleet.starts() == 1; });
+  const auto [vm, fence] =
+      fleet.platform->With([](const fake::VmModel& world, fake::KeyStore&) {
+        const auto row = std::ranges::find_if(world.vms, [](const auto& known) {
+          return !known.second->runs.empty();
+        });
+        return std::pair(row->first, row->second->fence);
+      });
+  // The owner's next poll of the VM stays open while the owner is paused.
+  const auto poll_lost = std::make_shared<std::atomic<bool>>(false);
+  fleet.platform->SetFaults(
+      [vm = vm, poll_lost](const std::string& call, const std::string&) {
+        if (!call.starts_with(vm + "/")) {
+          return CallFault::kNone;
+        }
+        *poll_lost = true;
+        return CallFault::kLoseCall;
+      });
+  fleet.WaitFor("a lost poll", [&] { return poll_lost->load(); });
+  fleet.platform->Mute(0, true);
+  fleet.Signal(0, SIGSTOP);
+  // Longer than the lease that the owner gave the run.
+  const std::int64_t until_us = WallUs() + 6'000'000;
+  fleet.WaitFor("the end of the run",
+                [&] { return !fleet.Runs(TaskOf(job, 0)); });
+  // A successor reaches only the VM with the run and records its end.
+  fleet.platform->With([&](fake::VmModel& world, fake::KeyStore& store) {
+    store.Put("kch/owner", lead::Encode({.instance = "e9",
+                                         .incarnation = "e9-1",
+                                         .address = "127.0.0.1:9"}));
+    constexpr std::uint64_t later = 1000;
+    world.HandlePoll(*world.vms.at(vm), {.recorded_end = 1}, fence + later);
+  });
+  fleet.WaitFor("the end of the lease", [&] { return WallUs() >= until_us; });
+  fleet.Signal(0, SIGCONT);
+  const std::int64_t settled_us = WallUs() + 1'500'000;
+  fleet.WaitFor("orders", [&] { return WallUs() >= settled_us; });
+  fleet.platform->Mute(0, false);
+  fleet.WaitFor("the resumed instance to learn of its successor", [&] {
+    return fleet.Log(0).find("owner_lost") != std::string::npos;
+  });
+  BOOST_TEST(fleet.starts() == 1);
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 // Guards against an owner that goes on while the store refuses it alone, and
 // against its successor starting its work again.
 BOOST_AUTO_TEST_CASE(OwnerCutFromTheStoreIsReplaced) {
