Give no orders after a pause until the lease of ownership is renewed

Callers: a task ran twice at once, or again after it had ended as done (TWICE), after the owner had stood still for longer than its lease.

Cause: the owner decided on what it knew before the pause, and under its old fence, before it had asked whether it still owned the fleet. It took the VMs whose calls had timed out meanwhile for silent and their leases for over, and ordered their runs anew. The fences of VMs stop that only where the successor has been; where its first calls were lost, a VM accepted the old fence.

Change: Ownership::MayOrder is true while the lease is valid, and after it only while failed renewals follow each other without a gap of a second, as in an outage of the store. Otherwise nothing is decided until a renewal succeeds. What is decided under a valid lease gives runs a lease counted from the decision, and a successor waits that long for VMs that it cannot reach.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -136,7 +136,11 @@
     this->roster->Tick(now);
     this->Perform(this->roster->TakeEffects());
   }
-  if (this->scheduler != nullptr && !this->takeover) {
+  // A lease that an order gives a run is counted from `now`, so what is decided
+  // here under a valid lease ends before a successor starts the run elsewhere,
+  // however late it is sent.
+  if (this->scheduler != nullptr && !this->takeover &&
+      this->ownership.MayOrder(now)) {
     const std::int64_t wall_ms = WallMs();
     this->scheduler->Plan(now, wall_ms);
     this->scheduler->Tick(now, wall_ms);
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -57,6 +57,7 @@
   this->observed_record = this->record;
   this->state = State::kOwner;
   this->valid_until = this->lease_sent + kOwnerLease;
+  this->outage_until = Time();
   this->next_renewal = now;
   this->renewing = false;
   this->effects.emplace_back(OwnershipGained{revision});
@@ -183,7 +184,11 @@
   } else {
     // While the store is unavailable no instance can take over, so the owner
     // continues: its fencing token is the highest until a successor has written
-    // its record.
+    // its record. A process that was paused past its lease does not know
+    // whether the store was unavailable all the while.
+    if (this->MayOrder(now)) {
+      this->outage_until = now + kMaxRenewalGap;
+    }
     this->next_renewal = now + kRenewRetryInterval;
   }
 }
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -1,6 +1,7 @@
 #ifndef LEAD_OWNERSHIP_H_
 #define LEAD_OWNERSHIP_H_
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <optional>
@@ -20,6 +21,9 @@
  * the record, create a lease and write a new record. This is well within the
  * lease of the runs on VMs. */
 inline constexpr Duration kOwnerLease = std::chrono::milliseconds(2000);
+/*! @brief Failed renewals that follow each other within this time belong to one
+ * outage of the store; see Ownership::MayOrder. */
+inline constexpr Duration kMaxRenewalGap = std::chrono::milliseconds(1000);
 /*! @brief Interval between lease renewals. */
 inline constexpr Duration kRenewInterval = std::chrono::milliseconds(400);
 /*! @brief Timeout of a renewal. A renewal that times out is repeated; four in
@@ -137,6 +141,14 @@
   [[nodiscard]] bool HoldsValidLease(Time now) const {
     return this->owner() && now < this->valid_until;
   }
+  /*! @brief True if this instance may give orders: its lease is valid, or has
+   * been followed by failed renewals without a pause, as while the store is
+   * away. False after a pause that outlasted the lease, until a renewal
+   * succeeds: a successor may have taken over meanwhile. */
+  [[nodiscard]] bool MayOrder(Time now) const {
+    return this->owner() &&
+           now < std::max(this->valid_until, this->outage_until);
+  }
   /*! @brief Time until which HoldsValidLease is true unless a renewal extends
    * it; of the current or last term. */
   [[nodiscard]] Time lease_until() const { return this->valid_until; }
@@ -171,6 +183,7 @@
   std::uint64_t lease = 0;
   Time lease_sent;
   Time valid_until;
+  Time outage_until;  // the next renewal of an outage must fail before
   Time next_renewal;
   bool renewing = false;
   std::vector<Effect> effects;
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -113,6 +113,51 @@
   BOOST_TEST(!ownership.HoldsValidLease(now));
 }
 
+// Guards against orders under a right that has expired: an owner that was
+// paused past its lease gave orders before it knew of its successor.
+BOOST_AUTO_TEST_CASE(OrdersNothingAfterAPauseUntilARenewalSucceeds) {
+  BecomeOwner();
+  ownership.OnRenewal(StoreCallResult::kOk, now, now);
+  const Time sent = now;
+  After(400);
+  BOOST_TEST(ownership.MayOrder(now));
+  After(3000);
+  BOOST_TEST(!ownership.MayOrder(now));
+  // The reply to a renewal from before the pause proves nothing about it.
+  ownership.OnRenewal(StoreCallResult::kOk,
+                      sent + std::chrono::milliseconds(400), now);
+  BOOST_TEST(!ownership.MayOrder(now));
+  const auto renewal = After(10);
+  BOOST_TEST(Find<RenewLease>(renewal) != nullptr);
+  ownership.OnRenewal(StoreCallResult::kUnknown, now, now);
+  BOOST_TEST(!ownership.MayOrder(now));
+  After(100);
+  ownership.OnRenewal(StoreCallResult::kOk, now, now);
+  BOOST_TEST(ownership.MayOrder(now));
+}
+
+// Guards against an owner that stops all work although the store is away for
+// all, and against one that mistakes its own pause for an outage.
+BOOST_AUTO_TEST_CASE(OrdersThroughAnOutageUnlessItPauses) {
+  BecomeOwner();
+  for (const StoreCallResult result :
+       {StoreCallResult::kUnknown, StoreCallResult::kRefused}) {
+    for (int i = 0; i < 20; ++i) {
+      After(380);
+      BOOST_TEST(ownership.MayOrder(now));
+      ownership.OnRenewal(result, now, now);
+    }
+  }
+  BOOST_TEST(!ownership.HoldsValidLease(now));
+  After(2500);
+  BOOST_TEST(!ownership.MayOrder(now));
+  ownership.OnRenewal(StoreCallResult::kUnknown, now, now);
+  After(380);
+  ownership.OnRenewal(StoreCallResult::kUnknown, now, now);
+  BOOST_TEST(!ownership.MayOrder(now));
+  BOOST_TEST(ownership.owner());
+}
+
 BOOST_AUTO_TEST_CASE(LosesOwnershipWhenItsLeaseEndsOrAnotherOwnsTheFleet) {
   BecomeOwner();
   static_cast<void>(ownership.TakeEffects());
