--- a/test/platform/decode_test.cc
+++ b/test/platform/decode_test.cc
@@ -48,6 +48,46 @@
   }
 }
 
+// Guards against an entry that ends or blocks the processes that read the list:
+// nested very deeply, with a number too large or a port out of range.
+BOOST_AUTO_TEST_CASE(OddRegistrationsNameNoVm) {
+  const auto entry = [](const std::string& address, const std::string& cpu,
+                        const std::string& more = "") {
+    return R"({"Service": "s", "Zone": "z", "State": "ready", "Address": ")" +
+           address + R"(", "Capacity": {"Cpu": )" + cpu +
+           R"(, "MemMb": 100}, "Labels": ["a", "r1"])" + more + "}";
+  };
+  BOOST_REQUIRE(DecodeVm(VmId("i-1"), entry("1.2.3.4:65535", "8000")));
+  for (const std::string address :
+       {"1.2.3.4:65536", "1.2.3.4:99999999999999999999", "1.2.3.4:0",
+        "1.2.3.4:-1", "1.2.3.4:", "1.2.3.4:80x", "1.2.3.4", ":80", "",
+        "1.2.3.4:80/x", "u@1.2.3.4:80", "1.2.3.4 :80", "1.2.3.4\r\nA:80"}) {
+    BOOST_TEST_CONTEXT(address) {
+      BOOST_TEST(!DecodeVm(VmId("i-1"), entry(address, "8000")).has_value());
+    }
+  }
+  for (const std::string number :
+       {"1e300", "-1e300", "1e999", "-1", "9223372036854775807",
+        "184467440737095516160", "\"8000\"", "{}"}) {
+    BOOST_TEST_CONTEXT(number) {
+      BOOST_TEST(
+          !DecodeVm(VmId("i-1"), entry("1.2.3.4:80", number)).has_value());
+    }
+  }
+  BOOST_TEST(
+      !DecodeVm(VmId("i-1"), entry("1.2.3.4:80", "1", R"(, "born": 1e300)"))
+           .has_value());
+  for (const std::size_t depth : {100U, 10'000U, 700'000U}) {
+    const std::string nested =
+        std::string(depth, '[') + std::string(depth, ']');
+    BOOST_TEST(!DecodeVm(VmId("i-1"), nested).has_value());
+    BOOST_TEST(!DecodeVm(VmId("i-1"), std::string(depth, '[')).has_value());
+    BOOST_TEST(
+        !DecodeVm(VmId("i-1"), entry("1.2.3.4:80", "1", ", \"x\": " + nested))
+             .has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Jobs) {
   const auto job = DecodeJob(R"({
     "Spec": "text", "RepeatCount": 3, "FirstRunMs": 1000, "IntervalMs": 50,
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -336,6 +336,52 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against entries of another writer among those of the VMs that end the
+// processes that read them, stop them from following the list, or delay a
+// takeover.
+BOOST_AUTO_TEST_CASE(OddRegistrationsHarmNobody) {
+  PlatformFleet fleet;
+  const jobs::JobSpec lasting = StartLasting(fleet);
+  const auto entry = [](const std::string& address, const std::string& cpu) {
+    return R"({"Service": "p", "Zone": "z1", "State": "ready", "Labels": [],)"
+           R"("Address": ")" +
+           address + R"(", "Capacity": {"Cpu": )" + cpu + R"(, "MemMb": 9}})";
+  };
+  constexpr std::size_t depth = 300'000;
+  const std::vector<std::string> odd{
+      std::string(depth, '['),
+      std::string(depth, '[') + std::string(depth, ']'),
+      entry("127.0.0.1:99999", "1000"),
+      entry("127.0.0.1:1", "1e300"),
+      entry("127.0.0.1:1", "1e999"),
+      entry("", "1000"),
+      "\xff\xfe"};
+  fleet.platform->With([&odd](fake::VmModel&, fake::KeyStore& store) {
+    for (std::size_t i = 0; i < odd.size(); ++i) {
+      store.Put("servers/odd" + std::to_string(i), odd[i]);
+    }
+  });
+  fleet.platform->Register("vm0");
+  const jobs::JobSpec first = ChainJob("a");
+  fleet.Accept(first);
+  fleet.WaitForCompleted({first});
+  const std::size_t killed = fleet.WaitForOwner();
+  fleet.Signal(killed, SIGKILL);
+  fleet.WaitForExit(killed);
+  const std::size_t successor = WaitForSuccessor(fleet, killed);
+  fleet.WaitFor("the takeover", [&] {
+    return fleet.Log(successor).find("\"recovered\"") != std::string::npos;
+  });
+  BOOST_TEST(fleet.Log(successor).find("\"silent\":\"0\"") !=
+             std::string::npos);
+  const jobs::JobSpec second = ChainJob("b");
+  fleet.Accept(second);
+  fleet.WaitForCompleted({second});
+  BOOST_TEST(AllRun(fleet, lasting));
+  BOOST_TEST(fleet.starts() == 3 + 8 + 8);
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 // More VMs than an owner calls itself.
 constexpr std::size_t kManyVms = 100;
 
