--- a/test/platform/decode_test.cc
+++ b/test/platform/decode_test.cc
@@ -88,6 +88,17 @@
   }
 }
 
+// Guards against numbers that overflow when they are converted.
+BOOST_AUTO_TEST_CASE(JobsWithNumbersOutOfRangeAreRefused) {
+  for (const std::string step :
+       {R"({"Count": 1e300})", R"({"Count": 4294967301})",
+        R"({"Count": 1, "Cpu": 1e300})", R"({"Count": 1, "MayMiss": -1e18})"}) {
+    BOOST_TEST_CONTEXT(step) {
+      BOOST_TEST(!DecodeJob(R"({"Steps": [)" + step + "]}").has_value());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(Jobs) {
   const auto job = DecodeJob(R"({
     "Spec": "text", "RepeatCount": 3, "FirstRunMs": 1000, "IntervalMs": 50,
