Check for a suspension before each pass of decisions

A suspension of the machine, which the steady clock does not count, was noticed by the 50 ms timer only, so an event that came first on waking could make the owner decide under a lease that only seemed valid. While the store was away a suspended owner went on as if it had not been suspended at all.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -31,9 +31,6 @@
 // noticed at the end of the wait.
 constexpr int kOperatorWaitMs = 1000;
 constexpr int kOwnerWaitMs = 2000;
-// A gap of this much between two ticks, beyond the time that the steady clock
-// counts, means that the machine was suspended.
-constexpr std::int64_t kSuspendedMs = 700;
 // The platform sends no new connections after two missed checks of one second.
 constexpr auto kBalancerTime = std::chrono::milliseconds(2600);
 
@@ -128,6 +125,9 @@
 }
 
 void Driver::Decide(Time now) {
+  if (this->suspension.Observe(now, BootMs())) {
+    this->OnWake(now);
+  }
   this->ownership.Tick(now);
   this->Perform(this->ownership.TakeEffects());
   this->LogExpiredLease(now);
@@ -229,15 +229,6 @@
 
 void Driver::OnTick() {
   const Time now = Now();
-  const std::int64_t boot_ms = BootMs();
-  if (this->last_boot_ms != 0) {
-    const std::int64_t counted = ToMs(now - this->last_tick);
-    if (boot_ms - this->last_boot_ms - counted > kSuspendedMs) {
-      this->OnWake();
-    }
-  }
-  this->last_boot_ms = boot_ms;
-  this->last_tick = now;
   this->parts.relay.Tick(now);
   if (this->shutdown_begun) {
     const Duration passed = now - *this->shutdown_begun;
@@ -264,13 +255,12 @@
   });
 }
 
-// The steady clock does not count a suspension, so a lease that seems valid may
-// have run out meanwhile. Without a valid lease, as while the store is away,
-// the fences of the VMs decide.
-void Driver::OnWake() {
+// The steady clock does not count a suspension, so every age that it tells,
+// that of the lease included, is too short. A successor may own the fleet.
+void Driver::OnWake(Time now) {
   net::LogEvent("resumed", {});
-  if (this->ownership.HoldsValidLease(Now())) {
-    this->ownership.OnSuperseded(Now());
+  if (this->ownership.owner()) {
+    this->ownership.OnSuperseded(now);
     this->Perform(this->ownership.TakeEffects());
   }
 }
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -115,7 +115,7 @@
   void OnOperatorItem(const platform::Item& item);
   void OnOperatorRemoval(const std::string& key);
   void OnOwnerItem(const std::optional<platform::Item>& item);
-  void OnWake();
+  void OnWake(Time now);
 
   void Gain(std::uint64_t fence);
   void Lose(const std::string& reason);
@@ -160,8 +160,7 @@
   bool turn_set = false;
   Time next_turn;
   asio::signal_set signals;
-  std::int64_t last_boot_ms = 0;
-  Time last_tick;
+  lead::SuspensionDetector suspension;
 
   std::uint64_t config_version = 0;
   Time config_since;
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -2,5 +2,6 @@
 #define LEAD_LEAD_H_
 
 #include "lead/ownership.h"
+#include "lead/suspension.h"
 
 #endif  // LEAD_LEAD_H_
