Soak whole processes under faults that overlap

Tests of whole processes had one fault at a time, and none in which an owner came back to VMs that its successor had not reached.

--- a/fake/fleet/fleet_platform.cc
+++ b/fake/fleet/fleet_platform.cc
@@ -12,6 +12,10 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds kTickInterval{5};
+// Late calls take effect 2 to 12 s after they came, in a fixed sequence.
+constexpr std::int64_t kMinLateMs = 2000;
+constexpr std::int64_t kLateRangeMs = 10'000;
+constexpr std::int64_t kLateStepMs = 3700;
 constexpr std::string_view kCommonPath = "/kingcuphaven/";
 
 constexpr int kBadRequest = 400;
@@ -272,11 +276,10 @@
   });
 }
 
-void FleetPlatform::Faulted(
-    const std::string& call,
-    const HttpRequest& request,
-    const HttpReply& reply,
-    const std::function<void(const HttpReply&)>& execute) {
+void FleetPlatform::Faulted(const std::string& call,
+                            const HttpRequest& request,
+                            const HttpReply& reply,
+                            std::function<void(const HttpReply&)> execute) {
   this->Advance();
   const CallFault fault =
       this->faults ? this->faults(call, request.body) : CallFault::kNone;
@@ -293,6 +296,16 @@
       this->silent.push_back(reply);
       execute([](const net::HttpResponse&) {});
       return;
+    case CallFault::kLate:
+      this->silent.push_back(reply);
+      this->later.emplace(
+          this->world.now +
+              std::chrono::milliseconds(
+                  kMinLateMs + ++this->late_calls * kLateStepMs % kLateRangeMs),
+          [execute = std::move(execute)] {
+            execute([](const net::HttpResponse&) {});
+          });
+      return;
   }
   execute(reply);
 }
@@ -308,28 +321,30 @@
   const std::string name = call.starts_with("kv-")       ? "store/" + call
                            : call.starts_with("machine") ? "machines/" + call
                                                          : "advice/" + call;
-  this->Faulted(name, request, reply, [&](const HttpReply& answer) {
-    if (call.starts_with("kv-")) {
-      this->store.Handle(
-          call, request,
-          [this, caller, answer](const net::HttpResponse& response) {
-            if (this->muted.contains(caller)) {
-              this->silent.push_back(answer);
-            } else {
-              answer(response);
-            }
-          },
-          this->world.now);
-    } else if (call == "machines") {
-      this->ListMachines(answer);
-    } else if (call == "machine-upkeep") {
-      this->Upkeep(request, answer);
-    } else if (call == "advise") {
-      this->Advise(json::parse(request.body), answer);
-    } else {
-      answer({.status = kNotFound});
-    }
-  });
+  this->Faulted(
+      name, request, reply,
+      [this, caller, call, request](const HttpReply& answer) {
+        if (call.starts_with("kv-")) {
+          this->store.Handle(
+              call, request,
+              [this, caller, answer](const net::HttpResponse& response) {
+                if (this->muted.contains(caller)) {
+                  this->silent.push_back(answer);
+                } else {
+                  answer(response);
+                }
+              },
+              this->world.now);
+        } else if (call == "machines") {
+          this->ListMachines(answer);
+        } else if (call == "machine-upkeep") {
+          this->Upkeep(request, answer);
+        } else if (call == "advise") {
+          this->Advise(json::parse(request.body), answer);
+        } else {
+          answer({.status = kNotFound});
+        }
+      });
 }
 
 void FleetPlatform::HandleVm(const std::string& machine,
@@ -337,7 +352,7 @@
                              const HttpReply& reply) {
   const std::string call = CallOf(request);
   this->Faulted(this->machines.at(machine).vm + "/" + call, request, reply,
-                [&](const HttpReply& answer) {
+                [this, machine, call, request](const HttpReply& answer) {
                   this->Execute(machine, call, request, answer);
                 });
 }
--- a/fake/fleet/fleet_platform.h
+++ b/fake/fleet/fleet_platform.h
@@ -22,6 +22,7 @@
   kRefuse,      // 503 without effect
   kLoseCall,    // no effect and no answer
   kLoseAnswer,  // takes effect without an answer
+  kLate,        // takes effect seconds later, without an answer
 };
 
 /*! @brief Decides on the fault of a call: `store/kv-txn`, `vm0/run-start`,
@@ -115,14 +116,15 @@
   void Faulted(const std::string& call,
                const net::HttpRequest& request,
                const net::HttpReply& reply,
-               const std::function<void(const net::HttpReply&)>& execute);
+               std::function<void(const net::HttpReply&)> execute);
 
   Options options;
   VmModel world;
   KeyStore store;
   FaultRule faults;
-  std::set<std::size_t> cut_off;            // callers that the store refuses
-  std::set<std::size_t> muted;              // callers that get no answer
+  std::set<std::size_t> cut_off;  // callers that the store refuses
+  std::set<std::size_t> muted;    // callers that get no answer
+  std::int64_t late_calls = 0;
   std::map<std::string, Machine> machines;  // by name, as `m0`
   std::vector<Waiting> looks;
   std::vector<net::HttpReply> silent;  // connections that hang
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -181,6 +181,9 @@
       }
       throw std::runtime_error("waited too long for " + what);
     }
+    if (this->while_waiting) {
+      this->while_waiting();
+    }
     std::this_thread::sleep_for(kPollInterval);
   }
 }
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -61,6 +61,7 @@
   [[nodiscard]] std::string Breaches() const;
 
   std::unique_ptr<fake::FleetPlatform> platform;
+  std::function<void()> while_waiting;  // called again and again by waits
 
  private:
   struct Process {
