--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -167,13 +167,14 @@
   fleet.WaitFor("the end of the run",
                 [&] { return !fleet.Runs(TaskOf(job, 0)); });
   // A successor reaches only the VM with the run and records its end.
-  fleet.platform->With([&](fake::VmModel& world, fake::KeyStore& store) {
-    store.Put("kch/owner", lead::Encode({.instance = "e9",
-                                         .incarnation = "e9-1",
-                                         .address = "127.0.0.1:9"}));
-    constexpr std::uint64_t later = 1000;
-    world.HandlePoll(*world.vms.at(vm), {.recorded_end = 1}, fence + later);
-  });
+  fleet.platform->With(
+      [vm = vm, fence = fence](fake::VmModel& world, fake::KeyStore& store) {
+        store.Put("kch/owner", lead::Encode({.instance = "e9",
+                                             .incarnation = "e9-1",
+                                             .address = "127.0.0.1:9"}));
+        constexpr std::uint64_t later = 1000;
+        world.HandlePoll(*world.vms.at(vm), {.recorded_end = 1}, fence + later);
+      });
   fleet.WaitFor("the end of the lease", [&] { return WallUs() >= until_us; });
   fleet.Signal(0, SIGCONT);
   const std::int64_t settled_us = WallUs() + 1'500'000;
