Hold orders only after a pause longer than the lease, and heed fences then

While the store was away, a second between two failed renewals held all orders until its return, and every run lapsed after its lease. Renewals time out after 0.3 s and repeat after 80 ms, but a slow machine handles events late. The gap is now kOwnerLease, the pause that is tolerated while the store answers.

While orders were held, the refusal of a VM for its fence stayed among the scheduler's effects, so the process went on answering as the owner until the store answered. It now gives up its term. orders_held is logged once.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -110,17 +110,25 @@
 // Without a valid lease another instance may own the fleet. A long time since
 // the last pass tells a process that stood still from a store that is away.
 void Driver::LogExpiredLease(Time now) {
+  const std::string last_pass_ms_ago =
+      std::to_string(ToMs(now - this->last_pass));
   const bool expired =
       this->scheduler != nullptr && !this->ownership.HoldsValidLease(now);
   if (expired && !this->lease_expired) {
-    net::LogEvent(
-        "owner_lease_expired",
-        {{"fence", std::to_string(this->fence)},
-         {"expired_ms_ago",
-          std::to_string(ToMs(now - this->ownership.lease_until()))},
-         {"last_pass_ms_ago", std::to_string(ToMs(now - this->last_pass))}});
+    net::LogEvent("owner_lease_expired",
+                  {{"fence", std::to_string(this->fence)},
+                   {"expired_ms_ago",
+                    std::to_string(ToMs(now - this->ownership.lease_until()))},
+                   {"last_pass_ms_ago", last_pass_ms_ago}});
+  }
+  const bool held =
+      this->scheduler != nullptr && !this->ownership.MayOrder(now);
+  if (held && !this->orders_held) {
+    net::LogEvent("orders_held", {{"fence", std::to_string(this->fence)},
+                                  {"last_pass_ms_ago", last_pass_ms_ago}});
   }
   this->lease_expired = expired;
+  this->orders_held = held;
   this->last_pass = now;
 }
 
@@ -145,6 +153,9 @@
     this->scheduler->Plan(now, wall_ms);
     this->scheduler->Tick(now, wall_ms);
     this->Perform(this->scheduler->TakeEffects());
+  } else if (this->scheduler != nullptr && this->scheduler->is_superseded()) {
+    this->ownership.OnSuperseded(now);
+    this->Perform(this->ownership.TakeEffects());
   }
   // Orders to machines are irreversible, so they need certain ownership.
   if (this->planner != nullptr && !this->takeover &&
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -171,6 +171,7 @@
   lead::Ownership ownership;
   Time last_pass;                    // of decisions
   bool lease_expired = false;        // at the last pass
+  bool orders_held = false;          // at the last pass
   std::int64_t unleased_starts = 0;  // ordered without a valid lease, this term
   std::unique_ptr<jobs::Scheduler> scheduler;
   std::uint64_t fence = 0;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -153,6 +153,8 @@
   }
   [[nodiscard]] std::size_t job_count() const { return this->jobs.size(); }
   [[nodiscard]] bool recovering() const { return this->in_recovery; }
+  /*! @brief True once a VM has refused an order for its fence. */
+  [[nodiscard]] bool is_superseded() const { return this->superseded; }
   /*! @brief Stops the endless tasks on a VM, so that they start elsewhere, as
    * far as `max_unavailable` of their steps allows (at least one task) and
    * other VMs have room. */
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -187,7 +187,7 @@
     // its record. A process that was paused past its lease does not know
     // whether the store was unavailable all the while.
     if (this->MayOrder(now)) {
-      this->outage_until = now + kMaxRenewalGap;
+      this->outage_until = now + kOwnerLease;
     }
     this->next_renewal = now + kRenewRetryInterval;
   }
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -21,9 +21,6 @@
  * the record, create a lease and write a new record. This is well within the
  * lease of the runs on VMs. */
 inline constexpr Duration kOwnerLease = std::chrono::milliseconds(2000);
-/*! @brief Failed renewals that follow each other within this time belong to one
- * outage of the store; see Ownership::MayOrder. */
-inline constexpr Duration kMaxRenewalGap = std::chrono::milliseconds(1000);
 /*! @brief Interval between lease renewals. */
 inline constexpr Duration kRenewInterval = std::chrono::milliseconds(400);
 /*! @brief Timeout of a renewal. A renewal that times out is repeated; four in
@@ -142,9 +139,9 @@
     return this->owner() && now < this->valid_until;
   }
   /*! @brief True if this instance may give orders: its lease is valid, or has
-   * been followed by failed renewals without a pause, as while the store is
-   * away. False after a pause that outlasted the lease, until a renewal
-   * succeeds: a successor may have taken over meanwhile. */
+   * been followed by failed renewals within kOwnerLease of each other, as while
+   * the store is away. False after a longer pause, until a renewal succeeds: a
+   * successor may have taken over meanwhile. */
   [[nodiscard]] bool MayOrder(Time now) const {
     return this->owner() &&
            now < std::max(this->valid_until, this->outage_until);
