Send no order to a machine after the lease of ownership

A pass took the time once, so a pause within it, or before the order left the HTTP client's queue, let a move or upkeep go out after the lease. Such orders have no lease of their own; where machines do not check fences, nothing else stops them.

The lease is now tested at the time of the decision on machines, and a call carries the lease's end, after which the client does not send it. ClientsTest/OrdersToMachinesAreNotSentAfterTheLease covers the call.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -157,9 +157,10 @@
     this->ownership.OnSuperseded(now);
     this->Perform(this->ownership.TakeEffects());
   }
-  // Orders to machines are irreversible, so they need certain ownership.
+  // Orders to machines are irreversible and have no lease of their own, so they
+  // need certain ownership until they are sent.
   if (this->planner != nullptr && !this->takeover &&
-      this->ownership.HoldsValidLease(now)) {
+      this->ownership.HoldsValidLease(Now())) {
     if (now >= this->next_machines) {
       this->TickMachines(now);
       this->next_machines =
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -427,7 +427,7 @@
 void UpkeepEffectVisitor::operator()(const upkeep::OrderUpkeep& effect) const {
   this->driver.parts.metrics.Count("upkeep_orders");
   this->driver.parts.machines.Upkeep(
-      effect, this->fence,
+      effect, this->fence, this->driver.ownership.lease_until(),
       [&driver = this->driver, fence = this->fence,
        effect](upkeep::OrderAnswer answer) {
         driver.PostFor(fence, [&driver, effect, answer] {
@@ -440,7 +440,7 @@
 void UpkeepEffectVisitor::operator()(const upkeep::OrderMove& effect) const {
   this->driver.parts.metrics.Count("move_orders");
   this->driver.parts.machines.Move(
-      effect, this->fence,
+      effect, this->fence, this->driver.ownership.lease_until(),
       [&driver = this->driver, fence = this->fence,
        effect](upkeep::OrderAnswer answer) {
         driver.PostFor(fence, [&driver, effect, answer] {
--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -38,6 +38,10 @@
     const std::lock_guard lock(this->mutex);
     this->answers["/kingcuphaven/" + call] = {.status = status, .body = body};
   }
+  std::size_t Count() {
+    const std::lock_guard lock(this->mutex);
+    return this->requests.size();
+  }
   net::HttpRequest Last() {
     const std::lock_guard lock(this->mutex);
     return this->requests.back();
@@ -342,10 +346,10 @@
 BOOST_AUTO_TEST_CASE(OrdersToMachinesNameTheirHolder) {
   Stand stand;
   MachineClient machines(*stand.client, stand.Address(), "edge-1");
-  const auto order = [&] {
+  const auto order = [&](Duration valid = std::chrono::seconds(10)) {
     Waiter<upkeep::OrderAnswer> waiter;
     machines.Upkeep({jobs::MachineId("m-1"), jobs::WaveId("2")}, 12,
-                    waiter.Callback());
+                    net::Now() + valid, waiter.Callback());
     return waiter.Wait();
   };
   stand.Answer("machine-upkeep", 200, "");
@@ -361,6 +365,19 @@
   BOOST_TEST((order() == upkeep::OrderAnswer::kRateLimited));
 }
 
+// Guards against an order to a machine that is sent after its sender's lease
+// has expired, as when the process was paused in between.
+BOOST_AUTO_TEST_CASE(OrdersToMachinesAreNotSentAfterTheLease) {
+  Stand stand;
+  MachineClient machines(*stand.client, stand.Address(), "edge-1");
+  stand.Answer("machine-move", 200, "");
+  Waiter<upkeep::OrderAnswer> waiter;
+  machines.Move({jobs::MachineId("m-1"), PoolId("p")}, 12,
+                net::Now() - std::chrono::milliseconds(1), waiter.Callback());
+  BOOST_TEST((waiter.Wait() == upkeep::OrderAnswer::kRateLimited));
+  BOOST_TEST(stand.Count() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::platform
