Check ids of registrations and the types of VMs' answers

An id with a space or a line break became part of a header; a ClockMs that is no number, in the answer to a start, threw in the HTTP client's thread, which ends the process; a share or gauge of a run was converted without a check.

DecodeTest/OddRegistrationsNameNoVm has such ids, ClientsTest/ AnswersOfOtherTypesAreRead such answers.

--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -184,6 +184,17 @@
              R"("Task":"0a.0.1.2","UntilMs":5000})");
 }
 
+// Guards against an answer that ends the process that reads it.
+BOOST_AUTO_TEST_CASE(AnswersOfOtherTypesAreRead) {
+  Stand stand;
+  for (const std::string clock : {"\"soon\"", "[]", "1e300", "null"}) {
+    stand.Answer("run-start", 200, R"({"ClockMs": )" + clock + "}");
+    const StartReply reply = Start(stand);
+    BOOST_TEST((reply.answer == jobs::StartAnswer::kAccepted));
+    BOOST_TEST(reply.clock_ms == 0);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RefusedStartsAreToldApart) {
   Stand stand;
   const std::vector<std::tuple<int, std::string, jobs::StartAnswer>> cases{
--- a/test/platform/decode_test.cc
+++ b/test/platform/decode_test.cc
@@ -66,6 +66,9 @@
       BOOST_TEST(!DecodeVm(VmId("i-1"), entry(address, "8000")).has_value());
     }
   }
+  for (const std::string id : {"", "i 1", "i/1", "i\r\nA: b"}) {
+    BOOST_TEST(!DecodeVm(VmId(id), entry("1.2.3.4:80", "8000")).has_value());
+  }
   for (const std::string number :
        {"1e300", "-1e300", "1e999", "-1", "9223372036854775807",
         "184467440737095516160", "\"8000\"", "{}"}) {
