Let soaks use relays and overlap faults of one kind

Every third seed now has 100 VMs, faults are counted, and the same numbers are drawn. ResumedOwnerRepeatsATask waits until the resumed owner has decided before its checks, so that it cannot pass because of a slow start.

--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -177,6 +177,9 @@
       });
   fleet.WaitFor("the end of the lease", [&] { return WallUs() >= until_us; });
   fleet.Signal(0, SIGCONT);
+  fleet.WaitFor("the resumed instance to decide", [&] {
+    return fleet.Log(0).find("owner_lease_expired") != std::string::npos;
+  });
   const std::int64_t settled_us = WallUs() + 1'500'000;
   fleet.WaitFor("orders", [&] { return WallUs() >= settled_us; });
   fleet.platform->Mute(0, false);
--- a/test/process/fleet_soak_test.cc
+++ b/test/process/fleet_soak_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <map>
 #include <random>
 #include <set>
 
@@ -18,6 +19,10 @@
 using fake::CallFault;
 
 constexpr std::size_t kInstances = 4;
+// Every third seed has a fleet whose owner uses relays.
+constexpr std::size_t kFewVms = 8;
+constexpr std::size_t kManyVms = 100;
+constexpr std::uint64_t kManyVmsInterval = 3;
 constexpr std::int64_t kFaultPhaseMs = 14'000;
 constexpr std::int64_t kUsPerMs = 1000;
 
@@ -28,7 +33,10 @@
 class FleetSoak {
  public:
   explicit FleetSoak(std::uint64_t seed)
-      : fleet(kInstances, {.vms = 8, .addresses = kInstances}), random(seed) {
+      : fleet(kInstances,
+              {.vms = seed % kManyVmsInterval == 0 ? kManyVms : kFewVms,
+               .addresses = kInstances}),
+        random(seed) {
     this->fleet.while_waiting = [this] { this->EndDueFaults(NowMs()); };
   }
 
@@ -79,7 +87,8 @@
   std::size_t RandomInstance() {
     const auto owner = this->fleet.Owner();
     const auto any = static_cast<std::size_t>(this->Draw(0, kInstances - 1));
-    return owner && this->Draw(0, 1) == 0 ? *owner : any;
+    const bool take_owner = this->Draw(0, 1) == 0;
+    return owner && take_owner ? *owner : any;
   }
 
   void ApplyRandomAction() {
@@ -137,53 +146,65 @@
     });
   }
 
-  void CutOff(std::size_t instance, std::int64_t length_ms) {
-    this->fleet.platform->CutOff(instance, true);
-    this->AddFault(length_ms, [this, instance] {
-      this->fleet.platform->CutOff(instance, false);
+  // Begins a fault that lasts until the last of those under its name ends.
+  void Hold(const std::string& name,
+            std::int64_t length_ms,
+            const std::function<void(bool)>& set) {
+    ++this->held[name];
+    set(true);
+    this->AddFault(length_ms, [this, name, set] {
+      if (--this->held[name] == 0) {
+        set(false);
+      }
     });
   }
 
+  void CutOff(std::size_t instance, std::int64_t length_ms) {
+    this->Hold("cut " + std::to_string(instance), length_ms,
+               [this, instance](bool on) {
+                 this->fleet.platform->CutOff(instance, on);
+               });
+  }
+
   void Mute(std::size_t instance, std::int64_t length_ms) {
-    this->fleet.platform->Mute(instance, true);
-    this->AddFault(length_ms, [this, instance] {
-      this->fleet.platform->Mute(instance, false);
-    });
+    this->Hold("mute " + std::to_string(instance), length_ms,
+               [this, instance](bool on) {
+                 this->fleet.platform->Mute(instance, on);
+               });
   }
 
   // Part of the calls to VMs get no answer and take effect at once, late or
   // never.
   void DisturbCalls(std::int64_t length_ms) {
     const auto draw = std::make_shared<std::mt19937_64>(this->random());
-    this->fleet.platform->SetFaults(
-        [draw](const std::string& call, const std::string&) {
-          if (!call.starts_with("vm")) {
-            return CallFault::kNone;
-          }
-          switch (std::uniform_int_distribution<int>(0, 9)(*draw)) {
-            case 0:
-            case 1:
-            case 2:
-              return CallFault::kLate;
-            case 3:
-              return CallFault::kLoseAnswer;
-            case 4:
-              return CallFault::kLoseCall;
-            default:
-              return CallFault::kNone;
-          }
-        });
-    this->AddFault(length_ms, [this] { this->fleet.platform->SetFaults({}); });
+    const auto rule = [draw](const std::string& call, const std::string&) {
+      if (!call.starts_with("vm")) {
+        return CallFault::kNone;
+      }
+      switch (std::uniform_int_distribution<int>(0, 9)(*draw)) {
+        case 0:
+        case 1:
+        case 2:
+          return CallFault::kLate;
+        case 3:
+          return CallFault::kLoseAnswer;
+        case 4:
+          return CallFault::kLoseCall;
+        default:
+          return CallFault::kNone;
+      }
+    };
+    this->Hold("calls", length_ms, [this, rule](bool on) {
+      this->fleet.platform->SetFaults(on ? fake::FaultRule(rule)
+                                         : fake::FaultRule());
+    });
   }
 
   void TakeStoreDown(std::int64_t length_ms) {
-    const auto set_down = [this](bool down) {
-      this->fleet.platform->With([down](fake::VmModel&, fake::KeyStore& store) {
-        store.SetDown(down);
-      });
-    };
-    set_down(true);
-    this->AddFault(length_ms, [set_down] { set_down(false); });
+    this->Hold("store", length_ms, [this](bool on) {
+      this->fleet.platform->With(
+          [on](fake::VmModel&, fake::KeyStore& store) { store.SetDown(on); });
+    });
   }
 
   void HandIn(std::size_t instance) {
@@ -208,6 +229,7 @@
   PlatformFleet fleet;
   std::mt19937_64 random;
   std::vector<Fault> faults;
+  std::map<std::string, int> held;  // faults under way, by name
   std::set<std::size_t> paused;
   std::vector<jobs::JobSpec> accepted;
   std::vector<jobs::JobSpec> unaccepted;  // refused, or without an answer
