--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -109,7 +109,7 @@
 
 // Without a valid lease another instance may own the fleet. A long time since
 // the last pass tells a process that stood still from a store that is away.
-void Driver::LogExpiredLease(Time now) {
+void Driver::LogLeaseState(Time now) {
   const std::string last_pass_ms_ago =
       std::to_string(ToMs(now - this->last_pass));
   const bool expired =
@@ -138,7 +138,7 @@
   }
   this->ownership.Tick(now);
   this->Perform(this->ownership.TakeEffects());
-  this->LogExpiredLease(now);
+  this->LogLeaseState(now);
   if (this->roster) {
     this->roster->SetVmCount(this->scheduler->vms().size());
     this->roster->Tick(now);
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -105,7 +105,7 @@
   void ScheduleTurn();
   void Turn();
   void Decide(Time now);
-  void LogExpiredLease(Time now);
+  void LogLeaseState(Time now);
   void OnTick();
   void OnSignal(int signal);
   void BeginShutdown();
