--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -64,6 +64,18 @@
   return *fleet.Owner();
 }
 
+// Kills the owner; its successor, once that has taken over.
+std::size_t KillOwner(PlatformFleet& fleet) {
+  const std::size_t killed = fleet.WaitForOwner();
+  fleet.Signal(killed, SIGKILL);
+  fleet.WaitForExit(killed);
+  const std::size_t successor = WaitForSuccessor(fleet, killed);
+  fleet.WaitFor("the takeover", [&] {
+    return fleet.Log(successor).find("\"recovered\"") != std::string::npos;
+  });
+  return successor;
+}
+
 // Guards against forms of jobs that are accepted and never served.
 BOOST_AUTO_TEST_CASE(EachFormOfJobIsServed) {
   PlatformFleet fleet;
@@ -369,13 +381,7 @@
   const jobs::JobSpec first = ChainJob("a");
   fleet.Accept(first);
   fleet.WaitForCompleted({first});
-  const std::size_t killed = fleet.WaitForOwner();
-  fleet.Signal(killed, SIGKILL);
-  fleet.WaitForExit(killed);
-  const std::size_t successor = WaitForSuccessor(fleet, killed);
-  fleet.WaitFor("the takeover", [&] {
-    return fleet.Log(successor).find("\"recovered\"") != std::string::npos;
-  });
+  const std::size_t successor = KillOwner(fleet);
   BOOST_TEST(fleet.Log(successor).find("\"silent\":\"0\"") !=
              std::string::npos);
   const jobs::JobSpec second = ChainJob("b");
@@ -461,13 +467,7 @@
   }
   fleet.WaitForCompleted(ended);
   const jobs::JobSpec lasting = StartLasting(fleet);
-  const std::size_t killed = fleet.WaitForOwner();
-  fleet.Signal(killed, SIGKILL);
-  fleet.WaitForExit(killed);
-  const std::size_t successor = WaitForSuccessor(fleet, killed);
-  fleet.WaitFor("the takeover", [&] {
-    return fleet.Log(successor).find("\"recovered\"") != std::string::npos;
-  });
+  const std::size_t successor = KillOwner(fleet);
   const std::string log = fleet.Log(successor);
   BOOST_TEST(log.find("\"event\":\"takeover_entered\",\"jobs\":\"1\"") !=
              std::string::npos);
