Bound what a lost answer of the store holds up

Cause, from the code and a test in virtual time: each lost answer held one of four transactions for 700 ms and all others for another 100 ms; its records' conflict delayed the records sent with them; VMs that had listed an end were asked again only after 1.2 s, so their room stayed unused; and a watch on arriving jobs without an answer was repeated after 1.9 s.

Change: timeouts follow the response times of the store and of the VMs (RFC 6298); 16 transactions may be pending, and records of unknown revision are written apart; a VM with unrecorded ends is polled every 100 to 400 ms; long polls are short after a loss; the views of jobs and VMs send a further watch beside one that has waited for 250 or 400 ms. A late answer of an earlier watch brings no removed record back.

--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -20,6 +20,10 @@
 // all; VMs only change their registrations at heartbeats.
 constexpr int kIntakePauseMs = 20;
 constexpr int kVmPauseMs = 60;
+// Changes are frequent, so a watch without an answer for this long has most
+// likely lost it.
+constexpr int kIntakeOverlapMs = 250;
+constexpr int kVmOverlapMs = 400;
 constexpr int kRetryMs = 100;
 // Before each page of ended jobs.
 constexpr int kEndedPauseMs = 2000;
@@ -197,7 +201,9 @@
 void Driver::FollowIntake(std::uint64_t by) {
   this->intake = platform::PrefixView::Create(
       this->parts.client, this->parts.store, std::string(kIntakePrefix),
-      {.wait_ms = kIntakeWaitMs, .pause_ms = kIntakePauseMs},
+      {.wait_ms = kIntakeWaitMs,
+       .pause_ms = kIntakePauseMs,
+       .overlap_ms = kIntakeOverlapMs},
       {.on_put =
            [this, by](const platform::Item& item) {
              this->PostFor(by, [this, item] { this->OnIntake(item); });
@@ -226,7 +232,9 @@
 void Driver::FollowVms(std::uint64_t by) {
   this->vm_view = platform::PrefixView::Create(
       this->parts.client, this->parts.store, std::string(kVmPrefix),
-      {.wait_ms = kVmWaitMs, .pause_ms = kVmPauseMs},
+      {.wait_ms = kVmWaitMs,
+       .pause_ms = kVmPauseMs,
+       .overlap_ms = kVmOverlapMs},
       {.on_put =
            [this, by](const platform::Item& item) {
              this->PostFor(by, [this, item] { this->OnVmItem(item); });
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -132,6 +132,8 @@
   std::uint64_t stored_change = 0;
   std::uint64_t writing_change = 0;
   std::uint64_t revision = 0;  // of the stored record; 0: none
+  // The last write had no answer, so `revision` may be outdated.
+  bool revision_unknown = false;
   bool erasing = false;  // the retention is over; the next write erases it
   mutable std::optional<std::int64_t> critical_path_ms;  // of all steps, cached
 
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -15,6 +15,8 @@
 constexpr std::int32_t kFailuresToEject = 2;
 // Doublings after which the ejection time no longer grows.
 constexpr std::int32_t kMaxEjectionDoublings = 4;
+// Longest wait of the first long poll after a call without an answer.
+constexpr auto kPollWaitAfterLoss = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -45,6 +47,10 @@
          {"after_ms", std::to_string(ToMs(now - vm->unresponsive_since))}});
   }
   vm->unresponsive = false;
+  vm->max_poll_wait *= 2;
+  if (vm->max_poll_wait >= this->limits.poll_wait) {
+    vm->max_poll_wait = {};
+  }
   vm->clock_ms = report.clock_ms;
   vm->clock_at = now;
   vm->clock_known = true;
@@ -223,6 +229,9 @@
 // stored.
 void Scheduler::AwaitRecord(Vm& vm, const Job& job) {
   if (job.stored_change < job.change_number) {
+    if (vm.awaited_records.empty()) {
+      vm.awaited_since = vm.clock_at;
+    }
     vm.awaited_records.emplace_back(job.spec.id, job.change_number);
   }
 }
@@ -559,6 +568,7 @@
 }
 
 void Scheduler::SetUnresponsive(Vm& vm, std::string_view unanswered, Time now) {
+  vm.max_poll_wait = kPollWaitAfterLoss;
   if (vm.unresponsive) {
     return;
   }
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -12,7 +12,14 @@
 // Pause after the store refused a write.
 constexpr auto kWriteRetry = std::chrono::milliseconds(100);
 // Most pending transactions; further changes are batched into the next one.
-constexpr std::size_t kMaxWrites = 4;
+// Those whose answers are lost stay pending for their timeout, and the others
+// have to suffice meanwhile.
+constexpr std::size_t kMaxWrites = 16;
+// Bounds of the interval between polls of a VM with ends whose records are not
+// stored yet. It grows with the time that the records take, so that an outage
+// of the store does not multiply the polls.
+constexpr auto kMinAwaitPollInterval = std::chrono::milliseconds(100);
+constexpr auto kMaxAwaitPollInterval = std::chrono::milliseconds(400);
 // A VM cannot restart and run a task within this time after its last answer.
 constexpr auto kFreshReportAge = std::chrono::milliseconds(250);
 // Interval of polls while a stopped run has not ended.
@@ -118,11 +125,14 @@
         continue;
       }
     }
-    // A poll would return unrecorded ends again at once, so a VM that has some
-    // is polled only to renew its lease.
+    // A poll returns unrecorded ends again at once, so a VM that has some is
+    // polled at intervals: for the ends that follow, and to renew its lease.
     const bool due = vm->awaited_records.empty()
                          ? now >= vm->next_poll
-                         : now >= vm->poll_sent + this->limits.poll_wait;
+                         : now >= vm->poll_sent + std::clamp<Duration>(
+                                                      now - vm->awaited_since,
+                                                      kMinAwaitPollInterval,
+                                                      kMaxAwaitPollInterval);
     if (!vm->poll_pending && due) {
       this->SendPoll(*vm, now);
     }
@@ -157,6 +167,9 @@
     poll.wait_ms = unsettled  ? 0
                    : vm.mixed ? ToMs(this->limits.mixed_poll_wait)
                               : ToMs(this->limits.poll_wait);
+    if (vm.max_poll_wait > Duration::zero()) {
+      poll.wait_ms = std::min(poll.wait_ms, ToMs(vm.max_poll_wait));
+    }
     for (const Task* task : vm.runs) {
       if (task->MayStartLate()) {
         const std::int64_t left_ms = task->lease_until_ms - vm.ClockAt(now);
@@ -242,7 +255,8 @@
 
 // One write per job is pending at a time, so the expected revision of its
 // record is known except after a lost answer; the conflict of the next write
-// then returns it.
+// then returns it. Such jobs share no transaction with others, which the
+// conflict would delay as well.
 void Scheduler::WriteChanges(Time now) {
   if (now < this->write_retry) {
     return;
@@ -254,6 +268,7 @@
     this->last_write_at = now;
     WriteRecords write{.id = ++this->last_write};
     std::vector<JobId> included;
+    std::optional<bool> revision_unknown;  // of all jobs included
     std::size_t entries = 0;
     for (auto it = this->dirty.begin();
          it != this->dirty.end() &&
@@ -264,10 +279,13 @@
         it = this->dirty.erase(it);
         continue;
       }
-      if (job->writing_change != 0) {
+      if (job->writing_change != 0 ||
+          revision_unknown.value_or(job->revision_unknown) !=
+              job->revision_unknown) {
         ++it;
         continue;
       }
+      revision_unknown = job->revision_unknown;
       job->writing_change = job->change_number;
       const RecordStep step = StepFor(*job);
       entries += TransactionEntries(step);
@@ -307,7 +325,7 @@
     }
   }
   const bool written = result.answer == WriteAnswer::kWritten;
-  if (!written && result.answer != WriteAnswer::kConflict) {
+  if (result.answer == WriteAnswer::kUnavailable) {
     this->write_retry = now + kWriteRetry;
   }
   for (const JobId& job_id : included) {
@@ -324,6 +342,7 @@
       job->revision = result.revision;
     }
     job->writing_change = 0;
+    job->revision_unknown = result.answer == WriteAnswer::kUnknown;
     if (!written || job->change_number > job->stored_change) {
       this->dirty.insert(job_id);
     }
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -57,6 +57,7 @@
   // change number.
   std::vector<std::pair<JobId, std::uint64_t>> awaited_records;
   std::int64_t handled_end = 0;  // latest end processed, perhaps not recorded
+  Time awaited_since;            // when `awaited_records` was last empty
 
   bool poll_pending = false;
   Time poll_sent;
@@ -64,6 +65,10 @@
   bool unresponsive = false;  // the last order or poll had no answer
   Time unresponsive_since;
 
+  // Bounds the wait of a long poll after an order or poll had no answer, since
+  // the ends that a lost answer lists are received only with the next one.
+  // Doubles with each report; zero: no bound.
+  Duration max_poll_wait{};
   // Ejection of a VM on which runs fail that others complete.
   std::int32_t failures_in_row = 0;
   JobId last_failed_job;
--- a/test/jobs/fleet_sim.cc
+++ b/test/jobs/fleet_sim.cc
@@ -135,11 +135,17 @@
       result = {.answer = WriteAnswer::kUnknown};
     }
   }
-  this->RunAfter(kStoreLatencyMs, [this, id = write.id, result, sender_fence] {
-    if (sender_fence == this->fence) {
-      this->scheduler->OnWritten(id, result, this->now);
-    }
-  });
+  const bool lost =
+      std::bernoulli_distribution(this->store.lost_share)(this->store.random);
+  if (lost) {
+    result = {.answer = WriteAnswer::kUnknown};
+  }
+  this->RunAfter(lost ? this->store.response_timeout_ms : kStoreLatencyMs,
+                 [this, id = write.id, result, sender_fence] {
+                   if (sender_fence == this->fence) {
+                     this->scheduler->OnWritten(id, result, this->now);
+                   }
+                 });
 }
 
 struct FleetSim::EffectVisitor {
--- a/test/jobs/fleet_sim.h
+++ b/test/jobs/fleet_sim.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,6 +28,11 @@
   std::uint64_t revision = 100;
   bool down = false;
   bool drops_responses = false;
+  // Share of the transactions whose answers are lost; they end without one
+  // after `response_timeout_ms`.
+  double lost_share = 0;
+  std::int64_t response_timeout_ms = 500;
+  std::mt19937 random{7};
   std::size_t max_entries = 0;  // largest transaction seen
 };
 
--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -1,6 +1,8 @@
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <future>
 #include <mutex>
+#include <thread>
 
 #include "platform/platform.h"
 #include "test/slow_server.h"
@@ -342,6 +344,88 @@
   BOOST_TEST((store.revisions == std::vector<std::uint64_t>{5, 7, 8, 9}));
 }
 
+// Guards against learning of frequent changes only at the end of the wait of a
+// watch whose answer was lost.
+BOOST_AUTO_TEST_CASE(OverlappingWatchReplacesALostOne) {
+  SilentStore store;
+  const Time begun = net::Now();
+  store.Follow({.wait_ms = 5000, .overlap_ms = 100});
+  BOOST_TEST(ToMs(net::Now() - begun) < 4000);
+  BOOST_REQUIRE(store.reads.size() >= 4U);
+  BOOST_TEST(store.reads[3].wait == "WaitMs=5000");
+  BOOST_TEST((store.revisions == std::vector<std::uint64_t>{5, 7, 8, 9}));
+}
+
+// Guards against a removed record, such as that of a VM that has left, which
+// the late answer of an earlier watch brings back.
+BOOST_AUTO_TEST_CASE(LateAnswerOfAnEarlierWatchBringsNothingBack) {
+  using namespace std::chrono_literals;
+  std::atomic<int> watches = 0;
+  const std::string put = R"({"Key": "servers/a", "Value": "", "Revision": 7})";
+  SlowServer server([&](const std::string& head, std::size_t) {
+    if (head.find("kv-range") != std::string::npos) {
+      return SlowServer::Answer{.body = R"({"items": [], "StoreRevision": 5})"};
+    }
+    switch (++watches) {
+      case 1:  // arrives after the answer to the second watch
+        return SlowServer::Answer{
+            .body = R"({"events": [)" + put + R"(], "StoreRevision": 7})",
+            .parts = 2,
+            .pause = 600ms};
+      case 2:
+        return SlowServer::Answer{
+            .body = R"({"events": [)" + put +
+                    R"(, {"Key": "servers/a", "Revision": 8, "Removed": true}])"
+                    R"(, "StoreRevision": 8})"};
+      default:
+        return SlowServer::Answer{.silent = true};
+    }
+  });
+  auto client = net::HttpClient::Create({}).value();
+  net::Metrics metrics;
+  Store store(*client, server.address(), metrics);
+  std::mutex mutex;
+  std::vector<std::string> seen;
+  const auto note = [&](const std::string& what) {
+    const std::lock_guard lock(mutex);
+    seen.push_back(what);
+  };
+  const auto view = PrefixView::Create(
+      *client, store, "servers/", {.wait_ms = 3000, .overlap_ms = 100},
+      {.on_put = [&](const Item& item) { note("put " + item.key); },
+       .on_removed = [&](const std::string& key) { note("removed " + key); },
+       .on_listed = [] {},
+       .on_reachable = [](bool) {}});
+  std::this_thread::sleep_for(1500ms);
+  view->Stop();
+  client.reset();
+  BOOST_TEST(
+      (seen == std::vector<std::string>{"put servers/a", "removed servers/a"}));
+}
+
+// Guards against waiting for a lost answer as long as for one over a slow link.
+BOOST_AUTO_TEST_CASE(UnansweredWriteEndsSoonerOnceTheStoreIsKnown) {
+  std::atomic<bool> silent = false;
+  SlowServer server([&](const std::string&, std::size_t) {
+    return SlowServer::Answer{.body = R"({"Revision": 9})", .silent = silent};
+  });
+  const auto client = net::HttpClient::Create({}).value();
+  net::Metrics metrics;
+  Store store(*client, server.address(), metrics);
+  const auto write = [&] {
+    Waiter<WriteReply> waiter;
+    store.Write({}, 5000, waiter.Callback());
+    return waiter.Wait().outcome;
+  };
+  for (int i = 0; i < 5; ++i) {
+    BOOST_TEST((write() == Outcome::kOk));
+  }
+  silent = true;
+  const Time begun = net::Now();
+  BOOST_TEST((write() == Outcome::kUnknown));
+  BOOST_TEST(ToMs(net::Now() - begun) < 900);
+}
+
 // Guards against reading every version of a large record that was written
 // during an outage, where the newest is enough.
 BOOST_AUTO_TEST_CASE(OnlyTheNewestVersionIsReadAfterAnOutage) {
