Reject jobs that could not be served in time, at once and truthfully

Callers of an overloaded queue were told that their job was accepted, and got an answer long after it was of use; nothing was ever refused for load.

A rejection is true: it first stores kch/rejected/ID under a lease of 120 s, on condition that the job is not stored, and a job is stored on condition that this record is absent. So the write of an earlier attempt that is carried out late has no effect, and a caller who returns replaces the record. If the record cannot be stored, the job is accepted as before.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -31,6 +31,7 @@
 // noticed at the end of the wait.
 constexpr int kOperatorWaitMs = 1000;
 constexpr int kOwnerWaitMs = 2000;
+constexpr int kLoadWaitMs = 5000;
 // The platform sends no new connections after two missed checks of one second.
 constexpr auto kBalancerTime = std::chrono::milliseconds(2600);
 
@@ -153,6 +154,7 @@
     this->scheduler->Plan(now, wall_ms);
     this->scheduler->Tick(now, wall_ms);
     this->Perform(this->scheduler->TakeEffects());
+    this->ReportLoad(now);
   } else if (this->scheduler != nullptr && this->scheduler->is_superseded()) {
     this->ownership.OnSuperseded(now);
     this->Perform(this->ownership.TakeEffects());
@@ -222,11 +224,11 @@
     std::map<PoolId, upkeep::PoolDemand> pools;
     for (const auto& [id, facts] : this->fleet_config->pools) {
       const auto demand = demand_of(id);
-      pools[id] = {.capacity = demand.capacity,
-                   .used = demand.used,
       upkeep::PoolForecast& forecast =
           this->forecasts.try_emplace(id, now).first->second;
       forecast.Observe(demand, now);
+      pools[id] = {.capacity = demand.capacity,
+                   .used = demand.used,
                    .waiting = demand.waiting,
                    .standby = facts.standby,
                    .need = forecast.need(),
@@ -287,6 +289,7 @@
                             {"peer_address", this->options.peer_address}});
   this->FollowOperators();
   this->FollowOwner();
+  this->FollowLoad();
   const std::function<void()> wait_for_signal = [this, &wait_for_signal] {
     this->signals.async_wait(
         [this, &wait_for_signal](const asio::error_code& error, int signal) {
@@ -299,8 +302,8 @@
   wait_for_signal();
   this->OnTick();
   this->context.run();
-  for (const auto& view :
-       {this->operators, this->owner_view, this->intake, this->vm_view}) {
+  for (const auto& view : {this->operators, this->owner_view, this->load_view,
+                           this->intake, this->vm_view}) {
     if (view != nullptr) {
       view->Stop();
     }
@@ -452,6 +455,25 @@
        .on_reachable = [](bool) {}});
 }
 
+void Driver::FollowLoad() {
+  this->load_view = platform::PrefixView::Create(
+      this->parts.client, this->parts.store, std::string(kLoadKey),
+      {.wait_ms = kLoadWaitMs},
+      {.on_put =
+           [this](const platform::Item& item) {
+             auto report = admit::DecodeLoadReport(item.value);
+             if (report) {
+               this->parts.front.SetLoad(*std::move(report));
+             } else {
+               net::LogEvent("load_unreadable",
+                             {{"error", report.error().Text()}});
+             }
+           },
+       .on_removed = [](const std::string&) {},
+       .on_listed = [] {},
+       .on_reachable = [](bool) {}});
+}
+
 void Driver::OnOwnerItem(const std::optional<platform::Item>& item) {
   std::optional<lead::OwnerRecord> record;
   if (item) {
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "admit/admit.h"
 #include "app/fleet/front.h"
 #include "app/fleet/load_meter.h"
 #include "app/fleet/relay_worker.h"
@@ -112,6 +113,7 @@
 
   void FollowOperators();
   void FollowOwner();
+  void FollowLoad();
   void OnOperatorItem(const platform::Item& item);
   void OnOperatorRemoval(const std::string& key);
   void OnOwnerItem(const std::optional<platform::Item>& item);
@@ -147,6 +149,9 @@
   void PassOrders(std::vector<upkeep::Effect> decided);
   void TickMachines(Time now);
   void PublishGauges(Time now);
+  /*! @brief Writes the waits in the queues for all instances, if there are
+   * any. */
+  void ReportLoad(Time now);
   void WakeForWrite(Time now);
 
   FleetOptions options;
@@ -180,12 +185,15 @@
   std::map<std::string, SeenWave> waves;  // by key
   std::unique_ptr<upkeep::Planner> planner;
   std::unique_ptr<upkeep::Mover> mover;
+  std::map<PoolId, upkeep::PoolForecast> forecasts;  // of this term
   std::unique_ptr<upkeep::OrderGate> gate;
   std::optional<relay::RelayPool> roster;
+  Time next_load_report;
+  admit::LoadReport last_load;  // as last reported in this term
 
   std::shared_ptr<platform::PrefixView> operators;
   std::shared_ptr<platform::PrefixView> owner_view;
-  std::map<PoolId, upkeep::PoolForecast> forecasts;  // of this term
+  std::shared_ptr<platform::PrefixView> load_view;
   std::shared_ptr<platform::PrefixView> intake;
   std::shared_ptr<platform::PrefixView> vm_view;
 
--- a/src/app/fleet/front.cc
+++ b/src/app/fleet/front.cc
@@ -27,7 +27,10 @@
 constexpr auto kAnswerMargin = std::chrono::milliseconds(200);
 constexpr auto kDefaultDeadline = std::chrono::milliseconds(3000);
 // Tells callers when a refused request is worth another try.
-constexpr const char* kRetryAfterSeconds = "1";
+constexpr int kRetryAfterS = 1;
+// The record of a rejection outlasts every write that an earlier attempt may
+// have left behind. A lease is used for half of its time.
+constexpr auto kRejectionLease = std::chrono::seconds(120);
 
 constexpr int kOk = 200;
 constexpr int kGone = 410;
@@ -45,11 +48,13 @@
   return Now() + std::chrono::milliseconds(ms);
 }
 
-HttpResponse NotRun(int status, std::string_view reason) {
+HttpResponse NotRun(int status,
+                    std::string_view reason,
+                    int retry_after_s = kRetryAfterS) {
   HttpResponse response{.status = status,
                         .body = R"({"Error":")" + std::string(reason) + "\"}"};
   if (status == kUnavailable || status == StatusOf(Refusal::kOverloaded)) {
-    response.headers.emplace_back("Retry-After", kRetryAfterSeconds);
+    response.headers.emplace_back("Retry-After", std::to_string(retry_after_s));
   }
   return response;
 }
@@ -98,12 +103,42 @@
         });
   }
 
+  // A job that was rejected before and comes again: its record of the rejection
+  // is replaced by that of the job. False if the job was stored before.
+  bool ReplaceRejection(const std::vector<platform::Item>& items) {
+    const std::string key = KeyOf(kRejectedPrefix, this->job);
+    std::uint64_t rejection = 0;
+    for (const platform::Item& item : items) {
+      if (item.key == key) {
+        rejection = item.revision;
+      } else if (item.revision != 0) {
+        return false;
+      }
+    }
+    if (rejection == 0) {
+      return false;
+    }
+    for (platform::Condition& condition : this->transaction.conditions) {
+      if (condition.key == key) {
+        condition.revision = rejection;
+      }
+    }
+    this->transaction.erasures = {key};
+    return true;
+  }
+
   void OnWritten(const platform::WriteReply& result) {
     switch (result.outcome) {
       case Outcome::kOk:
-      case Outcome::kConflict:  // the same job was stored before
         this->End("accepted", {.status = kOk, .body = "{}"});
         return;
+      case Outcome::kConflict:
+        if (this->ReplaceRejection(result.items)) {
+          this->Try();
+        } else {  // the same job was stored before
+          this->End("accepted", {.status = kOk, .body = "{}"});
+        }
+        return;
       case Outcome::kUnknown:
         this->unknown = true;
         break;
@@ -236,11 +271,85 @@
       std::make_shared<Submission>(*this, admitted.job, admitted.queue->id,
                                    DeadlineOf(request), std::move(reply));
   const std::string key = KeyOf(kJobPrefix, admitted.job);
-  submission->transaction.conditions.push_back({key, 0});
-  submission->transaction.conditions.push_back(
-      {KeyOf(kEndedJobPrefix, admitted.job), 0});
+  submission->transaction.conditions = {
+      {key, 0},
+      {KeyOf(kEndedJobPrefix, admitted.job), 0},
+      {KeyOf(kRejectedPrefix, admitted.job), 0}};
   submission->transaction.puts.push_back({key, EncodeSpec(*decoded), 0});
-  submission->Try();
+  std::optional<admit::Rejection> rejection;
+  {
+    const std::lock_guard lock(this->mutex);
+    rejection = this->admission.Check(*decoded, Now());
+  }
+  if (rejection) {
+    this->Reject(submission, *rejection);
+  } else {
+    submission->Try();
+  }
+}
+
+void Front::SetLoad(admit::LoadReport report) {
+  const std::lock_guard lock(this->mutex);
+  this->admission.OnReport(std::move(report), Now());
+}
+
+std::optional<std::uint64_t> Front::LeaseForRejection() {
+  const std::lock_guard lock(this->mutex);
+  RejectionLease& lease = this->rejection_lease;
+  const bool fresh =
+      lease.id != 0 && Now() - lease.created < kRejectionLease / 2;
+  if (!fresh && !std::exchange(lease.pending, true)) {
+    this->parts.store.CreateLease(
+        ToMs(kRejectionLease),
+        [this, sent = Now()](const platform::LeaseReply& reply) {
+          const std::lock_guard relock(this->mutex);
+          this->rejection_lease = {
+              .id = reply.outcome == Outcome::kOk ? reply.lease : 0,
+              .created = sent};
+        });
+  }
+  return fresh ? std::optional(lease.id) : std::nullopt;
+}
+
+// The promise that a rejected job does not run holds only once its record is
+// stored: a write of an earlier attempt without an answer may still be under
+// way.
+void Front::Reject(const std::shared_ptr<Submission>& submission,
+                   const admit::Rejection& rejection) {
+  const auto lease = this->LeaseForRejection();
+  if (!lease) {
+    submission->Try();
+    return;
+  }
+  const std::string key = KeyOf(kRejectedPrefix, submission->job);
+  platform::Transaction transaction;
+  transaction.conditions = {{KeyOf(kJobPrefix, submission->job), 0},
+                            {KeyOf(kEndedJobPrefix, submission->job), 0}};
+  transaction.puts.push_back({key, "{}", *lease});
+  this->parts.store.Write(
+      transaction, kWriteTimeoutMs,
+      [this, submission, rejection](const platform::WriteReply& result) {
+        if (result.outcome != Outcome::kOk) {
+          if (result.outcome == Outcome::kMissing) {
+            const std::lock_guard lock(this->mutex);
+            this->rejection_lease.id = 0;
+          }
+          submission->Try();
+          return;
+        }
+        this->parts.metrics.Count(
+            "refusals",
+            {{"reason", std::string(NameOf(Refusal::kOverloaded))}});
+        net::LogEvent(
+            "reject",
+            {{"job", submission->job.str()},
+             {"queue", submission->queue.str()},
+             {"wait_ms", std::to_string(ToMs(rejection.wait))},
+             {"retry_after_s", std::to_string(rejection.retry_after_s)}});
+        submission->End("rejected", NotRun(StatusOf(Refusal::kOverloaded),
+                                           NameOf(Refusal::kOverloaded),
+                                           rejection.retry_after_s));
+      });
 }
 
 void Front::AskOwner(const jobs::JobId& job,
--- a/src/app/fleet/front.h
+++ b/src/app/fleet/front.h
@@ -4,8 +4,11 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
 
+#include "admit/admit.h"
 #include "app/fleet/peer.h"
 #include "ingress/ingress.h"
 #include "platform/platform.h"
@@ -37,6 +40,9 @@
   void SetDirectory(std::shared_ptr<const ingress::Directory> directory);
   /*! @brief The owner's address; empty if none is known. Any thread. */
   void SetOwner(std::string address);
+  /*! @brief The owner's latest report of the waits in the queues. Any thread.
+   */
+  void SetLoad(admit::LoadReport report);
   void SetStoreReachable(bool reachable) { this->store_reachable = reachable; }
   /*! @brief From now on answers ask callers to close their connections. */
   void BeginShutdown() { this->closing = true; }
@@ -45,6 +51,13 @@
 
  private:
   struct Submission;
+  // Lease of the records of rejected jobs, which the store removes with it.
+  struct RejectionLease {
+    std::uint64_t id = 0;  // 0: none yet
+    Time created;
+    bool pending = false;
+  };
+
   using Reply = std::function<void(net::HttpResponse)>;
   // The state of a job that has ended, and the revision of the record found.
   using FoundJob = std::function<void(std::optional<jobs::JobState> ended,
@@ -59,6 +72,12 @@
               const ingress::Admitted& admitted,
               std::uint64_t version,
               Reply reply);
+  /*! @brief Rejects a job that could not be served in time, or stores it if it
+   * was accepted before or its rejection cannot be recorded. */
+  void Reject(const std::shared_ptr<Submission>& submission,
+              const admit::Rejection& rejection);
+  /*! @brief Lease for the record of a rejection; none while it is created. */
+  std::optional<std::uint64_t> LeaseForRejection();
   void ReportState(const ingress::Admitted& admitted, Reply reply);
   void FindJob(const jobs::JobId& job,
                const TeamId& team,
@@ -86,6 +105,9 @@
   Peer peer;
   std::atomic<std::shared_ptr<const ingress::Directory>> directory;
   std::atomic<std::shared_ptr<const std::string>> owner;
+  std::mutex mutex;  // guards the two members below
+  admit::Admission admission;
+  RejectionLease rejection_lease;
   std::atomic<bool> store_reachable = true;
   std::atomic<bool> closing = false;
   std::shared_ptr<std::atomic<int>> open =
--- a/src/app/fleet/keys.h
+++ b/src/app/fleet/keys.h
@@ -21,6 +21,11 @@
 inline constexpr std::string_view kKeptVmPrefix = "kch/vm/";
 inline constexpr std::string_view kEndedVmPrefix = "kch/ended/";
 inline constexpr std::string_view kOrdersKey = "kch/orders";
+// The waits in the queues, written by the owner while there are any.
+inline constexpr std::string_view kLoadKey = "kch/load";
+// A job whose submitter was told that it does not run. A write of an earlier
+// attempt that is carried out later meets this record and has no effect.
+inline constexpr std::string_view kRejectedPrefix = "kch/rejected/";
 inline constexpr std::string_view kWaveRecordPrefix = "kch/wave/";
 
 // Records of the platform.
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -48,6 +48,9 @@
       this->options.upkeep_limits,
       Now() + this->options.upkeep_limits.handover_period);
   this->mover = std::make_unique<upkeep::Mover>(this->options.move_limits);
+  this->forecasts.clear();
+  this->next_load_report = Time();
+  this->last_load = {};
   this->gate = std::make_unique<upkeep::OrderGate>(
       this->options.upkeep_limits.handover_period);
   // Before the first relay connects: what it followed so far may be dropped.
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -9,15 +9,16 @@
 // Longest path over the steps for which `counts` holds. A step's predecessors
 // have lower numbers, which the codec checks.
 template <typename Counts>
-std::int64_t LongestPathMs(const JobSpec& spec, const Counts& counts) {
-  std::vector<std::int64_t> until(spec.steps.size(), 0);
+std::int64_t LongestPathMs(const std::vector<StepSpec>& steps,
+                           const Counts& counts) {
+  std::vector<std::int64_t> until(steps.size(), 0);
   std::int64_t longest = 0;
-  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
-    for (const std::int32_t before : spec.steps[i].depends_on) {
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    for (const std::int32_t before : steps[i].depends_on) {
       until[i] = std::max(until[i], until[static_cast<std::size_t>(before)]);
     }
     if (counts(i)) {
-      until[i] += spec.steps[i].estimate_ms;
+      until[i] += steps[i].estimate_ms;
     }
     longest = std::max(longest, until[i]);
   }
@@ -92,7 +93,7 @@
   if (remaining.complete != complete) {
     remaining.complete = complete;
     remaining.critical_path_ms =
-        LongestPathMs(this->spec, [&occurrence](std::size_t step) {
+        LongestPathMs(this->spec.steps, [&occurrence](std::size_t step) {
           return !occurrence.steps[step].Complete();
         });
   }
@@ -101,10 +102,13 @@
 
 std::int64_t Job::CriticalPathMs() const {
   if (!this->critical_path_ms) {
-    this->critical_path_ms =
-        LongestPathMs(this->spec, [](std::size_t) { return true; });
+    this->critical_path_ms = jobs::CriticalPathMs(this->spec.steps);
   }
   return *this->critical_path_ms;
 }
 
+std::int64_t CriticalPathMs(const std::vector<StepSpec>& steps) {
+  return LongestPathMs(steps, [](std::size_t) { return true; });
+}
+
 }  // namespace kch::jobs
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -156,6 +156,10 @@
   [[nodiscard]] std::int64_t CriticalPathMs() const;
 };
 
+/*! @brief Critical path over all steps of a job, in ms: the longest chain of
+ * estimates. */
+[[nodiscard]] std::int64_t CriticalPathMs(const std::vector<StepSpec>& steps);
+
 /*! @brief A job's state for its submitter. An end is shown only once it is
  * stored; other states may not be stored yet. */
 struct JobView {
--- a/src/jobs/rank.cc
+++ b/src/jobs/rank.cc
@@ -1,20 +1,18 @@
 #include "jobs/rank.h"
 
 namespace kch::jobs {
-namespace {
 
-// A job that ends within this many objectives is late, but still of use.
-constexpr std::int64_t kLateObjectives = 3;
-
-}  // namespace
-
-Duration Objective(const Job& job, const Queue& queue) {
-  const double critical_path_ms = static_cast<double>(job.CriticalPathMs());
+Duration Objective(Duration critical_path, const Queue& queue) {
   return std::chrono::milliseconds(
-      static_cast<std::int64_t>(queue.stretch * critical_path_ms) +
+      static_cast<std::int64_t>(queue.stretch *
+                                static_cast<double>(ToMs(critical_path))) +
       queue.target_ms);
 }
 
+Duration Objective(const Job& job, const Queue& queue) {
+  return Objective(std::chrono::milliseconds(job.CriticalPathMs()), queue);
+}
+
 // Among jobs on time, the step with the least slack comes first. Under
 // overload, jobs that miss their objective anyway would take capacity from jobs
 // that can still meet it, so they rank behind these, shortest first.
--- a/src/jobs/rank.h
+++ b/src/jobs/rank.h
@@ -27,9 +27,14 @@
   auto operator<=>(const Rank&) const = default;
 };
 
+/*! @brief A job that ends within this many objectives is late, but still of
+ * use. */
+inline constexpr std::int64_t kLateObjectives = 3;
+
 /*! @brief Time that an occurrence may take from its acceptance or due time to
  * its end: stretch * critical path + target_ms. */
 [[nodiscard]] Duration Objective(const Job& job, const Queue& queue);
+[[nodiscard]] Duration Objective(Duration critical_path, const Queue& queue);
 
 /*! @brief Ranks a ready step. `due` is when the occurrence was accepted or
  * became due. */
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -171,6 +171,16 @@
     ArrivedWork arrived;   // of finite jobs since this scheduler began
   };
   [[nodiscard]] Demand DemandOf(const PoolId& pool, Time now) const;
+  /*! @brief Waiting work of a team in a queue. */
+  struct QueuedWork {
+    QueueId queue;
+    TeamId team;
+    Resources resource_ms;  // what the tasks will occupy times their estimates
+  };
+  /*! @brief Waiting work of a pool, and what follows it in the same jobs, that
+   * can still end in time to be of use. */
+  [[nodiscard]] std::vector<QueuedWork> QueuedWorkOf(const PoolId& pool,
+                                                     Time now) const;
   /*! @brief Used and waiting over usable capacity of a VM's pool without that
    * VM, given the pool's demand. What the VM's own runs use stays counted. Far
    * above 1 if no capacity remains. */
@@ -197,6 +207,7 @@
     std::map<VmId, Vm*> vms;
     std::set<StepRef> ready;
     Time inherited_not_before;  // inherited tasks start from this time on
+    ArrivedWork arrived;
   };
   // A VM with room; one that is not usable is cordoned and takes endless tasks
   // only, while it still runs one.
@@ -207,7 +218,6 @@
   // Where the waiting tasks of a pool may start in a pass.
   struct CandidateSet {
     Resources smallest_need;  // of what they need, each amount by itself
-    ArrivedWork arrived;
     std::vector<Candidate> vms;
   };
   struct Permit {
@@ -233,6 +243,7 @@
 
   // scheduler.cc
   void OpenDue(Job& job, std::int64_t wall_ms);
+  void CountArrival(const Job& job);
   void UpdateReady(Job& job, const Occurrence& occurrence, std::int32_t step);
   void UpdateAllReady(Job& job);
   void Place(Task& task, Vm& vm);
@@ -243,7 +254,6 @@
   void MarkStarted(Job& job);
   Duration LongestLease() const;
   bool Active(const Task& task, Time now) const;
-  void CountArrival(const Job& job);
   /*! @brief Number of other tasks of its step that are not known to be active.
    */
   std::int32_t OthersUnavailable(const Task& task, Time now);
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -123,6 +123,40 @@
   return room;
 }
 
+std::vector<Scheduler::QueuedWork> Scheduler::QueuedWorkOf(const PoolId& id,
+                                                           Time now) const {
+  std::map<std::pair<QueueId, TeamId>, Resources> sums;
+  const auto found = this->pools.find(id);
+  if (found == this->pools.end()) {
+    return {};
+  }
+  for (const StepRef& step_ref : found->second.ready) {
+    const Job& job = *step_ref.job;
+    const StepSpec& spec = step_ref.spec();
+    const Occurrence& occurrence = job.open.at(step_ref.occurrence);
+    if (spec.endless || RankStep(job, occurrence, this->QueueOf(job),
+                                 job.DueAt(step_ref.occurrence), now)
+                                .timeliness == Timeliness::kMissed) {
+      continue;
+    }
+    Resources& sum = sums[{job.spec.queue.id, job.spec.team}];
+    sum += spec.Occupies() * (spec.estimate_ms * step_ref.progress().waiting);
+    for (std::size_t later = static_cast<std::size_t>(step_ref.step) + 1;
+         later < job.spec.steps.size(); ++later) {
+      const StepSpec& next = job.spec.steps[later];
+      if (std::ranges::find(next.depends_on, step_ref.step) !=
+          next.depends_on.end()) {
+        sum += next.Occupies() * (next.estimate_ms * next.count);
+      }
+    }
+  }
+  std::vector<QueuedWork> rows;
+  for (const auto& [key, resource_ms] : sums) {
+    rows.push_back({key.first, key.second, resource_ms});
+  }
+  return rows;
+}
+
 void Scheduler::PlanPool(Pool& pool, Time now) {
   CandidateSet room;
   room.smallest_need = pool.ready.begin()->spec().Occupies();
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -206,10 +206,15 @@
 }
 
 int PlatformFleet::Submit(std::size_t instance, const jobs::JobSpec& job) {
+  return this->Offer(instance, job).code;
+}
+
+net::HttpResult PlatformFleet::Offer(std::size_t instance,
+                                     const jobs::JobSpec& job) {
   this->platform->With([&job](fake::VmModel& world, fake::KeyStore&) {
     world.submitted.emplace(job.id, job);
   });
-  return this->Call("POST", instance, job, Encode(job)).code;
+  return this->Call("POST", instance, job, Encode(job));
 }
 
 void PlatformFleet::Accept(const jobs::JobSpec& job) {
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -32,6 +32,8 @@
 
   /*! @brief Hands a job in at one instance; the code of its answer, or 0. */
   int Submit(std::size_t instance, const jobs::JobSpec& job);
+  /*! @brief As Submit, with the whole answer. */
+  net::HttpResult Offer(std::size_t instance, const jobs::JobSpec& job);
   /*! @brief Hands a job in, at other instances too, until one accepts it. */
   void Accept(const jobs::JobSpec& job);
   /*! @brief A job's state as some instance tells it; empty: none told. */
