--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -151,6 +151,7 @@
     }
   }
   std::vector<QueuedWork> rows;
+  rows.reserve(sums.size());
   for (const auto& [key, resource_ms] : sums) {
     rows.push_back({key.first, key.second, resource_ms});
   }
--- a/test/upkeep/pool_forecast_test.cc
+++ b/test/upkeep/pool_forecast_test.cc
@@ -9,6 +9,7 @@
 using std::chrono::seconds;
 
 constexpr std::int64_t kJobCores = 20;
+constexpr std::int64_t kPerCore = 1000;
 constexpr std::int64_t kJobMs = 1000;
 
 // Jobs of 20 cores for a second each arrive evenly.
@@ -78,10 +79,10 @@
   arrivals.Run(20'000, 4);
   const auto peak = arrivals.forecast.Peak(arrivals.now);
   BOOST_REQUIRE(peak.has_value());
-  BOOST_TEST(peak->cpu_m >= 1000 * 60 * kJobCores);
+  BOOST_TEST(peak->cpu_m >= kPerCore * 60 * kJobCores);
   arrivals.Run(31'000, 4);
   BOOST_TEST(arrivals.forecast.Peak(arrivals.now)->cpu_m <=
-             1000 * 5 * kJobCores);
+             kPerCore * 5 * kJobCores);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
