Ignore a report of waits that is as old as the start of a process

Found when reading the change: a process that starts lists kch/load and took the record for fresh, although an owner that was lost in an overload leaves it behind. It rejected jobs for 1.5 s with room for them. Only changes after the first list count now. process.RestartedInstanceIgnoresOldReports saw 429 four times and more in ten submissions before, and 200 each time since.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -455,12 +455,18 @@
        .on_reachable = [](bool) {}});
 }
 
+// The record that is there at the start may be as old as the last overload, so
+// only changes count.
 void Driver::FollowLoad() {
+  const auto listed = std::make_shared<bool>(false);
   this->load_view = platform::PrefixView::Create(
       this->parts.client, this->parts.store, std::string(kLoadKey),
       {.wait_ms = kLoadWaitMs},
       {.on_put =
-           [this](const platform::Item& item) {
+           [this, listed](const platform::Item& item) {
+             if (!*listed) {
+               return;
+             }
              auto report = admit::DecodeLoadReport(item.value);
              if (report) {
                this->parts.front.SetLoad(*std::move(report));
@@ -470,7 +476,7 @@
              }
            },
        .on_removed = [](const std::string&) {},
-       .on_listed = [] {},
+       .on_listed = [listed] { *listed = true; },
        .on_reachable = [](bool) {}});
 }
 
--- a/test/process/admission_test.cc
+++ b/test/process/admission_test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <csignal>
 #include <future>
 #include <string>
 #include <thread>
@@ -67,6 +68,26 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against rejections by a report that was left behind by the last
+// overload.
+BOOST_AUTO_TEST_CASE(RestartedInstanceIgnoresOldReports) {
+  PlatformFleet fleet;
+  const std::size_t owner = fleet.WaitForOwner();
+  const std::size_t restarted = owner == 0 ? 1 : 0;
+  fleet.platform->With([](fake::VmModel&, fake::KeyStore& store) {
+    store.Put("kch/load",
+              R"({"queues":{"q":{"wait_ms":60000,"teams":{"":60000}}}})");
+  });
+  fleet.Signal(restarted, SIGKILL);
+  fleet.WaitForExit(restarted);
+  fleet.Restart(restarted);
+  constexpr int jobs = 10;
+  for (int i = 0; i < jobs; ++i) {
+    const jobs::JobSpec job = PlainJob("g" + std::to_string(i), 1, 100);
+    BOOST_TEST(fleet.Submit(restarted, job) == kOk);
+  }
+}
+
 // Guards against a rejection that is not true: the write of an earlier attempt,
 // whose answer was lost, is carried out after it.
 BOOST_AUTO_TEST_CASE(RejectedJobIsNotStoredByAnEarlierAttempt) {
