--- a/src/upkeep/mover.cc
+++ b/src/upkeep/mover.cc
@@ -216,12 +216,13 @@
     if (pool.standby) {
       continue;
     }
-    const Resources capacity = pool.capacity + this->Arriving(id);
+    const Resources arriving = this->Arriving(id);
+    const Resources capacity = pool.capacity + arriving;
     const double backlog = jobs::DominantShare(pool.waiting, capacity);
     backlogged = backlogged || backlog >= this->limits.backlog_threshold / 2;
     const double load = jobs::DominantShare(pool.need, capacity);
     // Once machines are on their way, a need that still rises is followed.
-    const bool receiving = HasDeficit(this->Arriving(id));
+    const bool receiving = arriving.cpu_m > 0 || arriving.memory_mb > 0;
     if (load < (receiving ? 1.0 : this->limits.need_threshold)) {
       continue;
     }
