Log runs that outlive their lease and restarts of VMs

The logs could not tell three causes of two runs at the same time apart: a lease that lasts longer than the one sent, an order that reaches a later life of its VM, and a clock estimate ahead of the VM's clock.

lease_outlived: a report lists runs although the latest lease sent to the VM is over by the VM's own clock. vm_restarted: a VM has started again under its id, with its runs, the starts under way and how long ago it was heard.

--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -161,6 +161,13 @@
     }
   }
   const VmFacts next = facts;
+  this->EmitLogEvent(
+      "vm_restarted",
+      {{"vm", next.id.str()},
+       {"boot_ms", std::to_string(next.boot_ms)},
+       {"runs", std::to_string(vm.runs.size())},
+       {"starting", std::to_string(ordered.size())},
+       {"heard_ms_ago", std::to_string(ToMs(now - vm.clock_at))}});
   this->MarkRunsLost(vm, "vm_restarted");
   this->DropVm(next.id);
   this->SetVm(next, now);
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -259,6 +259,7 @@
   std::int32_t OthersUnavailable(const Task& task, Time now);
 
   // scheduler_report.cc
+  void LogOutlivedLease(const Vm& vm, const VmReport& report);
   void ReconcileRuns(Vm& vm, Time sent, Time now);
   void HandleRunning(Vm& vm, const RunningRow& row, Time now);
   void HandleEnd(Vm& vm, const EndedRow& row, Time now);
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -57,6 +57,7 @@
   vm->clock_doubtful = false;
   vm->reported = true;
   ++vm->report_count;
+  this->LogOutlivedLease(*vm, report);
   for (const EndedRow& row : report.ended) {
     if (row.number > std::max(vm->recorded_end, vm->handled_end)) {
       this->HandleEnd(*vm, row, now);
@@ -72,6 +73,20 @@
   this->Acknowledge(*vm, now);
 }
 
+// Runs at work after the latest lease sent show that it does not bound them.
+void Scheduler::LogOutlivedLease(const Vm& vm, const VmReport& report) {
+  const std::int64_t past_ms = vm.clock_ms - vm.lease_until_ms;
+  if (vm.lease_until_ms == 0 || report.running.empty() ||
+      past_ms <= ToMs(this->limits.stop_grace)) {
+    return;
+  }
+  this->EmitLogEvent("lease_outlived",
+                     {{"vm", vm.facts.id.str()},
+                      {"runs", std::to_string(report.running.size())},
+                      {"first", report.running.front().task},
+                      {"past_ms", std::to_string(past_ms)}});
+}
+
 void Scheduler::HandleRunning(Vm& vm, const RunningRow& row, Time now) {
   const auto ref = TaskRef::Parse(row.task);
   if (!ref) {
