Reproduce the second run of a task whose owner is cut off with its VM

It waits for one lease, as a successor does, and starts the task on another VM: "twice", as the owner has renewed the first run all the while.

--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <memory>
 #include <set>
+#include <tuple>
 
 #include "lead/lead.h"
 #include "test/process/fleet.h"
@@ -202,6 +203,66 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against a task at work twice: an owner that was cut off together with
+// some VMs went on renewing their runs, while its successor, which did not
+// reach these VMs, started the tasks elsewhere once a lease was over.
+BOOST_AUTO_TEST_CASE(OwnerCutOffWithItsVmsRepeatsTasks) {
+  PlatformFleet fleet(2, {.vms = 2, .addresses = 2});
+  const jobs::JobSpec job = PlainJob("a", 1, 60'000);
+  fleet.Accept(job);
+  fleet.WaitFor("the start", [&] { return fleet.starts() == 1; });
+  const std::size_t cut = fleet.WaitForOwner();
+  const std::size_t other = 1 - cut;
+  const auto [used, unused, fence] =
+      fleet.platform->With([](const fake::VmModel& world, fake::KeyStore&) {
+        const bool first = !world.vms.at("vm0")->runs.empty();
+        const std::string run_on = first ? "vm0" : "vm1";
+        return std::tuple(run_on, std::string(first ? "vm1" : "vm0"),
+                          world.vms.at(run_on)->fence);
+      });
+  // The cut: the store answers the other process only, and that process, which
+  // cannot tell the owner of a successor, is replaced by one that the test acts
+  // for. The owner reaches both VMs.
+  fleet.Signal(other, SIGSTOP);
+  fleet.platform->CutOff(cut, true);
+  fleet.WaitFor("the end of the ownership", [&] { return !fleet.Owner(); });
+  fleet.platform->With([&, unused = unused, fence = fence](
+                           fake::VmModel& world, fake::KeyStore& store) {
+    store.Put("kch/owner", lead::Encode({.instance = "e9",
+                                         .incarnation = "e9-1",
+                                         .address = "127.0.0.1:9"}));
+    constexpr std::uint64_t later = 1000;
+    world.HandlePoll(*world.vms.at(unused), {}, fence + later);
+  });
+  // The successor's wait for runs on a VM that it does not reach, under the
+  // lease that follows from the default interval of heartbeats.
+  const jobs::Limits limits{.lease = std::chrono::milliseconds(4100)};
+  const auto wait = limits.recovery_wait +
+                    std::chrono::duration_cast<Duration>(
+                        limits.lease / jobs::kMinVmClockRate) +
+                    limits.stop_grace;
+  const std::int64_t until_us = WallUs() + kUsPerMs * ToMs(wait);
+  fleet.WaitFor("the end of the lease", [&] { return WallUs() >= until_us; });
+  fleet.platform->With([&, unused = unused, fence = fence](fake::VmModel& world,
+                                                           fake::KeyStore&) {
+    const std::int64_t clock_ms = world.ClockOf(*world.vms.at(unused));
+    constexpr std::uint64_t later = 1000;
+    world.HandleStart(*world.vms.at(unused),
+                      {.task = {job.id, 0, 0, 0},
+                       .run = 2,
+                       .payload = job.payload,
+                       .lease_until_ms = clock_ms + ToMs(limits.lease)},
+                      fence + later);
+  });
+  BOOST_TEST(fleet.starts() == 2);
+  BOOST_TEST(fleet.Breaches() == "");
+  fleet.Signal(other, SIGCONT);
+  fleet.platform->CutOff(cut, false);
+  fleet.WaitFor("the cut instance to learn of its successor", [&] {
+    return fleet.Log(cut).find("owner_lost") != std::string::npos;
+  });
+}
+
 // Guards against an owner that goes on while the store refuses it alone, and
 // against its successor starting its work again.
 BOOST_AUTO_TEST_CASE(OwnerCutFromTheStoreIsReplaced) {
