Count an owner's own term as the one before its next

It now knows its own term as the last one for a lease after it could last have been in the store. Repeated observations that the record is gone extend the time in which no other owner can have followed.

OwnTermIsThePredecessorForAMomentAfterItsLease.

--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -72,12 +72,12 @@
 void Ownership::NotePredecessor(Time now) {
   const bool replaced = this->record_gone_at == Time();
   if (!replaced && now - this->record_gone_at >= kOwnerLease) {
-    this->other_owner.reset();
+    this->last_owner.reset();
   }
   const bool ended =
-      this->other_owner && this->other_owner->instance == this->record.instance;
-  const bool counted = this->other_owner && now < this->counted_until &&
-                       this->counted_fence == this->other_owner->revision;
+      this->last_owner && this->last_owner->instance == this->record.instance;
+  const bool counted = this->last_owner && now < this->counted_until &&
+                       this->counted_fence == this->last_owner->revision;
   this->predecessor_until = ended || counted ? now : now + kMaxOutage;
   this->record_gone_at = now;
   this->counted_fence = 0;
@@ -113,6 +113,18 @@
   return true;
 }
 
+// The record was in the store while the lease was valid, and no follower claims
+// under a lease that it has granted, so this process's own term was the last
+// one until then.
+void Ownership::NoteOwnTerm(Time now) {
+  Time last = this->valid_until;
+  if (this->follower_leases.size() > 0) {
+    last = std::max(last, this->follower_leases.held_until());
+  }
+  this->last_owner = this->record;
+  this->record_gone_at = std::min(last, now);
+}
+
 void Ownership::LoseOwnership(const std::string& reason, Time now) {
   this->effects.emplace_back(OwnershipLost{reason});
   this->BecomeFollower(now + kClaimRetryInterval + this->claim_delay);
@@ -123,16 +135,20 @@
   const bool is_own =
       observed && observed->incarnation == this->record.incarnation;
   if (observed && !is_own) {
-    this->other_owner = observed;
+    this->last_owner = observed;
     this->record_gone_at = Time();
-  } else if (!observed && this->observed_record && this->other_owner &&
-             this->observed_record->revision == this->other_owner->revision) {
+  } else if (!observed && this->observed_record && this->last_owner &&
+             this->observed_record->revision == this->last_owner->revision) {
     this->record_gone_at = now;
+  } else if (!observed && !this->observed_record &&
+             now - this->record_gone_at < kOwnerLease) {
+    this->record_gone_at = now;  // still gone
   }
   if (this->state == State::kOwner) {
     if (!observed) {
       // The lease has expired. The next claim gets a higher fencing token.
       this->observed_record = observed;
+      this->NoteOwnTerm(now);
       this->LoseOwnership("record_removed", now);
     } else if (!is_own) {
       this->observed_record = observed;
@@ -238,6 +254,7 @@
     this->renewals_fail = false;
   } else if (result == StoreCallResult::kMissing) {
     this->observed_record.reset();
+    this->NoteOwnTerm(now);
     this->LoseOwnership("lease_ended", now);
   } else {
     // While the store is unavailable no instance can take over, so the owner
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -172,7 +172,7 @@
   /*! @brief The owner before this one; unset if there may have been another one
    * that was not observed. */
   [[nodiscard]] const std::optional<OwnerRecord>& predecessor() const {
-    return this->other_owner;
+    return this->last_owner;
   }
   /*! @brief Time until which HoldsValidLease is true unless a renewal extends
    * it; of the current or last term. */
@@ -197,6 +197,7 @@
   void BecomeFollower(Time claim_at);
   void BecomeOwner(std::uint64_t revision, Time now);
   void NotePredecessor(Time now);
+  void NoteOwnTerm(Time now);
   void LoseOwnership(const std::string& reason, Time now);
 
   OwnerRecord record;
@@ -204,9 +205,9 @@
   State state = State::kFollower;
   std::optional<OwnerRecord> observed_record;
   bool record_read = false;  // the owner record was read at least once
-  // The last owner observed apart from this process, and when its record was
-  // observed to be gone.
-  std::optional<OwnerRecord> other_owner;
+  // The last owner known before the next term of this process, and until when
+  // its record was there or observed to be gone.
+  std::optional<OwnerRecord> last_owner;
   Time record_gone_at;
   std::uint64_t counted_fence = 0;  // of the owner that counts this process
   Time counted_until;
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -251,6 +251,28 @@
   BOOST_TEST(!ownership.predecessor());
 }
 
+// Guards against an owner that loses its lease for a moment and then holds all
+// work back, as if another one might go on.
+BOOST_AUTO_TEST_CASE(OwnTermIsThePredecessorForAMomentAfterItsLease) {
+  for (const bool at_once : {true, false}) {
+    Fixture fixture;
+    Ownership& again = fixture.ownership;
+    fixture.BecomeOwner();
+    again.OnRenewal(StoreCallResult::kOk, fixture.now, fixture.now);
+    fixture.now = again.lease_until();
+    if (!at_once) {
+      fixture.now += kOwnerLease;
+    }
+    again.OnRenewal(StoreCallResult::kMissing, fixture.now, fixture.now);
+    fixture.After(270);
+    again.OnLease(StoreCallResult::kOk, 8, fixture.now);
+    again.OnClaim(StoreCallResult::kOk, 60, fixture.now);
+    BOOST_TEST(again.owner());
+    const Time until = at_once ? fixture.now : fixture.now + kMaxOutage;
+    BOOST_TEST((again.predecessor_orders_until() == until));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(LosesOwnershipWhenItsLeaseEndsOrAnotherOwnsTheFleet) {
   BecomeOwner();
   static_cast<void>(ownership.TakeEffects());
