Store the last owner, so that a successor knows whom it waits for

Each owner now stores itself under kch/last-owner, without a lease, before its first order; a successor reads that record in its takeover. It does not wait if the record is of an owner that counted it, of an earlier process of its own instance, or absent, and goes on waiting in a term that follows its own.

Also from the review: a suspended process no longer relies on being counted; a contact is dated when it is received; a report ends the wait only if its process follows this owner; a claim that is carried out after the grant of a lease waits for the end of that lease; the wait has a margin for the clock's rate.

Tests: PredecessorMayOrderUnlessItCountsItsSuccessor (extended), LastOwnerRoundTrips. OwnTermIsThePredecessorForAMomentAfterItsLease goes with the rule that it tested; its case, a second term of one process, is checked for both outcomes in the former.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -283,6 +283,7 @@
 // that of the lease included, is too short. A successor may own the fleet.
 void Driver::OnWake(Time now) {
   net::LogEvent("resumed", {});
+  this->ownership.OnRecordMissed();
   if (this->ownership.owner()) {
     this->ownership.OnSuperseded(now);
     this->Perform(this->ownership.TakeEffects());
@@ -453,9 +454,11 @@
            },
        .on_listed =
            [this, seen] {
-             this->Post([this] { this->ownership.OnRecordMissed(); });
              if (!*seen) {
-               this->Post([this] { this->OnOwnerItem(std::nullopt); });
+               this->Post([this] {
+                 this->ownership.OnRecordMissed();
+                 this->OnOwnerItem(std::nullopt);
+               });
              }
            },
        .on_reachable = [](bool) {}});
@@ -542,14 +545,14 @@
 
 void Driver::OnFollowerReport(const relay::Report& report) {
   const std::string& instance = report.instance.str();
+  if (report.fence != this->fence) {
+    return;
+  }
   if (const auto& before = this->ownership.predecessor();
       before && before->instance == instance &&
       before->incarnation != report.incarnation) {
     this->scheduler->SetPredecessorEnd(Now());
   }
-  if (report.fence != this->fence) {
-    return;
-  }
   if (report.leaving) {
     this->ownership.followers().OnLeaving(instance, report.incarnation);
   } else if (report.lease_granted_ms != 0) {
@@ -561,8 +564,8 @@
 
 void Driver::OnOwnerContact(std::uint64_t owner_fence,
                             std::int64_t lease_request_ms) {
-  this->Post([this, owner_fence, lease_request_ms] {
-    this->ownership.OnOwnerContact(owner_fence, Now());
+  this->Post([this, owner_fence, lease_request_ms, received = Now()] {
+    this->ownership.OnOwnerContact(owner_fence, received);
     if (lease_request_ms != 0 &&
         this->ownership.GrantLease(owner_fence, Now())) {
       this->parts.relay.ReportGrant(owner_fence, lease_request_ms);
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -51,6 +51,8 @@
   bool kept_known = false;
   std::vector<jobs::VmFacts> kept_vms;
   bool orders_known = false;
+  bool last_owner_stored =
+      false;  // this process, after the one before was read
   bool ended_known = false;
   std::vector<std::pair<VmId, std::int64_t>> ended_vms;  // with boot times
   std::vector<jobs::JobSpec> early_jobs;
@@ -137,6 +139,8 @@
   void ReadEndedVms(std::uint64_t fence);
   void ReadWaves(std::uint64_t fence);
   void ReadOrders(std::uint64_t fence);
+  void ReadLastOwner(std::uint64_t fence);
+  void StoreAsLastOwner(std::uint64_t fence);
   void OnWave(const platform::Item& item);
   void FollowIntake(std::uint64_t fence);
   void FollowVms(std::uint64_t fence);
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -188,6 +188,31 @@
 
 }  // namespace
 
+// Repeated until it is known: the takeover waits for it.
+void Driver::StoreAsLastOwner(std::uint64_t by) {
+  platform::Transaction transaction = OwnersTransaction(by);
+  transaction.puts.push_back(
+      {std::string(kLastOwnerKey),
+       lead::EncodeWithRevision(*this->ownership.observed_owner()), 0});
+  this->parts.store.Write(
+      transaction, kWriteTimeoutMs,
+      [this, by](const platform::WriteReply& reply) {
+        this->PostFor(by, [this, by, outcome = reply.outcome] {
+          if (outcome == Outcome::kOk) {
+            this->takeover->last_owner_stored = true;
+            this->FinishTakeover();
+          } else if (outcome == Outcome::kConflict) {
+            this->ownership.OnSuperseded(Now());
+            this->Perform(this->ownership.TakeEffects());
+          } else {
+            this->parts.client.Delay(kKeptRetryMs, [this, by] {
+              this->PostFor(by, [this, by] { this->StoreAsLastOwner(by); });
+            });
+          }
+        });
+      });
+}
+
 void LeadEffectVisitor::operator()(const lead::CreateLease& /*effect*/) const {
   this->driver.parts.store.CreateLease(
       ToMs(lead::kOwnerLease),
--- a/src/app/fleet/keys.h
+++ b/src/app/fleet/keys.h
@@ -11,6 +11,8 @@
 // Records of this system in the store. Jobs and cancellations share a prefix,
 // so that one watch follows both.
 inline constexpr std::string_view kOwnerKey = "kch/owner";
+// The last process that completed a takeover; without a lease.
+inline constexpr std::string_view kLastOwnerKey = "kch/last-owner";
 inline constexpr std::string_view kIntakePrefix = "kch/in/";
 inline constexpr std::string_view kJobPrefix = "kch/in/job/";
 inline constexpr std::string_view kCancelPrefix = "kch/in/stop/";
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -39,18 +39,11 @@
   this->takeover.emplace();
   this->takeover->since = Now();
   this->parts.metrics.Count("takeovers");
-  net::LogEvent(
-      "owner_gained",
-      {{"fence", std::to_string(gained)},
-       {"predecessor_orders_ms",
-        std::to_string(std::max<std::int64_t>(
-            0, ToMs(this->ownership.predecessor_orders_until() - Now())))}});
+  net::LogEvent("owner_gained", {{"fence", std::to_string(gained)}});
   if (this->fleet_config) {
     this->scheduler->SetConfig(*this->fleet_config, Now());
   }
   this->scheduler->SetUnavailableZones(this->zones_out);
-  this->scheduler->SetPredecessorEnd(
-      this->ownership.predecessor_orders_until());
   this->planner = std::make_unique<upkeep::Planner>(
       this->options.upkeep_limits,
       Now() + this->options.upkeep_limits.handover_period);
@@ -68,6 +61,7 @@
   this->ReadEndedVms(gained);
   this->ReadWaves(gained);
   this->ReadOrders(gained);
+  this->ReadLastOwner(gained);
   this->ReadProgress(gained);
   this->FollowIntake(gained);
   this->FollowVms(gained);
@@ -197,6 +191,33 @@
       });
 }
 
+// A process that has not stored itself as the last owner has given no orders.
+void Driver::ReadLastOwner(std::uint64_t by) {
+  this->ReadAll(
+      kLastOwnerKey, by, [this, by](const std::vector<platform::Item>& items) {
+        std::optional<lead::OwnerRecord> last;
+        if (!items.empty()) {
+          auto decoded = lead::DecodeLastOwner(items.front().value);
+          if (decoded) {
+            last = *std::move(decoded);
+          } else {
+            net::LogEvent("owner_unreadable",
+                          {{"error", decoded.error().Text()}});
+            last.emplace();  // some owner that is not known
+          }
+        }
+        const Time now = Now();
+        this->ownership.OnLastOwner(last, now);
+        const Time until = this->ownership.predecessor_orders_until();
+        this->scheduler->SetPredecessorEnd(until);
+        net::LogEvent("last_owner",
+                      {{"instance", last ? last->instance : ""},
+                       {"fence", std::to_string(last ? last->revision : 0)},
+                       {"orders_ms", std::to_string(ToMs(until - now))}});
+        this->StoreAsLastOwner(by);
+      });
+}
+
 void Driver::ReadProgress(std::uint64_t by) {
   this->ReadAll(kProgressPrefix, by,
                 [this](const std::vector<platform::Item>& items) {
@@ -356,7 +377,7 @@
   if (!this->takeover->progress_known || !this->takeover->intake_known ||
       !this->takeover->vms_known || !this->takeover->waves_known ||
       !this->takeover->kept_known || !this->takeover->ended_known ||
-      !this->takeover->orders_known) {
+      !this->takeover->orders_known || !this->takeover->last_owner_stored) {
     return;
   }
   const Time begun = Now();
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -31,6 +31,22 @@
   }
 }
 
+std::string EncodeWithRevision(const OwnerRecord& record) {
+  auto row = nlohmann::json::parse(Encode(record));
+  row["revision"] = record.revision;
+  return row.dump();
+}
+
+Result<OwnerRecord> DecodeLastOwner(std::string_view text) {
+  const auto row = nlohmann::json::parse(text, nullptr, false);
+  if (!row.is_object() || !row.contains("revision") ||
+      !row["revision"].is_number_unsigned()) {
+    return Fail(ErrorKind::kCorrupt, "record of the last owner has no revision",
+                "wait for the next owner, which writes a new record");
+  }
+  return DecodeOwner(text, row["revision"].get<std::uint64_t>());
+}
+
 Duration CandidateDelay(double cores, const std::string& incarnation) {
   constexpr std::size_t jitter_steps = 64;
   const double jitter =
@@ -53,7 +69,8 @@
 }
 
 void Ownership::BecomeOwner(std::uint64_t revision, Time now) {
-  this->NotePredecessor(now);
+  this->gained_counted_fence = std::exchange(this->counted_fence, 0);
+  this->last_owner.reset();
   this->follower_leases = {};
   this->record.revision = revision;
   this->observed_record = this->record;
@@ -66,21 +83,22 @@
   this->effects.emplace_back(OwnershipGained{revision});
 }
 
-// An owner that this process has not observed owns the fleet for a lease at
-// least, so for a shorter time after the end of a record no other one can have
-// followed.
-void Ownership::NotePredecessor(Time now) {
-  const bool replaced = this->record_gone_at == Time();
-  if (!replaced && now - this->record_gone_at >= kOwnerLease) {
-    this->last_owner.reset();
+// What this process waited for in its last term may still be under way. A claim
+// that is carried out late may follow the grant of a lease.
+void Ownership::OnLastOwner(const std::optional<OwnerRecord>& last, Time now) {
+  this->last_owner = last;
+  const bool own_term = last && last->incarnation == this->record.incarnation;
+  const bool ended = last && last->instance == this->record.instance;
+  const bool counted = last && this->gained_counted_fence != 0 &&
+                       last->revision == this->gained_counted_fence &&
+                       now < this->counted_until;
+  Time until = std::max(now, this->no_claim_until);
+  if (own_term) {
+    until = std::max(until, this->predecessor_until);
+  } else if (last && !ended && !counted) {
+    until = now + kPredecessorWait;
   }
-  const bool ended =
-      this->last_owner && this->last_owner->instance == this->record.instance;
-  const bool counted = this->last_owner && now < this->counted_until &&
-                       this->counted_fence == this->last_owner->revision;
-  this->predecessor_until = ended || counted ? now : now + kMaxOutage;
-  this->record_gone_at = now;
-  this->counted_fence = 0;
+  this->predecessor_until = until;
 }
 
 bool Ownership::MayOrder(Time now) const {
@@ -113,18 +131,6 @@
   return true;
 }
 
-// The record was in the store while the lease was valid, and no follower claims
-// under a lease that it has granted, so this process's own term was the last
-// one until then.
-void Ownership::NoteOwnTerm(Time now) {
-  Time last = this->valid_until;
-  if (this->follower_leases.size() > 0) {
-    last = std::max(last, this->follower_leases.held_until());
-  }
-  this->last_owner = this->record;
-  this->record_gone_at = std::min(last, now);
-}
-
 void Ownership::LoseOwnership(const std::string& reason, Time now) {
   this->effects.emplace_back(OwnershipLost{reason});
   this->BecomeFollower(now + kClaimRetryInterval + this->claim_delay);
@@ -134,21 +140,10 @@
   this->record_read = true;
   const bool is_own =
       observed && observed->incarnation == this->record.incarnation;
-  if (observed && !is_own) {
-    this->last_owner = observed;
-    this->record_gone_at = Time();
-  } else if (!observed && this->observed_record && this->last_owner &&
-             this->observed_record->revision == this->last_owner->revision) {
-    this->record_gone_at = now;
-  } else if (!observed && !this->observed_record &&
-             now - this->record_gone_at < kOwnerLease) {
-    this->record_gone_at = now;  // still gone
-  }
   if (this->state == State::kOwner) {
     if (!observed) {
       // The lease has expired. The next claim gets a higher fencing token.
       this->observed_record = observed;
-      this->NoteOwnTerm(now);
       this->LoseOwnership("record_removed", now);
     } else if (!is_own) {
       this->observed_record = observed;
@@ -254,7 +249,6 @@
     this->renewals_fail = false;
   } else if (result == StoreCallResult::kMissing) {
     this->observed_record.reset();
-    this->NoteOwnTerm(now);
     this->LoseOwnership("lease_ended", now);
   } else {
     // While the store is unavailable no instance can take over, so the owner
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -32,6 +32,9 @@
 /*! @brief An owner whose lease has expired gives orders for at most this long,
  * however long the store is away. */
 inline constexpr Duration kMaxOutage = std::chrono::seconds(20);
+/*! @brief The same for its successor, whose clock may be faster. */
+inline constexpr Duration kPredecessorWait =
+    kMaxOutage + std::chrono::milliseconds(500);
 /*! @brief A follower's clock may be faster than the owner's by this much in a
  * follower lease. */
 inline constexpr Duration kFollowerLeaseMargin = std::chrono::milliseconds(50);
@@ -62,6 +65,10 @@
 
 /*! @brief Encodes a record as JSON, without its revision. */
 [[nodiscard]] std::string Encode(const OwnerRecord& record);
+/*! @brief The same with the revision, for a record of the last owner. */
+[[nodiscard]] std::string EncodeWithRevision(const OwnerRecord& record);
+/*! @brief Decodes what EncodeWithRevision returned; fails with kCorrupt. */
+[[nodiscard]] Result<OwnerRecord> DecodeLastOwner(std::string_view text);
 /*! @brief Decodes a record; fails with kCorrupt if the text is invalid. */
 [[nodiscard]] Result<OwnerRecord> DecodeOwner(std::string_view text,
                                               std::uint64_t revision);
@@ -133,8 +140,8 @@
   void OnClaim(StoreCallResult result, std::uint64_t revision, Time now);
   /*! @brief RenewLease, sent at `sent`, has returned. */
   void OnRenewal(StoreCallResult result, Time sent, Time now);
-  /*! @brief The record may have changed unnoticed since it was last observed.
-   */
+  /*! @brief The record was listed as absent, or this process was suspended: an
+   * owner may have followed unnoticed. */
   void OnRecordMissed();
   /*! @brief The owner with this fence has sent a message to this process, which
    * it counts as a follower. */
@@ -163,14 +170,16 @@
    * the store is away, and no follower claims meanwhile. False after a longer
    * pause, until a renewal succeeds: a successor may have taken over. */
   [[nodiscard]] bool MayOrder(Time now) const;
-  /*! @brief Time until which the owner before this one may have given orders:
-   * that of the gain if it counted this process as a follower or has certainly
-   * ended, else kMaxOutage later. Of the current or last term. */
+  /*! @brief The owner before this term, as it stored itself; unset if there was
+   * none. Called in a takeover. */
+  void OnLastOwner(const std::optional<OwnerRecord>& last, Time now);
+  /*! @brief Time until which an earlier owner may have given orders: that of
+   * OnLastOwner if it counted this process as a follower or has certainly
+   * ended, else kPredecessorWait later. */
   [[nodiscard]] Time predecessor_orders_until() const {
     return this->predecessor_until;
   }
-  /*! @brief The owner before this one; unset if there may have been another one
-   * that was not observed. */
+  /*! @brief As passed to OnLastOwner. */
   [[nodiscard]] const std::optional<OwnerRecord>& predecessor() const {
     return this->last_owner;
   }
@@ -196,8 +205,6 @@
 
   void BecomeFollower(Time claim_at);
   void BecomeOwner(std::uint64_t revision, Time now);
-  void NotePredecessor(Time now);
-  void NoteOwnTerm(Time now);
   void LoseOwnership(const std::string& reason, Time now);
 
   OwnerRecord record;
@@ -205,11 +212,9 @@
   State state = State::kFollower;
   std::optional<OwnerRecord> observed_record;
   bool record_read = false;  // the owner record was read at least once
-  // The last owner known before the next term of this process, and until when
-  // its record was there or observed to be gone.
-  std::optional<OwnerRecord> last_owner;
-  Time record_gone_at;
+  std::optional<OwnerRecord> last_owner;  // before this term
   std::uint64_t counted_fence = 0;  // of the owner that counts this process
+  std::uint64_t gained_counted_fence = 0;  // the same, when this term began
   Time counted_until;
   Time no_claim_until;  // a lease was granted to the owner
   Time predecessor_until;
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -218,58 +218,69 @@
 
 // Guards against a successor that takes the work of an owner for ended which
 // goes on without it: one that was not counted as a follower assumes the
-// longest outage.
+// longest outage. Guards as well against one that waits although it knows
+// better, which holds work back.
 BOOST_AUTO_TEST_CASE(PredecessorMayOrderUnlessItCountsItsSuccessor) {
-  const auto succeed = [this](std::uint64_t revision) {
-    After(20);
+  const auto gain = [this](std::uint64_t revision) {
+    ownership.OnRecord(std::nullopt, now);
+    After(300);
     ownership.OnLease(StoreCallResult::kOk, 7, now);
     ownership.OnClaim(StoreCallResult::kOk, revision, now);
+    BOOST_TEST(ownership.owner());
   };
-  ownership.OnRecord(other, now);
-  ownership.OnOwnerContact(other.revision, now);
-  ownership.OnRecord(std::nullopt, now);
-  succeed(50);
-  BOOST_TEST((ownership.predecessor_orders_until() == now));
-  BOOST_TEST(ownership.predecessor()->instance == "b");
-  // Another term, whose owner has not sent anything.
-  OwnerRecord next = other;
-  next.revision = 60;
-  ownership.OnRecord(next, now);
-  ownership.OnRecord(std::nullopt, now);
-  After(300);
-  succeed(70);
-  BOOST_TEST((ownership.predecessor_orders_until() == now + kMaxOutage));
-  BOOST_TEST(ownership.predecessor()->instance == "b");
-  // Counted, but for so long without a record that others may have followed.
-  next.revision = 80;
-  ownership.OnRecord(next, now);
-  ownership.OnOwnerContact(next.revision, now);
-  ownership.OnRecord(std::nullopt, now);
-  now += kOwnerLease;
-  succeed(90);
-  BOOST_TEST((ownership.predecessor_orders_until() == now + kMaxOutage));
-  BOOST_TEST(!ownership.predecessor());
+  const auto orders_for = [this](const std::optional<OwnerRecord>& last) {
+    ownership.OnLastOwner(last, now);
+    return ownership.predecessor_orders_until() - now;
+  };
+  gain(50);
+  BOOST_TEST((orders_for(std::nullopt) == Duration::zero()));
+  BOOST_TEST((orders_for(OwnerRecord{}) == kPredecessorWait));
+  const auto follow = [this](std::uint64_t revision) {
+    other.revision = revision;
+    ownership.OnRecord(other, now);
+    ownership.OnOwnerContact(revision, now);
+  };
+  follow(60);
+  gain(70);
+  BOOST_TEST((orders_for(other) == Duration::zero()));
+  // Another owner followed unnoticed, or this process may have missed it.
+  follow(80);
+  gain(90);
+  OwnerRecord unseen = other;
+  unseen.revision = 85;
+  BOOST_TEST((orders_for(unseen) == kPredecessorWait));
+  follow(100);
+  ownership.OnRecordMissed();
+  gain(110);
+  BOOST_TEST((orders_for(other) == kPredecessorWait));
+  // Counted too long ago.
+  follow(120);
+  now += kCountedTime;
+  gain(130);
+  BOOST_TEST((orders_for(other) == kPredecessorWait));
+  // The wait of a term goes on in the next one of the same process.
+  const Time until = ownership.predecessor_orders_until();
+  OwnerRecord own{.instance = "a", .incarnation = "a-1", .revision = 130};
+  ownership.OnRenewal(StoreCallResult::kMissing, now, now);
+  gain(140);
+  orders_for(own);
+  BOOST_TEST((ownership.predecessor_orders_until() == until));
+  now = until;
+  ownership.OnRenewal(StoreCallResult::kMissing, now, now);
+  gain(150);
+  BOOST_TEST((orders_for(own) == Duration::zero()));
+  // An earlier process of this instance has ended.
+  own.incarnation = "a-0";
+  BOOST_TEST((orders_for(own) == Duration::zero()));
 }
 
-// Guards against an owner that loses its lease for a moment and then holds all
-// work back, as if another one might go on.
-BOOST_AUTO_TEST_CASE(OwnTermIsThePredecessorForAMomentAfterItsLease) {
-  for (const bool at_once : {true, false}) {
-    Fixture fixture;
-    Ownership& again = fixture.ownership;
-    fixture.BecomeOwner();
-    again.OnRenewal(StoreCallResult::kOk, fixture.now, fixture.now);
-    fixture.now = again.lease_until();
-    if (!at_once) {
-      fixture.now += kOwnerLease;
-    }
-    again.OnRenewal(StoreCallResult::kMissing, fixture.now, fixture.now);
-    fixture.After(270);
-    again.OnLease(StoreCallResult::kOk, 8, fixture.now);
-    again.OnClaim(StoreCallResult::kOk, 60, fixture.now);
-    BOOST_TEST(again.owner());
-    const Time until = at_once ? fixture.now : fixture.now + kMaxOutage;
-    BOOST_TEST((again.predecessor_orders_until() == until));
+BOOST_AUTO_TEST_CASE(LastOwnerRoundTrips) {
+  const auto read = DecodeLastOwner(EncodeWithRevision(other));
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((*read == other));
+  for (const std::string text : {"", "7", "{}", R"({"revision":-1})",
+                                 R"({"revision":1})", R"({"instance":"b"})"}) {
+    BOOST_TEST(!DecodeLastOwner(text).has_value());
   }
 }
 
