Let candidates count their delays from the end of the owner's record

Cause: a follower claimed once its lease to the owner had ended. Followers grant at times that differ by more than their candidate delays, so a small machine could claim before the larger ones. They observe the end of the record together, and count the lease and their delay from there now.

LeasesDoNotChangeTheOrderOfCandidates failed before.

--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -182,7 +182,12 @@
   // An earlier process of this instance has certainly terminated, so its record
   // is replaced without waiting for its lease to expire.
   if (!observed || observed->instance == this->record.instance) {
-    this->BecomeFollower(now + this->claim_delay);
+    // Followers grant leases at different times but observe the end of the
+    // record together, so candidates count their delays from there.
+    const Duration granted = now < this->no_claim_until
+                                 ? kFollowerLease + kFollowerLeaseMargin
+                                 : Duration::zero();
+    this->BecomeFollower(now + granted + this->claim_delay);
   } else {
     this->claim_scheduled = false;
   }
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -216,6 +216,31 @@
   BOOST_TEST(!ownership.GrantLease(other.revision, now));
 }
 
+// Guards against a small machine that owns the fleet after a cut of the owner,
+// since its lease to that owner ends before those of the larger ones.
+BOOST_AUTO_TEST_CASE(LeasesDoNotChangeTheOrderOfCandidates) {
+  Ownership large({.instance = "l", .incarnation = "l-1"}, kClaimDelay);
+  Ownership small({.instance = "s", .incarnation = "s-1"}, 10 * kClaimDelay);
+  for (Ownership* candidate : {&large, &small}) {
+    candidate->OnRecord(other, now);
+  }
+  BOOST_TEST(small.GrantLease(other.revision, now));
+  now += kFollowerLeaseInterval;
+  BOOST_TEST(large.GrantLease(other.revision, now));
+  for (Ownership* candidate : {&large, &small}) {
+    candidate->OnRecord(std::nullopt, now);
+  }
+  const auto claims = [this](Ownership& candidate) {
+    candidate.Tick(now);
+    return Find<CreateLease>(candidate.TakeEffects()) != nullptr;
+  };
+  while (!claims(large)) {
+    BOOST_TEST(!claims(small));
+    now += std::chrono::milliseconds(5);
+  }
+  BOOST_TEST(!claims(small));
+}
+
 // Guards against a successor that takes the work of an owner for ended which
 // goes on without it: one that was not counted as a follower assumes the
 // longest outage. Guards as well against one that waits although it knows
