--- a/fake/fleet/fleet_platform.cc
+++ b/fake/fleet/fleet_platform.cc
@@ -232,8 +232,8 @@
 
 void FleetPlatform::RequestWave(int number,
                                 std::vector<std::string> names,
-                                int most) {
-  constexpr int length_s = 30;
+                                int most,
+                                int length_s) {
   const json wave{{"Wave", number},
                   {"Machines", std::move(names)},
                   {"DurationS", length_s},
--- a/fake/fleet/fleet_platform.h
+++ b/fake/fleet/fleet_platform.h
@@ -69,8 +69,11 @@
   void PublishConfig();
   /*! @brief Writes or removes a VM's registration. */
   void Register(const std::string& vm, bool present = true);
-  /*! @brief Requests that machines have their upkeep. */
-  void RequestWave(int number, std::vector<std::string> machines, int most);
+  /*! @brief Requests that machines have their upkeep within `length_s`. */
+  void RequestWave(int number,
+                   std::vector<std::string> machines,
+                   int most,
+                   int length_s = 30);
   /*! @brief Most machines that were away for upkeep at once. */
   [[nodiscard]] int most_away();
 
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -413,6 +413,45 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against a second run of tasks on a machine that had its upkeep under a
+// predecessor: the platform answers a repeated order as done and ends nothing.
+BOOST_AUTO_TEST_CASE(RepeatedUpkeepOrderRepeatsNoTask) {
+  PlatformFleet fleet(3, {.vms = 2});
+  // The record of the wave is never stored, so the successor orders anew.
+  fleet.platform->SetFaults([](const std::string& call,
+                               const std::string& body) {
+    return call == "store/kv-txn" && body.find("kch/wave/") != std::string::npos
+               ? CallFault::kRefuse
+               : CallFault::kNone;
+  });
+  fleet.platform->RequestWave(1, {"m0"}, 1, 5);
+  fleet.WaitFor("the machine's next VM", [&] {
+    return fleet.platform
+        ->With([](fake::VmModel&, const fake::KeyStore& store) {
+          return store.Value("servers/vm0-1");
+        })
+        .has_value();
+  });
+  // All tasks start on that VM, and there is room for them on the other one.
+  fleet.platform->Register("vm1", false);
+  const std::size_t owner = fleet.WaitForOwner();
+  fleet.WaitFor("the removal of the other VM", [&] {
+    return fleet.Log(owner).find("vm_removed") != std::string::npos;
+  });
+  const jobs::JobSpec job = PlainJob("a", 8, 9000);
+  fleet.Accept(job);
+  fleet.WaitFor("the tasks", [&] { return AllRun(fleet, job); });
+  fleet.platform->Register("vm1");
+  fleet.Signal(owner, SIGTERM);
+  const std::size_t successor = WaitForSuccessor(fleet, owner);
+  fleet.WaitFor("the repeated order", [&] {
+    return fleet.Log(successor).find("upkeep_order") != std::string::npos;
+  });
+  fleet.WaitForCompleted({job});
+  BOOST_TEST(fleet.starts() == 8);
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 // Guards against entries of another writer among those of the VMs that end the
 // processes that read them, stop them from following the list, or delay a
 // takeover.
