Let the machine list tell which VMs an order has ended

Cause: the platform answers an order to a machine with 200 also if it had carried it out before, and Planner and Mover took that for the end of the VM that is on the machine now. A successor whose predecessor could not store the wave's record repeats the order, so the runs of the machine's new VM started elsewhere while they worked on. Class: an answer that is true of the past, taken for the present.

Now a VM ends for the scheduler once a list whose reading began after the answer shows the machine under its order or with another VM (OrderedVms). If the list shows the VM at work, it takes tasks again. Machines are stored with the VMs that they run before they are ordered, so that a successor, too, finds out from the list which of them have ended.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -241,8 +241,8 @@
     }
     std::set<jobs::MachineId> busy = this->planner->claimed();
     busy.merge(this->gate->BlockedMachines(now));
-    this->mover->Tick(this->planner->machines(), busy, this->zones_out, pools,
-                      load_of, now);
+    this->mover->Tick(this->planner->machines(), this->planner->list_read_at(),
+                      busy, this->zones_out, pools, load_of, now);
     if (!this->mover->moving().empty()) {
       this->planner->RequestEarlyRead(now);
     }
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -484,7 +484,7 @@
     const upkeep::StoreOrderedMachines& effect) const {
   platform::Transaction transaction = OwnersTransaction(this->fence);
   transaction.puts.push_back(
-      {std::string(kOrdersKey), EncodeMachines(effect.machines), 0});
+      {std::string(kOrdersKey), EncodeOrders(effect.machines), 0});
   this->driver.parts.store.Write(
       transaction, kWriteTimeoutMs,
       [&driver = this->driver,
--- a/src/app/fleet/machines_record.cc
+++ b/src/app/fleet/machines_record.cc
@@ -5,28 +5,72 @@
 #include "net/net.h"
 
 namespace kch::app {
+namespace {
+
+using nlohmann::json;
+
+json Parse(std::string_view text) {
+  json record = json::parse(text, nullptr, false);
+  if (!record.is_object()) {
+    net::LogEvent("machines_unreadable",
+                  {{"remedy", "none needed; the next write replaces it"}});
+    return json::object();
+  }
+  return record;
+}
+
+std::set<jobs::MachineId> MachinesOf(const json& record) {
+  std::set<jobs::MachineId> machines;
+  for (const auto& name : record.value("machines", json::array())) {
+    if (name.is_string()) {
+      machines.insert(jobs::MachineId(name.get<std::string>()));
+    }
+  }
+  return machines;
+}
+
+}  // namespace
 
 std::string EncodeMachines(const std::set<jobs::MachineId>& machines) {
-  nlohmann::json names = nlohmann::json::array();
+  json names = json::array();
   for (const jobs::MachineId& machine : machines) {
     names.push_back(machine.str());
   }
-  return nlohmann::json{{"machines", names}}.dump();
+  return json{{"machines", names}}.dump();
 }
 
 // A machine whose upkeep is forgotten is drained and ordered again, which the
 // platform answers without taking it out a second time.
 std::set<jobs::MachineId> DecodeMachines(std::string_view text) {
-  std::set<jobs::MachineId> machines;
-  const auto record = nlohmann::json::parse(text, nullptr, false);
-  if (!record.is_object()) {
-    net::LogEvent("machines_unreadable",
-                  {{"remedy", "none needed; the next write replaces it"}});
-    return machines;
+  return MachinesOf(Parse(text));
+}
+
+// Processes of earlier versions read the names alone.
+std::string EncodeOrders(const upkeep::OrderedMachines& machines) {
+  json names = json::array();
+  json vms = json::object();
+  for (const auto& [machine, vm] : machines) {
+    names.push_back(machine.str());
+    if (!vm.empty()) {
+      vms[machine.str()] = vm.str();
+    }
   }
-  for (const auto& name : record.value("machines", nlohmann::json::array())) {
-    if (name.is_string()) {
-      machines.insert(jobs::MachineId(name.get<std::string>()));
+  return json{{"machines", std::move(names)}, {"vms", std::move(vms)}}.dump();
+}
+
+upkeep::OrderedMachines DecodeOrders(std::string_view text) {
+  const json record = Parse(text);
+  upkeep::OrderedMachines machines;
+  for (const jobs::MachineId& machine : MachinesOf(record)) {
+    machines[machine];
+  }
+  const auto vms = record.find("vms");
+  if (vms != record.end() && vms->is_object()) {
+    for (const auto& [name, vm] : vms->items()) {
+      const auto known = machines.find(jobs::MachineId(name));
+      if (known != machines.end() && vm.is_string()) {
+        known->second = VmId(vm.get<std::string>());
+      }
     }
   }
   return machines;
--- a/src/app/fleet/machines_record.h
+++ b/src/app/fleet/machines_record.h
@@ -9,13 +9,18 @@
 
 namespace kch::app {
 
-/*! @brief A record that names machines: those of a wave whose upkeep has begun,
- * or those ordered lately. */
+/*! @brief A record that names the machines of a wave whose upkeep has begun. */
 [[nodiscard]] std::string EncodeMachines(
     const std::set<jobs::MachineId>& machines);
 /*! @brief Reads it; unreadable records name no machine. */
 [[nodiscard]] std::set<jobs::MachineId> DecodeMachines(std::string_view text);
 
+/*! @brief A record of the machines that may have been ordered lately, and of
+ * their VMs at that time. */
+[[nodiscard]] std::string EncodeOrders(const upkeep::OrderedMachines& machines);
+/*! @brief Reads it, also as earlier versions wrote it, without VMs. */
+[[nodiscard]] upkeep::OrderedMachines DecodeOrders(std::string_view text);
+
 }  // namespace kch::app
 
 #endif  // APP_FLEET_MACHINES_RECORD_H_
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -184,7 +184,9 @@
   this->ReadAll(
       kOrdersKey, by, [this](const std::vector<platform::Item>& items) {
         for (const platform::Item& item : items) {
-          this->gate->SetPredecessorMachines(DecodeMachines(item.value), Now());
+          auto machines = DecodeOrders(item.value);
+          this->planner->SetPredecessorOrders(machines, Now());
+          this->gate->SetPredecessorMachines(std::move(machines), Now());
         }
         this->takeover->orders_known = true;
         this->FinishTakeover();
--- a/src/upkeep/effect.h
+++ b/src/upkeep/effect.h
@@ -28,18 +28,21 @@
 struct OrderUpkeep {
   MachineId machine;
   WaveId wave;
+  VmId vm{};  // that the machine runs, as far as known
 };
 /*! @brief Orders the platform to move a machine to another pool. */
 struct OrderMove {
   MachineId machine;
   PoolId to;
+  VmId vm{};  // that the machine runs, as far as known
 };
 /*! @brief Persists the machines that may have been ordered within the handover
  * period. */
 struct StoreOrderedMachines {
-  std::set<MachineId> machines;
+  OrderedMachines machines;
 };
-/*! @brief An order terminated a VM and with it all tasks on it. */
+/*! @brief A VM has ended with its machine's order, and with it all tasks on it.
+ */
 struct VmTerminated {
   VmId vm;
 };
--- a/src/upkeep/machine.h
+++ b/src/upkeep/machine.h
@@ -33,6 +33,10 @@
 /*! @brief The platform's machine list by id. */
 using MachineList = std::map<MachineId, Machine>;
 
+/*! @brief Machines and the VMs that they ran when they were ordered; an empty
+ * VM stands for none or one that is not known. */
+using OrderedMachines = std::map<MachineId, VmId>;
+
 /*! @brief Load of a VM, and utilization of its pool without the VM. */
 struct VmLoad {
   std::size_t runs = 0;  // task runs on the VM
--- a/src/upkeep/mover.cc
+++ b/src/upkeep/mover.cc
@@ -55,6 +55,10 @@
                          machine->second.state == MachineState::kUp;
     const bool overdue = now - move.ordered > 4 * this->limits.move_duration;
     if (move.done && (arrived || overdue || machine == machines.end())) {
+      if (machine != machines.end() && machine->second.vm == move.vm) {
+        // The order had been carried out before this VM began.
+        this->effects.emplace_back(SetCordon{move.vm, false});
+      }
       this->cooldown_until[row->first] = now + this->limits.cooldown;
       row = this->moves.erase(row);
     } else {
@@ -194,16 +198,20 @@
 }
 
 void Mover::Tick(const MachineList& machines,
+                 Time read_at,
                  const std::set<MachineId>& busy,
                  const std::set<ZoneId>& excluded_zones,
                  const std::map<PoolId, PoolDemand>& pools,
                  const VmLoadLookup& load_of,
                  Time now) {
+  for (const VmId& vm : this->ordered_vms.TakeEnded(machines, read_at)) {
+    this->effects.emplace_back(VmTerminated{vm});
+  }
   this->FinishMoves(machines, now);
   for (auto& [id, move] : this->moves) {
     if (!move.done && !move.order_sent && now >= move.retry_at) {
       move.order_sent = true;
-      this->effects.emplace_back(OrderMove{id, move.to});
+      this->effects.emplace_back(OrderMove{id, move.to, move.vm});
     }
   }
   const Resources reserve = this->ReservePerPool(machines, pools);
@@ -256,7 +264,7 @@
   if (!machine.vm.empty()) {
     this->effects.emplace_back(SetCordon{machine.vm, true});
   }
-  this->effects.emplace_back(OrderMove{machine.id, to});
+  this->effects.emplace_back(OrderMove{machine.id, to, machine.vm});
   this->effects.emplace_back(LogEvent{"machine_move",
                                       {{"machine", machine.id.str()},
                                        {"from", machine.pool.str()},
@@ -305,9 +313,7 @@
   switch (answer) {
     case OrderAnswer::kDone:
       move.done = true;
-      if (!move.vm.empty()) {
-        this->effects.emplace_back(VmTerminated{move.vm});
-      }
+      this->ordered_vms.Add(id, move.vm, now);
       return;
     case OrderAnswer::kFenced:
       this->effects.emplace_back(Superseded{});
--- a/src/upkeep/mover.h
+++ b/src/upkeep/mover.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "upkeep/effect.h"
+#include "upkeep/ordered_vms.h"
 
 namespace kch::upkeep {
 
@@ -64,8 +65,10 @@
 
   /*! @brief Starts moves and repeats unanswered orders; called periodically.
    * `busy` machines are or will soon be under upkeep, or must not be ordered
-   * yet. Machines in `excluded_zones` must not start tasks. */
+   * yet. Machines in `excluded_zones` must not start tasks. The reading of
+   * `machines` began at `read_at`. */
   void Tick(const MachineList& machines,
+            Time read_at,
             const std::set<MachineId>& busy,
             const std::set<ZoneId>& excluded_zones,
             const std::map<PoolId, PoolDemand>& pools,
@@ -73,7 +76,8 @@
             Time now);
   /*! @brief Handles the platform's answer to an OrderMove.
    *
-   * - kDone: the VM counts as terminated.
+   * - kDone: the next list tells whether the VM has ended or the move was
+   *   carried out before.
    * - kUnknown: the VM stays cordoned, and the order is repeated.
    * - kFenced: emits Superseded.
    * - Others: the move is dropped, its VM is uncordoned, and the machine is not
@@ -133,6 +137,7 @@
   std::map<MachineId, Move> moves;
   std::map<MachineId, Time> cooldown_until;  // no further move before
   std::map<MachineId, Time> idle_since;
+  OrderedVms ordered_vms;
   std::vector<Effect> effects;
 };
 
--- a/src/upkeep/order_gate.cc
+++ b/src/upkeep/order_gate.cc
@@ -15,14 +15,24 @@
       [](const auto& row) -> const MachineId& { return row.machine; }, order);
 }
 
-void OrderGate::SetPredecessorMachines(std::set<MachineId> machines, Time now) {
+const VmId& OrderGate::VmOf(const Order& order) {
+  return std::visit([](const auto& row) -> const VmId& { return row.vm; },
+                    order);
+}
+
+void OrderGate::SetPredecessorMachines(OrderedMachines machines, Time now) {
   this->predecessor_machines = std::move(machines);
   this->blocked_until = now + this->handover;
 }
 
 std::set<MachineId> OrderGate::BlockedMachines(Time now) const {
-  return now < this->blocked_until ? this->predecessor_machines
-                                   : std::set<MachineId>();
+  std::set<MachineId> blocked;
+  if (now < this->blocked_until) {
+    for (const auto& [machine, vm] : this->predecessor_machines) {
+      blocked.insert(machine);
+    }
+  }
+  return blocked;
 }
 
 void OrderGate::OnStored(bool stored, Time now) {
@@ -35,24 +45,28 @@
 }
 
 void OrderGate::Tick(Time now) {
-  std::erase_if(this->ordered_at, [&](const auto& row) {
-    return now - row.second > this->handover;
+  std::erase_if(this->ordered, [&](const auto& row) {
+    return now - row.second.at > this->handover;
   });
   const std::set<MachineId> blocked = this->BlockedMachines(now);
-  std::set<MachineId> unpersisted;
+  const auto holds = [](const OrderedMachines& machines, const Order& order) {
+    const auto found = machines.find(MachineOf(order));
+    return found != machines.end() && found->second == VmOf(order);
+  };
+  OrderedMachines unpersisted;
   std::erase_if(this->pending, [&](const Order& order) {
     const MachineId& machine = MachineOf(order);
-    if (!this->persisted.contains(machine)) {
-      unpersisted.insert(machine);
+    if (!holds(this->persisted, order)) {
+      unpersisted.insert_or_assign(machine, VmOf(order));
       return false;
     }
     // A pending write replaces the persisted set, possibly without this
     // machine.
     if (blocked.contains(machine) ||
-        (this->write_pending && !this->persisting.contains(machine))) {
+        (this->write_pending && !holds(this->persisting, order))) {
       return false;
     }
-    this->ordered_at[machine] = now;
+    this->ordered[machine] = {VmOf(order), now};
     std::visit([this](const auto& row) { this->effects.emplace_back(row); },
                order);
     return true;
@@ -63,14 +77,17 @@
   this->write_pending = true;
   this->persisting = std::move(unpersisted);
   for (const Order& order : this->pending) {
-    this->persisting.insert(MachineOf(order));
+    this->persisting.emplace(MachineOf(order), VmOf(order));
   }
-  for (const auto& [machine, at] : this->ordered_at) {
-    this->persisting.insert(machine);
+  for (const auto& [machine, last] : this->ordered) {
+    this->persisting.emplace(machine, last.vm);
   }
   // Machines of a predecessor stay persisted, in case another successor takes
   // over within the handover period.
-  this->persisting.insert(blocked.begin(), blocked.end());
+  if (now < this->blocked_until) {
+    this->persisting.insert(this->predecessor_machines.begin(),
+                            this->predecessor_machines.end());
+  }
   this->effects.emplace_back(StoreOrderedMachines{this->persisting});
 }
 
--- a/src/upkeep/order_gate.h
+++ b/src/upkeep/order_gate.h
@@ -27,7 +27,7 @@
 
   /*! @brief Blocks the machines that a predecessor persisted, for the handover
    * period from `now`. */
-  void SetPredecessorMachines(std::set<MachineId> machines, Time now);
+  void SetPredecessorMachines(OrderedMachines machines, Time now);
   /*! @brief Machines of a predecessor that must not be ordered yet. */
   [[nodiscard]] std::set<MachineId> BlockedMachines(Time now) const;
   /*! @brief Queues an order until its machine is persisted and not blocked. */
@@ -42,15 +42,21 @@
   [[nodiscard]] std::vector<Effect> TakeEffects();
 
  private:
+  struct Ordered {
+    VmId vm;
+    Time at;
+  };
+
   static const MachineId& MachineOf(const Order& order);
+  static const VmId& VmOf(const Order& order);
 
   Duration handover;
-  std::set<MachineId> predecessor_machines;
+  OrderedMachines predecessor_machines;
   Time blocked_until;
   std::vector<Order> pending;
-  std::map<MachineId, Time> ordered_at;  // latest order of each machine
-  std::set<MachineId> persisted;         // in the store
-  std::set<MachineId> persisting;        // value of the pending write
+  std::map<MachineId, Ordered> ordered;  // latest order of each machine
+  OrderedMachines persisted;             // in the store
+  OrderedMachines persisting;            // value of the pending write
   bool write_pending = false;
   Time retry_at;
   std::vector<Effect> effects;
--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -53,6 +53,12 @@
   }
 }
 
+void Planner::SetPredecessorOrders(const OrderedMachines& machines, Time now) {
+  for (const auto& [machine, vm] : machines) {
+    this->ordered_vms.Add(machine, vm, now);
+  }
+}
+
 void Planner::OnMachineList(const std::vector<Machine>& machines, Time now) {
   this->list.clear();
   for (const Machine& machine : machines) {
@@ -60,7 +66,7 @@
   }
   this->has_list = true;
   this->read_pending = false;
-  this->list_read_at = this->read_started;
+  this->read_at = this->read_started;
   const bool busy = std::ranges::any_of(this->waves, [](const auto& wave) {
     return std::ranges::any_of(wave.second.items, [](const auto& item) {
       return item.second.stage != Stage::kDue &&
@@ -96,9 +102,7 @@
       item.stage = Stage::kUnavailable;
       item.since = now;
       wave.started.insert(id);
-      if (!item.vm.empty()) {
-        this->effects.emplace_back(VmTerminated{item.vm});
-      }
+      this->ordered_vms.Add(id, item.vm, now);
       this->effects.emplace_back(SaveWave{wave_id, wave.started, false});
       break;
     case OrderAnswer::kFenced:
@@ -127,7 +131,13 @@
 }
 
 void Planner::Tick(Time now, const VmLoadLookup& load_of) {
-  if (!this->read_pending && now >= this->next_read) {
+  for (const VmId& vm :
+       this->ordered_vms.TakeEnded(this->list, this->read_at)) {
+    this->effects.emplace_back(VmTerminated{vm});
+  }
+  const bool due = now >= this->next_read ||
+                   this->ordered_vms.RunsAwaitList(load_of, this->read_at);
+  if (!this->read_pending && due) {
     this->read_pending = true;
     this->read_started = now;
     this->effects.emplace_back(ReadMachines{});
@@ -138,6 +148,13 @@
   for (auto& [id, wave] : this->waves) {
     if (!wave.completed && !wave.order.machines.empty()) {
       this->TickWave(wave, now, load_of);
+      continue;
+    }
+    // The last machines of a completed wave have yet to return.
+    for (auto& [machine, item] : wave.items) {
+      if (item.stage == Stage::kUnavailable) {
+        this->AdvanceItem(wave, machine, item, false, now, load_of);
+      }
     }
   }
 }
@@ -232,24 +249,29 @@
       if ((empty || overdue) && now >= item.retry_at) {
         item.stage = Stage::kOrdered;
         item.order_sent = true;
-        this->effects.emplace_back(OrderUpkeep{id, wave.order.id});
+        this->effects.emplace_back(OrderUpkeep{id, wave.order.id, item.vm});
       }
       break;
     }
     case Stage::kOrdered:
       if (!item.order_sent && now >= item.retry_at) {
         item.order_sent = true;
-        this->effects.emplace_back(OrderUpkeep{id, wave.order.id});
+        this->effects.emplace_back(OrderUpkeep{id, wave.order.id, item.vm});
       }
       break;
     case Stage::kUnavailable: {
       // A list read before the order may still show the machine as up, and with
       // a VM other than `item.vm` if the machine was moved.
-      const bool up = machine != nullptr && this->list_read_at > item.since &&
-                      now - item.since >= this->limits.upkeep_duration &&
+      const bool up = machine != nullptr && this->read_at > item.since &&
                       machine->state == MachineState::kUp;
-      const bool other_vm = up && (item.vm.empty() || machine->vm != item.vm);
-      if (machine == nullptr || other_vm) {
+      const bool same_vm = up && !item.vm.empty() && machine->vm == item.vm;
+      const bool returned =
+          up && !same_vm && now - item.since >= this->limits.upkeep_duration;
+      if (same_vm) {
+        // The order had been carried out before this VM began.
+        this->effects.emplace_back(SetCordon{item.vm, false});
+      }
+      if (machine == nullptr || same_vm || returned) {
         item.stage = Stage::kDone;
       }
       break;
--- a/src/upkeep/planner.h
+++ b/src/upkeep/planner.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "upkeep/effect.h"
+#include "upkeep/ordered_vms.h"
 
 namespace kch::upkeep {
 
@@ -65,6 +66,8 @@
   /*! @brief Marks machines as done whose upkeep a predecessor has recorded as
    * started. May be called before SetWave. */
   void SetStarted(const WaveId& wave, const std::set<MachineId>& started);
+  /*! @brief Machines that a predecessor may have ordered, with their VMs. */
+  void SetPredecessorOrders(const OrderedMachines& machines, Time now);
   /*! @brief Handles the result of a ReadMachines. */
   void OnMachineList(const std::vector<Machine>& machines, Time now);
   /*! @brief A ReadMachines failed; the list is read again after the active read
@@ -72,7 +75,8 @@
   void OnMachineListFailed(Time now);
   /*! @brief Handles the platform's answer to an OrderUpkeep.
    *
-   * - kDone: the VM counts as terminated, and the machine is saved as started.
+   * - kDone: the machine is saved as started; the next list tells whether its
+   *   VM has ended or had its upkeep before.
    * - kBusy, kRateLimited: the machine drains on and is ordered again.
    * - kNotInWave, kNoMachine: the machine is dropped, its VM uncordoned.
    * - kUnknown: the order is repeated until it is answered; meanwhile the
@@ -88,6 +92,8 @@
   [[nodiscard]] const MachineList& machines() const { return this->list; }
   /*! @brief Machines that are due, draining, ordered or unavailable. */
   [[nodiscard]] std::set<MachineId> claimed() const;
+  /*! @brief When the reading of that list began. */
+  [[nodiscard]] Time list_read_at() const { return this->read_at; }
   /*! @brief Schedules the next read of the list within the active read
    * interval; called while the Mover moves machines. */
   void RequestEarlyRead(Time now);
@@ -142,8 +148,9 @@
   bool has_list = false;
   bool read_pending = false;
   Time read_started;
-  Time list_read_at;  // start of the read that returned the list
+  Time read_at;  // start of the read that returned the list
   Time next_read;
+  OrderedVms ordered_vms;
   std::vector<Effect> effects;
 };
 
--- a/src/upkeep/upkeep.h
+++ b/src/upkeep/upkeep.h
@@ -5,6 +5,7 @@
 #include "upkeep/machine.h"
 #include "upkeep/mover.h"
 #include "upkeep/order_gate.h"
+#include "upkeep/ordered_vms.h"
 #include "upkeep/planner.h"
 #include "upkeep/pool_forecast.h"
 
--- a/test/upkeep/mover_test.cc
+++ b/test/upkeep/mover_test.cc
@@ -18,6 +18,7 @@
   std::map<VmId, VmLoad> loads;
   std::set<MachineId> busy;
   std::set<ZoneId> excluded_zones;
+  std::vector<Effect> effects;  // of the last Tick
 
   MoverFixture() {
     for (const char* pool : {"a", "b", "c", "spare"}) {
@@ -43,7 +44,8 @@
   std::vector<OrderMove> Tick(std::int64_t ms = 50) {
     this->now += std::chrono::milliseconds(ms);
     this->mover.Tick(
-        this->machines, this->busy, this->excluded_zones, this->pools,
+        this->machines, this->now, this->busy, this->excluded_zones,
+        this->pools,
         [this](const VmId& vm) {
           const auto found = this->loads.find(vm);
           return found == this->loads.end() ? std::nullopt
@@ -51,7 +53,8 @@
         },
         this->now);
     std::vector<OrderMove> orders;
-    for (const Effect& effect : this->mover.TakeEffects()) {
+    this->effects = this->mover.TakeEffects();
+    for (const Effect& effect : this->effects) {
       if (const auto* order = std::get_if<OrderMove>(&effect)) {
         orders.push_back(*order);
       }
@@ -186,6 +189,42 @@
   BOOST_TEST(fixture.mover.moving().empty());
 }
 
+// Guards against runs that are started a second time: a move that was carried
+// out before is answered as done, and the machine's VM works on.
+BOOST_AUTO_TEST_CASE(MoveThatWasDoneBeforeEndsNoVm) {
+  MoverFixture fixture;
+  fixture.SetBacklog("a", 60);
+  for (const OrderMove& order : fixture.Tick()) {
+    fixture.mover.OnOrderAnswer(order.machine, OrderAnswer::kDone, fixture.now);
+    fixture.machines.at(order.machine).pool = order.to;
+  }
+  BOOST_TEST(!fixture.mover.moving().empty());
+  std::set<VmId> cordoned;
+  for (const Effect& effect : fixture.effects) {
+    if (const auto* cordon = std::get_if<SetCordon>(&effect)) {
+      cordoned.insert(cordon->vm);
+    }
+  }
+  BOOST_TEST(cordoned.size() == 2U);
+  for (auto& [id, pool] : fixture.pools) {
+    pool.waiting = {};
+    pool.need = {};
+    pool.peak.reset();
+  }
+  for (int i = 0; i < 10; ++i) {
+    fixture.Tick(500);
+    for (const Effect& effect : fixture.effects) {
+      BOOST_TEST(!std::holds_alternative<VmTerminated>(effect));
+      if (const auto* cordon = std::get_if<SetCordon>(&effect)) {
+        BOOST_TEST(!cordon->on);
+        cordoned.erase(cordon->vm);
+      }
+    }
+  }
+  BOOST_TEST(fixture.mover.moving().empty());
+  BOOST_TEST(cordoned.empty());
+}
+
 // Guards against machines that cost money while idle: the peak of their queue
 // is over, and the next peak is that of another queue.
 BOOST_AUTO_TEST_CASE(IdleMachinesMoveToStandby) {
--- a/test/upkeep/order_gate_test.cc
+++ b/test/upkeep/order_gate_test.cc
@@ -10,7 +10,7 @@
 struct OrderGateFixture {
   Time now{std::chrono::seconds(100)};
   OrderGate gate{kHandover};
-  std::set<MachineId> stored;
+  OrderedMachines stored;
   std::vector<std::string> sent;
   bool store_down = false;
   int writes = 0;
@@ -78,7 +78,7 @@
 // the machines that the predecessor persisted are blocked.
 BOOST_AUTO_TEST_CASE(OnlyMachinesOfThePredecessorAreBlocked) {
   OrderGateFixture fixture;
-  fixture.gate.SetPredecessorMachines({MachineId("a")}, fixture.now);
+  fixture.gate.SetPredecessorMachines({{MachineId("a"), VmId()}}, fixture.now);
   BOOST_TEST(fixture.gate.BlockedMachines(fixture.now).size() == 1U);
   fixture.gate.Add(OrderGateFixture::Move("a"));
   fixture.gate.Add(OrderGateFixture::Move("b"));
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -215,6 +215,47 @@
   BOOST_TEST(tick(50) == std::vector<std::string>{"m1"});
 }
 
+// Guards against runs that are started a second time: an order that was carried
+// out under a predecessor is answered as done, and the VM that the machine runs
+// since then works on.
+BOOST_AUTO_TEST_CASE(OrderThatWasDoneBeforeEndsNoVm) {
+  Time now{std::chrono::seconds(100)};
+  Planner planner{Limits{}, now};
+  const Machine machine{
+      .id = MachineId("m0"), .pool = PoolId("p"), .vm = VmId("new")};
+  bool answered = false;
+  bool terminated = false;
+  bool cordoned = false;
+  bool completed = false;
+  planner.SetWave({.id = WaveId("1"),
+                   .machines = {machine.id},
+                   .max_unavailable = 1,
+                   .duration = std::chrono::seconds(30)},
+                  now);
+  for (int i = 0; i < 100; ++i) {
+    now += std::chrono::milliseconds(kStepMs);
+    planner.Tick(now, [](const VmId&) { return VmLoad{}; });
+    for (const Effect& effect : planner.TakeEffects()) {
+      if (std::holds_alternative<ReadMachines>(effect)) {
+        planner.OnMachineList({machine}, now);
+      } else if (const auto* order = std::get_if<OrderUpkeep>(&effect)) {
+        answered = true;
+        planner.OnOrderAnswer(order->machine, order->wave, OrderAnswer::kDone,
+                              now);
+      } else if (const auto* cordon = std::get_if<SetCordon>(&effect)) {
+        cordoned = cordon->on;
+      } else if (const auto* saved = std::get_if<SaveWave>(&effect)) {
+        completed = saved->completed;
+      }
+      terminated |= std::holds_alternative<VmTerminated>(effect);
+    }
+  }
+  BOOST_TEST(answered);
+  BOOST_TEST(completed);
+  BOOST_TEST(!terminated);
+  BOOST_TEST(!cordoned);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::upkeep
--- a/test/upkeep/turns_test.cc
+++ b/test/upkeep/turns_test.cc
@@ -149,7 +149,7 @@
       return VmLoad{.runs = found->second->runs.size(),
                     .responsive = !found->second->unresponsive};
     };
-    this->mover.Tick(this->machines, {}, {}, pools, load_of, now);
+    this->mover.Tick(this->machines, now, {}, {}, pools, load_of, now);
     for (const Effect& effect : this->mover.TakeEffects()) {
       if (const auto* cordon = std::get_if<SetCordon>(&effect)) {
         this->sim.scheduler->Cordon(cordon->vm, cordon->on);
