Pass over late news of an earlier incarnation of a VM

A report that was requested before a VM restarted under its id, or a registration that the VM's reports had overtaken, made the scheduler return to the earlier incarnation, so the runs of the present one counted as lost and started again. The late answer to a start of the earlier incarnation set the VM's clock, by hours if it had been up for long, so leases were cut to the longest one and lasted longer than the scheduler reckoned.

A report with another start time counts only if it was requested after the VM became known as it is, a registration only if it starts later, and the clock of a start's answer only if the order is the VM's present one.

--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -116,7 +116,11 @@
   Vm* vm = this->FindVm(facts.id);
   if (vm != nullptr && vm->facts.boot_ms != facts.boot_ms &&
       facts.boot_ms != 0 && vm->facts.boot_ms != 0) {
-    this->RestartVm(*vm, facts, now);
+    // The VM's reports may overtake its registration, which still describes
+    // an earlier incarnation then.
+    if (facts.boot_ms > vm->facts.boot_ms) {
+      this->RestartVm(*vm, facts, now);
+    }
     return;
   }
   if (vm == nullptr) {
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -28,9 +28,13 @@
   if (vm == nullptr) {
     return;
   }
+  const bool other_boot = report.boot_ms != 0 && vm->facts.boot_ms != 0 &&
+                          report.boot_ms != vm->facts.boot_ms;
+  if (other_boot && sent < vm->added) {
+    return;  // the report of an earlier incarnation, which has ended since
+  }
   vm->poll_pending = false;
-  if (report.boot_ms != 0 && vm->facts.boot_ms != 0 &&
-      report.boot_ms != vm->facts.boot_ms) {
+  if (other_boot) {
     // The VM restarted under its id: its clock and the numbers of its ends
     // start again, and it has no runs.
     VmFacts facts = vm->facts;
@@ -459,14 +463,15 @@
   if (vm == nullptr) {
     return;
   }
-  if (clock_ms > 0 && clock_ms >= vm->clock_ms) {
+  Task* task = this->FindTask(ref);
+  const bool current = task != nullptr && task->vm == id && task->run == run &&
+                       task->phase == TaskPhase::kStarting;
+  // The answer to another order may come from an earlier incarnation.
+  if (current && clock_ms > 0 && clock_ms >= vm->clock_ms) {
     vm->clock_ms = clock_ms;
     vm->clock_at = now;
     vm->clock_known = true;
   }
-  Task* task = this->FindTask(ref);
-  const bool current = task != nullptr && task->vm == id && task->run == run &&
-                       task->phase == TaskPhase::kStarting;
   if (answer != StartAnswer::kAccepted) {
     const bool may_run =
         answer == StartAnswer::kNoAnswer || answer == StartAnswer::kRelayLost;
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -238,6 +238,36 @@
   BOOST_TEST(logged("vm_restarted"));
 }
 
+// Guards against runs that are started a second time: a report, a registration
+// or the answer to a start that is late describes an earlier incarnation of a
+// VM that has restarted under its id.
+BOOST_AUTO_TEST_CASE(LateNewsOfAnEarlierIncarnationChangesNothing) {
+  FleetSim sim;
+  FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
+  sim.Submit(SimpleJob("a", "q", 1, 1000, 60'000));
+  sim.Run(500);
+  const VmId id("vm0");
+  const VmFacts facts = vm.facts;
+  const VmReport report = sim.ReportOf(vm);
+  const Time sent = sim.now;
+  vm.Restart();
+  BOOST_REQUIRE(sim.RunUntil(
+      [&] { return sim.starts() == 2 && !vm.runs.empty(); }, 5000));
+  sim.Run(500);
+  sim.scheduler->OnReport(id, report, sent, sim.now);
+  sim.Run(500);
+  sim.scheduler->SetVm(facts, sim.now);
+  sim.Run(500);
+  constexpr std::int64_t hour_ms = 3'600'000;
+  const std::int64_t earlier_clock_ms = sim.ClockOf(vm) + hour_ms;
+  sim.scheduler->OnStart(id, {JobId("a"), 0, 0, 0}, 1, StartAnswer::kAccepted,
+                         earlier_clock_ms, sim.now);
+  BOOST_TEST(sim.scheduler->vms().at(id)->clock_ms < earlier_clock_ms);
+  sim.Run(500);
+  BOOST_TEST(sim.starts() == 2);
+  BOOST_TEST(Violations(sim) == "");
+}
+
 // A failure that was recorded but not acknowledged was counted again by the
 // successor, and the job failed with an attempt left.
 BOOST_AUTO_TEST_CASE(SuccessorCountsAFailureOnce) {
