Repeat the record of a wave until it is stored

A record of a wave whose write failed was repeated only by the next change or at the wave's end, so a successor drained and ordered machines again that had had their upkeep. The planner now repeats it with the present state, as a decision of its own, and Planner::OnWaveSaved takes the place of the adapter's repetition of the last write.

Evidence: PlannerTest/RecordOfAWaveIsRepeatedUntilItIsStored.

--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -17,7 +17,6 @@
 // delay the next steps of its jobs for long.
 constexpr int kWriteTimeoutMs = 700;
 constexpr int kClaimTimeoutMs = 800;
-constexpr int kWaveRetryMs = 300;
 constexpr int kKeptRetryMs = 100;
 
 lead::StoreCallResult AnswerOf(Outcome outcome) {
@@ -504,8 +503,6 @@
   this->driver.scheduler->EndVm(effect.vm);
 }
 
-// The state may be written again at any time, so a lost write is repaired by
-// the next one; the last one is repeated until it is known.
 void UpkeepEffectVisitor::operator()(const upkeep::SaveWave& effect) const {
   platform::Transaction transaction = OwnersTransaction(this->fence);
   transaction.puts.push_back(
@@ -516,15 +513,11 @@
   this->driver.parts.store.Write(
       transaction, kWriteTimeoutMs,
       [&driver = this->driver, fence = this->fence,
-       effect](const platform::WriteReply& reply) {
-        if (reply.outcome == Outcome::kOk || !effect.completed) {
-          return;
-        }
-        driver.parts.client.Delay(kWaveRetryMs, [&driver, fence, effect] {
-          driver.PostFor(fence, [&driver, fence, effect] {
-            UpkeepEffectVisitor{driver, fence}(effect);
-          });
-        });
+       wave = effect.wave](const platform::WriteReply& reply) {
+        driver.PostFor(fence,
+                       [&driver, wave, stored = reply.outcome == Outcome::kOk] {
+                         driver.planner->OnWaveSaved(wave, stored, Now());
+                       });
       });
 }
 
--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -5,6 +5,12 @@
 #include <tuple>
 
 namespace kch::upkeep {
+namespace {
+
+// Delay after a failed write of a wave.
+constexpr auto kSaveRetryDelay = std::chrono::milliseconds(200);
+
+}  // namespace
 
 Planner::Planner(const Limits& limits, Time start)
     : limits(limits), start(start) {}
@@ -142,6 +148,12 @@
     this->read_started = now;
     this->effects.emplace_back(ReadMachines{});
   }
+  for (auto& [id, wave] : this->waves) {
+    if (wave.save_again_at && now >= *wave.save_again_at) {
+      wave.save_again_at.reset();
+      this->effects.emplace_back(SaveWave{id, wave.started, wave.completed});
+    }
+  }
   if (!this->has_list || now < this->start) {
     return;
   }
@@ -159,6 +171,13 @@
   }
 }
 
+void Planner::OnWaveSaved(const WaveId& id, bool stored, Time now) {
+  const auto found = this->waves.find(id);
+  if (found != this->waves.end() && !stored) {
+    found->second.save_again_at = now + kSaveRetryDelay;
+  }
+}
+
 std::set<MachineId> Planner::claimed() const {
   std::set<MachineId> ids;
   for (const auto& [wave_id, wave] : this->waves) {
--- a/src/upkeep/planner.h
+++ b/src/upkeep/planner.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -86,6 +87,9 @@
                      const WaveId& wave,
                      OrderAnswer answer,
                      Time now);
+  /*! @brief Handles the result of a SaveWave; a failed write is repeated with
+   * the present state. */
+  void OnWaveSaved(const WaveId& wave, bool stored, Time now);
   /*! @brief Advances all waves; called periodically. */
   void Tick(Time now, const VmLoadLookup& load_of);
   /*! @brief The machine list as last read. */
@@ -119,7 +123,8 @@
     WaveOrder order;
     Time since;
     std::map<MachineId, WaveItem> items;
-    bool recorded = false;  // the first SaveWave was emitted
+    bool recorded = false;              // the first SaveWave was emitted
+    std::optional<Time> save_again_at;  // the last SaveWave failed
     bool completed = false;
     std::set<MachineId> started;
   };
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -256,6 +256,26 @@
   BOOST_TEST(!cordoned);
 }
 
+// Guards against a successor that drains a machine again because the record of
+// its upkeep was lost.
+BOOST_AUTO_TEST_CASE(RecordOfAWaveIsRepeatedUntilItIsStored) {
+  PlannerFixture fixture(1, 0.1);
+  const WaveId wave("1");
+  fixture.Order(1, 1, 30);
+  fixture.Run(6000);
+  BOOST_REQUIRE(fixture.completed);
+  fixture.completed = false;
+  fixture.started_at_completion = 0;
+  fixture.planner.OnWaveSaved(wave, false, fixture.now);
+  fixture.Run(1000);
+  BOOST_TEST(fixture.completed);
+  BOOST_TEST(fixture.started_at_completion == 1);
+  fixture.completed = false;
+  fixture.planner.OnWaveSaved(wave, true, fixture.now);
+  fixture.Run(1000);
+  BOOST_TEST(!fixture.completed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::upkeep
