Complete begun jobs first and allow for the delays of their steps

Load: more work than a pool can do, in jobs of several steps. The order by least slack began each job at its last moment; what orders and reports of its steps take made it late, or its second step waited while others began, and its room was taken for nothing.

Now steps of occurrences that have begun go before those of others of the same timeliness, and a job that has not begun counts as on time only if its path and up to 200 ms more (half of its slack, if that is less) fit its objective.

RankTest held the old boundary for jobs that have not begun. Its cases now hold for begun jobs, with the bounds on both sides of each state, and the new boundary has cases of its own.

--- a/src/jobs/rank.cc
+++ b/src/jobs/rank.cc
@@ -1,6 +1,34 @@
 #include "jobs/rank.h"
 
+#include <algorithm>
+#include <tuple>
+
 namespace kch::jobs {
+namespace {
+
+// What orders and reports of a job's steps may add to its critical path.
+constexpr Duration kMaxStepDelays = std::chrono::milliseconds(200);
+
+// Half of the time that a job may wait in all, if that is less.
+Duration StepDelays(const Job& job, Duration objective) {
+  const Duration slack =
+      objective - std::chrono::milliseconds(job.CriticalPathMs());
+  return std::clamp(slack / 2, Duration::zero(), kMaxStepDelays);
+}
+
+bool HasBegun(const Occurrence& occurrence) {
+  return std::ranges::any_of(occurrence.steps, [](const Step& step) {
+    return step.waiting < static_cast<std::int32_t>(step.tasks.size());
+  });
+}
+
+}  // namespace
+
+std::strong_ordering Rank::operator<=>(const Rank& other) const {
+  return std::tuple(this->priority, this->timeliness, !this->begun,
+                    this->key) <=>
+         std::tuple(other.priority, other.timeliness, !other.begun, other.key);
+}
 
 Duration Objective(Duration critical_path, const Queue& queue) {
   return std::chrono::milliseconds(
@@ -13,9 +41,13 @@
   return Objective(std::chrono::milliseconds(job.CriticalPathMs()), queue);
 }
 
-// Among jobs on time, the step with the least slack comes first. Under
-// overload, jobs that miss their objective anyway would take capacity from jobs
-// that can still meet it, so they rank behind these, shortest first.
+// Under overload, jobs that miss their objective anyway would take capacity
+// from jobs that can still meet it, so they rank behind these, shortest first.
+// The next steps of a job that has begun go before the first ones of others: a
+// job that waits between its steps is late and has taken capacity for nothing.
+// Among others on time, the one with the least slack comes first; one that
+// would begin at its last moment is late by the delays of its steps and counts
+// as late.
 Rank RankStep(const Job& job,
               const Occurrence& occurrence,
               const Queue& queue,
@@ -23,8 +55,10 @@
               Time now) {
   const auto left = std::chrono::milliseconds(job.CriticalPathMs(occurrence));
   const Duration objective = Objective(job, queue);
-  const Time end = now + left;
-  Rank rank{.priority = queue.priority};
+  const bool begun = HasBegun(occurrence);
+  const Time end =
+      now + left + (begun ? Duration::zero() : StepDelays(job, objective));
+  Rank rank{.priority = queue.priority, .begun = begun};
   if (job.spec.Endless()) {
     rank.key = ToMs(due.time_since_epoch());
   } else if (end <= due + objective) {
--- a/src/jobs/rank.h
+++ b/src/jobs/rank.h
@@ -1,6 +1,7 @@
 #ifndef JOBS_RANK_H_
 #define JOBS_RANK_H_
 
+#include <compare>
 #include <cstdint>
 
 #include "base/time.h"
@@ -20,11 +21,13 @@
 struct Rank {
   std::int32_t priority = 0;
   Timeliness timeliness = Timeliness::kOnTime;
+  bool begun = false;  // tasks of the occurrence have started; these come first
   // On time: slack in ms; late: remaining work in ms; missed or endless: due
   // time in ms on the local clock.
   std::int64_t key = 0;
 
-  auto operator<=>(const Rank&) const = default;
+  std::strong_ordering operator<=>(const Rank& other) const;
+  bool operator==(const Rank&) const = default;
 };
 
 /*! @brief A job that ends within this many objectives is late, but still of
