--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -216,7 +216,9 @@
     this->AwaitRecord(vm, job);
     return;
   }
-  if (row.how != RunEnd::kDone && row.how != RunEnd::kStopped) {
+  // Of stopped runs those that others of their step count on.
+  if (row.how != RunEnd::kDone &&
+      (row.how != RunEnd::kStopped || task->spec().endless)) {
     this->EmitLogEvent("run_ended", {{"task", row.task},
                                      {"run", std::to_string(row.run)},
                                      {"vm", vm.facts.id.str()},
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -552,6 +552,10 @@
   sim.Run(400);
   BOOST_TEST(sim.vms.at(from)->runs.empty());
   BOOST_TEST(sim.Runs("a.0.0.0"));
+  // The log tells when each endless run went.
+  BOOST_TEST(std::ranges::any_of(sim.log_events, [](const LogEvent& line) {
+    return line.event == "run_ended";
+  }));
   BOOST_TEST(Violations(sim) == "");
 }
 
