--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -72,6 +72,7 @@
   }
   this->has_list = true;
   this->read_pending = false;
+  this->read_failed = false;
   this->read_at = this->read_started;
   const bool busy = std::ranges::any_of(this->waves, [](const auto& wave) {
     return std::ranges::any_of(wave.second.items, [](const auto& item) {
@@ -85,6 +86,7 @@
 
 void Planner::OnMachineListFailed(Time now) {
   this->read_pending = false;
+  this->read_failed = true;
   this->next_read = now + this->limits.active_read_interval;
 }
 
@@ -142,7 +144,8 @@
     this->effects.emplace_back(VmTerminated{vm});
   }
   const bool due = now >= this->next_read ||
-                   this->ordered_vms.RunsAwaitList(load_of, this->read_at);
+                   (!this->read_failed &&
+                    this->ordered_vms.RunsAwaitList(load_of, this->read_at));
   if (!this->read_pending && due) {
     this->read_pending = true;
     this->read_started = now;
--- a/src/upkeep/planner.h
+++ b/src/upkeep/planner.h
@@ -152,6 +152,7 @@
   MachineList list;
   bool has_list = false;
   bool read_pending = false;
+  bool read_failed = false;  // the last read; the next one waits its interval
   Time read_started;
   Time read_at;  // start of the read that returned the list
   Time next_read;
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -256,6 +256,27 @@
   BOOST_TEST(!cordoned);
 }
 
+// Guards against a list that is read without a pause while its service is away:
+// the end of a VM with runs is awaited.
+BOOST_AUTO_TEST_CASE(FailedReadsOfAnAwaitedListKeepTheirInterval) {
+  Time now{std::chrono::seconds(100)};
+  Planner planner{Limits{}, now};
+  planner.SetPredecessorOrders({{MachineId("m0"), VmId("vm0")}}, now);
+  int reads = 0;
+  for (int i = 0; i < 40; ++i) {
+    planner.Tick(now, [](const VmId&) { return VmLoad{.runs = 1}; });
+    for (const Effect& effect : planner.TakeEffects()) {
+      if (std::holds_alternative<ReadMachines>(effect)) {
+        ++reads;
+        planner.OnMachineListFailed(now);
+      }
+    }
+    now += std::chrono::milliseconds(kStepMs);
+  }
+  // Every 500 ms in two seconds.
+  BOOST_TEST(reads == 4);
+}
+
 // Guards against a successor that drains a machine again because the record of
 // its upkeep was lost.
 BOOST_AUTO_TEST_CASE(RecordOfAWaveIsRepeatedUntilItIsStored) {
