Cut an owner off only once it counts the other process

The test stopped the other process a few ms after the owner had gained the fleet, before that owner had sent it a message, so it did not count it and went on through what looked like an outage. That is allowed: a process that may not be counted waits for the longest outage (20 s) after a takeover at VMs that do not answer, which the successor that the test acts for does not.

--- a/src/app/fleet/gauges.cc
+++ b/src/app/fleet/gauges.cc
@@ -62,6 +62,8 @@
   this->next_gauges = now + kGaugeInterval;
   Metrics& metrics = this->parts.metrics;
   metrics.Set("config_version", static_cast<double>(this->config_version));
+  metrics.Set("followers",
+              static_cast<double>(this->ownership.followers().size()));
   if (this->config_since != Time()) {
     metrics.Set("config_age_seconds", ToSeconds(now - this->config_since));
   }
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -220,6 +220,10 @@
         return std::tuple(run_on, std::string(first ? "vm1" : "vm0"),
                           world.vms.at(run_on)->fence);
       });
+  // A process that the owner does not count yet waits for the longest outage
+  // after a takeover, which the successor of this test does not.
+  fleet.WaitFor("the other process to be counted",
+                [&] { return fleet.Counter(cut, "kch_followers") >= 1; });
   // The cut: the store answers the other process only, and that process, which
   // cannot tell the owner of a successor, is replaced by one that the test acts
   // for. The owner reaches both VMs.
