Share the set-up of two takeover tests

Both let the VM with the only run fall silent and take over from an owner that may give orders for 20 s; one function does it now. The assertions and their bounds are unchanged; all tests of jobs pass, format and lint are clean.

--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -30,6 +30,20 @@
   return text;
 }
 
+// A takeover while the VM with the only run does not answer and the predecessor
+// may give orders for 20 s; returns that VM.
+std::string TakeOverWithoutReachingARun(FleetSim& sim) {
+  sim.AddVm("vm0", "p", kVmSize);
+  sim.AddVm("vm1", "p", kVmSize);
+  sim.Submit(SimpleJob("a", "q", 1, 1000, 60'000));
+  sim.Run(500);
+  std::string used = sim.vms.at("vm0")->runs.empty() ? "vm1" : "vm0";
+  sim.vms.at(used)->unresponsive = true;
+  sim.Takeover();
+  sim.scheduler->SetPredecessorEnd(sim.now + std::chrono::seconds(20));
+  return used;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(SchedulerTest)
@@ -163,15 +177,8 @@
 // VM, goes on renewing its runs after the takeover.
 BOOST_AUTO_TEST_CASE(TakeoverWaitsForAPredecessorThatMayGiveOrders) {
   FleetSim sim;
-  sim.AddVm("vm0", "p", kVmSize);
-  sim.AddVm("vm1", "p", kVmSize);
-  sim.Submit(SimpleJob("a", "q", 1, 1000, 60'000));
-  sim.Run(500);
-  const std::string used = sim.vms.at("vm0")->runs.empty() ? "vm1" : "vm0";
+  const std::string used = TakeOverWithoutReachingARun(sim);
   FakeVm& cut = *sim.vms.at(used);
-  cut.unresponsive = true;
-  sim.Takeover();
-  sim.scheduler->SetPredecessorEnd(sim.now + std::chrono::seconds(20));
   sim.Deregister(used);
   const auto renew = [&](std::int64_t ms) {
     for (; ms > 0; ms -= 500) {
@@ -192,14 +199,7 @@
 BOOST_AUTO_TEST_CASE(TakeoverWaitsNoLongerThanItsPredecessorMatters) {
   for (const bool ended : {true, false}) {
     FleetSim sim;
-    sim.AddVm("vm0", "p", kVmSize);
-    sim.AddVm("vm1", "p", kVmSize);
-    sim.Submit(SimpleJob("a", "q", 1, 1000, 60'000));
-    sim.Run(500);
-    const std::string used = sim.vms.at("vm0")->runs.empty() ? "vm1" : "vm0";
-    sim.vms.at(used)->unresponsive = true;
-    sim.Takeover();
-    sim.scheduler->SetPredecessorEnd(sim.now + std::chrono::seconds(20));
+    const std::string used = TakeOverWithoutReachingARun(sim);
     sim.Run(1000);
     if (ended) {
       sim.scheduler->SetPredecessorEnd(sim.now);
