--- a/fake/fleet/fleet_platform.cc
+++ b/fake/fleet/fleet_platform.cc
@@ -546,7 +546,7 @@
     machine.waves.insert(wave);
     machine.state = "upkeep";
     this->most_machines_away = std::max(this->most_machines_away, ++this->away);
-    this->world.vms.at(machine.vm)->Restart();
+    this->world.vms.at(machine.vm)->Restart(this->world.now);
     this->store.Remove("servers/" + machine.vm);
     this->later.emplace(
         this->world.now + std::chrono::milliseconds(this->options.upkeep_ms),
--- a/fake/vms/vm_model.cc
+++ b/fake/vms/vm_model.cc
@@ -32,13 +32,14 @@
 
 }  // namespace
 
-void FakeVm::Restart() {
+void FakeVm::Restart(Time now) {
   this->runs.clear();
   this->ended.clear();
   this->refused_runs.clear();
   this->fence = 0;
   this->lease_until_ms = 0;
   this->last_number = 0;
+  this->clock_offset_ms = -ToMs(now.time_since_epoch());
   ++this->facts.boot_ms;
 }
 
@@ -208,6 +209,12 @@
          permit->second.valid_until > this->now;
 }
 
+void VmModel::ExtendLease(FakeVm& vm, std::int64_t until_ms) const {
+  vm.lease_until_ms =
+      std::max(vm.lease_until_ms,
+               std::min(until_ms, this->ClockOf(vm) + this->max_lease_ms));
+}
+
 StartAnswer VmModel::HandleStart(FakeVm& vm,
                                  const jobs::StartRun& order,
                                  std::uint64_t sender_fence) {
@@ -218,7 +225,7 @@
   if (order.lease_until_ms <= this->ClockOf(vm)) {
     return StartAnswer::kExpired;
   }
-  vm.lease_until_ms = std::max(vm.lease_until_ms, order.lease_until_ms);
+  this->ExtendLease(vm, order.lease_until_ms);
   if (vm.runs.contains(name) && vm.runs.at(name).run == order.run) {
     return StartAnswer::kAccepted;
   }
@@ -289,7 +296,7 @@
     return false;
   }
   if (poll.lease_until_ms) {
-    vm.lease_until_ms = std::max(vm.lease_until_ms, *poll.lease_until_ms);
+    this->ExtendLease(vm, *poll.lease_until_ms);
   }
   while (!vm.ended.empty() && vm.ended.front().number <= poll.recorded_end) {
     if (vm.ended.front().how == RunEnd::kDone) {
--- a/fake/vms/vm_model.h
+++ b/fake/vms/vm_model.h
@@ -51,8 +51,9 @@
   std::int64_t order_delay_ms = 0;
   std::int64_t tail_ms = 0;  // gauge of serving tasks
 
-  /*! @brief Restarts under its id without any earlier state. */
-  void Restart();
+  /*! @brief Restarts under its id without any earlier state; its clock starts
+   * anew. */
+  void Restart(Time now);
 };
 
 /*! @brief The advice service: which VMs may run a step of an advised queue. */
@@ -124,11 +125,13 @@
   FakeAdvice advice;
   std::vector<std::string> violations;
   std::vector<std::string> endless_stopped;  // endless tasks ended by a stop
+  std::int64_t max_lease_ms = 6000;          // longer leases are cut to this
   Time now{std::chrono::seconds(1000)};
 
  private:
   void End(FakeVm& vm, const std::string& task, jobs::RunEnd how);
   void CheckStart(const FakeVm& vm, const VmRun& run);
+  void ExtendLease(FakeVm& vm, std::int64_t until_ms) const;
   /*! @brief True if all members of a gang's run are present or done. */
   [[nodiscard]] bool GangAssembled(const VmRun& run) const;
   [[nodiscard]] bool HasValidPermit(const FakeVm& vm,
--- a/src/app/fleet/main.cc
+++ b/src/app/fleet/main.cc
@@ -75,6 +75,7 @@
       std::min(settings.number("max-lease-ms"),
                missed_heartbeats * settings.number("heartbeat-ms") - slack_ms);
   limits.lease = milliseconds(std::max(lease_ms, least_ms));
+  limits.max_lease = milliseconds(settings.number("max-lease-ms"));
   limits.stop_grace = milliseconds(settings.number("stop-grace-ms"));
   return limits;
 }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -48,8 +48,11 @@
   // pending.
   Time answered_at;
   std::int64_t lease_until_ms =
-      0;                     // lease in the order to start, on the VM's clock
-  bool resend_stop = false;  // the order to stop must be sent again
+      0;  // lease in the order to start, on the VM's clock
+  // The VM's clock is past this when the order to start arrives, unless the VM
+  // has restarted.
+  std::int64_t ordered_after_ms = 0;
+  bool resend_stop = false;       // the order to stop must be sent again
   std::uint64_t last_listed = 0;  // latest report that listed the run
   std::int32_t percent = 0;       // as last reported, see RunningRow
   std::int64_t gauge = 0;         // as last reported, see RunningRow
--- a/src/jobs/limits.h
+++ b/src/jobs/limits.h
@@ -9,13 +9,15 @@
 
 namespace kch::jobs {
 
-/*! @brief Bounds and intervals of scheduling; the first two come from the
+/*! @brief Bounds and intervals of scheduling; the first three come from the
  * deployment's settings. */
 struct Limits {
   // Lease of everything that runs on a VM. It is shorter than the time after
   // which an unresponsive VM's registration is removed, so that no run outlives
   // it.
   Duration lease = std::chrono::milliseconds(4000);
+  // Longest lease that a VM grants, whatever an order asks for.
+  Duration max_lease = std::chrono::milliseconds(6000);
   // Longest time from an order to stop a run until the run has ended.
   Duration stop_grace = std::chrono::milliseconds(900);
 
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -154,14 +154,23 @@
   }
 }
 
-// Every run of the earlier incarnation has ended. The new one has received no
-// fence and would carry out an order to start that is still in transit, so such
-// a task starts elsewhere only once a stop has made the VM refuse that run.
+// Every run of the earlier incarnation has ended. A run that it never listed
+// may be one of the new incarnation: that has received no fence and carries out
+// what reaches it. Such a run stays where it is until a report of the new
+// incarnation tells. If its order to start has no answer yet, the order may
+// still be in transit, so a stop makes the VM refuse the run.
 void Scheduler::RestartVm(Vm& vm, const VmFacts& facts, Time now) {
-  std::vector<Task*> ordered;
+  struct Unlisted {
+    Task* task = nullptr;
+    bool accepted = false;
+    Time answered_at;
+  };
+  std::vector<Unlisted> unlisted;
   for (Task* task : vm.runs) {
-    if (task->phase == TaskPhase::kStarting) {
-      ordered.push_back(task);
+    if (task->last_listed == 0 && task->Placed()) {
+      unlisted.push_back({.task = task,
+                          .accepted = task->phase == TaskPhase::kRunning,
+                          .answered_at = task->answered_at});
     }
   }
   const VmFacts next = facts;
@@ -170,17 +179,25 @@
       {{"vm", next.id.str()},
        {"boot_ms", std::to_string(next.boot_ms)},
        {"runs", std::to_string(vm.runs.size())},
-       {"starting", std::to_string(ordered.size())},
+       {"unlisted", std::to_string(unlisted.size())},
        {"heard_ms_ago", std::to_string(ToMs(now - vm.clock_at))}});
+  for (const Unlisted& run : unlisted) {
+    this->Requeue(*run.task);
+  }
   this->MarkRunsLost(vm, "vm_restarted");
   this->DropVm(next.id);
   this->SetVm(next, now);
   Vm& restarted = *this->FindVm(next.id);
-  for (Task* task : ordered) {
-    if (task->phase == TaskPhase::kWaiting && !task->job->Ended()) {
-      this->Place(*task, restarted);
-      task->phase = TaskPhase::kStarting;
-      this->StopTask(*task);
+  for (const Unlisted& run : unlisted) {
+    Task& task = *run.task;
+    this->Place(task, restarted);
+    restarted.earlier_lease_end = now + this->LongestGrantedLease();
+    if (run.accepted && !task.job->Ended()) {
+      task.phase = TaskPhase::kRunning;
+      task.answered_at = run.answered_at;
+    } else {
+      task.phase = TaskPhase::kStarting;
+      this->StopTask(task);
     }
   }
 }
@@ -494,6 +511,7 @@
 void Scheduler::Place(Task& task, Vm& vm) {
   task.vm = vm.facts.id;
   task.answered_at = Time();
+  task.last_listed = 0;
   vm.runs.insert(&task);
   vm.used += task.spec().Occupies();
   if (task.spec().endless) {
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -258,6 +258,7 @@
   void EndJob(Job& job, JobState state, Time now);
   void MarkStarted(Job& job);
   Duration LongestLease() const;
+  Duration LongestGrantedLease() const;
   Time InheritedRunsEnd(Time reached) const;
   bool Active(const Task& task, Time now) const;
   /*! @brief Number of other tasks of its step that are not known to be active.
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -413,6 +413,7 @@
   const std::int64_t until = vm.ClockAt(now) + ToMs(this->limits.lease);
   vm.lease_until_ms = std::max(vm.lease_until_ms, until);
   task.lease_until_ms = until;
+  task.ordered_after_ms = vm.EarliestClockAt(now);
   this->effects.emplace_back(StartRun{vm.Address(), task.Ref(), run,
                                       task.job->spec.payload, until,
                                       task.checkpoint, std::move(permit)});
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -468,6 +468,12 @@
   Task* task = this->FindTask(ref);
   const bool current = task != nullptr && task->vm == id && task->run == run &&
                        task->phase == TaskPhase::kStarting;
+  // An incarnation that follows the one that was read last has accepted the
+  // run. It takes the lease in the order for a longer one.
+  if (current && clock_ms > 0 && clock_ms < task->ordered_after_ms) {
+    vm->earlier_lease_end = now + this->LongestGrantedLease();
+    vm->clock_doubtful = true;
+  }
   // The answer to another order may come from an earlier incarnation.
   if (current && clock_ms > 0 && clock_ms >= vm->clock_ms) {
     vm->clock_ms = clock_ms;
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -55,6 +55,13 @@
       this->limits.lease / kMinVmClockRate + this->limits.stop_grace);
 }
 
+// A VM whose clock has started anew takes a lease by its earlier clock for one
+// that is far ahead, and cuts it to the longest that it grants.
+Duration Scheduler::LongestGrantedLease() const {
+  return std::chrono::duration_cast<Duration>(
+      this->limits.max_lease / kMinVmClockRate + this->limits.stop_grace);
+}
+
 // Runs that a predecessor may have started end by this time on a VM that was
 // not reached at `reached`.
 Time Scheduler::InheritedRunsEnd(Time reached) const {
--- a/src/jobs/vm.cc
+++ b/src/jobs/vm.cc
@@ -27,9 +27,15 @@
   return this->clock_ms + ToMs(now - this->clock_at);
 }
 
+std::int64_t Vm::EarliestClockAt(Time now) const {
+  return this->clock_ms +
+         static_cast<std::int64_t>(
+             static_cast<double>(ToMs(now - this->clock_at)) * kMinVmClockRate);
+}
+
 std::optional<Time> Vm::LeaseEnd(const Limits& limits) const {
   if (!this->clock_known) {
-    return std::nullopt;
+    return this->earlier_lease_end;
   }
   // The clock was read before its answer arrived and may be slow, so the lease
   // ends no later than this. The run may take the stop grace to end after that.
@@ -37,7 +43,8 @@
       static_cast<double>(this->lease_until_ms - this->clock_ms);
   const auto left = std::chrono::milliseconds(
       static_cast<std::int64_t>(std::ceil(left_ms / kMinVmClockRate)));
-  return this->clock_at + left + limits.stop_grace;
+  const Time end = this->clock_at + left + limits.stop_grace;
+  return std::max(end, this->earlier_lease_end.value_or(end));
 }
 
 }  // namespace kch::jobs
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -48,6 +48,8 @@
   bool clock_known = false;
   bool clock_doubtful = false;      // it refused an order as expired
   std::int64_t lease_until_ms = 0;  // latest lease sent, answered or not
+  // By then leases end that were sent by an earlier incarnation's clock.
+  std::optional<Time> earlier_lease_end;
 
   bool reported = false;  // has answered this scheduler
   std::uint64_t report_count = 0;
@@ -89,9 +91,11 @@
   /*! @brief Estimate of the VM's clock at a local time, ahead of it by at most
    * 2% of the time since it was read (kMinVmClockRate). */
   [[nodiscard]] std::int64_t ClockAt(Time now) const;
+  /*! @brief The least that the VM's clock can show at a local time. */
+  [[nodiscard]] std::int64_t EarliestClockAt(Time now) const;
   /*! @brief Local time by which every lease sent has expired and the runs have
-   * ended, which takes up to Limits::stop_grace; unset if the VM's clock was
-   * never read. */
+   * ended, which takes up to Limits::stop_grace; unset if none was sent to this
+   * incarnation or an earlier one. */
   [[nodiscard]] std::optional<Time> LeaseEnd(const Limits& limits) const;
 };
 
--- a/test/jobs/advice_test.cc
+++ b/test/jobs/advice_test.cc
@@ -75,7 +75,7 @@
   sim.Submit(SimpleJob("a", "advised", 40, 1000, 500));
   sim.Run(250);
   FakeVm& vm = *sim.vms.at("vm0");
-  vm.Restart();
+  vm.Restart(sim.now);
   sim.Register("vm0");
   BOOST_TEST(sim.Completes("a", 9000));
   BOOST_TEST(sim.advice.refused_starts == 0);
--- a/test/jobs/chaos_test.cc
+++ b/test/jobs/chaos_test.cc
@@ -121,7 +121,7 @@
 
   // The VM restarts under its id without any earlier state.
   void Reboot(FakeVm& vm) {
-    vm.Restart();
+    vm.Restart(this->sim.now);
     this->sim.Register(vm.facts.id.str());
   }
 
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -233,7 +233,7 @@
   sim.Run(1000);
   BOOST_TEST(logged("lease_outlived"));
   BOOST_TEST(!logged("vm_restarted"));
-  vm.Restart();
+  vm.Restart(sim.now);
   sim.Run(1000);
   BOOST_TEST(logged("vm_restarted"));
 }
@@ -250,7 +250,7 @@
   const VmFacts facts = vm.facts;
   const VmReport report = sim.ReportOf(vm);
   const Time sent = sim.now;
-  vm.Restart();
+  vm.Restart(sim.now);
   BOOST_REQUIRE(sim.RunUntil(
       [&] { return sim.starts() == 2 && !vm.runs.empty(); }, 5000));
   sim.Run(500);
@@ -268,6 +268,67 @@
   BOOST_TEST(Violations(sim) == "");
 }
 
+// A VM restarts while nothing runs on it, and accepts a task before anything
+// tells of the restart. Guards against a scheduler that takes the task for lost
+// with the earlier incarnation and starts it elsewhere beside the first run.
+BOOST_AUTO_TEST_CASE(RunsThatARestartedVmHasAcceptedAreNotRepeated) {
+  for (const bool by_report : {false, true}) {
+    FleetSim sim;
+    WithVms(sim, 2);
+    sim.Submit(SimpleJob("before", "q", 2, 1000, 100));
+    BOOST_REQUIRE(sim.Completes("before", 2000));
+    sim.Run(300);
+    std::map<std::string, VmReport> early;
+    for (auto& [id, vm] : sim.vms) {
+      vm->Restart(sim.now);
+      early[id] = sim.ReportOf(*vm);
+    }
+    const Time requested = sim.now;
+    sim.Submit(SimpleJob("a", "q", 1, 1000, 2000));
+    sim.Run(20);
+    BOOST_REQUIRE(sim.Runs("a.0.0.0"));
+    for (const auto& [id, vm] : sim.vms) {
+      if (by_report) {
+        sim.scheduler->OnReport(VmId(id), early.at(id), requested, sim.now);
+      } else {
+        sim.Register(id);
+      }
+    }
+    BOOST_TEST(sim.Completes("a", 4000));
+    BOOST_TEST(sim.starts() == 3);
+    BOOST_TEST(Violations(sim) == "");
+  }
+}
+
+// The same VM then falls silent, before or after its registration tells of the
+// restart. It has cut the lease by the earlier clock to the longest that it
+// grants. Guards against a scheduler that counts with the shorter one.
+BOOST_AUTO_TEST_CASE(RunsOfARestartedVmEndWithTheLongestLease) {
+  for (const bool registered : {false, true}) {
+    FleetSim sim;
+    WithVms(sim, 2);
+    sim.Submit(SimpleJob("before", "q", 2, 1000, 100));
+    BOOST_REQUIRE(sim.Completes("before", 2000));
+    sim.Run(300);
+    for (auto& [id, vm] : sim.vms) {
+      vm->Restart(sim.now);
+    }
+    sim.Run(100);
+    sim.Submit(SimpleJob("a", "q", 1, 1000, 60'000));
+    sim.Run(20);
+    BOOST_REQUIRE(sim.Runs("a.0.0.0"));
+    const std::string used = sim.vms.at("vm0")->runs.empty() ? "vm1" : "vm0";
+    sim.vms.at(used)->unresponsive = true;
+    if (registered) {
+      sim.Register(used);
+    }
+    sim.Run(5500);
+    BOOST_TEST(sim.starts() == 3);
+    BOOST_TEST(sim.RunUntil([&] { return sim.starts() == 4; }, 3000));
+    BOOST_TEST(Violations(sim) == "");
+  }
+}
+
 // A failure that was recorded but not acknowledged was counted again by the
 // successor, and the job failed with an attempt left.
 BOOST_AUTO_TEST_CASE(SuccessorCountsAFailureOnce) {
