--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -54,7 +54,7 @@
   Easy easy;
   std::unique_ptr<curl_slist, ListFree> headers;
   HttpResult result;
-  bool released = false;  // some try was allowed to send
+  int tries = 0;  // that were allowed to send
   bool expired = false;
   SteadyClock::time_point started;
   std::optional<SteadyClock::time_point> last_part;  // of the answer
@@ -85,7 +85,7 @@
     transfer.expired = true;
     return CURL_PREREQFUNC_ABORT;
   }
-  transfer.released = true;
+  ++transfer.tries;
   return CURL_PREREQFUNC_OK;
 }
 
@@ -180,6 +180,7 @@
 void Finish(Transfer& transfer, CURLcode code) {
   CURL* easy = transfer.easy.get();
   HttpResult& result = transfer.result;
+  result.repeated = transfer.tries > 1;
   if (code == CURLE_OK) {
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
@@ -194,8 +195,8 @@
   // libcurl sends a request again if a reused connection turns out closed. The
   // bytes of the first try count even if the second one cannot connect or has
   // expired.
-  const bool never_sent = !transfer.released ||
-                          (request_bytes == 0 &&
+  const bool never_sent = transfer.tries == 0 ||
+                          (!result.repeated && request_bytes == 0 &&
                            (code == CURLE_COULDNT_CONNECT || connect_us == 0));
   result.status = never_sent ? CallStatus::kNotSent : CallStatus::kBroken;
   result.error = never_sent && transfer.expired ? std::string(kExpiredError)
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -50,7 +50,7 @@
   // slow link is not broken off.
   int stall_timeout_ms = 0;
   // libcurl sends a request again if a reused connection was closed by the
-  // other end; a new connection rules that out.
+  // other end (HttpResult::repeated); a new connection rules that out.
   bool new_connection = false;
   std::optional<Time> valid_until;  // not sent after this time
 };
@@ -62,6 +62,10 @@
   HttpHeaders headers;
   std::string body;
   std::string error;
+  // libcurl has sent the request more than once. The answer is that to the last
+  // sending and tells nothing of the earlier ones, which may have been carried
+  // out.
+  bool repeated = false;
 
   /*! @brief Value of an answer's header, or an empty text. */
   [[nodiscard]] std::string_view Header(std::string_view name) const;
--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -215,6 +215,60 @@
   }
 }
 
+// libcurl sends a request again if its connection is closed before the answer.
+// Guards against taking the refusal of the second sending for that of the
+// first, which may have been carried out: a job whose submitter was told that
+// it does not run ran, and a task was started twice.
+BOOST_AUTO_TEST_CASE(RefusalOfARepeatedRequestLeavesItsOutcomeUnknown) {
+  int refusal = 503;
+  std::string body;
+  bool closes = false;
+  SlowServer server([&](const std::string&, std::size_t) {
+    return std::exchange(closes, false)
+               ? SlowServer::Answer{.closes = true}
+               : SlowServer::Answer{.body = body, .status = refusal};
+  });
+  const auto client = net::HttpClient::Create({}).value();
+  net::Metrics metrics;
+  Store store(*client, server.address(), metrics);
+  const auto write = [&] {
+    Waiter<WriteReply> waiter;
+    store.Write({.conditions = {{"k", 0}}}, 1000, waiter.Callback());
+    return waiter.Wait().outcome;
+  };
+  VmClient vms(*client);
+  const auto start = [&] {
+    Waiter<StartReply> waiter;
+    vms.Start(StartOrder(server.address()), 9, waiter.Callback());
+    return waiter.Wait().answer;
+  };
+  MachineClient machines(*client, server.address(), "edge-1");
+  const auto upkeep = [&] {
+    Waiter<upkeep::OrderAnswer> waiter;
+    machines.Upkeep({jobs::MachineId("m-1"), jobs::WaveId("7")}, 9,
+                    net::Now() + std::chrono::seconds(5), waiter.Callback());
+    return waiter.Wait();
+  };
+  BOOST_TEST((write() == Outcome::kRefused));
+  closes = true;
+  BOOST_TEST((write() == Outcome::kUnknown));
+
+  BOOST_TEST((start() == jobs::StartAnswer::kUnhealthy));
+  closes = true;
+  BOOST_TEST((start() == jobs::StartAnswer::kNoAnswer));
+
+  refusal = 409;
+  body = R"({"Reason": "busy"})";
+  BOOST_TEST((upkeep() == upkeep::OrderAnswer::kBusy));
+  closes = true;
+  BOOST_TEST((upkeep() == upkeep::OrderAnswer::kUnknown));
+
+  // A fence that has passed the order's is no less so for the first sending.
+  body = R"({"Reason": "fence"})";
+  closes = true;
+  BOOST_TEST((start() == jobs::StartAnswer::kFenced));
+}
+
 BOOST_AUTO_TEST_CASE(LooksReturnTheVmsLists) {
   Stand stand;
   stand.Answer("hold", 200,
--- a/test/slow_server.h
+++ b/test/slow_server.h
@@ -26,6 +26,8 @@
     std::size_t parts_sent = parts;
     std::chrono::milliseconds pause{0};
     bool silent = false;  // not even a status is sent
+    bool closes = false;  // the connection is closed without an answer
+    int status = 200;
   };
   /*! @brief Called with each request's head and the number of its connection;
    * the calls do not overlap. */
@@ -95,11 +97,16 @@
         answer = this->handler(input.substr(0, length), number);
       }
       input.erase(0, length);
+      if (answer.closes) {
+        socket.shutdown(asio::ip::tcp::socket::shutdown_both, error);
+        return;
+      }
       if (answer.silent) {
         continue;
       }
       asio::write(socket,
-                  asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                  asio::buffer("HTTP/1.1 " + std::to_string(answer.status) +
+                               " Status\r\nContent-Length: " +
                                std::to_string(answer.body.size()) + "\r\n\r\n"),
                   error);
       const std::size_t part = answer.body.size() / answer.parts + 1;
