--- a/fake/vms/vm_model.cc
+++ b/fake/vms/vm_model.cc
@@ -35,10 +35,12 @@
 void FakeVm::Restart(Time now) {
   this->runs.clear();
   this->ended.clear();
+  this->repeated_ends.clear();
   this->refused_runs.clear();
   this->fence = 0;
   this->lease_until_ms = 0;
   this->last_number = 0;
+  this->lapsed_end = 0;
   this->clock_offset_ms = -ToMs(now.time_since_epoch());
   ++this->facts.boot_ms;
 }
@@ -124,6 +126,9 @@
     for (const auto& [name, how] : ends) {
       this->End(*vm, name, how);
     }
+    if (clock >= vm->lease_until_ms) {
+      vm->lapsed_end = vm->last_number;
+    }
   }
 }
 
@@ -164,6 +169,12 @@
     if (other->runs.contains(name)) {
       violation("twice");
     }
+    for (const jobs::EndedRow& row : other->ended) {
+      if (row.task == name && row.how == RunEnd::kDone &&
+          row.number > other->lapsed_end) {
+        other->repeated_ends.insert(row.number);
+      }
+    }
     for (const auto& [task, row] : other->runs) {
       if (row.team == run.team) {
         team += row.need;
@@ -299,6 +310,10 @@
     this->ExtendLease(vm, *poll.lease_until_ms);
   }
   while (!vm.ended.empty() && vm.ended.front().number <= poll.recorded_end) {
+    if (vm.repeated_ends.contains(vm.ended.front().number)) {
+      this->violations.push_back("repeated before its end was acknowledged: " +
+                                 vm.ended.front().task);
+    }
     if (vm.ended.front().how == RunEnd::kDone) {
       this->done.insert(vm.ended.front().task);
     }
--- a/fake/vms/vm_model.h
+++ b/fake/vms/vm_model.h
@@ -43,6 +43,9 @@
       refused_runs;  // runs up to here are refused
   std::deque<jobs::EndedRow> ended;
   std::int64_t last_number = 0;
+  std::int64_t lapsed_end = 0;  // ends up to here precede a lapse of its lease
+  // Ends of `done` runs whose tasks have been started since.
+  std::set<std::int64_t> repeated_ends;
   bool unresponsive = false;  // does not answer, but its runs continue
   bool fails_all = false;
   bool drops_responses = false;  // carries out orders without an answer
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -223,7 +223,7 @@
   this->EmitLogEvent("vm_removed", {{"vm", id.str()},
                                     {"runs", std::to_string(vm->runs.size())}});
   // A VM that has not reported yet may run tasks of the predecessor.
-  if (vm->reported && vm->runs.empty() && vm->orphans.empty()) {
+  if (vm->reported && vm->Settled()) {
     this->DropVm(id);
   } else {
     vm->next_poll = now;
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -137,8 +137,7 @@
       }
       const bool known_empty =
           vm->reported || now >= this->InheritedRunsEnd(vm->added);
-      if (!vm->registered && known_empty && vm->runs.empty() &&
-          vm->orphans.empty()) {
+      if (!vm->registered && known_empty && vm->Settled()) {
         gone.push_back(id);
         continue;
       }
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -84,6 +84,12 @@
 
   bool cordoned = false;  // due for maintenance or a move: no new starts
 
+  /*! @brief True if nothing runs on it and the ends that it has listed are
+   * recorded, so that a successor need not ask it. */
+  [[nodiscard]] bool Settled() const {
+    return this->runs.empty() && this->orphans.empty() &&
+           this->awaited_records.empty();
+  }
   [[nodiscard]] Destination Address() const;
   [[nodiscard]] Resources Free() const;
   /*! @brief Free part of the scarcer of processor and memory, in 1/10,000. */
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -390,6 +390,36 @@
   BOOST_TEST(Violations(sim) == "");
 }
 
+// A VM's registration lapses during an outage of the store, in which its tasks
+// end. Guards against a scheduler that forgets the VM and erases its record
+// before the ends are recorded: a successor that finds neither starts the tasks
+// again.
+BOOST_AUTO_TEST_CASE(VmWithUnrecordedEndsIsNotForgotten) {
+  for (const bool ends_before_removal : {false, true}) {
+    FleetSim sim;
+    WithVms(sim, 2);
+    sim.Submit(SimpleJob("a", "q", 2, 1000, 400));
+    sim.Run(200);
+    sim.AddVm("vm2", "p", kVmSize);
+    sim.Run(100);
+    sim.store.down = true;
+    if (ends_before_removal) {
+      sim.Run(500);
+    }
+    sim.Deregister("vm0");
+    sim.Deregister("vm1");
+    sim.Run(800);
+    sim.store.down = false;
+    sim.Takeover();
+    sim.Run(500);
+    sim.Register("vm0");
+    sim.Register("vm1");
+    BOOST_TEST(sim.Completes("a", 2000));
+    BOOST_TEST(sim.starts() == 2);
+    BOOST_TEST(Violations(sim) == "");
+  }
+}
+
 // The registration of a VM that ended for maintenance remains for some
 // heartbeats. Guards against a successor that waits a whole lease for its
 // answer before it starts inherited tasks.
