Adopt a run with a lower number than one that has ended

Fix: a run of a waiting task is adopted whatever its number; later runs get numbers above both. Members of a gang share a number, so a lower one is still stopped there.

--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -100,12 +100,16 @@
   const bool own =
       task != nullptr && task->run == row.run && vm.runs.contains(task);
   if (!own) {
+    // The members of a gang have to share a number.
     if (task == nullptr || task->job->Ended() ||
-        task->phase != TaskPhase::kWaiting || row.run < task->run) {
+        task->phase != TaskPhase::kWaiting ||
+        (row.run < task->run && task->spec().gang)) {
       this->StopOrphan(vm, *ref, row.run, now);
       return;
     }
-    // A run of the predecessor, or one that was considered lost.
+    // A run of the predecessor, or one that was considered lost. A predecessor
+    // that did not know of an earlier run has given a lower number.
+    task->run_floor = std::max(task->run_floor, task->run);
     task->run = row.run;
     this->Place(*task, vm);
     task->phase = TaskPhase::kStarting;
--- a/test/jobs/chaos_test.cc
+++ b/test/jobs/chaos_test.cc
@@ -119,9 +119,13 @@
         this->Draw(0, 1) == 0 ? 0 : this->Draw(1500, 8000);
   }
 
-  // The VM restarts under its id without any earlier state.
+  // The VM restarts under its id without any earlier state. Its registration
+  // tells of that at once or only after it has accepted runs.
   void Reboot(FakeVm& vm) {
     vm.Restart(this->sim.now);
+    if (this->Draw(0, 1) == 0) {
+      this->sim.Run(this->Draw(20, 400));
+    }
     this->sim.Register(vm.facts.id.str());
   }
 
