--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -339,10 +339,10 @@
              this->Post([this, item] { this->OnOperatorItem(item); });
            },
        .on_removed =
-           [this](const std::string& key) {
+           [this](const std::string& key, std::uint64_t /*revision*/) {
              this->Post([this, key] { this->OnOperatorRemoval(key); });
            },
-       .on_listed = [] {},
+       .on_listed = [](std::uint64_t /*revision*/) {},
        .on_reachable =
            [this](bool reachable) {
              this->parts.front.SetStoreReachable(reachable);
@@ -437,19 +437,22 @@
       {.on_put =
            [this, seen](const platform::Item& item) {
              *seen = true;
-             this->Post([this, item] { this->OnOwnerItem(item); });
+             this->Post(
+                 [this, item] { this->OnOwnerItem(item, item.revision); });
            },
        .on_removed =
-           [this, seen](const std::string&) {
+           [this, seen](const std::string&, std::uint64_t revision) {
              *seen = false;
-             this->Post([this] { this->OnOwnerItem(std::nullopt); });
+             this->Post([this, revision] {
+               this->OnOwnerItem(std::nullopt, revision);
+             });
            },
        .on_listed =
-           [this, seen] {
+           [this, seen](std::uint64_t revision) {
              if (!*seen) {
-               this->Post([this] {
+               this->Post([this, revision] {
                  this->ownership.OnRecordMissed();
-                 this->OnOwnerItem(std::nullopt);
+                 this->OnOwnerItem(std::nullopt, revision);
                });
              }
            },
@@ -476,12 +479,13 @@
                              {{"error", report.error().Text()}});
              }
            },
-       .on_removed = [](const std::string&) {},
-       .on_listed = [listed] { *listed = true; },
+       .on_removed = [](const std::string&, std::uint64_t) {},
+       .on_listed = [listed](std::uint64_t) { *listed = true; },
        .on_reachable = [](bool) {}});
 }
 
-void Driver::OnOwnerItem(const std::optional<platform::Item>& item) {
+void Driver::OnOwnerItem(const std::optional<platform::Item>& item,
+                         std::uint64_t seen_at) {
   std::optional<lead::OwnerRecord> record;
   if (item) {
     auto decoded = lead::DecodeOwner(item->value, item->revision);
@@ -491,12 +495,17 @@
     }
     record = *std::move(decoded);
   }
-  this->parts.front.SetOwner(record ? record->address : "");
-  this->parts.relay.Follow(record);
+  const bool current = this->ownership.OnRecord(record, seen_at, Now());
   net::LogEvent("owner",
                 {{"instance", record ? record->instance : ""},
-                 {"fence", std::to_string(record ? record->revision : 0)}});
-  this->ownership.OnRecord(record, Now());
+                 {"fence", std::to_string(record ? record->revision : 0)},
+                 {"seen_at", std::to_string(seen_at)},
+                 {"current", current ? "yes" : "no"}});
+  if (!current) {
+    return;
+  }
+  this->parts.front.SetOwner(record ? record->address : "");
+  this->parts.relay.Follow(record);
   this->Perform(this->ownership.TakeEffects());
 }
 
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -121,7 +121,8 @@
   void FollowLoad();
   void OnOperatorItem(const platform::Item& item);
   void OnOperatorRemoval(const std::string& key);
-  void OnOwnerItem(const std::optional<platform::Item>& item);
+  void OnOwnerItem(const std::optional<platform::Item>& item,
+                   std::uint64_t seen_at);
   void OnFollowerReport(const relay::Report& report);
   void OnWake(Time now);
 
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -1,5 +1,6 @@
 #include "app/fleet/effects.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -230,33 +231,41 @@
       {std::string(kOwnerKey), lead::Encode(effect.record), effect.lease});
   this->driver.parts.store.Write(
       transaction, kClaimTimeoutMs,
-      [&driver = this->driver](const platform::WriteReply& reply) {
-        driver.Post([&driver, reply] {
-          driver.ownership.OnClaim(AnswerOf(reply.outcome), reply.revision,
-                                   Now());
+      [&driver = this->driver,
+       lease = effect.lease](const platform::WriteReply& reply) {
+        driver.Post([&driver, lease, reply] {
+          driver.ownership.OnClaim(lease, AnswerOf(reply.outcome),
+                                   reply.revision, Now());
         });
       });
 }
 
+// A list tells the store's revision also if the record is absent.
 void LeadEffectVisitor::operator()(const lead::ReadRecord& /*effect*/) const {
-  this->driver.parts.store.Get(
-      std::string(kOwnerKey),
-      [&driver = this->driver](const platform::GetReply& reply) {
-        if (reply.outcome == Outcome::kOk) {
-          driver.Post([&driver, reply] { driver.OnOwnerItem(reply.item); });
-        } else if (reply.outcome == Outcome::kMissing) {
-          driver.Post([&driver] { driver.OnOwnerItem(std::nullopt); });
+  this->driver.parts.store.List(
+      std::string(kOwnerKey), "",
+      [&driver = this->driver](const platform::ListReply& reply) {
+        if (reply.outcome != Outcome::kOk) {
+          return;  // the view of the record brings it
         }
-        // Otherwise the view of the record brings it.
+        const auto found =
+            std::ranges::find(reply.items, kOwnerKey, &platform::Item::key);
+        driver.Post([&driver, revision = reply.revision,
+                     item = found == reply.items.end()
+                                ? std::nullopt
+                                : std::optional(*found)] {
+          driver.OnOwnerItem(item, revision);
+        });
       });
 }
 
 void LeadEffectVisitor::operator()(const lead::RenewLease& effect) const {
   this->driver.parts.store.RenewLease(
       effect.lease, static_cast<int>(ToMs(lead::kRenewTimeout)),
-      [&driver = this->driver, sent = Now()](Outcome outcome) {
-        driver.Post([&driver, sent, outcome] {
-          driver.ownership.OnRenewal(AnswerOf(outcome), sent, Now());
+      [&driver = this->driver, lease = effect.lease,
+       sent = Now()](Outcome outcome) {
+        driver.Post([&driver, lease, sent, outcome] {
+          driver.ownership.OnRenewal(lease, AnswerOf(outcome), sent, Now());
         });
       });
 }
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -241,9 +241,9 @@
            [this, by](const platform::Item& item) {
              this->PostFor(by, [this, item] { this->OnIntake(item); });
            },
-       .on_removed = [](const std::string&) {},
+       .on_removed = [](const std::string&, std::uint64_t) {},
        .on_listed =
-           [this, by] {
+           [this, by](std::uint64_t /*revision*/) {
              this->PostFor(by, [this] {
                if (this->takeover) {
                  net::LogEvent(
@@ -273,14 +273,14 @@
              this->PostFor(by, [this, item] { this->OnVmItem(item); });
            },
        .on_removed =
-           [this, by](const std::string& key) {
+           [this, by](const std::string& key, std::uint64_t /*revision*/) {
              this->PostFor(by, [this, key] {
                this->scheduler->RemoveVm(VmId(key.substr(kVmPrefix.size())),
                                          Now());
              });
            },
        .on_listed =
-           [this, by] {
+           [this, by](std::uint64_t /*revision*/) {
              this->PostFor(by, [this] {
                if (this->takeover) {
                  this->takeover->vms_known = true;
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -74,6 +74,7 @@
   this->follower_leases = {};
   this->record.revision = revision;
   this->observed_record = this->record;
+  this->record_seen_at = std::max(this->record_seen_at, revision);
   this->state = State::kOwner;
   this->valid_until = this->lease_sent + kOwnerLease;
   this->outage_until = Time();
@@ -136,7 +137,21 @@
   this->BecomeFollower(now + kClaimRetryInterval + this->claim_delay);
 }
 
-void Ownership::OnRecord(const std::optional<OwnerRecord>& observed, Time now) {
+// News of the record come by a watch, by lists and by reads, and may overtake
+// each other. The removal of an earlier term's record says nothing of this one.
+bool Ownership::OnRecord(const std::optional<OwnerRecord>& observed,
+                         std::uint64_t seen_at,
+                         Time now) {
+  if (seen_at < this->record_seen_at) {
+    return false;
+  }
+  this->record_seen_at = seen_at;
+  this->ApplyRecord(observed, now);
+  return true;
+}
+
+void Ownership::ApplyRecord(const std::optional<OwnerRecord>& observed,
+                            Time now) {
   this->record_read = true;
   const bool is_own =
       observed && observed->incarnation == this->record.incarnation;
@@ -219,10 +234,11 @@
       this->record});
 }
 
-void Ownership::OnClaim(StoreCallResult result,
+void Ownership::OnClaim(std::uint64_t claimed_under,
+                        StoreCallResult result,
                         std::uint64_t revision,
                         Time now) {
-  if (this->state != State::kClaiming) {
+  if (this->state != State::kClaiming || claimed_under != this->lease) {
     return;
   }
   switch (result) {
@@ -243,8 +259,11 @@
   }
 }
 
-void Ownership::OnRenewal(StoreCallResult result, Time sent, Time now) {
-  if (this->state != State::kOwner) {
+void Ownership::OnRenewal(std::uint64_t renewed,
+                          StoreCallResult result,
+                          Time sent,
+                          Time now) {
+  if (this->state != State::kOwner || renewed != this->lease) {
     return;
   }
   this->renewing = false;
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -132,14 +132,25 @@
   Ownership(OwnerRecord self, Duration claim_delay);
 
   /*! @brief The owner record was read or has changed; nullopt if absent. Called
-   * for each successful ReadRecord and each change of the record. */
-  void OnRecord(const std::optional<OwnerRecord>& observed, Time now);
+   * for each successful ReadRecord and each change of the record. `seen_at` is
+   * the store's revision at which that held. Returns false for news that is
+   * older than what is known already, which changes nothing. */
+  bool OnRecord(const std::optional<OwnerRecord>& observed,
+                std::uint64_t seen_at,
+                Time now);
   /*! @brief CreateLease has returned. */
   void OnLease(StoreCallResult result, std::uint64_t lease, Time now);
-  /*! @brief ClaimRecord has returned; `revision` is that of the new record. */
-  void OnClaim(StoreCallResult result, std::uint64_t revision, Time now);
-  /*! @brief RenewLease, sent at `sent`, has returned. */
-  void OnRenewal(StoreCallResult result, Time sent, Time now);
+  /*! @brief ClaimRecord under `lease` has returned; `revision` is that of the
+   * new record. */
+  void OnClaim(std::uint64_t lease,
+               StoreCallResult result,
+               std::uint64_t revision,
+               Time now);
+  /*! @brief RenewLease of `lease`, sent at `sent`, has returned. */
+  void OnRenewal(std::uint64_t lease,
+                 StoreCallResult result,
+                 Time sent,
+                 Time now);
   /*! @brief The record was listed as absent, or this process was suspended: an
    * owner may have followed unnoticed. */
   void OnRecordMissed();
@@ -203,6 +214,7 @@
     kResigned,
   };
 
+  void ApplyRecord(const std::optional<OwnerRecord>& observed, Time now);
   void BecomeFollower(Time claim_at);
   void BecomeOwner(std::uint64_t revision, Time now);
   void LoseOwnership(const std::string& reason, Time now);
@@ -211,7 +223,8 @@
   Duration claim_delay;
   State state = State::kFollower;
   std::optional<OwnerRecord> observed_record;
-  bool record_read = false;  // the owner record was read at least once
+  std::uint64_t record_seen_at = 0;  // store's revision of `observed_record`
+  bool record_read = false;          // the owner record was read at least once
   std::optional<OwnerRecord> last_owner;  // before this term
   std::uint64_t counted_fence = 0;  // of the owner that counts this process
   std::uint64_t gained_counted_fence = 0;  // the same, when this term began
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -6,6 +6,7 @@
 namespace kch::lead {
 namespace {
 
+constexpr std::uint64_t kLease = 7;
 constexpr Duration kClaimDelay = std::chrono::milliseconds(10);
 
 template <typename T>
@@ -33,10 +34,10 @@
     return this->ownership.TakeEffects();
   }
   void BecomeOwner() {
-    this->ownership.OnRecord(std::nullopt, this->now);
+    this->ownership.OnRecord(std::nullopt, 30, this->now);
     this->After(20);
-    this->ownership.OnLease(StoreCallResult::kOk, 7, this->now);
-    this->ownership.OnClaim(StoreCallResult::kOk, 50, this->now);
+    this->ownership.OnLease(StoreCallResult::kOk, kLease, this->now);
+    this->ownership.OnClaim(kLease, StoreCallResult::kOk, 50, this->now);
   }
 };
 
@@ -46,15 +47,15 @@
 
 BOOST_AUTO_TEST_CASE(ClaimsAnAbsentRecordAfterReadingIt) {
   BOOST_TEST(After(5000).empty());
-  ownership.OnRecord(std::nullopt, now);
+  ownership.OnRecord(std::nullopt, 30, now);
   BOOST_TEST(Find<CreateLease>(After(20)) != nullptr);
-  ownership.OnLease(StoreCallResult::kOk, 7, now);
+  ownership.OnLease(StoreCallResult::kOk, kLease, now);
   const auto effects = ownership.TakeEffects();
   const auto* claim = Find<ClaimRecord>(effects);
   BOOST_REQUIRE(claim != nullptr);
   BOOST_TEST(claim->expected_revision == 0);
-  BOOST_TEST(claim->lease == 7);
-  ownership.OnClaim(StoreCallResult::kOk, 50, now);
+  BOOST_TEST(claim->lease == kLease);
+  ownership.OnClaim(kLease, StoreCallResult::kOk, 50, now);
   const auto gained = ownership.TakeEffects();
   BOOST_REQUIRE(Find<OwnershipGained>(gained) != nullptr);
   BOOST_TEST(Find<OwnershipGained>(gained)->fence == 50);
@@ -65,10 +66,10 @@
 // record claimed with the revision of a record written by another one
 // meanwhile.
 BOOST_AUTO_TEST_CASE(DoesNotOverwriteARecordThatAppearsWhileItsLeaseIsCreated) {
-  ownership.OnRecord(std::nullopt, now);
+  ownership.OnRecord(std::nullopt, 30, now);
   After(20);
-  ownership.OnRecord(other, now);
-  ownership.OnLease(StoreCallResult::kOk, 7, now);
+  ownership.OnRecord(other, other.revision, now);
+  ownership.OnLease(StoreCallResult::kOk, kLease, now);
   const auto effects = ownership.TakeEffects();
   BOOST_TEST(Find<ClaimRecord>(effects) == nullptr);
   BOOST_TEST(Find<EndLease>(effects) != nullptr);
@@ -77,26 +78,26 @@
 
 BOOST_AUTO_TEST_CASE(ReplacesTheRecordOfItsOwnEarlierProcess) {
   other.instance = "a";
-  ownership.OnRecord(other, now);
+  ownership.OnRecord(other, other.revision, now);
   BOOST_TEST(Find<CreateLease>(After(20)) != nullptr);
-  ownership.OnLease(StoreCallResult::kOk, 7, now);
+  ownership.OnLease(StoreCallResult::kOk, kLease, now);
   const auto effects = ownership.TakeEffects();
   BOOST_REQUIRE(Find<ClaimRecord>(effects) != nullptr);
   BOOST_TEST(Find<ClaimRecord>(effects)->expected_revision == 40);
 }
 
 BOOST_AUTO_TEST_CASE(ClaimWithoutAReplyIsReadBack) {
-  ownership.OnRecord(std::nullopt, now);
+  ownership.OnRecord(std::nullopt, 30, now);
   After(20);
-  ownership.OnLease(StoreCallResult::kOk, 7, now);
+  ownership.OnLease(StoreCallResult::kOk, kLease, now);
   static_cast<void>(ownership.TakeEffects());
-  ownership.OnClaim(StoreCallResult::kUnknown, 0, now);
+  ownership.OnClaim(kLease, StoreCallResult::kUnknown, 0, now);
   BOOST_TEST(Find<ReadRecord>(ownership.TakeEffects()) != nullptr);
   ownership.OnRecord(OwnerRecord{.instance = "a",
                                  .incarnation = "a-1",
                                  .address = "h:1",
                                  .revision = 51},
-                     now);
+                     51, now);
   BOOST_TEST(Find<OwnershipGained>(ownership.TakeEffects()) != nullptr);
   BOOST_TEST(ownership.fence() == 51);
 }
@@ -107,7 +108,7 @@
   BecomeOwner();
   for (int i = 0; i < 20; ++i) {
     After(500);
-    ownership.OnRenewal(StoreCallResult::kUnknown, now, now);
+    ownership.OnRenewal(kLease, StoreCallResult::kUnknown, now, now);
   }
   BOOST_TEST(ownership.owner());
   BOOST_TEST(!ownership.HoldsValidLease(now));
@@ -117,22 +118,22 @@
 // paused past its lease gave orders before it knew of its successor.
 BOOST_AUTO_TEST_CASE(OrdersNothingAfterAPauseUntilARenewalSucceeds) {
   BecomeOwner();
-  ownership.OnRenewal(StoreCallResult::kOk, now, now);
+  ownership.OnRenewal(kLease, StoreCallResult::kOk, now, now);
   const Time sent = now;
   After(400);
   BOOST_TEST(ownership.MayOrder(now));
   After(3000);
   BOOST_TEST(!ownership.MayOrder(now));
   // The reply to a renewal from before the pause proves nothing about it.
-  ownership.OnRenewal(StoreCallResult::kOk,
+  ownership.OnRenewal(kLease, StoreCallResult::kOk,
                       sent + std::chrono::milliseconds(400), now);
   BOOST_TEST(!ownership.MayOrder(now));
   const auto renewal = After(10);
   BOOST_TEST(Find<RenewLease>(renewal) != nullptr);
-  ownership.OnRenewal(StoreCallResult::kUnknown, now, now);
+  ownership.OnRenewal(kLease, StoreCallResult::kUnknown, now, now);
   BOOST_TEST(!ownership.MayOrder(now));
   After(100);
-  ownership.OnRenewal(StoreCallResult::kOk, now, now);
+  ownership.OnRenewal(kLease, StoreCallResult::kOk, now, now);
   BOOST_TEST(ownership.MayOrder(now));
 }
 
@@ -145,18 +146,18 @@
     for (int i = 0; i < 20; ++i) {
       After(380);
       BOOST_TEST(ownership.MayOrder(now));
-      ownership.OnRenewal(result, now, now);
+      ownership.OnRenewal(kLease, result, now, now);
     }
   }
   BOOST_TEST(!ownership.HoldsValidLease(now));
   After(1999);
   BOOST_TEST(ownership.MayOrder(now));
-  ownership.OnRenewal(StoreCallResult::kUnknown, now, now);
+  ownership.OnRenewal(kLease, StoreCallResult::kUnknown, now, now);
   After(2000);
   BOOST_TEST(!ownership.MayOrder(now));
-  ownership.OnRenewal(StoreCallResult::kUnknown, now, now);
+  ownership.OnRenewal(kLease, StoreCallResult::kUnknown, now, now);
   After(380);
-  ownership.OnRenewal(StoreCallResult::kUnknown, now, now);
+  ownership.OnRenewal(kLease, StoreCallResult::kUnknown, now, now);
   BOOST_TEST(!ownership.MayOrder(now));
   BOOST_TEST(ownership.owner());
 }
@@ -169,7 +170,7 @@
   ownership.followers().OnContact("c", "c-1", now);
   const auto fail = [this] {
     const auto effects = After(250);
-    ownership.OnRenewal(StoreCallResult::kUnknown, now, now);
+    ownership.OnRenewal(kLease, StoreCallResult::kUnknown, now, now);
     return Find<RequestFollowerLeases>(effects) != nullptr;
   };
   BOOST_TEST(!fail());
@@ -188,14 +189,14 @@
   // A lease counts from its request, and one of an earlier process is void.
   now += kFollowerLease - std::chrono::milliseconds(1);
   BOOST_TEST(ownership.MayOrder(now));
-  ownership.OnRenewal(StoreCallResult::kUnknown, now, now);
+  ownership.OnRenewal(kLease, StoreCallResult::kUnknown, now, now);
   ownership.followers().OnGrant("b", "b-1", now, now);
   ownership.followers().OnGrant("c", "c-0", now, now);
   now += std::chrono::milliseconds(1);
   BOOST_TEST(!ownership.MayOrder(now));
   ownership.followers().OnLeaving("c", "c-1");
   BOOST_TEST(ownership.MayOrder(now));
-  ownership.OnRenewal(StoreCallResult::kOk, now, now);
+  ownership.OnRenewal(kLease, StoreCallResult::kOk, now, now);
   BOOST_TEST(ownership.HoldsValidLease(now));
   BOOST_TEST(Find<RequestFollowerLeases>(After(400)) == nullptr);
 }
@@ -203,11 +204,11 @@
 // Guards against a successor beside an owner to which it has just granted a
 // lease, and against leases for an owner whose record has gone.
 BOOST_AUTO_TEST_CASE(ClaimsNothingWhileALeaseIsGranted) {
-  ownership.OnRecord(other, now);
+  ownership.OnRecord(other, other.revision, now);
   BOOST_TEST(!ownership.GrantLease(other.revision - 1, now));
   BOOST_TEST(ownership.GrantLease(other.revision, now));
   const Time granted = now;
-  ownership.OnRecord(std::nullopt, now);
+  ownership.OnRecord(std::nullopt, 41, now);
   BOOST_TEST(!ownership.GrantLease(other.revision, now));
   while (now < granted + kFollowerLease) {
     BOOST_TEST(Find<CreateLease>(After(50)) == nullptr);
@@ -222,13 +223,13 @@
   Ownership large({.instance = "l", .incarnation = "l-1"}, kClaimDelay);
   Ownership small({.instance = "s", .incarnation = "s-1"}, 10 * kClaimDelay);
   for (Ownership* candidate : {&large, &small}) {
-    candidate->OnRecord(other, now);
+    candidate->OnRecord(other, other.revision, now);
   }
   BOOST_TEST(small.GrantLease(other.revision, now));
   now += kFollowerLeaseInterval;
   BOOST_TEST(large.GrantLease(other.revision, now));
   for (Ownership* candidate : {&large, &small}) {
-    candidate->OnRecord(std::nullopt, now);
+    candidate->OnRecord(std::nullopt, 41, now);
   }
   const auto claims = [this](Ownership& candidate) {
     candidate.Tick(now);
@@ -247,10 +248,10 @@
 // better, which holds work back.
 BOOST_AUTO_TEST_CASE(PredecessorMayOrderUnlessItCountsItsSuccessor) {
   const auto gain = [this](std::uint64_t revision) {
-    ownership.OnRecord(std::nullopt, now);
+    ownership.OnRecord(std::nullopt, revision - 1, now);
     After(300);
-    ownership.OnLease(StoreCallResult::kOk, 7, now);
-    ownership.OnClaim(StoreCallResult::kOk, revision, now);
+    ownership.OnLease(StoreCallResult::kOk, kLease, now);
+    ownership.OnClaim(kLease, StoreCallResult::kOk, revision, now);
     BOOST_TEST(ownership.owner());
   };
   const auto orders_for = [this](const std::optional<OwnerRecord>& last) {
@@ -262,7 +263,7 @@
   BOOST_TEST((orders_for(OwnerRecord{}) == kPredecessorWait));
   const auto follow = [this](std::uint64_t revision) {
     other.revision = revision;
-    ownership.OnRecord(other, now);
+    ownership.OnRecord(other, other.revision, now);
     ownership.OnOwnerContact(revision, now);
   };
   follow(60);
@@ -286,12 +287,12 @@
   // The wait of a term goes on in the next one of the same process.
   const Time until = ownership.predecessor_orders_until();
   OwnerRecord own{.instance = "a", .incarnation = "a-1", .revision = 130};
-  ownership.OnRenewal(StoreCallResult::kMissing, now, now);
+  ownership.OnRenewal(kLease, StoreCallResult::kMissing, now, now);
   gain(140);
   orders_for(own);
   BOOST_TEST((ownership.predecessor_orders_until() == until));
   now = until;
-  ownership.OnRenewal(StoreCallResult::kMissing, now, now);
+  ownership.OnRenewal(kLease, StoreCallResult::kMissing, now, now);
   gain(150);
   BOOST_TEST((orders_for(own) == Duration::zero()));
   // An earlier process of this instance has ended.
@@ -312,17 +313,45 @@
 BOOST_AUTO_TEST_CASE(LosesOwnershipWhenItsLeaseEndsOrAnotherOwnsTheFleet) {
   BecomeOwner();
   static_cast<void>(ownership.TakeEffects());
-  ownership.OnRenewal(StoreCallResult::kMissing, now, now);
+  ownership.OnRenewal(kLease, StoreCallResult::kMissing, now, now);
   BOOST_TEST(Find<OwnershipLost>(ownership.TakeEffects()) != nullptr);
 
   Fixture second;
   second.BecomeOwner();
   static_cast<void>(second.ownership.TakeEffects());
-  second.ownership.OnRecord(second.other, second.now);
+  second.other.revision = 60;
+  second.ownership.OnRecord(second.other, second.other.revision, second.now);
   BOOST_TEST(Find<OwnershipLost>(second.ownership.TakeEffects()) != nullptr);
   BOOST_TEST(second.After(10'000).empty());
 }
 
+// An outage lets the owner's lease lapse, and the owner claims the fleet anew.
+// Guards against taking what it hears late of its earlier term for the end of
+// the new one: two takeovers within a second.
+BOOST_AUTO_TEST_CASE(LateNewsOfAnEarlierTermDoNotEndThisOne) {
+  BecomeOwner();
+  ownership.OnRenewal(kLease, StoreCallResult::kMissing, now, now);
+  constexpr std::uint64_t lease = 8;
+  After(300);
+  ownership.OnLease(StoreCallResult::kOk, lease, now);
+  ownership.OnClaim(kLease, StoreCallResult::kOk, 58, now);
+  BOOST_TEST(!ownership.owner());
+  ownership.OnClaim(lease, StoreCallResult::kOk, 60, now);
+  static_cast<void>(ownership.TakeEffects());
+  BOOST_TEST(!ownership.OnRecord(std::nullopt, 55, now));
+  other.revision = 45;
+  BOOST_TEST(!ownership.OnRecord(other, other.revision, now));
+  ownership.OnRenewal(kLease, StoreCallResult::kMissing, now, now);
+  BOOST_TEST(Find<OwnershipLost>(ownership.TakeEffects()) == nullptr);
+  BOOST_TEST(ownership.fence() == 60);
+  const Time until = ownership.lease_until();
+  ownership.OnRenewal(kLease, StoreCallResult::kOk,
+                      now + std::chrono::milliseconds(100), now);
+  BOOST_TEST((ownership.lease_until() == until));
+  BOOST_TEST(ownership.OnRecord(std::nullopt, 61, now));
+  BOOST_TEST(Find<OwnershipLost>(ownership.TakeEffects()) != nullptr);
+}
+
 // Guards against two terms with one fencing token. An owner that gave up after
 // a suspension found its own record, continued under the same token, and took
 // replies to writes of its earlier scheduler for replies to the new one.
@@ -335,13 +364,13 @@
                                  .incarnation = "a-1",
                                  .address = "h:1",
                                  .revision = 50},
-                     now);
+                     50, now);
   const auto effects = ownership.TakeEffects();
   BOOST_TEST(Find<OwnershipGained>(effects) == nullptr);
   BOOST_TEST(Find<EndLease>(effects) != nullptr);
   BOOST_TEST(Find<CreateLease>(After(20)) != nullptr);
   ownership.OnLease(StoreCallResult::kOk, 8, now);
-  ownership.OnClaim(StoreCallResult::kOk, 60, now);
+  ownership.OnClaim(8, StoreCallResult::kOk, 60, now);
   BOOST_TEST(ownership.fence() == 60);
 }
 
@@ -351,7 +380,7 @@
   ownership.Resign(now);
   const auto effects = ownership.TakeEffects();
   BOOST_TEST(Find<EndLease>(effects) != nullptr);
-  ownership.OnRecord(std::nullopt, now);
+  ownership.OnRecord(std::nullopt, 51, now);
   BOOST_TEST(After(10'000).empty());
 }
 
--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -150,19 +150,19 @@
   // Follows the item until its newest version is told.
   void Follow(PrefixView::Pace pace) {
     this->OpenConnections();
-    const auto view =
-        PrefixView::Create(*this->client, this->store, "op/", pace,
-                           {.on_put =
-                                [this](const Item& item) {
-                                  const std::lock_guard lock(this->mutex);
-                                  this->revisions.push_back(item.revision);
-                                  if (item.revision == 9) {
-                                    this->newest.set_value();
-                                  }
-                                },
-                            .on_removed = [](const std::string&) {},
-                            .on_listed = [] {},
-                            .on_reachable = [](bool) {}});
+    const auto view = PrefixView::Create(
+        *this->client, this->store, "op/", pace,
+        {.on_put =
+             [this](const Item& item) {
+               const std::lock_guard lock(this->mutex);
+               this->revisions.push_back(item.revision);
+               if (item.revision == 9) {
+                 this->newest.set_value();
+               }
+             },
+         .on_removed = [](const std::string&, std::uint64_t) {},
+         .on_listed = [](std::uint64_t) {},
+         .on_reachable = [](bool) {}});
     this->newest.get_future().wait();
     view->Stop();
     this->client.reset();
@@ -447,8 +447,9 @@
   const auto view = PrefixView::Create(
       *client, store, "servers/", {.wait_ms = 3000, .overlap_ms = 100},
       {.on_put = [&](const Item& item) { note("put " + item.key); },
-       .on_removed = [&](const std::string& key) { note("removed " + key); },
-       .on_listed = [] {},
+       .on_removed = [&](const std::string& key,
+                         std::uint64_t) { note("removed " + key); },
+       .on_listed = [](std::uint64_t) {},
        .on_reachable = [](bool) {}});
   std::this_thread::sleep_for(1500ms);
   view->Stop();
