--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -347,9 +347,9 @@
            [this](bool reachable) {
              this->parts.front.SetStoreReachable(reachable);
              net::LogEvent(reachable ? "store_regained" : "store_lost", {});
-             if (reachable) {
-               this->Post([this] { this->store_regained = Now(); });
-             }
+             this->Post([this, reachable] {
+               this->store_contact.OnReachable(reachable, Now());
+             });
            }});
 }
 
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -190,7 +190,7 @@
   std::unique_ptr<jobs::Scheduler> scheduler;
   std::uint64_t fence = 0;
   std::optional<Takeover> takeover;
-  Time store_regained;                    // unset: it was never away
+  lead::StoreContact store_contact;
   std::map<std::string, SeenWave> waves;  // by key
   std::unique_ptr<upkeep::Planner> planner;
   std::unique_ptr<upkeep::Mover> mover;
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -402,14 +402,10 @@
        {"bytes", std::to_string(this->takeover->bytes)},
        {"read_ms", std::to_string(ToMs(begun - this->takeover->since))},
        {"enter_ms", std::to_string(ToMs(Now() - begun))}});
+  const Time registered_by =
+      this->store_contact.RegistrationsBackBy(this->takeover->since);
   this->takeover.reset();
-  // Registrations that lapsed while the store was away come back within this
-  // time of its return.
-  constexpr auto registration_return = std::chrono::milliseconds(2200);
-  this->scheduler->BeginRecovery(
-      Now(), this->store_regained == Time()
-                 ? Time()
-                 : this->store_regained + registration_return);
+  this->scheduler->BeginRecovery(Now(), registered_by);
   this->parts.client.Delay(kEndedPauseMs, [this, by = this->fence] {
     this->PostFor(by, [this, by] { this->ReadEndedJobs(by, ""); });
   });
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -3,6 +3,7 @@
 
 #include "lead/follower_leases.h"
 #include "lead/ownership.h"
+#include "lead/store_contact.h"
 #include "lead/suspension.h"
 
 #endif  // LEAD_LEAD_H_
