--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -190,6 +190,7 @@
   std::unique_ptr<jobs::Scheduler> scheduler;
   std::uint64_t fence = 0;
   std::optional<Takeover> takeover;
+  std::map<VmId, std::uint64_t> vm_records;  // their revisions, this term
   lead::StoreContact store_contact;
   std::map<std::string, SeenWave> waves;  // by key
   std::unique_ptr<upkeep::Planner> planner;
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -78,19 +78,21 @@
   }
 }
 
+// Of a record among the items of a conflict; 0 if it is absent.
+std::uint64_t RevisionOf(const std::vector<platform::Item>& items,
+                         std::string_view key) {
+  const auto found = std::ranges::find(items, key, &platform::Item::key);
+  return found == items.end() ? 0 : found->revision;
+}
+
 // Revisions in force of the records of a write that met a conflict; a record
 // that is not among the answer's items does not exist.
 jobs::WriteResult ConflictOf(const jobs::WriteRecords& write,
                              const std::vector<platform::Item>& items) {
   jobs::WriteResult result{.answer = jobs::WriteAnswer::kConflict};
   for (const jobs::RecordWrite& record : write.records) {
-    std::uint64_t revision = 0;
-    for (const platform::Item& item : items) {
-      if (item.key == ConditionKey(record)) {
-        revision = item.revision;
-      }
-    }
-    result.revisions.emplace_back(record.job, revision);
+    result.revisions.emplace_back(record.job,
+                                  RevisionOf(items, ConditionKey(record)));
   }
   return result;
 }
@@ -142,12 +144,7 @@
 }
 
 bool StillOwner(const std::vector<platform::Item>& items, std::uint64_t fence) {
-  for (const platform::Item& item : items) {
-    if (item.key == kOwnerKey) {
-      return item.revision == fence;
-    }
-  }
-  return false;
+  return RevisionOf(items, kOwnerKey) == fence;
 }
 
 // Tells the scheduler what became of an order.
@@ -369,9 +366,11 @@
       [&driver = this->driver, fence = this->fence,
        effect](const platform::WriteReply& reply) {
         if (reply.outcome == Outcome::kOk) {
-          driver.PostFor(fence, [&driver, vm = effect.vm.id] {
-            driver.scheduler->OnVmPersisted(vm);
-          });
+          driver.PostFor(
+              fence, [&driver, vm = effect.vm.id, revision = reply.revision] {
+                driver.vm_records[vm] = revision;
+                driver.scheduler->OnVmPersisted(vm);
+              });
           return;
         }
         net::LogEvent(
@@ -388,23 +387,37 @@
       });
 }
 
-// Repeated, since a successor would wait for the answer of a VM that is gone.
+// Repeated, since a successor would wait for the answer of a VM that is gone. A
+// VM that comes back gets a new record, so the erasure names the revision that
+// it is for: carried out late, it must not take that record away.
 void FleetEffectVisitor::operator()(const jobs::EraseVmRecord& effect) const {
   this->driver.roster->RemoveVm(effect.vm);
+  const std::string key = std::string(kKeptVmPrefix) + effect.vm.str();
   platform::Transaction transaction = OwnersTransaction(this->fence);
-  transaction.erasures.push_back(std::string(kKeptVmPrefix) + effect.vm.str());
+  transaction.conditions.push_back({key, this->driver.vm_records[effect.vm]});
+  transaction.erasures.push_back(key);
   this->driver.parts.store.Write(
       transaction, kWriteTimeoutMs,
-      [&driver = this->driver, fence = this->fence,
-       effect](const platform::WriteReply& reply) {
+      [&driver = this->driver, fence = this->fence, effect,
+       key](const platform::WriteReply& reply) {
         if (reply.outcome == Outcome::kOk) {
           return;
         }
-        driver.parts.client.Delay(kKeptRetryMs, [&driver, fence, effect] {
-          driver.PostFor(fence, [&driver, fence, effect] {
-            if (!driver.scheduler->vms().contains(effect.vm)) {
-              FleetEffectVisitor{driver, fence}(effect);
+        const bool conflict = reply.outcome == Outcome::kConflict;
+        const std::uint64_t revision = RevisionOf(reply.items, key);
+        if (conflict && (revision == 0 || !StillOwner(reply.items, fence))) {
+          return;  // it is erased already, or a successor's to erase
+        }
+        driver.parts.client.Delay(kKeptRetryMs, [&driver, fence, effect,
+                                                 conflict, revision] {
+          driver.PostFor(fence, [&driver, fence, effect, conflict, revision] {
+            if (driver.scheduler->vms().contains(effect.vm)) {
+              return;
+            }
+            if (conflict) {
+              driver.vm_records[effect.vm] = revision;
             }
+            FleetEffectVisitor{driver, fence}(effect);
           });
         });
       });
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -37,6 +37,7 @@
   this->unleased_starts = 0;
   this->scheduler = std::make_unique<jobs::Scheduler>(this->options.limits);
   this->takeover.emplace();
+  this->vm_records.clear();
   this->takeover->since = Now();
   this->parts.metrics.Count("takeovers");
   net::LogEvent("owner_gained", {{"fence", std::to_string(gained)}});
@@ -136,6 +137,7 @@
       kKeptVmPrefix, by, [this](const std::vector<platform::Item>& items) {
         for (const platform::Item& item : items) {
           const VmId id(item.key.substr(kKeptVmPrefix.size()));
+          this->vm_records[id] = item.revision;
           const auto vm = jobs::DecodeVmRecord(id, item.value);
           if (vm) {
             this->takeover->kept_vms.push_back(*vm);
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -371,6 +371,34 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// A VM's registration lapses and returns, and the erasure of its record is
+// carried out after that. Guards against a successor that does not know a VM on
+// which tasks run, and starts them elsewhere.
+BOOST_AUTO_TEST_CASE(LateErasureOfAVmRecordSparesTheNextRecord) {
+  PlatformFleet fleet(1);
+  const auto recorded = [&fleet] {
+    return fleet.platform->With([](fake::VmModel&, fake::KeyStore& store) {
+      return store.Value("kch/vm/vm0").has_value();
+    });
+  };
+  fleet.WaitFor("the VM's record", recorded);
+  std::atomic<bool> erasing = false;
+  fleet.platform->SetFaults(
+      [&erasing](const std::string& call, const std::string& body) {
+        const bool erasure =
+            call == "store/kv-txn" &&
+            body.find(R"("Deletes":["kch/vm/vm0"])") != std::string::npos;
+        return erasure && !erasing.exchange(true) ? CallFault::kLate
+                                                  : CallFault::kNone;
+      });
+  fleet.platform->Register("vm0", false);
+  fleet.WaitFor("the erasure", [&erasing] { return erasing.load(); });
+  fleet.platform->Register("vm0");
+  const std::int64_t until_us = WallUs() + 7'000'000;
+  fleet.WaitFor("the late erasure", [&] { return WallUs() >= until_us; });
+  BOOST_TEST(recorded());
+}
+
 // Guards against work that ends, and jobs that are lost, while the store
 // refuses or answers nobody.
 BOOST_AUTO_TEST_CASE(WorkGoesOnWhileTheStoreIsDown) {
