--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -407,7 +407,7 @@
   const Time registered_by =
       this->store_contact.RegistrationsBackBy(this->takeover->since);
   this->takeover.reset();
-  this->scheduler->BeginRecovery(Now(), registered_by);
+  this->scheduler->BeginRecovery(Now(), WallMs(), registered_by);
   this->parts.client.Delay(kEndedPauseMs, [this, by = this->fence] {
     this->PostFor(by, [this, by] { this->ReadEndedJobs(by, ""); });
   });
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -473,6 +473,37 @@
   }
 }
 
+void Scheduler::OpenAllDue(std::int64_t wall_ms) {
+  for (auto id = this->scheduled.begin(); id != this->scheduled.end();) {
+    Job& job = *this->jobs.at(*id);
+    this->OpenDue(job, wall_ms);
+    const bool all_open = job.next_occurrence >= job.spec.Occurrences();
+    id = all_open ? this->scheduled.erase(id) : std::next(id);
+  }
+}
+
+// A predecessor whose wall clock is ahead may have started tasks of an
+// occurrence that is not due here yet. Only the VM knows of them until their
+// ends are recorded.
+void Scheduler::OpenReported(const TaskRef& ref, Time now) {
+  constexpr std::int64_t max_clock_difference_ms = 10'000;
+  Job* job = this->FindJob(ref.job);
+  if (job == nullptr || job->Ended() || !this->scheduled.contains(ref.job) ||
+      ref.occurrence >= job->spec.Occurrences()) {
+    return;
+  }
+  const std::int64_t wall_ms =
+      this->recovery_wall_ms + ToMs(now - this->recovery_began);
+  const std::int64_t due_ms = job->spec.DueMs(ref.occurrence);
+  if (ref.occurrence >= job->next_occurrence &&
+      due_ms <= wall_ms + max_clock_difference_ms) {
+    this->EmitLogEvent("occurrence_reported",
+                       {{"task", ref.Name()},
+                        {"due_in_ms", std::to_string(due_ms - wall_ms)}});
+    this->OpenDue(*job, due_ms);
+  }
+}
+
 void Scheduler::UpdateReady(Job& job,
                             const Occurrence& occurrence,
                             std::int32_t step) {
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -86,8 +86,9 @@
   void SetPredecessorEnd(Time end);
   /*! @brief Called once all facts and jobs of the predecessor have been added:
    * polls all VMs before anything starts, and waits until `not_before` for
-   * registrations that lapsed while the store was unavailable. */
-  void BeginRecovery(Time now, Time not_before = {});
+   * registrations that lapsed while the store was unavailable. `wall_ms` is the
+   * Unix time. */
+  void BeginRecovery(Time now, std::int64_t wall_ms, Time not_before = {});
 
   // Replies to effects.
   /*! @brief A VM answered a poll; `sent` is when the poll was submitted. */
@@ -248,6 +249,8 @@
 
   // scheduler.cc
   void OpenDue(Job& job, std::int64_t wall_ms);
+  void OpenAllDue(std::int64_t wall_ms);
+  void OpenReported(const TaskRef& ref, Time now);
   void CountArrival(const Job& job);
   void UpdateReady(Job& job, const Occurrence& occurrence, std::int32_t step);
   void UpdateAllReady(Job& job);
@@ -356,6 +359,8 @@
 
   bool in_recovery = false;
   Time recovery_ends;
+  Time recovery_began;
+  std::int64_t recovery_wall_ms = 0;  // Unix time when the recovery began
   Time recovery_not_before;
   Time predecessor_end;
   bool superseded = false;
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -96,14 +96,7 @@
     return;
   }
   this->EstimateUnreportedUse(now);
-  const std::vector<JobId> due(this->scheduled.begin(), this->scheduled.end());
-  for (const JobId& id : due) {
-    Job& job = *this->jobs.at(id);
-    this->OpenDue(job, wall_ms);
-    if (job.next_occurrence >= job.spec.Occurrences()) {
-      this->scheduled.erase(id);
-    }
-  }
+  this->OpenAllDue(wall_ms);
   this->advice_request.reset();
   for (auto& [id, pool] : this->pools) {
     if (!pool.ready.empty() && !pool.vms.empty()) {
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -96,6 +96,7 @@
   if (!ref) {
     return;
   }
+  this->OpenReported(*ref, now);
   Task* task = this->FindTask(*ref);
   const bool own =
       task != nullptr && task->run == row.run && vm.runs.contains(task);
@@ -193,6 +194,9 @@
 
 void Scheduler::HandleEnd(Vm& vm, const EndedRow& row, Time now) {
   const auto ref = TaskRef::Parse(row.task);
+  if (ref) {
+    this->OpenReported(*ref, now);
+  }
   Task* task = ref ? this->FindTask(*ref) : nullptr;
   if (task == nullptr) {
     return;
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -74,7 +74,9 @@
                               : std::min(this->predecessor_end, end);
 }
 
-void Scheduler::BeginRecovery(Time now, Time not_before) {
+// Occurrences that are due are opened before the first report: the predecessor
+// may have started their tasks, of which the store has no record yet.
+void Scheduler::BeginRecovery(Time now, std::int64_t wall_ms, Time not_before) {
   for (auto row = this->ended_vms.begin(); row != this->ended_vms.end();) {
     if (row->second.registered) {
       ++row;
@@ -84,6 +86,9 @@
     }
   }
   this->in_recovery = true;
+  this->recovery_began = now;
+  this->recovery_wall_ms = wall_ms;
+  this->OpenAllDue(wall_ms);
   this->recovery_not_before = not_before;
   this->recovery_ends = std::max(not_before, now + this->limits.recovery_wait);
   for (auto& [id, vm] : this->fleet) {
--- a/test/jobs/fleet_sim.cc
+++ b/test/jobs/fleet_sim.cc
@@ -343,11 +343,14 @@
   }
 };
 
+std::int64_t FleetSim::WallMs() const {
+  return kStartWallMs + ToMs(this->now.time_since_epoch()) +
+         this->wall_offset_ms;
+}
+
 void FleetSim::RunScheduler() {
-  const std::int64_t wall_ms =
-      kStartWallMs + ToMs(this->now.time_since_epoch());
-  this->scheduler->Plan(this->now, wall_ms);
-  this->scheduler->Tick(this->now, wall_ms);
+  this->scheduler->Plan(this->now, this->WallMs());
+  this->scheduler->Tick(this->now, this->WallMs());
   for (const Effect& effect : this->scheduler->TakeEffects()) {
     std::visit(EffectVisitor{*this, this->fence}, effect);
   }
@@ -415,7 +418,7 @@
     this->scheduler->AddEnded(id, DecodeEnded(record.value).value(),
                               record.revision, this->now);
   }
-  this->scheduler->BeginRecovery(this->now);
+  this->scheduler->BeginRecovery(this->now, this->WallMs());
 }
 
 void FleetSim::Register(const std::string& vm) {
--- a/test/jobs/fleet_sim.h
+++ b/test/jobs/fleet_sim.h
@@ -71,6 +71,7 @@
   std::set<std::string> persisted_vms;  // VMs stored for successors
   std::map<VmId, std::int64_t> ended;
   std::vector<LogEvent> log_events;
+  std::int64_t wall_offset_ms = 0;  // of the present scheduler's wall clock
 
  private:
   struct EffectVisitor;
@@ -79,6 +80,7 @@
                            std::uint64_t sender_fence);
   void Write(const WriteRecords& write, std::uint64_t fence);
   void RunScheduler();
+  [[nodiscard]] std::int64_t WallMs() const;
 
   std::uint64_t fence = 1;
   std::multimap<Time, std::function<void()>> events;
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -360,7 +360,7 @@
                     now);
   }
   scheduler.AddJob(spec, "", 0, true, now, now);
-  scheduler.BeginRecovery(now);
+  scheduler.BeginRecovery(now, spec.accepted_ms);
   const auto report = [&](const char* vm, std::int64_t run) {
     VmReport ended{.clock_ms = 5};
     ended.ended.push_back(
@@ -533,6 +533,35 @@
   BOOST_TEST(sim.starts() == 6);
 }
 
+// The tasks of a due occurrence are known only to their VMs until an end is
+// recorded. Guards against a successor that passes over such ends and stops
+// such runs, since it opens the occurrence after the reports, or later than its
+// predecessor because its wall clock is behind.
+BOOST_AUTO_TEST_CASE(TakeoverKnowsTasksOfDueOccurrences) {
+  for (const std::int64_t behind_ms : {0, 1000}) {
+    FleetSim sim;
+    WithVms(sim, 2);
+    JobSpec job = SimpleJob("a", "q", 4, 1000, 300);
+    job.schedule = {.first_ms = job.accepted_ms + 1'000'500,
+                    .interval_ms = 4000,
+                    .times = 2};
+    job.accepted_ms += 1'000'000;
+    job.steps.push_back(job.steps[0]);
+    job.steps[1].estimate_ms = 2000;
+    sim.Submit(job);
+    sim.Run(700);
+    BOOST_TEST(sim.starts() == 8);
+    sim.store.down = true;  // no end is recorded before the takeover
+    sim.Run(300);
+    sim.store.down = false;
+    sim.wall_offset_ms = -behind_ms;
+    sim.Takeover();
+    BOOST_TEST(sim.Completes("a", 9000));
+    BOOST_TEST(sim.starts() == 16);
+    BOOST_TEST(Violations(sim) == "");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(FillingTasksArePacedWhileTheyHarm) {
   FleetSim sim;
   WithVms(sim, 1);
