Test with whole processes that a refused job does not run

JobsRefusedAsTheStoreGoesDownDoNotRun resets the connection of a submission that the store has carried out, in each of three processes, and refuses all further calls.

--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -6,9 +6,11 @@
 #include <csignal>
 #include <memory>
 #include <set>
+#include <thread>
 #include <tuple>
 
 #include "lead/lead.h"
+#include "test/process/breaking_proxy.h"
 #include "test/process/fleet.h"
 #include "test/process/platform_fleet.h"
 
@@ -371,6 +373,68 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// The store goes down while submissions are in progress: it carries them out,
+// resets their connections, and refuses all further calls. Guards against
+// telling a caller that its job does not run when it does.
+BOOST_AUTO_TEST_CASE(JobsRefusedAsTheStoreGoesDownDoNotRun) {
+  constexpr std::size_t instances = 3;
+  std::vector<std::unique_ptr<BreakingProxy>> proxies;
+  std::atomic<bool> goes_down = false;
+  PlatformFleet fleet(
+      instances, {}, [&proxies, &goes_down](const std::string& store) {
+        proxies.push_back(std::make_unique<BreakingProxy>(
+            store,
+            [&goes_down, broken = false](const std::string& sent) mutable {
+              const bool breaks = goes_down && !broken &&
+                                  sent.find("kch/in/job/") != std::string::npos;
+              broken |= breaks;
+              return breaks;
+            }));
+        return proxies.back()->address();
+      });
+  // Each instance has a connection that it uses again.
+  for (std::size_t i = 0; i < instances; ++i) {
+    BOOST_TEST(fleet.Submit(i, PlainJob("a" + std::to_string(i), 1, 100)) ==
+               200);
+  }
+  std::set<std::string> submissions;
+  fleet.platform->SetFaults(
+      [&](const std::string& call, const std::string& body) {
+        if (!goes_down) {
+          return CallFault::kNone;
+        }
+        const std::size_t job = body.find("kch/in/job/");
+        const bool first = call == "store/kv-txn" && job != std::string::npos &&
+                           submissions.insert(body.substr(job, 27)).second;
+        return first || !call.starts_with("store/") ? CallFault::kNone
+                                                    : CallFault::kRefuse;
+      });
+  goes_down = true;
+  std::vector<jobs::JobSpec> jobs;
+  std::vector<int> answers(instances);
+  std::vector<std::thread> callers;
+  for (std::size_t i = 0; i < answers.size(); ++i) {
+    jobs.push_back(PlainJob("b" + std::to_string(i), 2, 300));
+    callers.emplace_back([&fleet, &answers, i, job = jobs.back()] {
+      answers[i] = fleet.Submit(i, job);
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  goes_down = false;
+  fleet.platform->SetFaults({});
+  const std::int64_t until_us = WallUs() + 2'500'000;
+  fleet.WaitFor("the jobs that run", [&] { return WallUs() >= until_us; });
+  constexpr int unavailable = 503;
+  for (std::size_t i = 0; i < jobs.size(); ++i) {
+    const std::string state = fleet.StateOf(jobs[i]);
+    BOOST_TEST((answers[i] != unavailable || state.empty()),
+               jobs[i].id.str() << " was refused and is " << state);
+  }
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 // A VM's registration lapses and returns, and the erasure of its record is
 // carried out after that. Guards against a successor that does not know a VM on
 // which tasks run, and starts them elsewhere.
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -62,8 +62,10 @@
 }
 
 PlatformFleet::PlatformFleet(std::size_t count,
-                             const fake::FleetPlatform::Options& options)
-    : deadline(std::chrono::steady_clock::now() + kTestBound) {
+                             const fake::FleetPlatform::Options& options,
+                             StoreAddress store_address)
+    : store_address(std::move(store_address)),
+      deadline(std::chrono::steady_clock::now() + kTestBound) {
   this->files = MakeTestFolder();
   auto created = net::HttpClient::Create({});
   auto made = fake::FleetPlatform::Create(options);
@@ -122,8 +124,10 @@
 void PlatformFleet::Start(Process& process) {
   ++process.starts;
   const std::string shared = this->platform->address(process.number);
+  const std::string store =
+      this->store_address ? this->store_address(shared) : shared;
   process.pid = Spawn(
-      {BinaryPath("kch-fleet"), "--name=" + process.name, "--store=" + shared,
+      {BinaryPath("kch-fleet"), "--name=" + process.name, "--store=" + store,
        "--machines=" + shared, "--advice=" + shared, "--callers=127.0.0.1:0",
        "--readiness=127.0.0.1:0", "--peers=127.0.0.1:0", "--bus=127.0.0.1:0",
        "--handover-ms=500", "--upkeep-s=0.4"},
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -21,8 +21,13 @@
  * for the users' platform. Ends everything it started. */
 class PlatformFleet {
  public:
+  /*! @brief Address at which an instance reaches the store, given the
+   * stand-in's own. */
+  using StoreAddress = std::function<std::string(const std::string& address)>;
+
   explicit PlatformFleet(std::size_t instances = 3,
-                         const fake::FleetPlatform::Options& options = {});
+                         const fake::FleetPlatform::Options& options = {},
+                         StoreAddress store_address = {});
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
@@ -85,6 +90,7 @@
                        const std::string& body = "");
   [[nodiscard]] std::filesystem::path LogOf(const Process& process) const;
 
+  StoreAddress store_address;
   std::chrono::steady_clock::time_point deadline;
   std::filesystem::path files;
   std::unique_ptr<net::HttpClient> client;
