--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -99,6 +99,12 @@
   friend struct UpkeepEffectVisitor;
   friend struct RelayEffectVisitor;
 
+  // A record of the owner; without a value it is erased.
+  struct OwnersRecord {
+    std::string key;
+    std::optional<std::string> value;
+    std::vector<platform::Put> beside;  // written with it
+  };
   // A wave as the operators wrote it, and when this process first saw it.
   struct SeenWave {
     upkeep::WaveOrder order;
@@ -142,6 +148,11 @@
   void ReadOrders(std::uint64_t fence);
   void ReadLastOwner(std::uint64_t fence);
   void StoreAsLastOwner(std::uint64_t fence);
+  /*! @brief Writes a record at the revision that is known, so that a write
+   * which is carried out late takes no later one back. After a conflict the
+   * revision in force is known. `done` is dropped once this term is over. */
+  void WriteRecord(OwnersRecord record,
+                   std::function<void(platform::Outcome)> done);
   void OnWave(const platform::Item& item);
   void FollowIntake(std::uint64_t fence);
   void FollowVms(std::uint64_t fence);
@@ -190,7 +201,9 @@
   std::unique_ptr<jobs::Scheduler> scheduler;
   std::uint64_t fence = 0;
   std::optional<Takeover> takeover;
-  std::map<VmId, std::uint64_t> vm_records;  // their revisions, this term
+  // Of records that WriteRecord writes, by key, as known in this term; of one
+  // that is not named here 0: absent.
+  std::map<std::string, std::uint64_t> revisions;
   lead::StoreContact store_contact;
   std::map<std::string, SeenWave> waves;  // by key
   std::unique_ptr<upkeep::Planner> planner;
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -185,6 +185,33 @@
 
 }  // namespace
 
+void Driver::WriteRecord(OwnersRecord record,
+                         std::function<void(Outcome)> done) {
+  platform::Transaction transaction = OwnersTransaction(this->fence);
+  transaction.conditions.push_back({record.key, this->revisions[record.key]});
+  if (record.value) {
+    transaction.puts.push_back({record.key, *record.value, 0});
+  } else {
+    transaction.erasures.push_back(record.key);
+  }
+  transaction.puts.insert(transaction.puts.end(), record.beside.begin(),
+                          record.beside.end());
+  this->parts.store.Write(
+      transaction, kWriteTimeoutMs,
+      [this, by = this->fence, key = std::move(record.key),
+       erases = !record.value,
+       done = std::move(done)](const platform::WriteReply& reply) {
+        this->PostFor(by, [this, key, erases, done, reply] {
+          if (reply.outcome == Outcome::kOk) {
+            this->revisions[key] = erases ? 0 : reply.revision;
+          } else if (reply.outcome == Outcome::kConflict) {
+            this->revisions[key] = RevisionOf(reply.items, key);
+          }
+          done(reply.outcome);
+        });
+      });
+}
+
 // Repeated until it is known: the takeover waits for it.
 void Driver::StoreAsLastOwner(std::uint64_t by) {
   platform::Transaction transaction = OwnersTransaction(by);
@@ -358,25 +385,17 @@
 // Repeated while the VM is known: a successor that does not find it would start
 // its tasks elsewhere.
 void FleetEffectVisitor::operator()(const jobs::PersistVm& effect) const {
-  platform::Transaction transaction = OwnersTransaction(this->fence);
-  transaction.puts.push_back({std::string(kKeptVmPrefix) + effect.vm.id.str(),
-                              jobs::EncodeVmRecord(effect.vm), 0});
-  this->driver.parts.store.Write(
-      transaction, kWriteTimeoutMs,
-      [&driver = this->driver, fence = this->fence,
-       effect](const platform::WriteReply& reply) {
-        if (reply.outcome == Outcome::kOk) {
-          driver.PostFor(
-              fence, [&driver, vm = effect.vm.id, revision = reply.revision] {
-                driver.vm_records[vm] = revision;
-                driver.scheduler->OnVmPersisted(vm);
-              });
+  this->driver.WriteRecord(
+      {.key = std::string(kKeptVmPrefix) + effect.vm.id.str(),
+       .value = jobs::EncodeVmRecord(effect.vm)},
+      [&driver = this->driver, fence = this->fence, effect](Outcome outcome) {
+        if (outcome == Outcome::kOk) {
+          driver.scheduler->OnVmPersisted(effect.vm.id);
           return;
         }
-        net::LogEvent(
-            "kept_vm_not_stored",
-            {{"vm", effect.vm.id.str()},
-             {"outcome", std::string(NameOf(AnswerOf(reply.outcome)))}});
+        net::LogEvent("kept_vm_not_stored",
+                      {{"vm", effect.vm.id.str()},
+                       {"outcome", std::string(NameOf(AnswerOf(outcome)))}});
         driver.parts.client.Delay(kKeptRetryMs, [&driver, fence, effect] {
           driver.PostFor(fence, [&driver, fence, effect] {
             if (driver.scheduler->vms().contains(effect.vm.id)) {
@@ -387,37 +406,20 @@
       });
 }
 
-// Repeated, since a successor would wait for the answer of a VM that is gone. A
-// VM that comes back gets a new record, so the erasure names the revision that
-// it is for: carried out late, it must not take that record away.
+// Repeated, since a successor would wait for the answer of a VM that is gone.
 void FleetEffectVisitor::operator()(const jobs::EraseVmRecord& effect) const {
   this->driver.roster->RemoveVm(effect.vm);
-  const std::string key = std::string(kKeptVmPrefix) + effect.vm.str();
-  platform::Transaction transaction = OwnersTransaction(this->fence);
-  transaction.conditions.push_back({key, this->driver.vm_records[effect.vm]});
-  transaction.erasures.push_back(key);
-  this->driver.parts.store.Write(
-      transaction, kWriteTimeoutMs,
-      [&driver = this->driver, fence = this->fence, effect,
-       key](const platform::WriteReply& reply) {
-        if (reply.outcome == Outcome::kOk) {
+  this->driver.WriteRecord(
+      {.key = std::string(kKeptVmPrefix) + effect.vm.str()},
+      [&driver = this->driver, fence = this->fence, effect](Outcome outcome) {
+        if (outcome == Outcome::kOk) {
           return;
         }
-        const bool conflict = reply.outcome == Outcome::kConflict;
-        const std::uint64_t revision = RevisionOf(reply.items, key);
-        if (conflict && (revision == 0 || !StillOwner(reply.items, fence))) {
-          return;  // it is erased already, or a successor's to erase
-        }
-        driver.parts.client.Delay(kKeptRetryMs, [&driver, fence, effect,
-                                                 conflict, revision] {
-          driver.PostFor(fence, [&driver, fence, effect, conflict, revision] {
-            if (driver.scheduler->vms().contains(effect.vm)) {
-              return;
-            }
-            if (conflict) {
-              driver.vm_records[effect.vm] = revision;
+        driver.parts.client.Delay(kKeptRetryMs, [&driver, fence, effect] {
+          driver.PostFor(fence, [&driver, fence, effect] {
+            if (!driver.scheduler->vms().contains(effect.vm)) {
+              FleetEffectVisitor{driver, fence}(effect);
             }
-            FleetEffectVisitor{driver, fence}(effect);
           });
         });
       });
@@ -503,21 +505,15 @@
 
 void UpkeepEffectVisitor::operator()(
     const upkeep::StoreOrderedMachines& effect) const {
-  platform::Transaction transaction = OwnersTransaction(this->fence);
-  transaction.puts.push_back(
-      {std::string(kOrdersKey), EncodeOrders(effect.machines), 0});
-  this->driver.parts.store.Write(
-      transaction, kWriteTimeoutMs,
-      [&driver = this->driver,
-       fence = this->fence](const platform::WriteReply& reply) {
-        driver.PostFor(fence, [&driver, outcome = reply.outcome] {
-          if (outcome != Outcome::kOk) {
-            net::LogEvent("orders_not_stored",
-                          {{"outcome", std::string(NameOf(AnswerOf(outcome)))},
-                           {"remedy", "written again"}});
-          }
-          driver.gate->OnStored(outcome == Outcome::kOk, Now());
-        });
+  this->driver.WriteRecord(
+      {.key = std::string(kOrdersKey), .value = EncodeOrders(effect.machines)},
+      [&driver = this->driver](Outcome outcome) {
+        if (outcome != Outcome::kOk) {
+          net::LogEvent("orders_not_stored",
+                        {{"outcome", std::string(NameOf(AnswerOf(outcome)))},
+                         {"remedy", "written again"}});
+        }
+        driver.gate->OnStored(outcome == Outcome::kOk, Now());
       });
 }
 
@@ -526,20 +522,13 @@
 }
 
 void UpkeepEffectVisitor::operator()(const upkeep::SaveWave& effect) const {
-  platform::Transaction transaction = OwnersTransaction(this->fence);
-  transaction.puts.push_back(
-      {std::string(kWaveRecordPrefix) + effect.wave.str(),
-       EncodeMachines(effect.started), 0});
-  transaction.puts.push_back({std::string(kWaveStatePrefix) + effect.wave.str(),
-                              platform::EncodeWaveState(effect.completed), 0});
-  this->driver.parts.store.Write(
-      transaction, kWriteTimeoutMs,
-      [&driver = this->driver, fence = this->fence,
-       wave = effect.wave](const platform::WriteReply& reply) {
-        driver.PostFor(fence,
-                       [&driver, wave, stored = reply.outcome == Outcome::kOk] {
-                         driver.planner->OnWaveSaved(wave, stored, Now());
-                       });
+  this->driver.WriteRecord(
+      {.key = std::string(kWaveRecordPrefix) + effect.wave.str(),
+       .value = EncodeMachines(effect.started),
+       .beside = {{std::string(kWaveStatePrefix) + effect.wave.str(),
+                   platform::EncodeWaveState(effect.completed), 0}}},
+      [&driver = this->driver, wave = effect.wave](Outcome outcome) {
+        driver.planner->OnWaveSaved(wave, outcome == Outcome::kOk, Now());
       });
 }
 
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -37,7 +37,7 @@
   this->unleased_starts = 0;
   this->scheduler = std::make_unique<jobs::Scheduler>(this->options.limits);
   this->takeover.emplace();
-  this->vm_records.clear();
+  this->revisions.clear();
   this->takeover->since = Now();
   this->parts.metrics.Count("takeovers");
   net::LogEvent("owner_gained", {{"fence", std::to_string(gained)}});
@@ -137,7 +137,7 @@
       kKeptVmPrefix, by, [this](const std::vector<platform::Item>& items) {
         for (const platform::Item& item : items) {
           const VmId id(item.key.substr(kKeptVmPrefix.size()));
-          this->vm_records[id] = item.revision;
+          this->revisions[item.key] = item.revision;
           const auto vm = jobs::DecodeVmRecord(id, item.value);
           if (vm) {
             this->takeover->kept_vms.push_back(*vm);
@@ -170,6 +170,7 @@
   this->ReadAll(kWaveRecordPrefix, by,
                 [this](const std::vector<platform::Item>& items) {
                   for (const platform::Item& item : items) {
+                    this->revisions[item.key] = item.revision;
                     this->planner->SetStarted(
                         jobs::WaveId(item.key.substr(kWaveRecordPrefix.size())),
                         DecodeMachines(item.value));
@@ -186,6 +187,7 @@
   this->ReadAll(
       kOrdersKey, by, [this](const std::vector<platform::Item>& items) {
         for (const platform::Item& item : items) {
+          this->revisions[item.key] = item.revision;
           auto machines = DecodeOrders(item.value);
           this->planner->SetPredecessorOrders(machines, Now());
           this->gate->SetPredecessorMachines(std::move(machines), Now());
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -463,6 +463,34 @@
   BOOST_TEST(recorded());
 }
 
+// The record of ordered machines gets no answer, is written again, and is then
+// carried out late. Guards against a successor that does not know of a machine
+// which was ordered last, and orders it as well.
+BOOST_AUTO_TEST_CASE(LateRecordOfOrderedMachinesReplacesNoLaterOne) {
+  PlatformFleet fleet(1);
+  std::atomic<bool> late = false;
+  fleet.platform->SetFaults([&late](const std::string& call,
+                                    const std::string& body) {
+    const bool orders = call == "store/kv-txn" &&
+                        body.find(R"("kch/orders")") != std::string::npos;
+    return orders && !late.exchange(true) ? CallFault::kLate : CallFault::kNone;
+  });
+  const auto value = [&fleet](const std::string& key) {
+    return fleet.platform->With([&key](fake::VmModel&, fake::KeyStore& store) {
+      return store.Value(key).value_or("");
+    });
+  };
+  fleet.platform->RequestWave(1, {"m0", "m1"}, 1);
+  fleet.WaitFor("the wave", [&] {
+    return value("status/wave/1").find("completed") != std::string::npos;
+  });
+  BOOST_TEST(late.load());
+  const std::string last = value("kch/orders");
+  const std::int64_t until_us = WallUs() + 6'000'000;
+  fleet.WaitFor("the late write", [&] { return WallUs() >= until_us; });
+  BOOST_TEST(value("kch/orders") == last);
+}
+
 // Guards against work that ends, and jobs that are lost, while the store
 // refuses or answers nobody.
 BOOST_AUTO_TEST_CASE(WorkGoesOnWhileTheStoreIsDown) {
