--- a/bench/jobs_bench.cc
+++ b/bench/jobs_bench.cc
@@ -51,7 +51,7 @@
                             this->now);
       this->scheduler.OnVmPersisted(id);
     }
-    this->scheduler.BeginRecovery(this->now);
+    this->scheduler.BeginRecovery(this->now, this->wall_ms);
     this->scheduler.Tick(this->now, this->wall_ms);
     for (int i = 0; i < kPools * kVmsPerPool; ++i) {
       this->scheduler.OnReport(VmId("vm" + std::to_string(i)),
