--- a/test/jobs/chaos_test.cc
+++ b/test/jobs/chaos_test.cc
@@ -151,6 +151,11 @@
             static_cast<std::int32_t>(job.steps.size()) - 2};
       }
       job.steps.back().gang = this->Draw(0, 4) == 0;
+      if (this->Draw(0, 4) == 0) {
+        job.schedule = {.first_ms = this->sim.WallMs() + this->Draw(0, 2000),
+                        .interval_ms = this->Draw(300, 3000),
+                        .times = this->Draw(1, 3)};
+      }
       this->finite.insert(id);
     }
     this->sim.Submit(job);
--- a/test/jobs/fleet_sim.h
+++ b/test/jobs/fleet_sim.h
@@ -61,6 +61,8 @@
   void Deregister(const std::string& vm);
   void Register(const std::string& vm);
 
+  // Unix time by the present scheduler's clock.
+  [[nodiscard]] std::int64_t WallMs() const;
   [[nodiscard]] JobState StateOf(const std::string& job) const;
 
   Limits limits;
@@ -80,7 +82,6 @@
                            std::uint64_t sender_fence);
   void Write(const WriteRecords& write, std::uint64_t fence);
   void RunScheduler();
-  [[nodiscard]] std::int64_t WallMs() const;
 
   std::uint64_t fence = 1;
   std::multimap<Time, std::function<void()>> events;
