Restart VMs, disturb writes and check refusals in the soak

VMs restart under their ids and tell of it up to 1.5 s later; writes to the store lose their answers or are carried out late; a job that was answered 503 is not handed in again and must not be known afterwards.

--- a/test/process/fleet_soak_test.cc
+++ b/test/process/fleet_soak_test.cc
@@ -72,6 +72,10 @@
                             [&] { return this->fleet.Runs(task); });
       }
     }
+    for (const jobs::JobSpec& job : this->refused) {
+      const std::string state = this->fleet.StateOf(job);
+      BOOST_TEST(state.empty(), job.id.str() << " was refused, is " << state);
+    }
     BOOST_TEST(this->fleet.Breaches() == "");
   }
 
@@ -95,7 +99,7 @@
 
   void ApplyRandomAction() {
     const std::size_t instance = this->RandomInstance();
-    switch (this->Draw(0, 9)) {
+    switch (this->Draw(0, 11)) {
       case 0:
       case 1:
         this->Pause(instance, this->Draw(300, 6000));
@@ -117,6 +121,12 @@
       case 6:
         this->TakeStoreDown(this->Draw(100, 3000));
         break;
+      case 7:
+        this->RestartVm(this->Draw(0, 1500));
+        break;
+      case 8:
+        this->DisturbWrites(this->Draw(500, 3000));
+        break;
       default:
         this->HandIn(instance);
         break;
@@ -202,6 +212,39 @@
     });
   }
 
+  // A VM restarts under its id; its registration tells of that only later.
+  void RestartVm(std::int64_t untold_ms) {
+    const std::string vm = "vm" + std::to_string(this->Draw(0, kFewVms - 1));
+    this->fleet.platform->With([&vm](fake::VmModel& world, fake::KeyStore&) {
+      world.vms.at(vm)->Restart(world.now);
+    });
+    this->AddFault(untold_ms,
+                   [this, vm] { this->fleet.platform->Register(vm); });
+  }
+
+  // Part of the writes to the store get no answer and take effect at once or
+  // late.
+  void DisturbWrites(std::int64_t length_ms) {
+    const auto draw = std::make_shared<std::mt19937_64>(this->random());
+    const auto rule = [draw](const std::string& call, const std::string&) {
+      if (call != "store/kv-txn") {
+        return CallFault::kNone;
+      }
+      switch (std::uniform_int_distribution<int>(0, 7)(*draw)) {
+        case 0:
+          return CallFault::kLate;
+        case 1:
+          return CallFault::kLoseAnswer;
+        default:
+          return CallFault::kNone;
+      }
+    };
+    this->Hold("calls", length_ms, [this, rule](bool on) {
+      this->fleet.platform->SetFaults(on ? fake::FaultRule(rule)
+                                         : fake::FaultRule());
+    });
+  }
+
   void TakeStoreDown(std::int64_t length_ms) {
     this->Hold("store", length_ms, [this](bool on) {
       this->fleet.platform->With(
@@ -223,9 +266,13 @@
       job.steps[1].gang = this->Draw(0, 1) == 0;
     }
     constexpr int ok = 200;
-    const bool taken = !this->paused.contains(instance) &&
-                       this->fleet.Submit(instance, job) == ok;
-    (taken ? this->accepted : this->unaccepted).push_back(std::move(job));
+    constexpr int unavailable = 503;
+    const int code =
+        this->paused.contains(instance) ? 0 : this->fleet.Submit(instance, job);
+    (code == ok            ? this->accepted
+     : code == unavailable ? this->refused
+                           : this->unaccepted)
+        .push_back(std::move(job));
   }
 
   PlatformFleet fleet;
@@ -234,7 +281,8 @@
   std::map<std::string, int> held;  // faults under way, by name
   std::set<std::size_t> paused;
   std::vector<jobs::JobSpec> accepted;
-  std::vector<jobs::JobSpec> unaccepted;  // refused, or without an answer
+  std::vector<jobs::JobSpec> refused;     // must not run
+  std::vector<jobs::JobSpec> unaccepted;  // without an answer
   int last_job = 0;
 };
 
