--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -380,6 +380,7 @@
   constexpr std::size_t instances = 3;
   std::vector<std::unique_ptr<BreakingProxy>> proxies;
   std::atomic<bool> goes_down = false;
+  std::set<std::string> submissions;
   PlatformFleet fleet(
       instances, {}, [&proxies, &goes_down](const std::string& store) {
         proxies.push_back(std::make_unique<BreakingProxy>(
@@ -397,15 +398,15 @@
     BOOST_TEST(fleet.Submit(i, PlainJob("a" + std::to_string(i), 1, 100)) ==
                200);
   }
-  std::set<std::string> submissions;
   fleet.platform->SetFaults(
       [&](const std::string& call, const std::string& body) {
         if (!goes_down) {
           return CallFault::kNone;
         }
-        const std::size_t job = body.find("kch/in/job/");
-        const bool first = call == "store/kv-txn" && job != std::string::npos &&
-                           submissions.insert(body.substr(job, 27)).second;
+        // Sent again, a submission is refused.
+        const bool first = call == "store/kv-txn" &&
+                           body.find("kch/in/job/") != std::string::npos &&
+                           submissions.insert(body).second;
         return first || !call.starts_with("store/") ? CallFault::kNone
                                                     : CallFault::kRefuse;
       });
