Tell how long an event of a process took

A planning pass that is too long shows in longest_pass_ms, but successors stand still while they enter the takeover, which is an event, and of events only the delay of the following ones was told. Line load has longest_event_ms, and event_seconds is its metric.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -63,8 +63,9 @@
 
 void Driver::Post(std::function<void()> event) {
   asio::post(this->context, [this, came = Now(), event = std::move(event)] {
-    this->load.OnEvent(Now() - came);
+    const Time begun = Now();
     event();
+    this->load.OnEvent(begun - came, Now() - begun);
     this->ScheduleTurn();
   });
 }
--- a/src/app/fleet/load_meter.cc
+++ b/src/app/fleet/load_meter.cc
@@ -17,9 +17,10 @@
 
 }  // namespace
 
-void LoadMeter::OnEvent(Duration delay) {
+void LoadMeter::OnEvent(Duration delay, Duration length) {
   ++this->events;
   this->longest_delay = std::max(this->longest_delay, delay);
+  this->longest_event = std::max(this->longest_event, length);
 }
 
 void LoadMeter::OnPass(Duration length) {
@@ -34,12 +35,14 @@
   }
   if (this->since != Time()) {
     this->metrics.Delay("event_delay", Ms(this->longest_delay));
+    this->metrics.Delay("event", Ms(this->longest_event));
     this->metrics.Delay("pass", Ms(this->longest_pass));
     if (told || this->longest_delay >= kLate) {
       net::LogEvent(
           "load",
           {{"events", std::to_string(this->events)},
            {"longest_delay_ms", std::to_string(ToMs(this->longest_delay))},
+           {"longest_event_ms", std::to_string(ToMs(this->longest_event))},
            {"passes", std::to_string(this->passes)},
            {"pass_ms", std::to_string(ToMs(this->pass_time))},
            {"longest_pass_ms", std::to_string(ToMs(this->longest_pass))}});
@@ -48,6 +51,7 @@
   this->since = now;
   this->events = 0;
   this->longest_delay = {};
+  this->longest_event = {};
   this->passes = 0;
   this->pass_time = {};
   this->longest_pass = {};
--- a/src/app/fleet/load_meter.h
+++ b/src/app/fleet/load_meter.h
@@ -13,8 +13,9 @@
  public:
   explicit LoadMeter(net::Metrics& metrics) : metrics(metrics) {}
 
-  /*! @brief An event was handled this long after it had come. */
-  void OnEvent(Duration delay);
+  /*! @brief An event was handled `delay` after it had come, and for `length`.
+   */
+  void OnEvent(Duration delay, Duration length);
   /*! @brief A pass of decisions took this long. */
   void OnPass(Duration length);
   /*! @brief Publishes the last second; a process that is late, or `told` to,
@@ -26,6 +27,7 @@
   Time since;
   std::uint64_t events = 0;
   Duration longest_delay{};
+  Duration longest_event{};
   std::uint64_t passes = 0;
   Duration pass_time{};
   Duration longest_pass{};
