--- a/src/app/fleet/gauges.cc
+++ b/src/app/fleet/gauges.cc
@@ -74,6 +74,11 @@
     return;
   }
   metrics.Set("jobs", static_cast<double>(this->scheduler->job_count()));
+  const auto due = this->scheduler->CountDue(net::WallMs());
+  metrics.Set("due_occurrences", static_cast<double>(due.open),
+              {{"state", "open"}});
+  metrics.Set("due_occurrences", static_cast<double>(due.held),
+              {{"state", "held"}});
   for (const auto& [id, queue] : this->fleet_config->queues) {
     metrics.Set("jobs_pending",
                 static_cast<double>(this->scheduler->Pending(id)),
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -1,6 +1,7 @@
 #include "jobs/job.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace kch::jobs {
@@ -47,6 +48,12 @@
                              [](const Step& step) { return step.Complete(); });
 }
 
+bool Occurrence::Begun() const {
+  return std::ranges::any_of(this->steps, [](const Step& step) {
+    return step.waiting < static_cast<std::int32_t>(step.tasks.size());
+  });
+}
+
 bool Job::Ready(const Occurrence& occurrence, std::int32_t step) const {
   return std::ranges::all_of(
       this->spec.steps[static_cast<std::size_t>(step)].depends_on,
@@ -81,10 +88,37 @@
       task.index = static_cast<std::int32_t>(i);
     }
   }
-  this->next_occurrence = std::max(this->next_occurrence, number + 1);
+  this->first_unopened = this->FirstUnopened(this->first_unopened);
   return occurrence;
 }
 
+std::int64_t Job::FirstUnopened(std::int64_t from) const {
+  std::int64_t number = this->finished.FirstAbsent(from);
+  if (number > std::numeric_limits<std::int32_t>::max()) {
+    return number;
+  }
+  auto next = this->open.lower_bound(static_cast<std::int32_t>(number));
+  while (next != this->open.end() && next->first == number) {
+    number = this->finished.FirstAbsent(number + 1);
+    while (next != this->open.end() && next->first < number) {
+      ++next;
+    }
+  }
+  return number;
+}
+
+bool Job::AllOpened() const {
+  return this->FirstUnopened(this->first_unopened) >= this->spec.Occurrences();
+}
+
+std::int64_t Job::TasksPerOccurrence() const {
+  std::int64_t tasks = 0;
+  for (const StepSpec& step : this->spec.steps) {
+    tasks += step.count;
+  }
+  return tasks;
+}
+
 // Both are asked for at every pass, and change at most when a step completes.
 std::int64_t Job::CriticalPathMs(const Occurrence& occurrence) const {
   const auto complete = std::ranges::count_if(
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -11,6 +11,7 @@
 
 #include "base/time.h"
 #include "jobs/model.h"
+#include "jobs/number_ranges.h"
 
 namespace kch::jobs {
 
@@ -113,16 +114,21 @@
   mutable Remaining remaining;
 
   [[nodiscard]] bool Complete() const;
+  /*! @brief True if a task is placed or done. */
+  [[nodiscard]] bool Begun() const;
 };
 
 /*! @brief A job and its progress. */
 struct Job {
   JobSpec spec;
   JobState state = JobState::kQueued;
-  std::map<std::int32_t, Occurrence> open;  // occurrences begun, not finished
-  std::set<std::int32_t> finished;
-  std::int32_t next_occurrence = 0;
-  bool inherited = false;  // accepted before this scheduler took over
+  // Occurrences that may start; a finished one stays until none of its tasks is
+  // placed. Of a scheduled job only some of those that are due, see
+  // OccurrencesToOpen.
+  std::map<std::int32_t, Occurrence> open;
+  NumberRanges finished;            // occurrences
+  std::int64_t first_unopened = 0;  // the ones below are open or finished
+  bool inherited = false;           // accepted before this scheduler took over
   // A task was placed, a predecessor stored progress, or the job ended before
   // either (unless it is scheduled).
   bool has_started = false;
@@ -152,6 +158,12 @@
   [[nodiscard]] Time DueAt(std::int32_t occurrence) const;
   /*! @brief Opens an occurrence with all tasks waiting. */
   Occurrence& OpenOccurrence(std::int32_t number);
+  /*! @brief The lowest occurrence from this one on that is neither open nor
+   * finished; it may be beyond the last one. */
+  [[nodiscard]] std::int64_t FirstUnopened(std::int64_t from) const;
+  /*! @brief True if every occurrence is open or finished. */
+  [[nodiscard]] bool AllOpened() const;
+  [[nodiscard]] std::int64_t TasksPerOccurrence() const;
   /*! @brief Critical path over the steps that are not complete, in ms: the
    * longest chain of estimates. */
   [[nodiscard]] std::int64_t CriticalPathMs(const Occurrence& occurrence) const;
--- a/src/jobs/model.cc
+++ b/src/jobs/model.cc
@@ -63,6 +63,19 @@
          std::int64_t{occurrence} * this->schedule.interval_ms;
 }
 
+std::int32_t JobSpec::DueBy(std::int64_t wall_ms) const {
+  const Schedule& times = this->schedule;
+  if (wall_ms < times.first_ms) {
+    return 0;
+  }
+  if (times.interval_ms == 0) {
+    return this->Occurrences();
+  }
+  const std::int64_t intervals = (wall_ms - times.first_ms) / times.interval_ms;
+  return static_cast<std::int32_t>(
+      std::min<std::int64_t>(intervals + 1, this->Occurrences()));
+}
+
 bool JobSpec::Endless() const {
   return std::ranges::any_of(this->steps,
                              [](const StepSpec& step) { return step.endless; });
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -48,6 +48,9 @@
 [[nodiscard]] double DominantShare(const Resources& part,
                                    const Resources& whole);
 
+/*! @brief Most tasks that a job may have over all steps of an occurrence. */
+inline constexpr std::int32_t kMaxTasksPerJob = 20'000;
+
 /*! @brief A step of a job: equal tasks that run beside each other. */
 struct StepSpec {
   std::int32_t count = 1;
@@ -115,6 +118,9 @@
   }
   /*! @brief Unix time from which an occurrence may start; 0: at once. */
   [[nodiscard]] std::int64_t DueMs(std::int32_t occurrence) const;
+  /*! @brief Number of occurrences that are due by a Unix time, the first ones.
+   */
+  [[nodiscard]] std::int32_t DueBy(std::int64_t wall_ms) const;
   /*! @brief True if the job ends only by cancellation. */
   [[nodiscard]] bool Endless() const;
 };
--- a/src/jobs/rank.cc
+++ b/src/jobs/rank.cc
@@ -16,12 +16,6 @@
   return std::clamp(slack / 2, Duration::zero(), kMaxStepDelays);
 }
 
-bool HasBegun(const Occurrence& occurrence) {
-  return std::ranges::any_of(occurrence.steps, [](const Step& step) {
-    return step.waiting < static_cast<std::int32_t>(step.tasks.size());
-  });
-}
-
 }  // namespace
 
 std::strong_ordering Rank::operator<=>(const Rank& other) const {
@@ -55,7 +49,7 @@
               Time now) {
   const auto left = std::chrono::milliseconds(job.CriticalPathMs(occurrence));
   const Duration objective = Objective(job, queue);
-  const bool begun = HasBegun(occurrence);
+  const bool begun = occurrence.Begun();
   const Time end =
       now + left + (begun ? Duration::zero() : StepDelays(job, objective));
   Rank rank{.priority = queue.priority, .begun = begun};
--- a/src/jobs/record.cc
+++ b/src/jobs/record.cc
@@ -86,6 +86,54 @@
   return step;
 }
 
+// A number, or the first and the last number of a range.
+json EncodeFinished(const NumberRanges& finished) {
+  json rows = json::array();
+  for (const auto& [first, last] : finished.ranges()) {
+    if (first == last) {
+      rows.push_back(first);
+    } else {
+      rows.push_back({first, last});
+    }
+  }
+  return rows;
+}
+
+std::int32_t OccurrenceIn(const json& number, const JobSpec& spec) {
+  if (!number.is_number_integer() || number.get<std::int64_t>() < 0 ||
+      number.get<std::int64_t>() >= spec.Occurrences()) {
+    throw std::out_of_range("the job has no occurrence " + number.dump());
+  }
+  return number;
+}
+
+NumberRanges DecodeFinished(const json& rows, const JobSpec& spec) {
+  NumberRanges finished;
+  for (const json& row : rows) {
+    const std::int32_t first =
+        OccurrenceIn(row.is_array() ? row.at(0) : row, spec);
+    const std::int32_t last =
+        OccurrenceIn(row.is_array() ? row.at(1) : row, spec);
+    if (last < first) {
+      throw std::out_of_range("a range of occurrences ends before it begins");
+    }
+    finished.Insert(first, last);
+  }
+  return finished;
+}
+
+// Of occurrences without progress the schedule tells all.
+bool HasProgress(const Occurrence& occurrence) {
+  return std::ranges::any_of(occurrence.steps, [](const Step& step) {
+    return !step.gang_failed_runs.empty() ||
+           std::ranges::any_of(step.tasks, [](const Task& task) {
+             return task.phase == TaskPhase::kDone || task.run > 0 ||
+                    task.run_floor > 0 || !task.failed_runs.empty() ||
+                    !task.checkpoint.empty();
+           });
+  });
+}
+
 // One character a task keeps the record of a wide step small.
 json EncodeOccurrence(const Occurrence& occurrence) {
   json steps = json::array();
@@ -248,10 +296,13 @@
 std::string EncodeProgress(const Job& job) {
   json open = json::array();
   for (const auto& [number, occurrence] : job.open) {
-    open.push_back(EncodeOccurrence(occurrence));
+    if (!job.finished.Contains(number) && HasProgress(occurrence)) {
+      open.push_back(EncodeOccurrence(occurrence));
+    }
   }
-  return json{
-      {"state", NameOf(job.state)}, {"open", open}, {"finished", job.finished}}
+  return json{{"state", NameOf(job.state)},
+              {"open", open},
+              {"finished", EncodeFinished(job.finished)}}
       .dump();
 }
 
@@ -282,17 +333,23 @@
       return Corrupt("job " + job.spec.id.str() + " has an unknown state");
     }
     job.state = *state;
-    job.finished = record.at("finished").get<std::set<std::int32_t>>();
-    for (const std::int32_t number : job.finished) {
-      job.next_occurrence = std::max(job.next_occurrence, number + 1);
-    }
+    job.finished = DecodeFinished(record.at("finished"), job.spec);
     for (const json& row : record.at("open")) {
-      Occurrence& occurrence = job.OpenOccurrence(row.at("number"));
+      const std::int32_t number = OccurrenceIn(row.at("number"), job.spec);
+      if (job.finished.Contains(number)) {
+        continue;
+      }
+      Occurrence& occurrence = job.OpenOccurrence(number);
       const json& steps = row.at("steps");
       for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
         DecodeTasks(steps.at(s), occurrence.steps[s]);
       }
+      // Earlier versions stored all due occurrences.
+      if (!HasProgress(occurrence)) {
+        job.open.erase(number);
+      }
     }
+    job.first_unopened = job.FirstUnopened(0);
   } catch (const std::exception& error) {
     return Corrupt("progress of job " + job.spec.id.str() +
                    " is unreadable: " + error.what());
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -9,9 +9,6 @@
 
 namespace kch::jobs {
 
-/*! @brief Most tasks that a job may have over all steps of an occurrence. */
-inline constexpr std::int32_t kMaxTasksPerJob = 20'000;
-
 /*! @brief Validates a submitted job: counts, amounts, order of steps. Fails
  * with kInvalid. */
 [[nodiscard]] Result<void> CheckSpec(const JobSpec& spec);
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <utility>
 
+#include "jobs/due_times.h"
 #include "jobs/record.h"
 
 namespace kch::jobs {
@@ -464,12 +465,27 @@
   }
 }
 
+void Scheduler::OpenOccurrence(Job& job, std::int32_t number) {
+  const Occurrence& occurrence = job.OpenOccurrence(number);
+  this->CountArrival(job);
+  this->UpdateReady(job, occurrence);
+}
+
+// Finished occurrences are closed here and not when their last task ends, since
+// callers may still refer to that task.
 void Scheduler::OpenDue(Job& job, std::int64_t wall_ms) {
-  while (job.next_occurrence < job.spec.Occurrences() &&
-         job.spec.DueMs(job.next_occurrence) <= wall_ms) {
-    job.OpenOccurrence(job.next_occurrence);
-    this->CountArrival(job);
-    this->UpdateAllReady(job);
+  for (auto row = job.open.begin(); row != job.open.end();) {
+    const bool closed =
+        job.finished.Contains(row->first) && !this->HasRuns(row->second);
+    row = closed ? job.open.erase(row) : std::next(row);
+  }
+  const Duration critical_path =
+      std::chrono::milliseconds(job.CriticalPathMs());
+  const Duration useful =
+      kLateObjectives * Objective(job, this->QueueOf(job)) - critical_path;
+  for (const std::int32_t number : OccurrencesToOpen(
+           job, std::max<std::int64_t>(0, ToMs(useful)), wall_ms)) {
+    this->OpenOccurrence(job, number);
   }
 }
 
@@ -477,14 +493,27 @@
   for (auto id = this->scheduled.begin(); id != this->scheduled.end();) {
     Job& job = *this->jobs.at(*id);
     this->OpenDue(job, wall_ms);
-    const bool all_open = job.next_occurrence >= job.spec.Occurrences();
-    id = all_open ? this->scheduled.erase(id) : std::next(id);
+    id = job.AllOpened() ? this->scheduled.erase(id) : std::next(id);
+  }
+}
+
+Scheduler::DueOccurrences Scheduler::CountDue(std::int64_t wall_ms) const {
+  DueOccurrences count;
+  for (const JobId& id : this->scheduled) {
+    const Job& job = *this->jobs.at(id);
+    const auto open = std::ranges::count_if(job.open, [&job](const auto& row) {
+      return !job.finished.Contains(row.first);
+    });
+    count.open += open;
+    count.held += std::max<std::int64_t>(
+        0, job.spec.DueBy(wall_ms) - job.finished.size() - open);
   }
+  return count;
 }
 
-// A predecessor whose wall clock is ahead may have started tasks of an
-// occurrence that is not due here yet. Only the VM knows of them until their
-// ends are recorded.
+// A predecessor may have started tasks of an occurrence that is not open here
+// yet, or, if its wall clock is ahead, not even due. Only the VM knows of them
+// until their ends are recorded.
 void Scheduler::OpenReported(const TaskRef& ref, Time now) {
   constexpr std::int64_t max_clock_difference_ms = 10'000;
   Job* job = this->FindJob(ref.job);
@@ -495,12 +524,12 @@
   const std::int64_t wall_ms =
       this->recovery_wall_ms + ToMs(now - this->recovery_began);
   const std::int64_t due_ms = job->spec.DueMs(ref.occurrence);
-  if (ref.occurrence >= job->next_occurrence &&
+  if (job->FirstUnopened(ref.occurrence) == ref.occurrence &&
       due_ms <= wall_ms + max_clock_difference_ms) {
     this->EmitLogEvent("occurrence_reported",
                        {{"task", ref.Name()},
                         {"due_in_ms", std::to_string(due_ms - wall_ms)}});
-    this->OpenDue(*job, due_ms);
+    this->OpenOccurrence(*job, ref.occurrence);
   }
 }
 
@@ -518,11 +547,15 @@
   }
 }
 
+void Scheduler::UpdateReady(Job& job, const Occurrence& occurrence) {
+  for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+    this->UpdateReady(job, occurrence, static_cast<std::int32_t>(s));
+  }
+}
+
 void Scheduler::UpdateAllReady(Job& job) {
   for (const auto& [number, occurrence] : job.open) {
-    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-      this->UpdateReady(job, occurrence, static_cast<std::int32_t>(s));
-    }
+    this->UpdateReady(job, occurrence);
   }
 }
 
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -156,6 +156,12 @@
     return this->counter_values;
   }
   [[nodiscard]] std::size_t job_count() const { return this->jobs.size(); }
+  /*! @brief Due occurrences of the jobs that have more to come. */
+  struct DueOccurrences {
+    std::int64_t open = 0;
+    std::int64_t held = 0;  // due, but not opened yet
+  };
+  [[nodiscard]] DueOccurrences CountDue(std::int64_t wall_ms) const;
   [[nodiscard]] bool recovering() const { return this->in_recovery; }
   /*! @brief True once a VM has refused an order for its fence. */
   [[nodiscard]] bool is_superseded() const { return this->superseded; }
@@ -248,11 +254,13 @@
   Pool& PoolOf(const Job& job);
 
   // scheduler.cc
+  void OpenOccurrence(Job& job, std::int32_t number);
   void OpenDue(Job& job, std::int64_t wall_ms);
   void OpenAllDue(std::int64_t wall_ms);
   void OpenReported(const TaskRef& ref, Time now);
   void CountArrival(const Job& job);
   void UpdateReady(Job& job, const Occurrence& occurrence, std::int32_t step);
+  void UpdateReady(Job& job, const Occurrence& occurrence);  // all steps
   void UpdateAllReady(Job& job);
   void Place(Task& task, Vm& vm);
   void Release(Task& task);  // frees what a placed task occupies
@@ -329,6 +337,7 @@
   void PaceVm(Vm& vm, Time now);
   void WriteChanges(Time now);
   void Acknowledge(Vm& vm, Time now);
+  bool HasRuns(Occurrence& occurrence);
   bool HasRuns(Job& job);
   void EraseExpiredJobs(Time now);
 
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -199,6 +199,11 @@
   }
   Task* task = ref ? this->FindTask(*ref) : nullptr;
   if (task == nullptr) {
+    // That the task's occurrence is finished may not be stored yet.
+    const Job* closed = ref ? this->FindJob(ref->job) : nullptr;
+    if (closed != nullptr && closed->finished.Contains(ref->occurrence)) {
+      this->AwaitRecord(vm, *closed);
+    }
     return;
   }
   Job& job = *task->job;
@@ -306,14 +311,11 @@
   if (!occurrence.Complete()) {
     return;
   }
-  job.finished.insert(occurrence.number);
+  job.finished.Insert(occurrence.number);
   this->DropAdvice(job, occurrence.number);
-  if (static_cast<std::int32_t>(job.finished.size()) ==
-      job.spec.Occurrences()) {
+  if (job.finished.size() == job.spec.Occurrences()) {
     this->EndJob(job, JobState::kCompleted, now);
   } else {
-    // The caller may still refer to a task of the occurrence, so the occurrence
-    // is destroyed with the job.
     this->MarkDirty(job);
   }
 }
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -378,21 +378,24 @@
   }
 }
 
-// Iterates over the job's tasks, which are fewer than all runs of the fleet.
-bool Scheduler::HasRuns(Job& job) {
-  for (auto& [number, occurrence] : job.open) {
-    for (Step& step : occurrence.steps) {
-      for (Task& task : step.tasks) {
-        const Vm* vm = this->FindVm(task.vm);
-        if (vm != nullptr && vm->runs.contains(&task)) {
-          return true;
-        }
+// Iterates over the tasks, which are fewer than all runs of the fleet.
+bool Scheduler::HasRuns(Occurrence& occurrence) {
+  for (Step& step : occurrence.steps) {
+    for (Task& task : step.tasks) {
+      const Vm* vm = this->FindVm(task.vm);
+      if (vm != nullptr && vm->runs.contains(&task)) {
+        return true;
       }
     }
   }
   return false;
 }
 
+bool Scheduler::HasRuns(Job& job) {
+  return std::ranges::any_of(
+      job.open, [this](auto& row) { return this->HasRuns(row.second); });
+}
+
 // Ended jobs are erased from the store and memory after the retention, in which
 // their submitters can query them.
 void Scheduler::EraseExpiredJobs(Time now) {
--- a/test/jobs/record_test.cc
+++ b/test/jobs/record_test.cc
@@ -78,6 +78,56 @@
   BOOST_TEST(!DecodeProgress(EncodeProgress(job), other).has_value());
 }
 
+// Guards against a record that grows with the occurrences that have finished,
+// and against one of an earlier version that is not understood.
+BOOST_AUTO_TEST_CASE(FinishedOccurrencesRoundTrip) {
+  Job job;
+  job.spec = SimpleJob("a", "q", 2, 1, 1);
+  job.spec.schedule = {.first_ms = 5, .interval_ms = 10, .times = 20'000};
+  job.finished.Insert(0, 9'998);
+  job.finished.Insert(10'000);
+  job.OpenOccurrence(9'999).steps[0].tasks[1].run = 2;
+  job.OpenOccurrence(10'001);
+  const std::string text = EncodeProgress(job);
+  BOOST_TEST(text.size() < 200);
+  Job read;
+  read.spec = job.spec;
+  BOOST_REQUIRE(DecodeProgress(text, read).has_value());
+  BOOST_TEST(read.finished.size() == 10'000);
+  BOOST_TEST(read.first_unopened == 10'001);
+  BOOST_TEST(read.open.size() == 1);
+  BOOST_TEST(read.open.at(9'999).steps[0].tasks[0].run_floor == 2);
+  Job earlier;
+  earlier.spec = job.spec;
+  BOOST_REQUIRE(
+      DecodeProgress(R"({"state":"running","finished":[0,1,3],"open":[)"
+                     R"({"number":1,"steps":[{"done":"11","run":1}]},)"
+                     R"({"number":2,"steps":[{"done":"10","run":1}]},)"
+                     R"({"number":4,"steps":[{"done":"00","run":0}]}]})",
+                     earlier)
+          .has_value());
+  BOOST_TEST(earlier.finished.size() == 3);
+  BOOST_TEST(earlier.first_unopened == 4);
+  BOOST_TEST(earlier.open.size() == 1);
+}
+
+// Guards against a record that makes a process hold more than its job has.
+BOOST_AUTO_TEST_CASE(OccurrencesBeyondTheLastAreRefused) {
+  for (const char* text :
+       {R"({"state":"running","finished":[[0,3]],"open":[]})",
+        R"({"state":"running","finished":[-1],"open":[]})",
+        R"({"state":"running","finished":[[2,1]],"open":[]})",
+        R"({"state":"running","finished":[[1]],"open":[]})",
+        R"({"state":"running","finished":[4294967296],"open":[]})",
+        R"({"state":"running","finished":[],"open":[{"number":3,"steps":[)"
+        R"({"done":"1","run":1}]}]})"}) {
+    Job job;
+    job.spec = SimpleJob("a", "q", 1, 1, 1);
+    job.spec.schedule = {.first_ms = 5, .interval_ms = 10, .times = 3};
+    BOOST_TEST(!DecodeProgress(text, job).has_value(), text);
+  }
+}
+
 // Guards against a wrong or missing final state in the answer to a submitter.
 BOOST_AUTO_TEST_CASE(EndOfAJobRoundTrips) {
   Job job;
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -681,6 +681,29 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against an owner that stands still over a job with hours of due times
+// in the past and loses the fleet, as all its successors do (review case 4).
+BOOST_AUTO_TEST_CASE(ManyDueTimesHoldNobodyUp) {
+  PlatformFleet fleet;
+  const std::size_t owner = fleet.WaitForOwner();
+  constexpr std::int32_t times = 14'400;
+  jobs::JobSpec timed = PlainJob("a", 1, 200);
+  timed.schedule = {.first_ms = WallUs() / kUsPerMs - 1000LL * times,
+                    .interval_ms = 1000,
+                    .times = times};
+  fleet.Accept(timed);
+  const jobs::JobSpec plain = PlainJob("b", 2, 300);
+  fleet.Accept(plain);
+  fleet.WaitForCompleted({plain});
+  BOOST_TEST(fleet.Log(owner).find("\"owner_lost\"") == std::string::npos);
+  KillOwner(fleet);
+  const jobs::JobSpec later = PlainJob("c", 2, 300);
+  fleet.Accept(later);
+  fleet.WaitForCompleted({later});
+  BOOST_TEST(fleet.StateOf(timed) == "running");
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 // Guards against takeovers that take longer the more jobs have ended, up to
 // more than the lease of the runs.
 BOOST_AUTO_TEST_CASE(TakeoverReadsEndedJobs) {
