Expect the processes that earlier owners knew (users' report of TWICE)

Cause: an owner that no process had joined, as the others were cut off or restarting, went on without the store (no orders_held), and a process that it did not know took over and kept the runs alive that the first one took for ended.

OrdersThroughAnOutageOnlyUnderLeasesOfAllFollowers asserted that a process that leaves needs to grant nothing. That was wrong, as its instance may start again; it now asserts the opposite, and that the next process's grant is needed.

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -551,12 +551,12 @@
     return;
   }
   if (const auto& before = this->ownership.predecessor();
-      before && before->instance == instance &&
-      before->incarnation != report.incarnation) {
+      before && before->owner.instance == instance &&
+      before->owner.incarnation != report.incarnation) {
     this->scheduler->SetPredecessorEnd(Now());
   }
   if (report.leaving) {
-    this->ownership.followers().OnLeaving(instance, report.incarnation);
+    this->ownership.followers().OnLeaving(instance, report.incarnation, Now());
   } else if (report.lease_granted_ms != 0) {
     this->ownership.followers().OnGrant(
         instance, report.incarnation,
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -147,7 +147,6 @@
   void ReadWaves(std::uint64_t fence);
   void ReadOrders(std::uint64_t fence);
   void ReadLastOwner(std::uint64_t fence);
-  void StoreAsLastOwner(std::uint64_t fence);
   /*! @brief Writes a record at the revision that is known, so that a write
    * which is carried out late takes no later one back. After a conflict the
    * revision in force is known. `done` is dropped once this term is over. */
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -201,7 +201,13 @@
       [this, by = this->fence, key = std::move(record.key),
        erases = !record.value,
        done = std::move(done)](const platform::WriteReply& reply) {
-        this->PostFor(by, [this, key, erases, done, reply] {
+        this->PostFor(by, [this, by, key, erases, done, reply] {
+          if (reply.outcome == Outcome::kConflict &&
+              !StillOwner(reply.items, by)) {
+            this->ownership.OnSuperseded(Now());
+            this->Perform(this->ownership.TakeEffects());
+            return;
+          }
           if (reply.outcome == Outcome::kOk) {
             this->revisions[key] = erases ? 0 : reply.revision;
           } else if (reply.outcome == Outcome::kConflict) {
@@ -212,31 +218,6 @@
       });
 }
 
-// Repeated until it is known: the takeover waits for it.
-void Driver::StoreAsLastOwner(std::uint64_t by) {
-  platform::Transaction transaction = OwnersTransaction(by);
-  transaction.puts.push_back(
-      {std::string(kLastOwnerKey),
-       lead::EncodeWithRevision(*this->ownership.observed_owner()), 0});
-  this->parts.store.Write(
-      transaction, kWriteTimeoutMs,
-      [this, by](const platform::WriteReply& reply) {
-        this->PostFor(by, [this, by, outcome = reply.outcome] {
-          if (outcome == Outcome::kOk) {
-            this->takeover->last_owner_stored = true;
-            this->FinishTakeover();
-          } else if (outcome == Outcome::kConflict) {
-            this->ownership.OnSuperseded(Now());
-            this->Perform(this->ownership.TakeEffects());
-          } else {
-            this->parts.client.Delay(kKeptRetryMs, [this, by] {
-              this->PostFor(by, [this, by] { this->StoreAsLastOwner(by); });
-            });
-          }
-        });
-      });
-}
-
 void LeadEffectVisitor::operator()(const lead::CreateLease& /*effect*/) const {
   this->driver.parts.store.CreateLease(
       ToMs(lead::kOwnerLease),
@@ -300,6 +281,18 @@
   this->driver.roster->RequestLeases(ToMs(now.time_since_epoch()), now);
 }
 
+void LeadEffectVisitor::operator()(const lead::StoreLastOwner& effect) const {
+  this->driver.WriteRecord(
+      {.key = std::string(kLastOwnerKey), .value = lead::Encode(effect.last)},
+      [&driver = this->driver](Outcome outcome) {
+        driver.ownership.OnLastOwnerStored(AnswerOf(outcome), Now());
+        if (outcome == Outcome::kOk && driver.takeover) {
+          driver.takeover->last_owner_stored = true;
+          driver.FinishTakeover();
+        }
+      });
+}
+
 void LeadEffectVisitor::operator()(const lead::EndLease& effect) const {
   this->driver.parts.store.EndLease(effect.lease, [](Outcome) {
     // A lease that is not ended here runs out by itself.
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -200,9 +200,10 @@
 // A process that has not stored itself as the last owner has given no orders.
 void Driver::ReadLastOwner(std::uint64_t by) {
   this->ReadAll(
-      kLastOwnerKey, by, [this, by](const std::vector<platform::Item>& items) {
-        std::optional<lead::OwnerRecord> last;
+      kLastOwnerKey, by, [this](const std::vector<platform::Item>& items) {
+        std::optional<lead::LastOwner> last;
         if (!items.empty()) {
+          this->revisions[items.front().key] = items.front().revision;
           auto decoded = lead::DecodeLastOwner(items.front().value);
           if (decoded) {
             last = *std::move(decoded);
@@ -216,11 +217,14 @@
         this->ownership.OnLastOwner(last, now);
         const Time until = this->ownership.predecessor_orders_until();
         this->scheduler->SetPredecessorEnd(until);
-        net::LogEvent("last_owner",
-                      {{"instance", last ? last->instance : ""},
-                       {"fence", std::to_string(last ? last->revision : 0)},
-                       {"orders_ms", std::to_string(ToMs(until - now))}});
-        this->StoreAsLastOwner(by);
+        net::LogEvent(
+            "last_owner",
+            {{"instance", last ? last->owner.instance : ""},
+             {"fence", std::to_string(last ? last->owner.revision : 0)},
+             {"followers", std::to_string(last ? last->followers.size() : 0)},
+             {"orders_ms", std::to_string(ToMs(until - now))}});
+        this->ownership.Tick(now);
+        this->Perform(this->ownership.TakeEffects());
       });
 }
 
--- a/src/lead/follower_leases.cc
+++ b/src/lead/follower_leases.cc
@@ -10,17 +10,26 @@
                                Time now) {
   Follower& follower = this->followers[instance];
   if (follower.incarnation != incarnation) {
-    follower = {.incarnation = incarnation};
+    follower = {.incarnation = incarnation, .listed = follower.listed};
   }
   follower.contacted_at = now;
 }
 
+void FollowerLeases::Expect(const std::set<std::string>& instances, Time now) {
+  for (const std::string& instance : instances) {
+    Follower& follower = this->followers[instance];
+    follower.contacted_at = std::max(follower.contacted_at, now);
+    follower.listed = true;
+  }
+}
+
 void FollowerLeases::OnLeaving(const std::string& instance,
-                               const std::string& incarnation) {
+                               const std::string& incarnation,
+                               Time now) {
   const auto found = this->followers.find(instance);
   if (found != this->followers.end() &&
       found->second.incarnation == incarnation) {
-    this->followers.erase(found);
+    found->second = {.contacted_at = now, .listed = found->second.listed};
   }
 }
 
@@ -38,10 +47,33 @@
 
 void FollowerLeases::Tick(Time now) {
   std::erase_if(this->followers, [now](const auto& row) {
-    return now - row.second.contacted_at >= kForgetFollowerTime;
+    return !row.second.listed &&
+           now - row.second.contacted_at >= kForgetFollowerTime;
   });
 }
 
+std::set<std::string> FollowerLeases::Listing(Time now) const {
+  std::set<std::string> instances;
+  for (const auto& [instance, follower] : this->followers) {
+    if (now - follower.contacted_at < kForgetFollowerTime) {
+      instances.insert(instance);
+    }
+  }
+  return instances;
+}
+
+void FollowerLeases::OnListing(const std::set<std::string>& instances) {
+  for (auto& [instance, follower] : this->followers) {
+    follower.listed = follower.listed || instances.contains(instance);
+  }
+}
+
+void FollowerLeases::OnListed(const std::set<std::string>& instances) {
+  for (auto& [instance, follower] : this->followers) {
+    follower.listed = instances.contains(instance);
+  }
+}
+
 std::size_t FollowerLeases::WithoutLease(Time now) const {
   return static_cast<std::size_t>(std::ranges::count_if(
       this->followers,
--- a/src/lead/follower_leases.h
+++ b/src/lead/follower_leases.h
@@ -2,6 +2,7 @@
 #define LEAD_FOLLOWER_LEASES_H_
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "base/base.h"
@@ -33,18 +34,32 @@
   void OnContact(const std::string& instance,
                  const std::string& incarnation,
                  Time now);
-  /*! @brief A follower shuts down: it claims nothing any more. */
-  void OnLeaving(const std::string& instance, const std::string& incarnation);
+  /*! @brief Instances that earlier owners knew. Each may run and claim the
+   * fleet without having been contacted in this term. */
+  void Expect(const std::set<std::string>& instances, Time now);
+  /*! @brief A follower shuts down. Its instance may start again, as a process
+   * that has granted nothing. */
+  void OnLeaving(const std::string& instance,
+                 const std::string& incarnation,
+                 Time now);
   /*! @brief A follower has granted the request that was sent at this time; one
    * in the future is ignored. */
   void OnGrant(const std::string& instance,
                const std::string& incarnation,
                Time requested_at,
                Time now);
-  /*! @brief Forgets followers without contact for kForgetFollowerTime. */
+  /*! @brief Forgets followers without contact for kForgetFollowerTime that no
+   * stored list names. */
   void Tick(Time now);
-  /*! @brief Time until which no counted follower claims; Time::max() if none is
-   * counted. */
+  /*! @brief Instances that a successor has to expect. */
+  [[nodiscard]] std::set<std::string> Listing(Time now) const;
+  /*! @brief A list of instances is being stored for successors. Those that it
+   * names are counted until a later list without them is stored. */
+  void OnListing(const std::set<std::string>& instances);
+  /*! @brief The list is stored. */
+  void OnListed(const std::set<std::string>& instances);
+  /*! @brief Time until which no counted or expected follower claims;
+   * Time::max() if there is none. */
   [[nodiscard]] Time held_until() const;
   /*! @brief Number of followers that may claim. */
   [[nodiscard]] std::size_t WithoutLease(Time now) const;
@@ -55,6 +70,7 @@
     std::string incarnation;
     Time contacted_at;
     Time granted_until;
+    bool listed = false;  // a stored list may name it
   };
   std::map<std::string, Follower> followers;  // by instance
 };
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -31,20 +31,35 @@
   }
 }
 
-std::string EncodeWithRevision(const OwnerRecord& record) {
-  auto row = nlohmann::json::parse(Encode(record));
-  row["revision"] = record.revision;
+std::string Encode(const LastOwner& last) {
+  auto row = nlohmann::json::parse(Encode(last.owner));
+  row["revision"] = last.owner.revision;
+  row["followers"] = last.followers;
   return row.dump();
 }
 
-Result<OwnerRecord> DecodeLastOwner(std::string_view text) {
+Result<LastOwner> DecodeLastOwner(std::string_view text) {
   const auto row = nlohmann::json::parse(text, nullptr, false);
   if (!row.is_object() || !row.contains("revision") ||
       !row["revision"].is_number_unsigned()) {
     return Fail(ErrorKind::kCorrupt, "record of the last owner has no revision",
                 "wait for the next owner, which writes a new record");
   }
-  return DecodeOwner(text, row["revision"].get<std::uint64_t>());
+  auto owner = DecodeOwner(text, row["revision"].get<std::uint64_t>());
+  if (!owner) {
+    return tl::unexpected(owner.error());
+  }
+  LastOwner last{.owner = *std::move(owner), .followers = {}};
+  // Owners of earlier versions store no followers.
+  if (const auto names = row.find("followers");
+      names != row.end() && names->is_array()) {
+    for (const auto& name : *names) {
+      if (name.is_string()) {
+        last.followers.insert(name.get<std::string>());
+      }
+    }
+  }
+  return last;
 }
 
 Duration CandidateDelay(double cores, const std::string& incarnation) {
@@ -71,6 +86,9 @@
 void Ownership::BecomeOwner(std::uint64_t revision, Time now) {
   this->gained_counted_fence = std::exchange(this->counted_fence, 0);
   this->last_owner.reset();
+  this->next_listing.reset();
+  this->stored_listing.reset();
+  this->new_listing.reset();
   this->follower_leases = {};
   this->record.revision = revision;
   this->observed_record = this->record;
@@ -85,13 +103,24 @@
 }
 
 // What this process waited for in its last term may still be under way. A claim
-// that is carried out late may follow the grant of a lease.
-void Ownership::OnLastOwner(const std::optional<OwnerRecord>& last, Time now) {
+// that is carried out late may follow the grant of a lease. Processes that are
+// cut off or start anew do not join this owner, but may claim the fleet as soon
+// as the store answers them, so the owner has to know them from its
+// predecessors.
+void Ownership::OnLastOwner(const std::optional<LastOwner>& last, Time now) {
   this->last_owner = last;
-  const bool own_term = last && last->incarnation == this->record.incarnation;
-  const bool ended = last && last->instance == this->record.instance;
+  if (last) {
+    std::set<std::string> expected = last->followers;
+    expected.insert(last->owner.instance);
+    expected.erase(this->record.instance);
+    this->follower_leases.Expect(expected, now);
+  }
+  this->next_listing = now;
+  const bool own_term =
+      last && last->owner.incarnation == this->record.incarnation;
+  const bool ended = last && last->owner.instance == this->record.instance;
   const bool counted = last && this->gained_counted_fence != 0 &&
-                       last->revision == this->gained_counted_fence &&
+                       last->owner.revision == this->gained_counted_fence &&
                        now < this->counted_until;
   Time until = std::max(now, this->no_claim_until);
   if (own_term) {
@@ -102,6 +131,38 @@
   this->predecessor_until = until;
 }
 
+void Ownership::OnLastOwnerStored(StoreCallResult result, Time now) {
+  if (!this->new_listing) {
+    return;
+  }
+  const bool stored = result == StoreCallResult::kOk;
+  if (stored) {
+    this->follower_leases.OnListed(*this->new_listing);
+    this->stored_listing = std::move(this->new_listing);
+  }
+  this->new_listing.reset();
+  this->next_listing =
+      now + (stored ? kListingInterval : kListingRetryInterval);
+}
+
+// The first record is repeated until it is known, since the takeover waits for
+// it. Changes can wait while the store is away.
+void Ownership::StoreChangedListing(Time now) {
+  if (this->state != State::kOwner || this->new_listing ||
+      !this->next_listing || now < *this->next_listing) {
+    return;
+  }
+  std::set<std::string> present = this->follower_leases.Listing(now);
+  if (this->stored_listing &&
+      (this->renewals_fail || present == *this->stored_listing)) {
+    return;
+  }
+  this->follower_leases.OnListing(present);
+  this->new_listing = std::move(present);
+  this->effects.emplace_back(
+      StoreLastOwner{{.owner = this->record, .followers = *this->new_listing}});
+}
+
 bool Ownership::MayOrder(Time now) const {
   if (!this->owner() || now < this->valid_until) {
     return this->owner();
@@ -322,6 +383,7 @@
     this->effects.emplace_back(RenewLease{this->lease});
   }
   this->follower_leases.Tick(now);
+  this->StoreChangedListing(now);
   if (this->state == State::kOwner && this->renewals_fail &&
       now >= this->next_lease_request) {
     this->next_lease_request = now + kFollowerLeaseInterval;
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -38,6 +39,11 @@
 /*! @brief A follower's clock may be faster than the owner's by this much in a
  * follower lease. */
 inline constexpr Duration kFollowerLeaseMargin = std::chrono::milliseconds(50);
+/*! @brief Delay before a failed record of the last owner is repeated. */
+inline constexpr Duration kListingRetryInterval =
+    std::chrono::milliseconds(100);
+/*! @brief Least interval between changes of that record. */
+inline constexpr Duration kListingInterval = std::chrono::milliseconds(500);
 /*! @brief Delay before a failed claim is repeated. */
 inline constexpr Duration kClaimRetryInterval = std::chrono::milliseconds(250);
 /*! @brief Delay of a candidate with one CPU core; see CandidateDelay. */
@@ -63,12 +69,23 @@
   bool operator==(const OwnerRecord&) const = default;
 };
 
+/*! @brief The owner that was the last to complete a takeover, as it stored
+ * itself. */
+struct LastOwner {
+  OwnerRecord owner;
+  // Other instances that may run. This owner orders nothing past its lease
+  // without a lease of each of them.
+  std::set<std::string> followers;
+
+  bool operator==(const LastOwner&) const = default;
+};
+
 /*! @brief Encodes a record as JSON, without its revision. */
 [[nodiscard]] std::string Encode(const OwnerRecord& record);
-/*! @brief The same with the revision, for a record of the last owner. */
-[[nodiscard]] std::string EncodeWithRevision(const OwnerRecord& record);
-/*! @brief Decodes what EncodeWithRevision returned; fails with kCorrupt. */
-[[nodiscard]] Result<OwnerRecord> DecodeLastOwner(std::string_view text);
+/*! @brief Encodes a record of the last owner, with its revision. */
+[[nodiscard]] std::string Encode(const LastOwner& last);
+/*! @brief Decodes a record of the last owner; fails with kCorrupt. */
+[[nodiscard]] Result<LastOwner> DecodeLastOwner(std::string_view text);
 /*! @brief Decodes a record; fails with kCorrupt if the text is invalid. */
 [[nodiscard]] Result<OwnerRecord> DecodeOwner(std::string_view text,
                                               std::uint64_t revision);
@@ -90,6 +107,10 @@
 };
 /*! @brief Effect: request a lease from each follower. */
 struct RequestFollowerLeases {};
+/*! @brief Effect: store the owner of this term as the last one. */
+struct StoreLastOwner {
+  LastOwner last;
+};
 /*! @brief Effect: end a lease, which also removes the record. */
 struct EndLease {
   std::uint64_t lease = 0;
@@ -108,6 +129,7 @@
                             ReadRecord,
                             RenewLease,
                             RequestFollowerLeases,
+                            StoreLastOwner,
                             EndLease,
                             OwnershipGained,
                             OwnershipLost>;
@@ -183,7 +205,9 @@
   [[nodiscard]] bool MayOrder(Time now) const;
   /*! @brief The owner before this term, as it stored itself; unset if there was
    * none. Called in a takeover. */
-  void OnLastOwner(const std::optional<OwnerRecord>& last, Time now);
+  void OnLastOwner(const std::optional<LastOwner>& last, Time now);
+  /*! @brief StoreLastOwner has returned. */
+  void OnLastOwnerStored(StoreCallResult result, Time now);
   /*! @brief Time until which an earlier owner may have given orders: that of
    * OnLastOwner if it counted this process as a follower or has certainly
    * ended, else kPredecessorWait later. */
@@ -191,7 +215,7 @@
     return this->predecessor_until;
   }
   /*! @brief As passed to OnLastOwner. */
-  [[nodiscard]] const std::optional<OwnerRecord>& predecessor() const {
+  [[nodiscard]] const std::optional<LastOwner>& predecessor() const {
     return this->last_owner;
   }
   /*! @brief Time until which HoldsValidLease is true unless a renewal extends
@@ -216,6 +240,7 @@
 
   void ApplyRecord(const std::optional<OwnerRecord>& observed, Time now);
   void BecomeFollower(Time claim_at);
+  void StoreChangedListing(Time now);
   void BecomeOwner(std::uint64_t revision, Time now);
   void LoseOwnership(const std::string& reason, Time now);
 
@@ -225,8 +250,13 @@
   std::optional<OwnerRecord> observed_record;
   std::uint64_t record_seen_at = 0;  // store's revision of `observed_record`
   bool record_read = false;          // the owner record was read at least once
-  std::optional<OwnerRecord> last_owner;  // before this term
-  std::uint64_t counted_fence = 0;  // of the owner that counts this process
+  std::optional<LastOwner> last_owner;  // before this term
+  // The followers in this owner's record of the last owner: as stored, and as
+  // being stored.
+  std::optional<std::set<std::string>> stored_listing;
+  std::optional<std::set<std::string>> new_listing;
+  std::optional<Time> next_listing;  // unset: the last owner is not read yet
+  std::uint64_t counted_fence = 0;   // of the owner that counts this process
   std::uint64_t gained_counted_fence = 0;  // the same, when this term began
   Time counted_until;
   Time no_claim_until;  // a lease was granted to the owner
--- a/test/lead/follower_leases_test.cc
+++ b/test/lead/follower_leases_test.cc
@@ -28,7 +28,7 @@
   leases.OnContact("b", "b-2", now);
   BOOST_TEST((leases.held_until() == Time()));
   BOOST_TEST(leases.WithoutLease(now) == 1);
-  leases.OnLeaving("b", "b-1");
+  leases.OnLeaving("b", "b-1", now);
   BOOST_TEST(leases.size() == 1);
   now += kForgetFollowerTime - std::chrono::milliseconds(1);
   leases.Tick(now);
@@ -38,6 +38,56 @@
   static_assert(kForgetFollowerTime > 2 * kCountedTime);
 }
 
+// Guards against an owner that goes on without the store beside a process that
+// claims the fleet: one that left and starts again, or one that only an earlier
+// owner knew.
+BOOST_AUTO_TEST_CASE(InstancesThatMayStartAgainMustGrant) {
+  FollowerLeases leases;
+  Time now{std::chrono::seconds(10)};
+  leases.OnContact("b", "b-1", now);
+  leases.OnGrant("b", "b-1", now, now);
+  leases.OnLeaving("b", "b-1", now);
+  leases.OnGrant("b", "b-1", now, now);
+  BOOST_TEST((leases.held_until() == Time()));
+  leases.OnContact("b", "b-2", now);
+  leases.OnGrant("b", "b-2", now, now);
+  BOOST_TEST((leases.held_until() == now + kFollowerLease));
+  leases.Expect({"b", "c"}, now);
+  BOOST_TEST((leases.held_until() == Time()));
+  BOOST_TEST(leases.WithoutLease(now) == 1);
+  leases.OnContact("c", "c-1", now);
+  leases.OnGrant("c", "c-1", now, now);
+  BOOST_TEST((leases.held_until() == now + kFollowerLease));
+}
+
+// Guards against a successor that relies on the lists of an owner which has
+// forgotten a process that its stored list still names.
+BOOST_AUTO_TEST_CASE(ListedInstancesAreForgottenAfterTheirList) {
+  FollowerLeases leases;
+  Time now{std::chrono::seconds(10)};
+  leases.OnContact("b", "b-1", now);
+  const std::set<std::string> both{"b", "c"};
+  leases.OnContact("c", "c-1", now);
+  BOOST_TEST((leases.Listing(now) == both));
+  leases.OnListing(both);
+  now += kForgetFollowerTime;
+  leases.OnContact("b", "b-1", now);
+  leases.Tick(now);
+  BOOST_TEST(leases.size() == 2);
+  const auto next = leases.Listing(now);
+  BOOST_TEST((next == std::set<std::string>{"b"}));
+  leases.OnListing(next);
+  leases.Tick(now);
+  BOOST_TEST(leases.size() == 2);
+  leases.OnListed(next);
+  leases.Tick(now);
+  BOOST_TEST(leases.size() == 1);
+  // A new process of a listed instance is listed as well.
+  leases.OnContact("b", "b-2", now);
+  leases.Tick(now + kForgetFollowerTime);
+  BOOST_TEST(leases.size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::lead
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -194,7 +194,11 @@
   ownership.followers().OnGrant("c", "c-0", now, now);
   now += std::chrono::milliseconds(1);
   BOOST_TEST(!ownership.MayOrder(now));
-  ownership.followers().OnLeaving("c", "c-1");
+  // The instance of a process that leaves may start again and claim.
+  ownership.followers().OnLeaving("c", "c-1", now);
+  BOOST_TEST(!ownership.MayOrder(now));
+  ownership.followers().OnContact("c", "c-2", now);
+  ownership.followers().OnGrant("c", "c-2", now, now);
   BOOST_TEST(ownership.MayOrder(now));
   ownership.OnRenewal(kLease, StoreCallResult::kOk, now, now);
   BOOST_TEST(ownership.HoldsValidLease(now));
@@ -255,7 +259,10 @@
     BOOST_TEST(ownership.owner());
   };
   const auto orders_for = [this](const std::optional<OwnerRecord>& last) {
-    ownership.OnLastOwner(last, now);
+    ownership.OnLastOwner(
+        last ? std::optional(LastOwner{.owner = *last, .followers = {}})
+             : std::nullopt,
+        now);
     return ownership.predecessor_orders_until() - now;
   };
   gain(50);
@@ -300,10 +307,68 @@
   BOOST_TEST((orders_for(own) == Duration::zero()));
 }
 
+// Guards against two owners at once: an owner whose followers were cut off or
+// started anew took itself for the only process.
+BOOST_AUTO_TEST_CASE(OrdersThroughAnOutageNeedInstancesThatPredecessorsKnew) {
+  BecomeOwner();
+  BOOST_TEST(Find<StoreLastOwner>(After(0)) == nullptr);
+  ownership.OnLastOwner(LastOwner{.owner = other, .followers = {"a", "c"}},
+                        now);
+  const auto stores = After(0);
+  const auto* store = Find<StoreLastOwner>(stores);
+  BOOST_REQUIRE(store != nullptr);
+  BOOST_TEST(store->last.owner.revision == 50);
+  const std::set<std::string> expected{"b", "c"};
+  BOOST_TEST((store->last.followers == expected));
+  BOOST_TEST(Find<StoreLastOwner>(After(10)) == nullptr);
+  ownership.OnLastOwnerStored(StoreCallResult::kUnknown, now);
+  BOOST_TEST(Find<StoreLastOwner>(After(50)) == nullptr);
+  BOOST_TEST(Find<StoreLastOwner>(After(50)) != nullptr);
+  ownership.OnLastOwnerStored(StoreCallResult::kOk, now);
+  BOOST_TEST(Find<StoreLastOwner>(After(1000)) == nullptr);
+  ownership.OnRenewal(kLease, StoreCallResult::kOk, now, now);
+  now += kOwnerLease - std::chrono::milliseconds(1);
+  ownership.OnRenewal(kLease, StoreCallResult::kUnknown, now, now);
+  now += std::chrono::milliseconds(1);
+  BOOST_TEST(!ownership.MayOrder(now));
+  for (const std::string name : {"b", "c"}) {
+    BOOST_TEST(!ownership.MayOrder(now));
+    ownership.followers().OnContact(name, name + "-2", now);
+    ownership.followers().OnGrant(name, name + "-2", now, now);
+  }
+  BOOST_TEST(ownership.MayOrder(now));
+}
+
+// Guards against a successor that does not know of a process that joined the
+// owner after its takeover.
+BOOST_AUTO_TEST_CASE(StoresFollowersThatJoinLater) {
+  BecomeOwner();
+  ownership.OnLastOwner(std::nullopt, now);
+  After(0);
+  ownership.OnLastOwnerStored(StoreCallResult::kOk, now);
+  ownership.followers().OnContact("b", "b-1", now);
+  BOOST_TEST(Find<StoreLastOwner>(After(100)) == nullptr);
+  // While the store is away the record can wait.
+  ownership.OnRenewal(kLease, StoreCallResult::kUnknown, now, now);
+  BOOST_TEST(Find<StoreLastOwner>(After(400)) == nullptr);
+  ownership.OnRenewal(kLease, StoreCallResult::kOk, now, now);
+  const auto effects = After(0);
+  const auto* store = Find<StoreLastOwner>(effects);
+  BOOST_REQUIRE(store != nullptr);
+  BOOST_TEST((store->last.followers == std::set<std::string>{"b"}));
+}
+
 BOOST_AUTO_TEST_CASE(LastOwnerRoundTrips) {
-  const auto read = DecodeLastOwner(EncodeWithRevision(other));
+  const LastOwner last{.owner = other, .followers = {"a", "c"}};
+  const auto read = DecodeLastOwner(Encode(last));
   BOOST_REQUIRE(read.has_value());
-  BOOST_TEST((*read == other));
+  BOOST_TEST((*read == last));
+  // As stored by an earlier version.
+  const auto earlier = DecodeLastOwner(
+      R"({"instance":"b","incarnation":"b-1","address":"h:2","revision":40})");
+  BOOST_REQUIRE(earlier.has_value());
+  BOOST_TEST((earlier->owner == other));
+  BOOST_TEST(earlier->followers.empty());
   for (const std::string text : {"", "7", "{}", R"({"revision":-1})",
                                  R"({"revision":1})", R"({"instance":"b"})"}) {
     BOOST_TEST(!DecodeLastOwner(text).has_value());
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -205,38 +205,27 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
-// Guards against a task at work twice: an owner that was cut off together with
-// some VMs went on renewing their runs, while its successor, which did not
-// reach these VMs, started the tasks elsewhere once a lease was over.
-BOOST_AUTO_TEST_CASE(OwnerCutOffWithItsVmsRepeatsTasks) {
-  PlatformFleet fleet(2, {.vms = 2, .addresses = 2});
-  const jobs::JobSpec job = PlainJob("a", 1, 60'000);
-  fleet.Accept(job);
-  fleet.WaitFor("the start", [&] { return fleet.starts() == 1; });
-  const std::size_t cut = fleet.WaitForOwner();
-  const std::size_t other = 1 - cut;
-  const auto [used, unused, fence] =
+// Takes the store and all other processes away from the owner, which still
+// reaches both of its VMs, and acts for a successor that does not reach the VM
+// with the job's run: once that should have ended, it starts the task on the
+// other one.
+void ReplaceCutOwner(PlatformFleet& fleet,
+                     std::size_t owner,
+                     const jobs::JobSpec& job) {
+  const auto [unused, fence] =
       fleet.platform->With([](const fake::VmModel& world, fake::KeyStore&) {
         const bool first = !world.vms.at("vm0")->runs.empty();
-        const std::string run_on = first ? "vm0" : "vm1";
-        return std::tuple(run_on, std::string(first ? "vm1" : "vm0"),
-                          world.vms.at(run_on)->fence);
+        return std::tuple(std::string(first ? "vm1" : "vm0"),
+                          world.vms.at(first ? "vm0" : "vm1")->fence);
       });
-  // A process that the owner does not count yet waits for the longest outage
-  // after a takeover, which the successor of this test does not.
-  fleet.WaitFor("the other process to be counted",
-                [&] { return fleet.Counter(cut, "kch_followers") >= 1; });
-  // The cut: the store answers the other process only, and that process, which
-  // cannot tell the owner of a successor, is replaced by one that the test acts
-  // for. The owner reaches both VMs.
-  fleet.Signal(other, SIGSTOP);
-  fleet.platform->CutOff(cut, true);
+  fleet.platform->CutOff(owner, true);
   fleet.WaitFor("the end of the ownership", [&] { return !fleet.Owner(); });
   fleet.platform->With([&, unused = unused, fence = fence](
                            fake::VmModel& world, fake::KeyStore& store) {
-    store.Put("kch/owner", lead::Encode({.instance = "e9",
-                                         .incarnation = "e9-1",
-                                         .address = "127.0.0.1:9"}));
+    store.Put("kch/owner",
+              lead::Encode(lead::OwnerRecord{.instance = "e9",
+                                             .incarnation = "e9-1",
+                                             .address = "127.0.0.1:9"}));
     constexpr std::uint64_t later = 1000;
     world.HandlePoll(*world.vms.at(unused), {}, fence + later);
   });
@@ -260,6 +249,25 @@
                        .lease_until_ms = clock_ms + ToMs(limits.lease)},
                       fence + later);
   });
+}
+
+// Guards against a task at work twice: an owner that was cut off together with
+// some VMs went on renewing their runs, while its successor, which did not
+// reach these VMs, started the tasks elsewhere once a lease was over.
+BOOST_AUTO_TEST_CASE(OwnerCutOffWithItsVmsRepeatsTasks) {
+  PlatformFleet fleet(2, {.vms = 2, .addresses = 2});
+  const jobs::JobSpec job = PlainJob("a", 1, 60'000);
+  fleet.Accept(job);
+  fleet.WaitFor("the start", [&] { return fleet.starts() == 1; });
+  const std::size_t cut = fleet.WaitForOwner();
+  const std::size_t other = 1 - cut;
+  // A process that the owner does not count yet waits for the longest outage
+  // after a takeover, which the successor of this test does not.
+  fleet.WaitFor("the other process to be counted",
+                [&] { return fleet.Counter(cut, "kch_followers") >= 1; });
+  // The other process cannot tell the owner of a successor.
+  fleet.Signal(other, SIGSTOP);
+  ReplaceCutOwner(fleet, cut, job);
   BOOST_TEST(fleet.starts() == 2);
   BOOST_TEST(fleet.Breaches() == "");
   fleet.Signal(other, SIGCONT);
@@ -269,6 +277,38 @@
   });
 }
 
+// Guards against the same of an owner that no process has joined, as the others
+// were cut off or started anew: it took itself for the only process, went on
+// without the store, and a process that it did not know took over.
+BOOST_AUTO_TEST_CASE(OwnerThatNobodyJoinedRepeatsTasks) {
+  PlatformFleet fleet(2, {.vms = 2, .addresses = 2});
+  const jobs::JobSpec job = PlainJob("a", 1, 60'000);
+  fleet.Accept(job);
+  fleet.WaitFor("the start", [&] { return fleet.starts() == 1; });
+  const std::size_t owner = fleet.WaitForOwner();
+  const std::size_t other = 1 - owner;
+  fleet.WaitFor("the other process to be listed", [&] {
+    const auto record = fleet.platform->With(
+        [](const fake::VmModel&, const fake::KeyStore& store) {
+          return store.Value("kch/last-owner").value_or("");
+        });
+    const auto last = lead::DecodeLastOwner(record);
+    return last && !last->followers.empty();
+  });
+  // The owner's next process takes over, and the other one does not hear of it.
+  fleet.Signal(other, SIGSTOP);
+  fleet.Signal(owner, SIGKILL);
+  fleet.WaitForExit(owner);
+  fleet.Restart(owner);
+  fleet.WaitFor("the takeover", [&] {
+    return fleet.Log(owner).find("\"recovered\"") != std::string::npos;
+  });
+  BOOST_TEST(fleet.starts() == 1);
+  ReplaceCutOwner(fleet, owner, job);
+  BOOST_TEST(fleet.starts() == 2);
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 // Guards against an owner that goes on while the store refuses it alone, and
 // against its successor starting its work again.
 BOOST_AUTO_TEST_CASE(OwnerCutFromTheStoreIsReplaced) {
