Let successors that the last owner knew start inherited work at once

Cause: a successor that no message of the last owner had reached holds the inherited tasks of pools with a silent VM back for 20.5 s.

kch/last-owner names whom its owner needs leases of, so a successor that is named does not wait; others claim after these. The wait that is left is stored for the next successor.

Failed before (they need the new record): PredecessorThatListsAnInstanceNeedsItsLease, WaitForAnEarlierOwnerIsHandedOn, NewcomersClaimAfterTheOthers.

--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -281,6 +281,23 @@
   this->driver.roster->RequestLeases(ToMs(now.time_since_epoch()), now);
 }
 
+// Without an answer the process claims as the others do.
+void LeadEffectVisitor::operator()(
+    const lead::ReadLastOwner& /*effect*/) const {
+  this->driver.parts.store.Get(
+      std::string(kLastOwnerKey),
+      [&driver = this->driver](const platform::GetReply& reply) {
+        if (reply.outcome != Outcome::kOk) {
+          return;
+        }
+        if (auto last = lead::DecodeLastOwner(reply.item.value)) {
+          driver.Post([&driver, last = *std::move(last)] {
+            driver.ownership.OnLastOwnerRead(last, Now());
+          });
+        }
+      });
+}
+
 void LeadEffectVisitor::operator()(const lead::StoreLastOwner& effect) const {
   this->driver.WriteRecord(
       {.key = std::string(kLastOwnerKey), .value = lead::Encode(effect.last)},
--- a/src/app/fleet/effects.h
+++ b/src/app/fleet/effects.h
@@ -14,6 +14,7 @@
   void operator()(const lead::ReadRecord& effect) const;
   void operator()(const lead::RenewLease& effect) const;
   void operator()(const lead::RequestFollowerLeases& effect) const;
+  void operator()(const lead::ReadLastOwner& effect) const;
   void operator()(const lead::StoreLastOwner& effect) const;
   void operator()(const lead::EndLease& effect) const;
   void operator()(const lead::OwnershipGained& effect) const;
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -35,6 +35,7 @@
   auto row = nlohmann::json::parse(Encode(last.owner));
   row["revision"] = last.owner.revision;
   row["followers"] = last.followers;
+  row["predecessor_ms"] = ToMs(last.predecessor_orders);
   return row.dump();
 }
 
@@ -50,6 +51,12 @@
     return tl::unexpected(owner.error());
   }
   LastOwner last{.owner = *std::move(owner), .followers = {}};
+  if (const auto wait = row.find("predecessor_ms");
+      wait != row.end() && wait->is_number_integer()) {
+    const Duration left = std::chrono::milliseconds(std::clamp<std::int64_t>(
+        wait->get<std::int64_t>(), 0, ToMs(kPredecessorWait)));
+    last.predecessor_orders = left;
+  }
   // Owners of earlier versions store no followers.
   if (const auto names = row.find("followers");
       names != row.end() && names->is_array()) {
@@ -86,9 +93,9 @@
 void Ownership::BecomeOwner(std::uint64_t revision, Time now) {
   this->gained_counted_fence = std::exchange(this->counted_fence, 0);
   this->last_owner.reset();
-  this->next_listing.reset();
-  this->stored_listing.reset();
-  this->new_listing.reset();
+  this->next_self.reset();
+  this->stored_self.reset();
+  this->new_self.reset();
   this->follower_leases = {};
   this->record.revision = revision;
   this->observed_record = this->record;
@@ -102,8 +109,15 @@
   this->effects.emplace_back(OwnershipGained{revision});
 }
 
+bool Ownership::IsKnownTo(const LastOwner& last) const {
+  return last.owner.instance == this->record.instance ||
+         last.followers.contains(this->record.instance);
+}
+
 // What this process waited for in its last term may still be under way. A claim
-// that is carried out late may follow the grant of a lease. Processes that are
+// that is carried out late may follow the grant of a lease. An owner that lists
+// this instance needs its lease; one that an earlier process of the instance
+// has granted ends soon after the start of this process. Processes that are
 // cut off or start anew do not join this owner, but may claim the fleet as soon
 // as the store answers them, so the owner has to know them from its
 // predecessors.
@@ -115,7 +129,7 @@
     expected.erase(this->record.instance);
     this->follower_leases.Expect(expected, now);
   }
-  this->next_listing = now;
+  this->next_self = now;
   const bool own_term =
       last && last->owner.incarnation == this->record.incarnation;
   const bool ended = last && last->owner.instance == this->record.instance;
@@ -126,41 +140,63 @@
   if (own_term) {
     until = std::max(until, this->predecessor_until);
   } else if (last && !ended && !counted) {
-    until = now + kPredecessorWait;
+    until = this->IsKnownTo(*last)
+                ? std::max(until, this->started_at.value_or(now) +
+                                      kFollowerLease + kFollowerLeaseMargin)
+                : now + kPredecessorWait;
+  }
+  if (last && !own_term) {
+    until = std::max(until, now + last->predecessor_orders);
   }
   this->predecessor_until = until;
 }
 
+// A newcomer would hold work back at VMs that it does not reach, so the others
+// go first.
+void Ownership::OnLastOwnerRead(const std::optional<LastOwner>& last,
+                                Time now) {
+  if (this->state == State::kFollower && this->claim_scheduled && last &&
+      !this->IsKnownTo(*last)) {
+    this->next_claim =
+        std::max(this->next_claim, now + kNewcomerDelay + this->claim_delay);
+  }
+}
+
 void Ownership::OnLastOwnerStored(StoreCallResult result, Time now) {
-  if (!this->new_listing) {
+  if (!this->new_self) {
     return;
   }
   const bool stored = result == StoreCallResult::kOk;
   if (stored) {
-    this->follower_leases.OnListed(*this->new_listing);
-    this->stored_listing = std::move(this->new_listing);
+    this->follower_leases.OnListed(this->new_self->followers);
+    this->stored_self = std::move(this->new_self);
   }
-  this->new_listing.reset();
-  this->next_listing =
-      now + (stored ? kListingInterval : kListingRetryInterval);
+  this->new_self.reset();
+  this->next_self = now + (stored ? kListingInterval : kListingRetryInterval);
 }
 
 // The first record is repeated until it is known, since the takeover waits for
 // it. Changes can wait while the store is away.
-void Ownership::StoreChangedListing(Time now) {
-  if (this->state != State::kOwner || this->new_listing ||
-      !this->next_listing || now < *this->next_listing) {
+void Ownership::StoreSelf(Time now) {
+  if (this->state != State::kOwner || this->new_self || !this->next_self ||
+      now < *this->next_self) {
     return;
   }
-  std::set<std::string> present = this->follower_leases.Listing(now);
-  if (this->stored_listing &&
-      (this->renewals_fail || present == *this->stored_listing)) {
+  LastOwner self{.owner = this->record,
+                 .followers = this->follower_leases.Listing(now),
+                 .predecessor_orders =
+                     std::max(Duration::zero(), this->predecessor_until - now)};
+  const auto same = [&self](const LastOwner& stored) {
+    return self.followers == stored.followers &&
+           (self.predecessor_orders > Duration::zero()) ==
+               (stored.predecessor_orders > Duration::zero());
+  };
+  if (this->stored_self && (this->renewals_fail || same(*this->stored_self))) {
     return;
   }
-  this->follower_leases.OnListing(present);
-  this->new_listing = std::move(present);
-  this->effects.emplace_back(
-      StoreLastOwner{{.owner = this->record, .followers = *this->new_listing}});
+  this->follower_leases.OnListing(self.followers);
+  this->effects.emplace_back(StoreLastOwner{self});
+  this->new_self = std::move(self);
 }
 
 bool Ownership::MayOrder(Time now) const {
@@ -264,6 +300,9 @@
                                  ? kFollowerLease + kFollowerLeaseMargin
                                  : Duration::zero();
     this->BecomeFollower(now + granted + this->claim_delay);
+    if (!observed) {
+      this->effects.emplace_back(ReadLastOwner{});
+    }
   } else {
     this->claim_scheduled = false;
   }
@@ -364,6 +403,7 @@
 }
 
 void Ownership::Tick(Time now) {
+  this->started_at = this->started_at.value_or(now);
   if (this->state == State::kFollower && this->claim_scheduled &&
       this->record_read &&
       now >= std::max(this->next_claim, this->no_claim_until)) {
@@ -383,7 +423,7 @@
     this->effects.emplace_back(RenewLease{this->lease});
   }
   this->follower_leases.Tick(now);
-  this->StoreChangedListing(now);
+  this->StoreSelf(now);
   if (this->state == State::kOwner && this->renewals_fail &&
       now >= this->next_lease_request) {
     this->next_lease_request = now + kFollowerLeaseInterval;
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -50,6 +50,11 @@
 inline constexpr Duration kCandidateDelay = std::chrono::milliseconds(20);
 /*! @brief Upper bound of CandidateDelay, however small the machine is. */
 inline constexpr Duration kMaxCandidateDelay = std::chrono::milliseconds(300);
+/*! @brief Further delay of a candidate that the last owner did not know. The
+ * others may wait for the end of a lease that they have granted, and they know
+ * that the last owner orders nothing more. */
+inline constexpr Duration kNewcomerDelay =
+    kFollowerLease + kFollowerLeaseMargin + kMaxCandidateDelay;
 
 /*! @brief Delay before a candidate claims the fleet, inversely proportional to
  * its CPU cores. The owner makes its decisions in one process, so candidates
@@ -76,6 +81,9 @@
   // Other instances that may run. This owner orders nothing past its lease
   // without a lease of each of them.
   std::set<std::string> followers;
+  // For how long an owner before this one may still order, counted from when
+  // this was stored.
+  Duration predecessor_orders{};
 
   bool operator==(const LastOwner&) const = default;
 };
@@ -107,6 +115,8 @@
 };
 /*! @brief Effect: request a lease from each follower. */
 struct RequestFollowerLeases {};
+/*! @brief Effect: read the record of the last owner. */
+struct ReadLastOwner {};
 /*! @brief Effect: store the owner of this term as the last one. */
 struct StoreLastOwner {
   LastOwner last;
@@ -129,6 +139,7 @@
                             ReadRecord,
                             RenewLease,
                             RequestFollowerLeases,
+                            ReadLastOwner,
                             StoreLastOwner,
                             EndLease,
                             OwnershipGained,
@@ -206,11 +217,13 @@
   /*! @brief The owner before this term, as it stored itself; unset if there was
    * none. Called in a takeover. */
   void OnLastOwner(const std::optional<LastOwner>& last, Time now);
+  /*! @brief ReadLastOwner has returned a record, or that there is none. */
+  void OnLastOwnerRead(const std::optional<LastOwner>& last, Time now);
   /*! @brief StoreLastOwner has returned. */
   void OnLastOwnerStored(StoreCallResult result, Time now);
   /*! @brief Time until which an earlier owner may have given orders: that of
-   * OnLastOwner if it counted this process as a follower or has certainly
-   * ended, else kPredecessorWait later. */
+   * OnLastOwner if it needed the lease of this instance or has certainly ended,
+   * else kPredecessorWait later. */
   [[nodiscard]] Time predecessor_orders_until() const {
     return this->predecessor_until;
   }
@@ -240,7 +253,8 @@
 
   void ApplyRecord(const std::optional<OwnerRecord>& observed, Time now);
   void BecomeFollower(Time claim_at);
-  void StoreChangedListing(Time now);
+  void StoreSelf(Time now);
+  [[nodiscard]] bool IsKnownTo(const LastOwner& last) const;
   void BecomeOwner(std::uint64_t revision, Time now);
   void LoseOwnership(const std::string& reason, Time now);
 
@@ -251,12 +265,12 @@
   std::uint64_t record_seen_at = 0;  // store's revision of `observed_record`
   bool record_read = false;          // the owner record was read at least once
   std::optional<LastOwner> last_owner;  // before this term
-  // The followers in this owner's record of the last owner: as stored, and as
-  // being stored.
-  std::optional<std::set<std::string>> stored_listing;
-  std::optional<std::set<std::string>> new_listing;
-  std::optional<Time> next_listing;  // unset: the last owner is not read yet
-  std::uint64_t counted_fence = 0;   // of the owner that counts this process
+  // This owner as the last one: as stored, and as being stored.
+  std::optional<LastOwner> stored_self;
+  std::optional<LastOwner> new_self;
+  std::optional<Time> next_self;  // unset: the last owner is not read yet
+  std::optional<Time> started_at;
+  std::uint64_t counted_fence = 0;  // of the owner that counts this process
   std::uint64_t gained_counted_fence = 0;  // the same, when this term began
   Time counted_until;
   Time no_claim_until;  // a lease was granted to the owner
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -312,6 +312,7 @@
 BOOST_AUTO_TEST_CASE(OrdersThroughAnOutageNeedInstancesThatPredecessorsKnew) {
   BecomeOwner();
   BOOST_TEST(Find<StoreLastOwner>(After(0)) == nullptr);
+  now += kFollowerLease + kFollowerLeaseMargin;
   ownership.OnLastOwner(LastOwner{.owner = other, .followers = {"a", "c"}},
                         now);
   const auto stores = After(0);
@@ -358,8 +359,70 @@
   BOOST_TEST((store->last.followers == std::set<std::string>{"b"}));
 }
 
+// Guards against work that is held back for the longest outage after a takeover
+// by a process that the last owner expected, and so went on for no longer than
+// that process's instance let it.
+BOOST_AUTO_TEST_CASE(PredecessorThatListsAnInstanceNeedsItsLease) {
+  const Time started = now;
+  BecomeOwner();
+  ownership.OnLastOwner(LastOwner{.owner = other, .followers = {"a"}}, now);
+  // An earlier process of this instance may have granted a lease.
+  BOOST_TEST((ownership.predecessor_orders_until() ==
+              started + std::chrono::milliseconds(20) + kFollowerLease +
+                  kFollowerLeaseMargin));
+  now += kFollowerLease + kFollowerLeaseMargin;
+  ownership.OnLastOwner(LastOwner{.owner = other, .followers = {"a"}}, now);
+  BOOST_TEST((ownership.predecessor_orders_until() == now));
+  ownership.OnLastOwner(LastOwner{.owner = other, .followers = {"c"}}, now);
+  BOOST_TEST((ownership.predecessor_orders_until() == now + kPredecessorWait));
+}
+
+// Guards against a third owner beside a first one that the second did not know
+// to have ended.
+BOOST_AUTO_TEST_CASE(WaitForAnEarlierOwnerIsHandedOn) {
+  BecomeOwner();
+  ownership.OnLastOwner(LastOwner{.owner = other, .followers = {}}, now);
+  const auto first = After(0);
+  BOOST_REQUIRE(Find<StoreLastOwner>(first) != nullptr);
+  BOOST_TEST((Find<StoreLastOwner>(first)->last.predecessor_orders ==
+              kPredecessorWait));
+  ownership.OnLastOwnerStored(StoreCallResult::kOk, now);
+  BOOST_TEST(Find<StoreLastOwner>(After(20'000)) == nullptr);
+  const auto later = After(500);
+  BOOST_REQUIRE(Find<StoreLastOwner>(later) != nullptr);
+  BOOST_TEST((Find<StoreLastOwner>(later)->last.predecessor_orders ==
+              Duration::zero()));
+  const Duration left = std::chrono::seconds(7);
+  ownership.OnLastOwner(
+      LastOwner{.owner = other, .followers = {"a"}, .predecessor_orders = left},
+      now);
+  BOOST_TEST((ownership.predecessor_orders_until() == now + left));
+}
+
+// Guards against a new machine that owns the fleet and holds work back, since
+// the others wait for the end of the leases that they have granted.
+BOOST_AUTO_TEST_CASE(NewcomersClaimAfterTheOthers) {
+  ownership.OnRecord(other, other.revision, now);
+  ownership.OnRecord(std::nullopt, 41, now);
+  BOOST_TEST(Find<ReadLastOwner>(ownership.TakeEffects()) != nullptr);
+  ownership.OnLastOwnerRead(LastOwner{.owner = other, .followers = {"c"}}, now);
+  const Time vacant = now;
+  while (now < vacant + kNewcomerDelay) {
+    BOOST_TEST(Find<CreateLease>(After(50)) == nullptr);
+  }
+  BOOST_TEST(Find<CreateLease>(After(50)) != nullptr);
+
+  Fixture known;
+  known.ownership.OnRecord(std::nullopt, 41, known.now);
+  known.ownership.OnLastOwnerRead(
+      LastOwner{.owner = other, .followers = {"a", "c"}}, known.now);
+  BOOST_TEST(Find<CreateLease>(known.After(20)) != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(LastOwnerRoundTrips) {
-  const LastOwner last{.owner = other, .followers = {"a", "c"}};
+  const LastOwner last{.owner = other,
+                       .followers = {"a", "c"},
+                       .predecessor_orders = std::chrono::seconds(3)};
   const auto read = DecodeLastOwner(Encode(last));
   BOOST_REQUIRE(read.has_value());
   BOOST_TEST((*read == last));
