--- a/src/jobs/limits.h
+++ b/src/jobs/limits.h
@@ -48,6 +48,12 @@
   // Conditions, writes and erasures in one transaction: the store accepts 32,
   // one is the condition on the owner's record.
   std::size_t max_write_entries = 31;
+  // Starts in a pool in one planning pass, which bounds how long it takes; a
+  // gang starts as a whole. The next pass follows within milliseconds.
+  std::uint64_t max_starts_per_pass = 256;
+  // Endless tasks that one call stops to empty a VM; the next one follows with
+  // the next pass over the machines.
+  std::size_t max_evictions = 64;
 };
 
 /*! @brief Entries of a transaction: conditions, writes and erasures. */
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -280,11 +280,15 @@
          now - vm->second->clock_at <= 2 * this->limits.poll_wait;
 }
 
-std::int32_t Scheduler::OthersUnavailable(const Task& task, Time now) {
+std::int32_t Scheduler::Unavailable(const Step& step, Time now) const {
   return static_cast<std::int32_t>(std::ranges::count_if(
-      this->StepOf(task).tasks, [this, &task, now](const Task& other) {
-        return &other != &task && !this->Active(other, now);
-      }));
+      step.tasks,
+      [this, now](const Task& task) { return !this->Active(task, now); }));
+}
+
+std::int32_t Scheduler::OthersUnavailable(const Task& task, Time now) {
+  return this->Unavailable(this->StepOf(task), now) -
+         (this->Active(task, now) ? 0 : 1);
 }
 
 void Scheduler::EvictEndless(const VmId& id, Time now) {
@@ -293,13 +297,24 @@
     return;
   }
   const std::vector<Task*> runs(vm->runs.begin(), vm->runs.end());
+  std::map<const Step*, std::int32_t> unavailable;
+  std::size_t evicted = 0;
   for (Task* task : runs) {
+    if (evicted >= this->limits.max_evictions) {
+      break;
+    }
     if (task->phase != TaskPhase::kRunning || !task->spec().endless) {
       continue;
     }
+    const Step& step = this->StepOf(*task);
+    const auto [count, added] = unavailable.try_emplace(&step);
+    if (added) {
+      count->second = this->Unavailable(step, now);
+    }
     // The report that the task itself is active may arrive late, so only the
     // other tasks count.
-    const std::int32_t away = this->OthersUnavailable(*task, now);
+    const bool active = this->Active(*task, now);
+    const std::int32_t away = count->second - (active ? 0 : 1);
     const std::int32_t max_unavailable =
         std::max(1, task->spec().max_unavailable);
     if (away >= max_unavailable) {
@@ -316,6 +331,8 @@
                           {"away", std::to_string(away)},
                           {"may_miss", std::to_string(max_unavailable)}});
       this->StopTask(*task);
+      ++evicted;
+      count->second += active ? 1 : 0;
     }
   }
 }
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -275,6 +275,8 @@
   /*! @brief Number of other tasks of its step that are not known to be active.
    */
   std::int32_t OthersUnavailable(const Task& task, Time now);
+  /*! @brief Number of a step's tasks that are not known to be active. */
+  std::int32_t Unavailable(const Step& step, Time now) const;
 
   // scheduler_report.cc
   void LogOutlivedLease(const Vm& vm, const VmReport& report);
@@ -307,6 +309,7 @@
   bool PlanStep(const RankedStep& ranked,
                 Pool& pool,
                 const CandidateSet& room,
+                std::uint64_t last_start,
                 Time now);
   bool PlanGang(const RankedStep& ranked,
                 Pool& pool,
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -195,9 +195,12 @@
     return right.step_ref.job->spec.id < left.step_ref.job->spec.id;
   };
   std::ranges::make_heap(order, later);
+  const std::uint64_t last_start =
+      this->counter_values.starts + this->limits.max_starts_per_pass;
   // The need of a task for which no VM had room; larger tasks are skipped.
   std::optional<Resources> too_large;
-  while (!order.empty() && !room.vms.empty()) {
+  while (!order.empty() && !room.vms.empty() &&
+         this->counter_values.starts < last_start) {
     std::ranges::pop_heap(order, later);
     const RankedStep ranked = order.back();
     order.pop_back();
@@ -206,8 +209,9 @@
       continue;
     }
     const std::uint64_t starts = this->counter_values.starts;
-    const bool placed = step.gang ? this->PlanGang(ranked, pool, room, now)
-                                  : this->PlanStep(ranked, pool, room, now);
+    const bool placed =
+        step.gang ? this->PlanGang(ranked, pool, room, now)
+                  : this->PlanStep(ranked, pool, room, last_start, now);
     if (this->counter_values.starts != starts) {
       std::erase_if(room.vms, [&room](const Candidate& candidate) {
         return !room.smallest_need.Within(candidate.vm->Free());
@@ -223,10 +227,12 @@
   }
 }
 
-// Starts as many waiting tasks as fit; false if a task was not placed.
+// Starts as many waiting tasks as fit, until `last_start` have been started;
+// false if a task was not placed for want of room.
 bool Scheduler::PlanStep(const RankedStep& ranked,
                          Pool& pool,
                          const CandidateSet& room,
+                         std::uint64_t last_start,
                          Time now) {
   const StepRef& step_ref = ranked.step_ref;
   Step& step = step_ref.progress();
@@ -236,6 +242,9 @@
     if (task.phase != TaskPhase::kWaiting) {
       continue;
     }
+    if (this->counter_values.starts >= last_start) {
+      break;
+    }
     const bool within = this->WithinTeamLimit(*step_ref.job, task.spec().need);
     Vm* vm = within ? this->ChooseVm(task, room, now) : nullptr;
     if (vm == nullptr) {
@@ -349,11 +358,13 @@
   const auto score = [&](const Vm& vm) {
     std::int32_t conflicts = 0;
     std::int32_t siblings = 0;
-    for (const Task* other : vm.runs) {
-      const StepSpec& beside = other->spec();
-      siblings += &beside == &spec;
-      conflicts += (spec.backfill && beside.target_ms > 0) ||
-                   (spec.target_ms > 0 && beside.backfill);
+    if (spec.endless || spec.backfill || spec.target_ms > 0) {
+      for (const Task* other : vm.runs) {
+        const StepSpec& beside = other->spec();
+        siblings += &beside == &spec;
+        conflicts += (spec.backfill && beside.target_ms > 0) ||
+                     (spec.target_ms > 0 && beside.backfill);
+      }
     }
     const bool other_rack =
         !spec.preferred_rack.empty() && vm.facts.rack != spec.preferred_rack;
