--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -7,6 +7,10 @@
 namespace kch::jobs {
 namespace {
 
+// A longer estimate counts as this one: a year. Sums over a job's steps then
+// stay far from where times overflow.
+constexpr std::int64_t kMaxEstimateMs = 365LL * 24 * 3600 * 1000;
+
 // Longest path over the steps for which `counts` holds. A step's predecessors
 // have lower numbers, which the codec checks.
 template <typename Counts>
@@ -19,7 +23,7 @@
       until[i] = std::max(until[i], until[static_cast<std::size_t>(before)]);
     }
     if (counts(i)) {
-      until[i] += steps[i].estimate_ms;
+      until[i] += std::min(steps[i].estimate_ms, kMaxEstimateMs);
     }
     longest = std::max(longest, until[i]);
   }
--- a/src/jobs/limits.h
+++ b/src/jobs/limits.h
@@ -48,6 +48,8 @@
   // Conditions, writes and erasures in one transaction: the store accepts 32,
   // one is the condition on the owner's record.
   std::size_t max_write_entries = 31;
+  // Bytes of the records in one transaction; a larger record is written alone.
+  std::size_t max_write_bytes = 512 << 10;
   // Starts in a pool in one planning pass, which bounds how long it takes; a
   // gang starts as a whole. The next pass follows within milliseconds.
   std::uint64_t max_starts_per_pass = 256;
--- a/src/jobs/model.cc
+++ b/src/jobs/model.cc
@@ -2,13 +2,31 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace kch::jobs {
+namespace {
+
+// Amounts are the submitters' choice and not negative, so sums of them stay at
+// the largest number in place of wrapping around.
+constexpr std::int64_t kMaxAmount = std::numeric_limits<std::int64_t>::max();
+
+std::int64_t Sum(std::int64_t left, std::int64_t right) {
+  std::int64_t sum = 0;
+  return __builtin_add_overflow(left, right, &sum) ? kMaxAmount : sum;
+}
+
+std::int64_t Product(std::int64_t amount, std::int64_t count) {
+  std::int64_t product = 0;
+  return __builtin_mul_overflow(amount, count, &product) ? kMaxAmount : product;
+}
+
+}  // namespace
 
 Resources& Resources::operator+=(const Resources& other) {
-  this->cpu_m += other.cpu_m;
-  this->memory_mb += other.memory_mb;
-  this->gpus += other.gpus;
+  this->cpu_m = Sum(this->cpu_m, other.cpu_m);
+  this->memory_mb = Sum(this->memory_mb, other.memory_mb);
+  this->gpus = Sum(this->gpus, other.gpus);
   return *this;
 }
 
@@ -33,8 +51,8 @@
 }
 
 Resources operator*(const Resources& amounts, std::int64_t count) {
-  return {amounts.cpu_m * count, amounts.memory_mb * count,
-          amounts.gpus * count};
+  return {Product(amounts.cpu_m, count), Product(amounts.memory_mb, count),
+          Product(amounts.gpus, count)};
 }
 
 double DominantShare(const Resources& part, const Resources& whole) {
--- a/src/jobs/rank.cc
+++ b/src/jobs/rank.cc
@@ -8,6 +8,8 @@
 
 // What orders and reports of a job's steps may add to its critical path.
 constexpr Duration kMaxStepDelays = std::chrono::milliseconds(200);
+// A thousand years; multiples of it can still be added to times.
+constexpr double kMaxObjectiveMs = 1000 * 365.25 * 24 * 3600 * 1000;
 
 // Half of the time that a job may wait in all, if that is less.
 Duration StepDelays(const Job& job, Duration objective) {
@@ -25,10 +27,10 @@
 }
 
 Duration Objective(Duration critical_path, const Queue& queue) {
+  const double ms = queue.stretch * static_cast<double>(ToMs(critical_path)) +
+                    static_cast<double>(queue.target_ms);
   return std::chrono::milliseconds(
-      static_cast<std::int64_t>(queue.stretch *
-                                static_cast<double>(ToMs(critical_path))) +
-      queue.target_ms);
+      static_cast<std::int64_t>(std::min(ms, kMaxObjectiveMs)));
 }
 
 Duration Objective(const Job& job, const Queue& queue) {
--- a/src/jobs/record.cc
+++ b/src/jobs/record.cc
@@ -11,6 +11,13 @@
 // allows more.
 constexpr std::size_t kMaxIdLength = 64;
 constexpr std::size_t kMaxSteps = 256;
+// Each task's order carries the payload. Submitters have 4,000 characters.
+constexpr std::size_t kMaxPayloadBytes = 16'000;
+// Checkpoints in a record, which the store bounds at 1 MB. Tasks whose
+// checkpoints have no room repeat their work after a takeover.
+constexpr std::size_t kMaxCheckpointBytes = 256 << 10;
+// Latest due time, in the year 5138: far enough from where times overflow.
+constexpr std::int64_t kMaxDueMs = 100'000'000'000'000;
 
 tl::unexpected<Error> Corrupt(const std::string& what) {
   return Fail(ErrorKind::kCorrupt, what,
@@ -135,7 +142,7 @@
 }
 
 // One character a task keeps the record of a wide step small.
-json EncodeOccurrence(const Occurrence& occurrence) {
+json EncodeOccurrence(const Occurrence& occurrence, std::size_t& room) {
   json steps = json::array();
   for (const Step& step : occurrence.steps) {
     std::string done;
@@ -151,7 +158,8 @@
       if (!task.failed_runs.empty()) {
         failures[std::to_string(task.index)] = task.failed_runs;
       }
-      if (!task.checkpoint.empty()) {
+      if (!task.checkpoint.empty() && task.checkpoint.size() <= room) {
+        room -= task.checkpoint.size();
         checkpoints[std::to_string(task.index)] = task.checkpoint;
       }
     }
@@ -206,6 +214,10 @@
     return Invalid("job id '" + spec.id.str() +
                    "' must have 1 to 64 characters other than '.' and '/'");
   }
+  if (spec.payload.size() > kMaxPayloadBytes) {
+    return Invalid("the payload has more than " +
+                   std::to_string(kMaxPayloadBytes) + " bytes");
+  }
   if (spec.steps.empty() || spec.steps.size() > kMaxSteps) {
     return Invalid("a job must have 1 to 256 steps");
   }
@@ -221,6 +233,9 @@
         step.max_unavailable < 0) {
       return Invalid(name + " has a negative amount");
     }
+    if (step.depends_on.size() > i) {
+      return Invalid(name + " depends on more steps than come before it");
+    }
     for (const std::int32_t before : step.depends_on) {
       if (before < 0 || static_cast<std::size_t>(before) >= i) {
         return Invalid(name + " may only depend on earlier steps");
@@ -235,6 +250,13 @@
   if (spec.schedule.times < 0 || spec.schedule.interval_ms < 0) {
     return Invalid("the schedule has a negative amount");
   }
+  const std::int64_t intervals = spec.Occurrences() - 1;
+  if (spec.schedule.first_ms > kMaxDueMs ||
+      (intervals > 0 && spec.schedule.interval_ms >
+                            (kMaxDueMs - spec.schedule.first_ms) / intervals)) {
+    return Invalid("the schedule's last time is more than " +
+                   std::to_string(kMaxDueMs) + " ms after 1970");
+  }
   return {};
 }
 
@@ -295,9 +317,10 @@
 
 std::string EncodeProgress(const Job& job) {
   json open = json::array();
+  std::size_t room = kMaxCheckpointBytes;
   for (const auto& [number, occurrence] : job.open) {
     if (!job.finished.Contains(number) && HasProgress(occurrence)) {
-      open.push_back(EncodeOccurrence(occurrence));
+      open.push_back(EncodeOccurrence(occurrence, room));
     }
   }
   return json{{"state", NameOf(job.state)},
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -142,13 +142,13 @@
       continue;
     }
     Resources& sum = sums[{job.spec.queue.id, job.spec.team}];
-    sum += spec.Occupies() * (spec.estimate_ms * step_ref.progress().waiting);
+    sum += spec.Occupies() * spec.estimate_ms * step_ref.progress().waiting;
     for (std::size_t later = static_cast<std::size_t>(step_ref.step) + 1;
          later < job.spec.steps.size(); ++later) {
       const StepSpec& next = job.spec.steps[later];
       if (std::ranges::find(next.depends_on, step_ref.step) !=
           next.depends_on.end()) {
-        sum += next.Occupies() * (next.estimate_ms * next.count);
+        sum += next.Occupies() * next.estimate_ms * next.count;
       }
     }
   }
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -292,8 +292,9 @@
     std::vector<JobId> included;
     std::optional<bool> revision_unknown;  // of all jobs included
     std::size_t entries = 0;
+    std::size_t bytes = 0;
     for (auto it = this->dirty.begin();
-         it != this->dirty.end() &&
+         it != this->dirty.end() && bytes < this->limits.max_write_bytes &&
          entries + TransactionEntries(RecordStep::kEnd) <=
              this->limits.max_write_entries;) {
       Job* job = this->FindJob(*it);
@@ -313,6 +314,7 @@
       entries += TransactionEntries(step);
       write.records.push_back(
           {job->spec.id, job->revision, RecordOf(*job, step), step});
+      bytes += write.records.back().value.size();
       included.push_back(job->spec.id);
       it = this->dirty.erase(it);
     }
--- a/test/jobs/record_test.cc
+++ b/test/jobs/record_test.cc
@@ -55,6 +55,64 @@
   BOOST_TEST(!CheckSpec(spec).error().remedy.empty());
 }
 
+// Guards against jobs whose numbers are accepted and overflow later.
+BOOST_AUTO_TEST_CASE(AmountsThatCannotBeServedAreRefused) {
+  constexpr std::int64_t largest = 1LL
+                                   << 53;  // that the platform's pages allow
+  const auto accepts = [](const Schedule& schedule) {
+    JobSpec spec = SimpleJob("a", "q", 1, 1, 1);
+    spec.schedule = schedule;
+    return CheckSpec(spec).has_value();
+  };
+  BOOST_TEST(accepts({.first_ms = 1'800'000'000'000,
+                      .interval_ms = 1000,
+                      .times = 2'000'000'000}));
+  BOOST_TEST(accepts({.first_ms = -largest, .interval_ms = 1, .times = 1}));
+  BOOST_TEST(accepts({.first_ms = 0, .interval_ms = largest, .times = 1}));
+  BOOST_TEST(!accepts({.first_ms = largest, .interval_ms = 0, .times = 1}));
+  BOOST_TEST(!accepts({.first_ms = 0, .interval_ms = largest, .times = 2}));
+  BOOST_TEST(!accepts(
+      {.first_ms = -largest, .interval_ms = largest, .times = 2'000'000'000}));
+  JobSpec spec = SimpleJob("a", "q", 1, 1, 1);
+  spec.payload = std::string(4000, 'x');
+  BOOST_TEST(CheckSpec(spec).has_value());
+  spec.payload = std::string(100'000, 'x');
+  BOOST_TEST(!CheckSpec(spec).has_value());
+  spec = SimpleJob("a", "q", 1, 1, 1);
+  spec.steps.push_back(spec.steps[0]);
+  spec.steps[1].depends_on = {0};
+  BOOST_TEST(CheckSpec(spec).has_value());
+  spec.steps[1].depends_on = {0, 0};
+  BOOST_TEST(!CheckSpec(spec).has_value());
+  const Resources all{largest, largest, largest};
+  const Resources many = all * kMaxTasksPerJob * largest + all;
+  BOOST_TEST(all.Within(many));
+  const std::vector<StepSpec> steps(256, {.estimate_ms = largest});
+  const Duration path = std::chrono::milliseconds(CriticalPathMs(steps));
+  BOOST_TEST((path > Duration::zero()));
+  const Queue queue{.stretch = 100, .target_ms = largest};
+  BOOST_TEST((kLateObjectives * Objective(path, queue) > path));
+}
+
+// Guards against a record that the store refuses for its size, so that no end
+// of the job is ever stored.
+BOOST_AUTO_TEST_CASE(CheckpointsDoNotOutgrowTheRecord) {
+  Job job;
+  job.spec = SimpleJob("a", "q", 1000, 1, 1);
+  for (Task& task : job.OpenOccurrence(0).steps[0].tasks) {
+    task.checkpoint = std::string(4000, 'c');
+  }
+  constexpr std::size_t largest_value = 1 << 20;
+  const std::string text = EncodeProgress(job);
+  BOOST_TEST(text.size() < largest_value / 2);
+  Job read;
+  read.spec = job.spec;
+  BOOST_REQUIRE(DecodeProgress(text, read).has_value());
+  const auto& tasks = read.open.at(0).steps[0].tasks;
+  BOOST_TEST(tasks[0].checkpoint.size() == 4000);
+  BOOST_TEST(tasks[999].checkpoint.empty());
+}
+
 BOOST_AUTO_TEST_CASE(ProgressRoundTrips) {
   Job job;
   job.spec = SimpleJob("a", "q", 3, 1, 1);
