Move and maintain no machine whose runs are not known

Cause: after a takeover a VM that has not answered yet has no runs and does not count as silent before its first poll times out, so its machine was taken for idle. Evidence: machine_move 2 ms after recovered with 14 silent VMs, vm_silent of the same VMs 10 ms later.

Scheduler::RunsKnown tells whether a VM may run tasks of a predecessor; moves and waves pass over it.

Failed before: MachinesWhoseRunsAreNotKnownAreNotMoved, MachineWhoseRunsAreNotKnownIsNotOrdered (with the earlier mover and planner).

--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -35,12 +35,15 @@
 // The platform sends no new connections after two missed checks of one second.
 constexpr auto kBalancerTime = std::chrono::milliseconds(2600);
 
-upkeep::VmLoad LoadOf(const jobs::Vm& vm, double pool_use_without) {
+upkeep::VmLoad LoadOf(const jobs::Vm& vm,
+                      bool runs_known,
+                      double pool_use_without) {
   return {.runs = vm.runs.size() + vm.orphans.size(),
           .long_running = static_cast<std::size_t>(std::ranges::count_if(
               vm.runs,
               [](const jobs::Task* task) { return task->spec().endless; })),
           .responsive = !vm.unresponsive,
+          .runs_known = runs_known,
           .pool_utilization_without = pool_use_without};
 }
 
@@ -221,8 +224,9 @@
       return std::nullopt;
     }
     const jobs::Vm& vm = *found->second;
-    return LoadOf(vm, this->scheduler->UtilizationWithout(
-                          vm, demand_of(vm.facts.pool), now));
+    return LoadOf(
+        vm, this->scheduler->RunsKnown(vm, now),
+        this->scheduler->UtilizationWithout(vm, demand_of(vm.facts.pool), now));
   };
   this->planner->Tick(now, load_of);
   this->PassOrders(this->planner->TakeEffects());
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -163,6 +163,11 @@
   };
   [[nodiscard]] DueOccurrences CountDue(std::int64_t wall_ms) const;
   [[nodiscard]] bool recovering() const { return this->in_recovery; }
+  /*! @brief False while a VM that has not answered this scheduler may run tasks
+   * of a predecessor. */
+  [[nodiscard]] bool RunsKnown(const Vm& vm, Time now) const {
+    return vm.reported || now >= this->InheritedRunsEnd(vm.added);
+  }
   /*! @brief True once a VM has refused an order for its fence. */
   [[nodiscard]] bool is_superseded() const { return this->superseded; }
   /*! @brief Stops the endless tasks on a VM, so that they start elsewhere, as
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -140,9 +140,7 @@
       if (expired && vm->unresponsive) {
         this->MarkRunsLost(*vm, "lease_expired");
       }
-      const bool known_empty =
-          vm->reported || now >= this->InheritedRunsEnd(vm->added);
-      if (!vm->registered && known_empty && vm->Settled()) {
+      if (!vm->registered && this->RunsKnown(*vm, now) && vm->Settled()) {
         gone.push_back(id);
         continue;
       }
--- a/src/upkeep/machine.h
+++ b/src/upkeep/machine.h
@@ -44,6 +44,8 @@
   // depend on.
   std::size_t long_running = 0;
   bool responsive = true;
+  // False while it may run tasks that it has not reported yet.
+  bool runs_known = true;
   // (used + waiting) / usable capacity of the pool without this VM. The VM's
   // own use stays counted. Well above 1 if no capacity remains.
   double pool_utilization_without = 0;
--- a/src/upkeep/mover.cc
+++ b/src/upkeep/mover.cc
@@ -104,7 +104,7 @@
     }
     if (!pool->second.standby) {
       const auto load = load_of(machine.vm);
-      if (!load || !load->responsive || load->runs > 0) {
+      if (!load || !load->responsive || !load->runs_known || load->runs > 0) {
         continue;
       }
     }
--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -261,9 +261,9 @@
         this->effects.emplace_back(SetCordon{item.vm, true});
       }
       const auto load = load_of(item.vm);
-      const bool empty = !load || load->runs == 0;
+      const bool empty = !load || (load->runs == 0 && load->runs_known);
       const bool overdue = urgent && load && load->responsive &&
-                           load->long_running == 0 &&
+                           load->runs_known && load->long_running == 0 &&
                            now - item.since >= this->limits.max_drain_duration;
       if (!empty) {
         this->effects.emplace_back(Evict{item.vm});
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -124,6 +124,29 @@
   BOOST_TEST(sim.Completes("short", 1000));
 }
 
+// Guards against a machine that is moved or maintained with its tasks: a VM
+// that has not answered a successor yet has no runs there.
+BOOST_AUTO_TEST_CASE(RunsAreNotKnownBeforeTheFirstReport) {
+  FleetSim sim;
+  WithVms(sim, 2);
+  sim.Submit(EndlessJob("a", 2));
+  sim.Run(500);
+  sim.vms.at("vm0")->unresponsive = true;
+  sim.Takeover();
+  const auto known = [&sim](const char* vm) {
+    return sim.scheduler->RunsKnown(*sim.scheduler->vms().at(VmId(vm)),
+                                    sim.now);
+  };
+  BOOST_TEST(!known("vm1"));
+  sim.Run(1000);
+  BOOST_TEST(!sim.scheduler->recovering());
+  BOOST_TEST(known("vm1"));
+  BOOST_TEST(!known("vm0"));
+  // The longest lease that the predecessor may have given is over.
+  sim.Run(4500);
+  BOOST_TEST(known("vm0"));
+}
+
 // After a takeover the runs of a cancelled job occupy their VM until they have
 // stopped. Guards against a successor that starts tasks over its capacity.
 BOOST_AUTO_TEST_CASE(OrphanedRunsOccupyTheirVmUntilTheyHaveStopped) {
--- a/test/upkeep/mover_test.cc
+++ b/test/upkeep/mover_test.cc
@@ -114,6 +114,23 @@
 
 // Guards against moves of machines in an excluded zone: they are idle, but
 // could not start tasks in another pool either.
+// Guards against moves that end tasks: after a takeover a VM that has not
+// answered yet was taken for idle.
+BOOST_AUTO_TEST_CASE(MachinesWhoseRunsAreNotKnownAreNotMoved) {
+  MoverFixture fixture;
+  for (auto& [vm, load] : fixture.loads) {
+    load.runs_known = false;
+  }
+  fixture.loads.at(VmId("vm-b1")).runs_known = true;
+  for (int i = 0; i < 4; ++i) {
+    fixture.busy.insert(MachineId("spare" + std::to_string(i)));
+  }
+  fixture.SetBacklog("a", 60);
+  const auto orders = fixture.Tick();
+  BOOST_REQUIRE(orders.size() == 1);
+  BOOST_TEST(orders[0].machine.str() == "b1");
+}
+
 BOOST_AUTO_TEST_CASE(MachinesInExcludedZonesAreNotMoved) {
   MoverFixture fixture;
   for (auto& [id, machine] : fixture.machines) {
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -136,6 +136,20 @@
 // Guards against exceeding the limit of a wave: an order without an answer may
 // be carried out at any time, so its machine counts as unavailable and the
 // order is repeated.
+// Guards against an upkeep that ends tasks of a VM that has not answered yet
+// after a takeover, and so seems empty.
+BOOST_AUTO_TEST_CASE(MachineWhoseRunsAreNotKnownIsNotOrdered) {
+  PlannerFixture fixture(2, 0.1);
+  fixture.loads.at(VmId("vm0")).runs_known = false;
+  fixture.Order(2, 2, 8);
+  fixture.Run(9000);
+  BOOST_TEST(!fixture.orders.contains(MachineId("m0")));
+  BOOST_TEST(fixture.orders.at(MachineId("m1")) == 1);
+  fixture.loads.at(VmId("vm0")).runs_known = true;
+  fixture.Run(500);
+  BOOST_TEST(fixture.orders.at(MachineId("m0")) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(UnansweredOrdersCountAsUnavailable) {
   PlannerFixture fixture(6, 0.1);
   fixture.drops_answers = true;
