--- a/src/app/fleet/main.cc
+++ b/src/app/fleet/main.cc
@@ -146,33 +146,37 @@
                 const kch::net::Metrics& metrics,
                 const HttpRequest& request,
                 kch::net::HttpReply reply) {
-  constexpr std::string_view jobs = "/v1/jobs/";
-  constexpr std::string_view queues = "/v1/queues/";
-  constexpr std::string_view cancel = "/cancel";
-  const std::string_view path = request.path;
-  if (path == "/metrics") {
-    reply(
-        {.body = metrics.Text(), .content_type = "text/plain; version=0.0.4"});
-  } else if (path.starts_with(jobs) && path.ends_with(cancel)) {
-    driver.TellCancel(kch::jobs::JobId(std::string(
-        path.substr(jobs.size(), path.size() - jobs.size() - cancel.size()))));
-    reply({.body = "{}"});
-  } else if (path.starts_with(jobs)) {
-    driver.AskJob(
-        kch::jobs::JobId(std::string(path.substr(jobs.size()))),
-        [reply = std::move(reply)](const kch::app::JobAnswer& answer) {
-          answer.answered ? reply({.body = kch::app::EncodeAnswer(answer.job)})
-                          : reply({.status = 503});
-        });
-  } else if (path.starts_with(queues)) {
-    driver.AskPending(
-        kch::jobs::QueueId(std::string(path.substr(queues.size()))),
-        [reply = std::move(reply)](const kch::app::PendingAnswer& answer) {
-          answer.answered ? reply({.body = kch::app::EncodeAnswer(answer.jobs)})
-                          : reply({.status = 503});
-        });
-  } else {
+  using kch::ingress::PeerVerb;
+  const auto call = kch::ingress::ParsePeerCall(request.method, request.path);
+  if (!call) {
     reply({.status = 404});
+    return;
+  }
+  switch (call->verb) {
+    case PeerVerb::kMetrics:
+      reply({.body = metrics.Text(),
+             .content_type = "text/plain; version=0.0.4"});
+      break;
+    case PeerVerb::kCancel:
+      driver.TellCancel(call->job);
+      reply({.body = "{}"});
+      break;
+    case PeerVerb::kState:
+      driver.AskJob(call->job, [reply = std::move(reply)](
+                                   const kch::app::JobAnswer& answer) {
+        answer.answered ? reply({.body = kch::app::EncodeAnswer(answer.job)})
+                        : reply({.status = 503});
+      });
+      break;
+    case PeerVerb::kPending:
+      driver.AskPending(
+          call->queue,
+          [reply = std::move(reply)](const kch::app::PendingAnswer& answer) {
+            answer.answered
+                ? reply({.body = kch::app::EncodeAnswer(answer.jobs)})
+                : reply({.status = 503});
+          });
+      break;
   }
 }
 
--- a/src/app/fleet/peer.cc
+++ b/src/app/fleet/peer.cc
@@ -38,7 +38,7 @@
 void Peer::AskJob(const std::string& address,
                   const jobs::JobId& job,
                   std::function<void(JobAnswer)> done) {
-  this->client.Send(MakeCall(address, "/v1/jobs/" + job.str()),
+  this->client.Send(MakeCall(address, ingress::StatePath(job)),
                     [done = std::move(done)](const net::HttpResult& result) {
                       JobAnswer answer;
                       const json body =
@@ -61,7 +61,7 @@
 void Peer::AskPending(const std::string& address,
                       const jobs::QueueId& queue,
                       std::function<void(PendingAnswer)> done) {
-  this->client.Send(MakeCall(address, "/v1/queues/" + queue.str()),
+  this->client.Send(MakeCall(address, ingress::PendingPath(queue)),
                     [done = std::move(done)](const net::HttpResult& result) {
                       PendingAnswer answer;
                       const json body =
@@ -74,7 +74,7 @@
 }
 
 void Peer::TellCancel(const std::string& address, const jobs::JobId& job) {
-  net::HttpCall call = MakeCall(address, "/v1/jobs/" + job.str() + "/cancel");
+  net::HttpCall call = MakeCall(address, ingress::CancelPath(job));
   call.method = "POST";
   // Without an answer the owner learns of it from the store.
   this->client.Send(std::move(call), [](const net::HttpResult&) {});
--- a/src/app/fleet/peer.h
+++ b/src/app/fleet/peer.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "ingress/ingress.h"
 #include "jobs/jobs.h"
 #include "net/net.h"
 
--- a/src/ingress/directory.cc
+++ b/src/ingress/directory.cc
@@ -52,6 +52,11 @@
     return call.method == "GET" ? tl::expected<Admitted, Refusal>(admitted)
                                 : tl::unexpected(Refusal::kBadMethod);
   }
+  // The id becomes part of keys and paths.
+  if (!jobs::IsJobId(admitted.job.str())) {
+    return tl::unexpected(call.method == "POST" ? Refusal::kBadJob
+                                                : Refusal::kNoJob);
+  }
   if (call.method == "POST") {
     admitted.verb = Verb::kSubmit;
   } else if (call.method == "GET") {
@@ -69,6 +74,7 @@
   constexpr int unauthorized = 401;
   constexpr int not_found = 404;
   constexpr int bad_method = 405;
+  constexpr int gone = 410;
   constexpr int too_many = 429;
   constexpr int unavailable = 503;
   switch (refusal) {
@@ -83,6 +89,8 @@
       return bad_method;
     case Refusal::kBadJob:
       return bad_request;
+    case Refusal::kNoJob:
+      return gone;
     case Refusal::kOverloaded:
       return too_many;
   }
--- a/src/ingress/directory.h
+++ b/src/ingress/directory.h
@@ -52,6 +52,7 @@
   kUnknownKey,  // the key is missing or not in force
   kBadMethod,   // the path does not support this method
   kBadJob,      // the job is malformed
+  kNoJob,       // no job can have the id
   kStoreDown,   // the store is unreachable; nothing was written
   kOverloaded,  // the job would finish too late to be useful
 };
@@ -94,12 +95,13 @@
 template <>
 struct kch::NameTable<kch::ingress::Refusal> {
   static constexpr std::
-      array<std::pair<kch::ingress::Refusal, std::string_view>, 7>
+      array<std::pair<kch::ingress::Refusal, std::string_view>, 8>
           kEntries{{{kch::ingress::Refusal::kNoConfig, "no_config"},
                     {kch::ingress::Refusal::kNoQueue, "no_queue"},
                     {kch::ingress::Refusal::kUnknownKey, "unknown_key"},
                     {kch::ingress::Refusal::kBadMethod, "bad_method"},
                     {kch::ingress::Refusal::kBadJob, "bad_job"},
+                    {kch::ingress::Refusal::kNoJob, "no_job"},
                     {kch::ingress::Refusal::kStoreDown, "store_down"},
                     {kch::ingress::Refusal::kOverloaded, "overloaded"}}};
 };
--- a/src/jobs/model.cc
+++ b/src/jobs/model.cc
@@ -1,6 +1,7 @@
 #include "jobs/model.h"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <limits>
 
@@ -23,6 +24,15 @@
 
 }  // namespace
 
+bool IsJobId(std::string_view text) {
+  // The platform's ids have 16 digits, this project's interface allows more.
+  constexpr std::size_t max_length = 64;
+  return !text.empty() && text.size() <= max_length &&
+         std::ranges::all_of(text, [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '-' || c == '_';
+         });
+}
+
 Resources& Resources::operator+=(const Resources& other) {
   this->cpu_m = Sum(this->cpu_m, other.cpu_m);
   this->memory_mb = Sum(this->memory_mb, other.memory_mb);
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -20,6 +20,10 @@
 using WaveId = Id<struct WaveTag>;
 using MachineId = Id<struct MachineTag>;
 
+/*! @brief True for 1 to 64 letters, digits, '-' and '_'. Ids become parts of
+ * keys, paths and task names, which their submitters must not choose. */
+[[nodiscard]] bool IsJobId(std::string_view text);
+
 /*! @brief Amounts of what a VM offers and a task occupies. */
 struct Resources {
   std::int64_t cpu_m = 0;  // thousandths of a core
--- a/src/jobs/record.cc
+++ b/src/jobs/record.cc
@@ -7,9 +7,6 @@
 
 using nlohmann::json;
 
-// Longest id: the platform's ids have 16 digits, this project's interface
-// allows more.
-constexpr std::size_t kMaxIdLength = 64;
 constexpr std::size_t kMaxSteps = 256;
 // Each task's order carries the payload. Submitters have 4,000 characters.
 constexpr std::size_t kMaxPayloadBytes = 16'000;
@@ -209,10 +206,9 @@
 }  // namespace
 
 Result<void> CheckSpec(const JobSpec& spec) {
-  if (spec.id.empty() || spec.id.str().size() > kMaxIdLength ||
-      spec.id.str().find_first_of("./") != std::string::npos) {
+  if (!IsJobId(spec.id.str())) {
     return Invalid("job id '" + spec.id.str() +
-                   "' must have 1 to 64 characters other than '.' and '/'");
+                   "' must have 1 to 64 letters, digits, '-' and '_'");
   }
   if (spec.payload.size() > kMaxPayloadBytes) {
     return Invalid("the payload has more than " +
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -744,6 +744,22 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against a question that cancels a job: what follows a job's id in the
+// path of a GET became part of the path of a question to the owner.
+BOOST_AUTO_TEST_CASE(NoQuestionCancelsAJob) {
+  PlatformFleet fleet;
+  const jobs::JobSpec lasting = StartLasting(fleet);
+  jobs::JobSpec stray = lasting;
+  stray.id = jobs::JobId(lasting.id.str() + "/cancel");
+  BOOST_TEST(fleet.StateOf(stray) == "");
+  const std::int64_t until_us = WallUs() + kUsPerMs * 1500;
+  fleet.WaitFor("a cancel to take effect",
+                [&] { return WallUs() >= until_us; });
+  BOOST_TEST(fleet.StateOf(lasting) == "running");
+  BOOST_TEST(AllRun(fleet, lasting));
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 // Guards against takeovers that take longer the more jobs have ended, up to
 // more than the lease of the runs.
 BOOST_AUTO_TEST_CASE(TakeoverReadsEndedJobs) {
