Go on without the store while most known instances have joined

Cause: needed a lease of every instance that was known; with 47 processes that restart in turn two are always away, so each pause of the store held all orders back.

An owner now needs the leases of those that have joined, and most known instances to have joined. That a listed instance does not wait after a takeover is withdrawn, since an owner may go on without it; processes that are not counted claim after the others instead.

--- a/src/lead/follower_leases.cc
+++ b/src/lead/follower_leases.cc
@@ -80,12 +80,21 @@
       [now](const auto& row) { return row.second.granted_until <= now; }));
 }
 
+// An instance that has not joined, as it starts anew or is cut off, claims once
+// the store answers it. Those that have joined see the owner's record go before
+// and grant nothing more, unless they are cut off with the owner, which most
+// instances are not.
 Time FollowerLeases::held_until() const {
   Time until = Time::max();
+  std::size_t joined = 1;  // the owner
   for (const auto& [instance, follower] : this->followers) {
-    until = std::min(until, follower.granted_until);
+    if (!follower.incarnation.empty()) {
+      ++joined;
+      until = std::min(until, follower.granted_until);
+    }
   }
-  return until;
+  const std::size_t known = this->followers.size() + 1;
+  return 2 * joined > known ? until : Time();
 }
 
 }  // namespace kch::lead
--- a/src/lead/follower_leases.h
+++ b/src/lead/follower_leases.h
@@ -58,16 +58,17 @@
   void OnListing(const std::set<std::string>& instances);
   /*! @brief The list is stored. */
   void OnListed(const std::set<std::string>& instances);
-  /*! @brief Time until which no counted or expected follower claims;
-   * Time::max() if there is none. */
+  /*! @brief Time until which the owner may go on: until the first lease of a
+   * follower that has joined ends, and only while most of all known instances,
+   * the owner included, have joined. Time::max() if none is known. */
   [[nodiscard]] Time held_until() const;
-  /*! @brief Number of followers that may claim. */
+  /*! @brief Number of followers without a lease, joined or not. */
   [[nodiscard]] std::size_t WithoutLease(Time now) const;
   [[nodiscard]] std::size_t size() const { return this->followers.size(); }
 
  private:
   struct Follower {
-    std::string incarnation;
+    std::string incarnation;  // empty: it has not joined, or has left
     Time contacted_at;
     Time granted_until;
     bool listed = false;  // a stored list may name it
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -109,15 +109,15 @@
   this->effects.emplace_back(OwnershipGained{revision});
 }
 
-bool Ownership::IsKnownTo(const LastOwner& last) const {
-  return last.owner.instance == this->record.instance ||
-         last.followers.contains(this->record.instance);
+bool Ownership::IsCountedBy(const LastOwner& last,
+                            std::uint64_t counted_by,
+                            Time now) const {
+  return counted_by != 0 && last.owner.revision == counted_by &&
+         now < this->counted_until;
 }
 
 // What this process waited for in its last term may still be under way. A claim
-// that is carried out late may follow the grant of a lease. An owner that lists
-// this instance needs its lease; one that an earlier process of the instance
-// has granted ends soon after the start of this process. Processes that are
+// that is carried out late may follow the grant of a lease. Processes that are
 // cut off or start anew do not join this owner, but may claim the fleet as soon
 // as the store answers them, so the owner has to know them from its
 // predecessors.
@@ -133,17 +133,13 @@
   const bool own_term =
       last && last->owner.incarnation == this->record.incarnation;
   const bool ended = last && last->owner.instance == this->record.instance;
-  const bool counted = last && this->gained_counted_fence != 0 &&
-                       last->owner.revision == this->gained_counted_fence &&
-                       now < this->counted_until;
+  const bool counted =
+      last && this->IsCountedBy(*last, this->gained_counted_fence, now);
   Time until = std::max(now, this->no_claim_until);
   if (own_term) {
     until = std::max(until, this->predecessor_until);
   } else if (last && !ended && !counted) {
-    until = this->IsKnownTo(*last)
-                ? std::max(until, this->started_at.value_or(now) +
-                                      kFollowerLease + kFollowerLeaseMargin)
-                : now + kPredecessorWait;
+    until = now + kPredecessorWait;
   }
   if (last && !own_term) {
     until = std::max(until, now + last->predecessor_orders);
@@ -156,7 +152,8 @@
 void Ownership::OnLastOwnerRead(const std::optional<LastOwner>& last,
                                 Time now) {
   if (this->state == State::kFollower && this->claim_scheduled && last &&
-      !this->IsKnownTo(*last)) {
+      last->owner.instance != this->record.instance &&
+      !this->IsCountedBy(*last, this->counted_fence, now)) {
     this->next_claim =
         std::max(this->next_claim, now + kNewcomerDelay + this->claim_delay);
   }
@@ -403,7 +400,6 @@
 }
 
 void Ownership::Tick(Time now) {
-  this->started_at = this->started_at.value_or(now);
   if (this->state == State::kFollower && this->claim_scheduled &&
       this->record_read &&
       now >= std::max(this->next_claim, this->no_claim_until)) {
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -50,7 +50,7 @@
 inline constexpr Duration kCandidateDelay = std::chrono::milliseconds(20);
 /*! @brief Upper bound of CandidateDelay, however small the machine is. */
 inline constexpr Duration kMaxCandidateDelay = std::chrono::milliseconds(300);
-/*! @brief Further delay of a candidate that the last owner did not know. The
+/*! @brief Further delay of a candidate that the last owner did not count. The
  * others may wait for the end of a lease that they have granted, and they know
  * that the last owner orders nothing more. */
 inline constexpr Duration kNewcomerDelay =
@@ -78,8 +78,7 @@
  * itself. */
 struct LastOwner {
   OwnerRecord owner;
-  // Other instances that may run. This owner orders nothing past its lease
-  // without a lease of each of them.
+  // Other instances that may run and claim the fleet.
   std::set<std::string> followers;
   // For how long an owner before this one may still order, counted from when
   // this was stored.
@@ -222,8 +221,8 @@
   /*! @brief StoreLastOwner has returned. */
   void OnLastOwnerStored(StoreCallResult result, Time now);
   /*! @brief Time until which an earlier owner may have given orders: that of
-   * OnLastOwner if it needed the lease of this instance or has certainly ended,
-   * else kPredecessorWait later. */
+   * OnLastOwner if it counted this process as a follower or has certainly
+   * ended, else kPredecessorWait later. */
   [[nodiscard]] Time predecessor_orders_until() const {
     return this->predecessor_until;
   }
@@ -254,7 +253,9 @@
   void ApplyRecord(const std::optional<OwnerRecord>& observed, Time now);
   void BecomeFollower(Time claim_at);
   void StoreSelf(Time now);
-  [[nodiscard]] bool IsKnownTo(const LastOwner& last) const;
+  [[nodiscard]] bool IsCountedBy(const LastOwner& last,
+                                 std::uint64_t counted_by,
+                                 Time now) const;
   void BecomeOwner(std::uint64_t revision, Time now);
   void LoseOwnership(const std::string& reason, Time now);
 
@@ -268,8 +269,7 @@
   // This owner as the last one: as stored, and as being stored.
   std::optional<LastOwner> stored_self;
   std::optional<LastOwner> new_self;
-  std::optional<Time> next_self;  // unset: the last owner is not read yet
-  std::optional<Time> started_at;
+  std::optional<Time> next_self;    // unset: the last owner is not read yet
   std::uint64_t counted_fence = 0;  // of the owner that counts this process
   std::uint64_t gained_counted_fence = 0;  // the same, when this term began
   Time counted_until;
