--- a/test/jobs/due_times_test.cc
+++ b/test/jobs/due_times_test.cc
@@ -1,6 +1,5 @@
 #include <rapidcheck.h>
 #include <boost/test/unit_test.hpp>
-#include <ctime>
 #include <string>
 
 #include "jobs/due_times.h"
@@ -16,9 +15,6 @@
 constexpr std::int64_t kStartMs = 1'000'000;  // Unix time of the first due time
 constexpr std::int64_t kIntervalMs = 1000;
 constexpr std::int64_t kTaskMs = 200;
-// A process that does not renew its lease of the fleet for this long has lost
-// it (lead::kOwnerLease).
-constexpr double kOwnerLeaseS = 2;
 
 Job TimedJob(std::int32_t times, std::int32_t tasks = 1) {
   Job job;
@@ -187,16 +183,11 @@
   FleetSim& sim = backlog.sim;
   sim.Submit(SimpleJob("plain", "q", 2, 1000, 500));
   for (int pass = 0; pass < 20; ++pass) {
-    const std::clock_t begun = std::clock();
-    sim.Run(5);
-    const double s = static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC;
+    const double s = ProcessorSeconds([&] { sim.Run(5); });
     BOOST_REQUIRE_MESSAGE(s < kOwnerLeaseS, "a pass took " << s << " s");
   }
   BOOST_TEST(sim.Completes("plain", 2000));
-  const std::clock_t begun = std::clock();
-  sim.Takeover();
-  const double s = static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC;
-  BOOST_TEST(s < kOwnerLeaseS);
+  BOOST_TEST(ProcessorSeconds([&] { sim.Takeover(); }) < kOwnerLeaseS);
   sim.Submit(SimpleJob("later", "q", 2, 1000, 500));
   BOOST_TEST(sim.Completes("later", 4000));
   BOOST_TEST(sim.violations.empty());
--- a/test/jobs/fleet_sim.cc
+++ b/test/jobs/fleet_sim.cc
@@ -1,6 +1,7 @@
 #include "test/jobs/fleet_sim.h"
 
 #include <algorithm>
+#include <ctime>
 #include <utility>
 
 #include "jobs/record.h"
@@ -436,4 +437,10 @@
   return view ? view->state : JobState::kQueued;
 }
 
+double ProcessorSeconds(const std::function<void()>& action) {
+  const std::clock_t begun = std::clock();
+  action();
+  return static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC;
+}
+
 }  // namespace kch::jobs::test
--- a/test/jobs/fleet_sim.h
+++ b/test/jobs/fleet_sim.h
@@ -87,6 +87,13 @@
   std::multimap<Time, std::function<void()>> events;
 };
 
+// A process that does not renew its lease of the fleet for this long has lost
+// it (lead::kOwnerLease).
+inline constexpr double kOwnerLeaseS = 2;
+
+// Processor time that an action takes, in seconds.
+[[nodiscard]] double ProcessorSeconds(const std::function<void()>& action);
+
 // A job of one step of `count` tasks of `cpu_m` that run `ms` each.
 [[nodiscard]] JobSpec SimpleJob(const std::string& id,
                                 const std::string& queue,
--- a/test/jobs/large_jobs_test.cc
+++ b/test/jobs/large_jobs_test.cc
@@ -1,7 +1,5 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <ctime>
-#include <functional>
 #include <string>
 
 #include "test/jobs/fleet_sim.h"
@@ -14,15 +12,6 @@
 
 constexpr Resources kVmSize{8000, 100'000, 0};
 constexpr int kVms = 4;
-// A process that does not renew its lease of the fleet for this long has lost
-// it (lead::kOwnerLease).
-constexpr double kOwnerLeaseS = 2;
-
-double Seconds(const std::function<void()>& action) {
-  const std::clock_t begun = std::clock();
-  action();
-  return static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC;
-}
 
 // Sanitizers slow the test, not the product.
 void CheckLength(double s) {
@@ -54,7 +43,7 @@
   double longest_s = 0;
   for (int step = 0; step < 100; ++step) {
     const std::int64_t starts = sim.starts();
-    longest_s = std::max(longest_s, Seconds([&] { sim.Run(5); }));
+    longest_s = std::max(longest_s, ProcessorSeconds([&] { sim.Run(5); }));
     BOOST_TEST(sim.starts() - starts <= most_starts);
   }
   CheckLength(longest_s);
@@ -89,8 +78,8 @@
   sim.Run(800);
   BOOST_TEST(sim.starts() == kMaxTasksPerJob);
   sim.scheduler->Cordon(VmId("vm0"), true);
-  CheckLength(
-      Seconds([&] { sim.scheduler->EvictEndless(VmId("vm0"), sim.now); }));
+  CheckLength(ProcessorSeconds(
+      [&] { sim.scheduler->EvictEndless(VmId("vm0"), sim.now); }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/process/fleet_soak_test.cc
+++ b/test/process/fleet_soak_test.cc
@@ -185,6 +185,12 @@
                });
   }
 
+  void HoldRule(std::int64_t length_ms, const fake::FaultRule& rule) {
+    this->Hold("calls", length_ms, [this, rule](bool on) {
+      this->fleet.platform->SetFaults(on ? rule : fake::FaultRule());
+    });
+  }
+
   // Part of the calls to VMs get no answer and take effect at once, late or
   // never.
   void DisturbCalls(std::int64_t length_ms) {
@@ -206,10 +212,7 @@
           return CallFault::kNone;
       }
     };
-    this->Hold("calls", length_ms, [this, rule](bool on) {
-      this->fleet.platform->SetFaults(on ? fake::FaultRule(rule)
-                                         : fake::FaultRule());
-    });
+    this->HoldRule(length_ms, rule);
   }
 
   // A VM restarts under its id; its registration tells of that only later.
@@ -239,10 +242,7 @@
           return CallFault::kNone;
       }
     };
-    this->Hold("calls", length_ms, [this, rule](bool on) {
-      this->fleet.platform->SetFaults(on ? fake::FaultRule(rule)
-                                         : fake::FaultRule());
-    });
+    this->HoldRule(length_ms, rule);
   }
 
   void TakeStoreDown(std::int64_t length_ms) {
--- a/test/upkeep/mover_test.cc
+++ b/test/upkeep/mover_test.cc
@@ -70,6 +70,17 @@
   }
 };
 
+// A backlog that would take several machines moves this one alone.
+void CheckOnlyOneMoves(MoverFixture& fixture, const std::string& machine) {
+  for (int i = 0; i < 4; ++i) {
+    fixture.busy.insert(MachineId("spare" + std::to_string(i)));
+  }
+  fixture.SetBacklog("a", 60);
+  const auto orders = fixture.Tick();
+  BOOST_REQUIRE(orders.size() == 1);
+  BOOST_TEST(orders[0].machine.str() == machine);
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(MoverTest)
@@ -103,17 +114,9 @@
   fixture.loads.at(VmId("vm-b1")).runs = 0;
   fixture.loads.at(VmId("vm-c2")).runs = 0;
   fixture.busy.insert(MachineId("c2"));
-  for (int i = 0; i < 4; ++i) {
-    fixture.busy.insert(MachineId("spare" + std::to_string(i)));
-  }
-  fixture.SetBacklog("a", 60);
-  const auto orders = fixture.Tick();
-  BOOST_REQUIRE(orders.size() == 1);
-  BOOST_TEST(orders[0].machine.str() == "b1");
+  CheckOnlyOneMoves(fixture, "b1");
 }
 
-// Guards against moves of machines in an excluded zone: they are idle, but
-// could not start tasks in another pool either.
 // Guards against moves that end tasks: after a takeover a VM that has not
 // answered yet was taken for idle.
 BOOST_AUTO_TEST_CASE(MachinesWhoseRunsAreNotKnownAreNotMoved) {
@@ -122,15 +125,11 @@
     load.runs_known = false;
   }
   fixture.loads.at(VmId("vm-b1")).runs_known = true;
-  for (int i = 0; i < 4; ++i) {
-    fixture.busy.insert(MachineId("spare" + std::to_string(i)));
-  }
-  fixture.SetBacklog("a", 60);
-  const auto orders = fixture.Tick();
-  BOOST_REQUIRE(orders.size() == 1);
-  BOOST_TEST(orders[0].machine.str() == "b1");
+  CheckOnlyOneMoves(fixture, "b1");
 }
 
+// Guards against moves of machines in an excluded zone: they are idle, but
+// could not start tasks in another pool either.
 BOOST_AUTO_TEST_CASE(MachinesInExcludedZonesAreNotMoved) {
   MoverFixture fixture;
   for (auto& [id, machine] : fixture.machines) {
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -133,9 +133,6 @@
   BOOST_TEST(fixture.completed);
 }
 
-// Guards against exceeding the limit of a wave: an order without an answer may
-// be carried out at any time, so its machine counts as unavailable and the
-// order is repeated.
 // Guards against an upkeep that ends tasks of a VM that has not answered yet
 // after a takeover, and so seems empty.
 BOOST_AUTO_TEST_CASE(MachineWhoseRunsAreNotKnownIsNotOrdered) {
@@ -150,6 +147,9 @@
   BOOST_TEST(fixture.orders.at(MachineId("m0")) == 1);
 }
 
+// Guards against exceeding the limit of a wave: an order without an answer may
+// be carried out at any time, so its machine counts as unavailable and the
+// order is repeated.
 BOOST_AUTO_TEST_CASE(UnansweredOrdersCountAsUnavailable) {
   PlannerFixture fixture(6, 0.1);
   fixture.drops_answers = true;
