Look for due occurrences only if one is not open

A planning pass counted the open occurrences of each timed job also if none was left to open. The number of a job's tasks is one function of its spec, used by its check as well; that the last owner is stored is known from Ownership alone; and the record of the last owner is passed as it is read. Behaviour is unchanged.

--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -51,8 +51,6 @@
   bool kept_known = false;
   std::vector<jobs::VmFacts> kept_vms;
   bool orders_known = false;
-  bool last_owner_stored =
-      false;  // this process, after the one before was read
   bool ended_known = false;
   std::vector<std::pair<VmId, std::int64_t>> ended_vms;  // with boot times
   std::vector<jobs::JobSpec> early_jobs;
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -304,7 +304,6 @@
       [&driver = this->driver](Outcome outcome) {
         driver.ownership.OnLastOwnerStored(AnswerOf(outcome), Now());
         if (outcome == Outcome::kOk && driver.takeover) {
-          driver.takeover->last_owner_stored = true;
           driver.FinishTakeover();
         }
       });
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -387,7 +387,7 @@
   if (!this->takeover->progress_known || !this->takeover->intake_known ||
       !this->takeover->vms_known || !this->takeover->waves_known ||
       !this->takeover->kept_known || !this->takeover->ended_known ||
-      !this->takeover->orders_known || !this->takeover->last_owner_stored) {
+      !this->takeover->orders_known || !this->ownership.last_owner_stored()) {
     return;
   }
   const Time begun = Now();
--- a/src/jobs/due_times.cc
+++ b/src/jobs/due_times.cc
@@ -16,11 +16,11 @@
 class Selection {
  public:
   Selection(const Job& job, const OccurrenceLimits& limits) : job(job) {
-    const auto tasks = std::max<std::int64_t>(1, job.TasksPerOccurrence());
+    const auto tasks = std::max<std::int64_t>(1, job.spec.TasksPerOccurrence());
     const auto most_open = static_cast<std::size_t>(
         std::max<std::int64_t>(1, limits.max_tasks / tasks));
     this->room = most_open - std::min(most_open, job.open.size());
-    this->most_waiting = std::max<std::size_t>(
+    this->most_by_steps = std::max<std::size_t>(
         1, limits.max_waiting_steps /
                std::max<std::size_t>(1, job.spec.steps.size()));
     this->waiting = static_cast<std::size_t>(std::ranges::count_if(
@@ -33,7 +33,7 @@
     std::int64_t number = this->job.FirstUnopened(from);
     while (number < end && this->numbers.size() < this->room &&
            this->waiting + this->numbers.size() <
-               std::min(most_waiting, this->most_waiting)) {
+               std::min(most_waiting, this->most_by_steps)) {
       this->numbers.push_back(static_cast<std::int32_t>(number));
       number = this->job.FirstUnopened(number + 1);
     }
@@ -45,7 +45,7 @@
   const Job& job;
   std::size_t room = 0;
   std::size_t waiting = 0;
-  std::size_t most_waiting = 0;
+  std::size_t most_by_steps = 0;  // occurrences that may wait
 };
 
 }  // namespace
@@ -55,6 +55,9 @@
                                             std::int64_t wall_ms,
                                             const OccurrenceLimits& limits) {
   const std::int32_t due = job.spec.DueBy(wall_ms);
+  if (job.first_unopened >= due) {
+    return {};  // as in most passes
+  }
   std::int32_t first_useful = job.spec.DueBy(wall_ms - useful_ms - 1);
   Selection selection(job, limits);
   if (job.finished.ranges().size() > limits.max_finished_ranges) {
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -115,14 +115,6 @@
   return this->FirstUnopened(this->first_unopened) >= this->spec.Occurrences();
 }
 
-std::int64_t Job::TasksPerOccurrence() const {
-  std::int64_t tasks = 0;
-  for (const StepSpec& step : this->spec.steps) {
-    tasks += step.count;
-  }
-  return tasks;
-}
-
 // Both are asked for at every pass, and change at most when a step completes.
 std::int64_t Job::CriticalPathMs(const Occurrence& occurrence) const {
   const auto complete = std::ranges::count_if(
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -163,7 +163,6 @@
   [[nodiscard]] std::int64_t FirstUnopened(std::int64_t from) const;
   /*! @brief True if every occurrence is open or finished. */
   [[nodiscard]] bool AllOpened() const;
-  [[nodiscard]] std::int64_t TasksPerOccurrence() const;
   /*! @brief Critical path over the steps that are not complete, in ms: the
    * longest chain of estimates. */
   [[nodiscard]] std::int64_t CriticalPathMs(const Occurrence& occurrence) const;
--- a/src/jobs/model.cc
+++ b/src/jobs/model.cc
@@ -86,6 +86,14 @@
   return occupied;
 }
 
+std::int64_t JobSpec::TasksPerOccurrence() const {
+  std::int64_t tasks = 0;
+  for (const StepSpec& step : this->steps) {
+    tasks += step.count;
+  }
+  return tasks;
+}
+
 std::int64_t JobSpec::DueMs(std::int32_t occurrence) const {
   return this->schedule.first_ms +
          std::int64_t{occurrence} * this->schedule.interval_ms;
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -21,7 +21,7 @@
 using MachineId = Id<struct MachineTag>;
 
 /*! @brief True for 1 to 64 letters, digits, '-' and '_'. Ids become parts of
- * keys, paths and task names, which their submitters must not choose. */
+ * keys, paths and task names, so they hold nothing that separates those. */
 [[nodiscard]] bool IsJobId(std::string_view text);
 
 /*! @brief Amounts of what a VM offers and a task occupies. */
@@ -120,6 +120,8 @@
   [[nodiscard]] std::int32_t Occurrences() const {
     return this->schedule.times > 0 ? this->schedule.times : 1;
   }
+  /*! @brief Number of tasks each time the steps run. */
+  [[nodiscard]] std::int64_t TasksPerOccurrence() const;
   /*! @brief Unix time from which an occurrence may start; 0: at once. */
   [[nodiscard]] std::int64_t DueMs(std::int32_t occurrence) const;
   /*! @brief Number of occurrences that are due by a Unix time, the first ones.
--- a/src/jobs/record.cc
+++ b/src/jobs/record.cc
@@ -217,7 +217,6 @@
   if (spec.steps.empty() || spec.steps.size() > kMaxSteps) {
     return Invalid("a job must have 1 to 256 steps");
   }
-  std::int64_t tasks = 0;
   for (std::size_t i = 0; i < spec.steps.size(); ++i) {
     const StepSpec& step = spec.steps[i];
     const std::string name = "step " + std::to_string(i);
@@ -237,9 +236,8 @@
         return Invalid(name + " may only depend on earlier steps");
       }
     }
-    tasks += step.count;
   }
-  if (tasks > kMaxTasksPerJob) {
+  if (spec.TasksPerOccurrence() > kMaxTasksPerJob) {
     return Invalid("a job may have at most " + std::to_string(kMaxTasksPerJob) +
                    " tasks");
   }
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -149,11 +149,10 @@
 
 // A newcomer would hold work back at VMs that it does not reach, so the others
 // go first.
-void Ownership::OnLastOwnerRead(const std::optional<LastOwner>& last,
-                                Time now) {
-  if (this->state == State::kFollower && this->claim_scheduled && last &&
-      last->owner.instance != this->record.instance &&
-      !this->IsCountedBy(*last, this->counted_fence, now)) {
+void Ownership::OnLastOwnerRead(const LastOwner& last, Time now) {
+  if (this->state == State::kFollower && this->claim_scheduled &&
+      last.owner.instance != this->record.instance &&
+      !this->IsCountedBy(last, this->counted_fence, now)) {
     this->next_claim =
         std::max(this->next_claim, now + kNewcomerDelay + this->claim_delay);
   }
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -216,8 +216,8 @@
   /*! @brief The owner before this term, as it stored itself; unset if there was
    * none. Called in a takeover. */
   void OnLastOwner(const std::optional<LastOwner>& last, Time now);
-  /*! @brief ReadLastOwner has returned a record, or that there is none. */
-  void OnLastOwnerRead(const std::optional<LastOwner>& last, Time now);
+  /*! @brief ReadLastOwner has returned a record. */
+  void OnLastOwnerRead(const LastOwner& last, Time now);
   /*! @brief StoreLastOwner has returned. */
   void OnLastOwnerStored(StoreCallResult result, Time now);
   /*! @brief Time until which an earlier owner may have given orders: that of
@@ -233,6 +233,10 @@
   /*! @brief Time until which HoldsValidLease is true unless a renewal extends
    * it; of the current or last term. */
   [[nodiscard]] Time lease_until() const { return this->valid_until; }
+  /*! @brief True once this owner is stored as the last one. */
+  [[nodiscard]] bool last_owner_stored() const {
+    return this->stored_self.has_value();
+  }
   /*! @brief Fencing token of the current or last term. */
   [[nodiscard]] std::uint64_t fence() const { return this->record.revision; }
   /*! @brief The owner record as last observed. */
