--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -113,6 +113,19 @@
                  {"found", found}});
 }
 
+// A renewal that fails or comes late shortens the owner's lease; the two times
+// tell a slow store from a process that is slow itself.
+void LogSlowRenewal(Outcome outcome, Time sent, Time answered) {
+  const Time now = Now();
+  if (outcome == Outcome::kOk && now - sent < lead::kRenewTimeout) {
+    return;
+  }
+  net::LogEvent("renewal_slow",
+                {{"outcome", std::string(NameOf(AnswerOf(outcome)))},
+                 {"call_ms", std::to_string(ToMs(answered - sent))},
+                 {"queue_ms", std::to_string(ToMs(now - answered))}});
+}
+
 // A write of the owner takes effect only while it owns the fleet.
 platform::Transaction OwnersTransaction(std::uint64_t fence) {
   platform::Transaction transaction;
@@ -269,7 +282,8 @@
       effect.lease, static_cast<int>(ToMs(lead::kRenewTimeout)),
       [&driver = this->driver, lease = effect.lease,
        sent = Now()](Outcome outcome) {
-        driver.Post([&driver, lease, sent, outcome] {
+        driver.Post([&driver, lease, sent, outcome, answered = Now()] {
+          LogSlowRenewal(outcome, sent, answered);
           driver.ownership.OnRenewal(lease, AnswerOf(outcome), sent, Now());
         });
       });
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -288,6 +289,10 @@
   void ReconcileRuns(Vm& vm, Time sent, Time now);
   void HandleRunning(Vm& vm, const RunningRow& row, Time now);
   void HandleEnd(Vm& vm, const EndedRow& row, Time now);
+  void LogLostRunDone(const Vm& vm,
+                      const EndedRow& row,
+                      const Task& task,
+                      Time now);
   void AwaitRecord(Vm& vm, const Job& job);
   void HandleDone(Task& task, bool current, Time now);
   void HandleFailure(Task& task, Vm& vm, std::int64_t run, Time now);
@@ -306,6 +311,7 @@
 
   // scheduler_plan.cc
   void EstimateUnreportedUse(Time now);
+  void LogWaitingEndless(Time now);
   bool MayRunInherited(const Pool& pool, Time now) const;
   void PlanPool(Pool& pool, Time now);
   std::vector<Candidate> VmsWithRoom(const Pool& pool,
@@ -383,6 +389,10 @@
   bool superseded = false;
 
   std::set<JobId> dirty;  // jobs with changes to store
+  // Endless steps with waiting tasks, and since when, as of the last look.
+  using StepKey = std::tuple<JobId, std::int32_t, std::int32_t>;
+  std::map<StepKey, Time> endless_waits;
+  Time next_waits_log;
   std::uint64_t last_write = 0;
   std::map<std::uint64_t, std::vector<JobId>> writes;  // pending
   Time write_retry;
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -7,6 +7,13 @@
 // Selection of the waiting tasks to start and of their VMs.
 
 namespace kch::jobs {
+namespace {
+
+constexpr auto kWaitsLogInterval = std::chrono::seconds(1);
+// An endless task that waits for longer is told of.
+constexpr auto kLongWait = std::chrono::seconds(2);
+
+}  // namespace
 
 bool Scheduler::Usable(const Vm& vm, Time now) const {
   return !vm.cordoned && this->Available(vm, now);
@@ -97,6 +104,7 @@
   }
   this->EstimateUnreportedUse(now);
   this->OpenAllDue(wall_ms);
+  this->LogWaitingEndless(now);
   this->advice_request.reset();
   for (auto& [id, pool] : this->pools) {
     if (!pool.ready.empty() && !pool.vms.empty()) {
@@ -106,6 +114,55 @@
   this->SendAdviceRequest();
 }
 
+// An endless task has to run all the time, so why one waits for long is told
+// from the state of its pool.
+void Scheduler::LogWaitingEndless(Time now) {
+  if (now < this->next_waits_log) {
+    return;
+  }
+  this->next_waits_log = now + kWaitsLogInterval;
+  std::map<StepKey, Time> waits;
+  for (const auto& [id, pool] : this->pools) {
+    std::int32_t tasks = 0;
+    Duration longest{};
+    for (const StepRef& step_ref : pool.ready) {
+      if (!step_ref.spec().endless) {
+        continue;
+      }
+      const StepKey key{step_ref.job->spec.id, step_ref.occurrence,
+                        step_ref.step};
+      const auto known = this->endless_waits.find(key);
+      const Time since =
+          known == this->endless_waits.end() ? now : known->second;
+      waits.emplace(key, since);
+      if (now - since >= kLongWait) {
+        tasks += step_ref.progress().waiting;
+        longest = std::max(longest, now - since);
+      }
+    }
+    if (tasks == 0) {
+      continue;
+    }
+    const auto count = [&pool](const auto& holds) {
+      return std::to_string(std::ranges::count_if(
+          pool.vms, [&holds](const auto& row) { return holds(*row.second); }));
+    };
+    this->EmitLogEvent(
+        "endless_waits",
+        {{"pool", id.str()},
+         {"tasks", std::to_string(tasks)},
+         {"longest_ms", std::to_string(ToMs(longest))},
+         {"held_back", this->MayRunInherited(pool, now) ? "yes" : "no"},
+         {"vms", std::to_string(pool.vms.size())},
+         {"usable",
+          count([this, now](const Vm& vm) { return this->Usable(vm, now); })},
+         {"silent", count([](const Vm& vm) { return vm.unresponsive; })},
+         {"unrecorded", count([](const Vm& vm) { return !vm.recorded; })},
+         {"unreported", count([](const Vm& vm) { return !vm.reported; })}});
+  }
+  this->endless_waits = std::move(waits);
+}
+
 // VMs that have room for the smallest need of the waiting tasks. In a full pool
 // these are few, which bounds the cost of a pass however long the backlog is.
 std::vector<Scheduler::Candidate> Scheduler::VmsWithRoom(
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -62,6 +62,8 @@
   vm->reported = true;
   ++vm->report_count;
   this->LogOutlivedLease(*vm, report);
+  vm->expired_in_report =
+      std::ranges::count(report.ended, RunEnd::kExpired, &EndedRow::how);
   for (const EndedRow& row : report.ended) {
     if (row.number > std::max(vm->recorded_end, vm->handled_end)) {
       this->HandleEnd(*vm, row, now);
@@ -240,10 +242,13 @@
   if (row.how == RunEnd::kDone && !task->spec().endless) {
     if (current) {
       this->Release(*task);
-    } else if (task->Placed()) {
-      // A run that was considered lost has completed; the current run is not
-      // needed.
-      this->StopTask(*task);
+    } else {
+      this->LogLostRunDone(vm, row, *task, now);
+      if (task->Placed()) {
+        // A run that was considered lost has completed; the current run is not
+        // needed.
+        this->StopTask(*task);
+      }
     }
     this->HandleDone(*task, current, now);
     this->AwaitRecord(vm, job);
@@ -259,6 +264,26 @@
   }
 }
 
+// Tells whether the VM's lease was over when a run that counted as lost with it
+// had ended.
+void Scheduler::LogLostRunDone(const Vm& vm,
+                               const EndedRow& row,
+                               const Task& task,
+                               Time now) {
+  this->EmitLogEvent(
+      "lost_run_done",
+      {{"task", row.task},
+       {"run", std::to_string(row.run)},
+       {"vm", vm.facts.id.str()},
+       {"number", std::to_string(row.number)},
+       {"acknowledged", std::to_string(vm.acknowledged_end)},
+       {"lease_over_ms", std::to_string(vm.clock_ms - vm.lease_until_ms)},
+       {"expired_beside", std::to_string(vm.expired_in_report)},
+       {"silent_ms", std::to_string(ToMs(now - vm.unresponsive_since))},
+       {"current_run", std::to_string(task.run)},
+       {"placed", task.Placed() ? "yes" : "no"}});
+}
+
 // Delays the acknowledgement of the VM's ends until the job's current state is
 // stored.
 void Scheduler::AwaitRecord(Vm& vm, const Job& job) {
