--- a/fake/fleet/fleet_platform.cc
+++ b/fake/fleet/fleet_platform.cc
@@ -306,6 +306,12 @@
             execute([](const net::HttpResponse&) {});
           });
       return;
+    case CallFault::kSlow:
+      execute([this, reply](const net::HttpResponse& response) {
+        this->later.emplace(this->world.now + kSlowAnswer,
+                            [reply, response] { reply(response); });
+      });
+      return;
   }
   execute(reply);
 }
--- a/fake/fleet/fleet_platform.h
+++ b/fake/fleet/fleet_platform.h
@@ -2,6 +2,7 @@
 #define FAKE_FLEET_FLEET_PLATFORM_H_
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -23,8 +24,12 @@
   kLoseCall,    // no effect and no answer
   kLoseAnswer,  // takes effect without an answer
   kLate,        // takes effect seconds later, without an answer
+  kSlow,        // takes effect at once; the answer follows after kSlowAnswer
 };
 
+/*! @brief Delay of the answer to a call with CallFault::kSlow. */
+inline constexpr Duration kSlowAnswer = std::chrono::milliseconds(900);
+
 /*! @brief Decides on the fault of a call: `store/kv-txn`, `vm0/run-start`,
  * `machines/machine-upkeep`, `advice/advise`. Runs on the loop's thread. */
 using FaultRule =
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -560,6 +560,29 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against runs that lapse all over the fleet because their owner gives
+// up renewals that the store has carried out and answers within the owner's
+// lease.
+BOOST_AUTO_TEST_CASE(OwnerWithSlowRenewalsLosesItsLease) {
+  PlatformFleet fleet;
+  const jobs::JobSpec lasting = StartLasting(fleet);
+  const std::size_t owner = fleet.WaitForOwner();
+  fleet.platform->SetFaults([](const std::string& call, const std::string&) {
+    return call.starts_with("store/kv-keep") ? CallFault::kSlow
+                                             : CallFault::kNone;
+  });
+  const std::int64_t until_us = WallUs() + 8'000'000;
+  fleet.WaitFor("several leases", [&] { return WallUs() >= until_us; });
+  BOOST_TEST(fleet.Log(owner).find("owner_lease_expired") == std::string::npos);
+  BOOST_TEST(fleet.WaitForOwner() == owner);
+  const jobs::JobSpec job = PlainJob("a", 2, 200);
+  fleet.Accept(job);
+  fleet.WaitForCompleted({job});
+  BOOST_TEST(AllRun(fleet, lasting));
+  BOOST_TEST(fleet.starts() == 3 + 2);
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 // Guards against a wave that takes more machines than it may, or ends work that
 // could have been moved first.
 BOOST_AUTO_TEST_CASE(WavesKeepTheirLimit) {
