--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -279,9 +279,9 @@
 
 void LeadEffectVisitor::operator()(const lead::RenewLease& effect) const {
   this->driver.parts.store.RenewLease(
-      effect.lease, static_cast<int>(ToMs(lead::kRenewTimeout)),
+      effect.lease, static_cast<int>(ToMs(lead::kOwnerLease)),
       [&driver = this->driver, lease = effect.lease,
-       sent = Now()](Outcome outcome) {
+       sent = effect.sent](Outcome outcome) {
         driver.Post([&driver, lease, sent, outcome, answered = Now()] {
           LogSlowRenewal(outcome, sent, answered);
           driver.ownership.OnRenewal(lease, AnswerOf(outcome), sent, Now());
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -106,6 +106,7 @@
   this->renewals_fail = false;
   this->next_renewal = now;
   this->renewing = false;
+  this->renewal_sent = Time();
   this->effects.emplace_back(OwnershipGained{revision});
 }
 
@@ -362,27 +363,35 @@
   if (this->state != State::kOwner || renewed != this->lease) {
     return;
   }
-  this->renewing = false;
+  const bool latest = sent >= this->renewal_sent;
   if (result == StoreCallResult::kOk) {
-    this->valid_until = sent + kOwnerLease;
-    this->next_renewal = sent + kRenewInterval;
+    this->valid_until = std::max(this->valid_until, sent + kOwnerLease);
     this->renewals_fail = false;
+    if (latest) {
+      this->renewing = false;
+      this->next_renewal = sent + kRenewInterval;
+    }
   } else if (result == StoreCallResult::kMissing) {
     this->observed_record.reset();
     this->LoseOwnership("lease_ended", now);
-  } else {
-    // While the store is unavailable no instance can take over, so the owner
-    // continues. It may also be cut off by itself, so it needs the leases of
-    // its followers. A process that was paused past its lease does not know
-    // whether the store was unavailable all the while.
-    if (now < std::max(this->valid_until, this->outage_until)) {
-      this->outage_until = now + kOwnerLease;
-    }
-    this->renewals_fail = true;
-    this->next_renewal = now + kRenewRetryInterval;
+  } else if (latest) {
+    this->RenewalFailed(now);
   }
 }
 
+// While the store is unavailable no instance can take over, so the owner
+// continues. It may also be cut off by itself, so it needs the leases of its
+// followers. A process that was paused past its lease does not know whether the
+// store was unavailable all the while.
+void Ownership::RenewalFailed(Time now) {
+  this->renewing = false;
+  if (now < std::max(this->valid_until, this->outage_until)) {
+    this->outage_until = now + kOwnerLease;
+  }
+  this->renewals_fail = true;
+  this->next_renewal = now + kRenewRetryInterval;
+}
+
 void Ownership::OnSuperseded(Time now) {
   if (this->state == State::kOwner) {
     this->LoseOwnership("fenced", now);
@@ -412,10 +421,17 @@
     this->lease_sent = now;
     this->effects.emplace_back(CreateLease{});
   }
+  // A renewal without an answer counts as failed, but stays open: one that is
+  // answered while the lease that it gave lasts still counts.
+  if (this->state == State::kOwner && this->renewing &&
+      now - this->renewal_sent >= kRenewTimeout) {
+    this->RenewalFailed(now);
+  }
   if (this->state == State::kOwner && !this->renewing &&
       now >= this->next_renewal) {
     this->renewing = true;
-    this->effects.emplace_back(RenewLease{this->lease});
+    this->renewal_sent = now;
+    this->effects.emplace_back(RenewLease{this->lease, now});
   }
   this->follower_leases.Tick(now);
   this->StoreSelf(now);
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -25,8 +25,8 @@
 inline constexpr Duration kOwnerLease = std::chrono::milliseconds(2000);
 /*! @brief Interval between lease renewals. */
 inline constexpr Duration kRenewInterval = std::chrono::milliseconds(400);
-/*! @brief Timeout of a renewal. A renewal that times out is repeated; four in
- * a row may be lost before the lease expires. */
+/*! @brief A renewal that is not answered by then is repeated; four in a row may
+ * be lost before the lease expires. Its answer still counts when it comes. */
 inline constexpr Duration kRenewTimeout = std::chrono::milliseconds(300);
 /*! @brief Delay between a failed renewal and the next one. */
 inline constexpr Duration kRenewRetryInterval = std::chrono::milliseconds(80);
@@ -108,9 +108,11 @@
 };
 /*! @brief Effect: read the owner record, as after a claim without a reply. */
 struct ReadRecord {};
-/*! @brief Effect: renew a lease. */
+/*! @brief Effect: renew a lease. The answer counts until kOwnerLease after
+ * `sent`. */
 struct RenewLease {
   std::uint64_t lease = 0;
+  Time sent;
 };
 /*! @brief Effect: request a lease from each follower. */
 struct RequestFollowerLeases {};
@@ -178,7 +180,7 @@
                StoreCallResult result,
                std::uint64_t revision,
                Time now);
-  /*! @brief RenewLease of `lease`, sent at `sent`, has returned. */
+  /*! @brief RenewLease of `lease`, with its `sent`, has returned. */
   void OnRenewal(std::uint64_t lease,
                  StoreCallResult result,
                  Time sent,
@@ -256,6 +258,7 @@
 
   void ApplyRecord(const std::optional<OwnerRecord>& observed, Time now);
   void BecomeFollower(Time claim_at);
+  void RenewalFailed(Time now);
   void StoreSelf(Time now);
   [[nodiscard]] bool IsCountedBy(const LastOwner& last,
                                  std::uint64_t counted_by,
@@ -287,7 +290,8 @@
   Time valid_until;
   Time outage_until;  // the next renewal of an outage must fail before
   Time next_renewal;
-  bool renewing = false;
+  Time renewal_sent;      // the latest one
+  bool renewing = false;  // it is neither answered nor overdue
   bool renewals_fail = false;
   Time next_lease_request;
   std::vector<Effect> effects;
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -137,6 +137,39 @@
   BOOST_TEST(ownership.MayOrder(now));
 }
 
+// Guards against an owner that takes its own slowness, or the store's, for the
+// loss of a renewal: an answer counts as long as the lease that it tells of.
+BOOST_AUTO_TEST_CASE(LateAnswersToRenewalsKeepTheLease) {
+  BecomeOwner();
+  constexpr std::int64_t step_ms = 50;
+  constexpr std::int64_t answer_ms = 1400;
+  std::vector<Time> open;
+  std::size_t sent = 0;
+  for (std::int64_t ms = 0; ms < 10'000; ms += step_ms) {
+    const auto decided = After(step_ms);
+    if (const auto* renewal = Find<RenewLease>(decided)) {
+      open.push_back(renewal->sent);
+      ++sent;
+    }
+    if (!open.empty() &&
+        now - open.front() >= std::chrono::milliseconds(answer_ms)) {
+      ownership.OnRenewal(kLease, StoreCallResult::kOk, open.front(), now);
+      open.erase(open.begin());
+    }
+    BOOST_TEST(ownership.HoldsValidLease(now));
+  }
+  BOOST_TEST(sent > 15);
+  BOOST_TEST(sent < 40);
+  // An earlier renewal's failure says nothing of a later one.
+  const Time until = ownership.lease_until();
+  ownership.OnRenewal(kLease, StoreCallResult::kUnknown, open.front(), now);
+  BOOST_TEST((ownership.lease_until() == until));
+  // Nor does its success shorten the lease.
+  ownership.OnRenewal(kLease, StoreCallResult::kOk,
+                      now - std::chrono::milliseconds(1900), now);
+  BOOST_TEST((ownership.lease_until() == until));
+}
+
 // Guards against an owner that stops all work although the store is away for
 // all, and against one that mistakes its own pause for an outage.
 BOOST_AUTO_TEST_CASE(OrdersThroughAnOutageUnlessItPauses) {
@@ -375,6 +408,7 @@
               kPredecessorWait));
   ownership.OnLastOwnerStored(StoreCallResult::kOk, now);
   BOOST_TEST(Find<StoreLastOwner>(After(20'000)) == nullptr);
+  ownership.OnRenewal(kLease, StoreCallResult::kOk, now, now);
   const auto later = After(500);
   BOOST_REQUIRE(Find<StoreLastOwner>(later) != nullptr);
   BOOST_TEST((Find<StoreLastOwner>(later)->last.predecessor_orders ==
