--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -64,6 +64,7 @@
   struct Parts {
     net::HttpClient& client;
     platform::Store& store;
+    platform::Store& lease_store;  // for claims and renewals
     platform::VmClient& vms;
     platform::MachineClient& machines;
     platform::AdviceClient& advice;
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -232,7 +232,7 @@
 }
 
 void LeadEffectVisitor::operator()(const lead::CreateLease& /*effect*/) const {
-  this->driver.parts.store.CreateLease(
+  this->driver.parts.lease_store.CreateLease(
       ToMs(lead::kOwnerLease),
       [&driver = this->driver](const platform::LeaseReply& reply) {
         driver.Post([&driver, reply] {
@@ -247,7 +247,7 @@
       {std::string(kOwnerKey), effect.expected_revision});
   transaction.puts.push_back(
       {std::string(kOwnerKey), lead::Encode(effect.record), effect.lease});
-  this->driver.parts.store.Write(
+  this->driver.parts.lease_store.Write(
       transaction, kClaimTimeoutMs,
       [&driver = this->driver,
        lease = effect.lease](const platform::WriteReply& reply) {
@@ -260,7 +260,7 @@
 
 // A list tells the store's revision also if the record is absent.
 void LeadEffectVisitor::operator()(const lead::ReadRecord& /*effect*/) const {
-  this->driver.parts.store.List(
+  this->driver.parts.lease_store.List(
       std::string(kOwnerKey), "",
       [&driver = this->driver](const platform::ListReply& reply) {
         if (reply.outcome != Outcome::kOk) {
@@ -278,7 +278,7 @@
 }
 
 void LeadEffectVisitor::operator()(const lead::RenewLease& effect) const {
-  this->driver.parts.store.RenewLease(
+  this->driver.parts.lease_store.RenewLease(
       effect.lease, static_cast<int>(ToMs(lead::kOwnerLease)),
       [&driver = this->driver, lease = effect.lease,
        sent = effect.sent](Outcome outcome) {
@@ -324,7 +324,7 @@
 }
 
 void LeadEffectVisitor::operator()(const lead::EndLease& effect) const {
-  this->driver.parts.store.EndLease(effect.lease, [](Outcome) {
+  this->driver.parts.lease_store.EndLease(effect.lease, [](Outcome) {
     // A lease that is not ended here runs out by itself.
   });
 }
--- a/src/app/fleet/main.cc
+++ b/src/app/fleet/main.cc
@@ -209,7 +209,18 @@
     kch::net::LogEvent("start_failed", {{"error", client.error().Text()}});
     return 1;
   }
+  // Calls that keep the ownership of the fleet do not wait for a connection
+  // behind the many others, so they have connections of their own.
+  auto lease_client =
+      kch::net::HttpClient::Create({.max_connections_per_host = 8});
+  if (!lease_client) {
+    kch::net::LogEvent("start_failed",
+                       {{"error", lease_client.error().Text()}});
+    return 1;
+  }
   kch::platform::Store store(**client, settings.text("store"), metrics);
+  kch::platform::Store lease_store(**lease_client, settings.text("store"),
+                                   metrics);
   kch::platform::VmClient vms(**client);
   kch::platform::MachineClient machines(**client, settings.text("machines"),
                                         name);
@@ -281,6 +292,7 @@
            std::chrono::milliseconds(settings.number("shutdown-ms") * 9 / 10)},
       {.client = **client,
        .store = store,
+       .lease_store = lease_store,
        .vms = vms,
        .machines = machines,
        .advice = advice,
@@ -316,6 +328,7 @@
   peers->reset();
   relay.Stop();
   bus->reset();
+  lease_client->reset();
   client->reset();
   kch::net::LogEvent("exiting", {});
   // The end of the logging library's own threads has been seen to block until
