--- a/src/relay/relay_pool.cc
+++ b/src/relay/relay_pool.cc
@@ -11,6 +11,12 @@
 // A relay ends a call at the latest after the call's own wait and this time;
 // its reply is under way by then.
 constexpr auto kCallTimeout = std::chrono::milliseconds(1100);
+// A relay that answers other calls is slow, so a call through it is given up
+// this much later. The lease of a VM outlasts both times and the wait of a
+// poll.
+constexpr auto kSlowRelayTime = std::chrono::milliseconds(1100);
+// Interval of the search for overdue calls, which looks at all open ones.
+constexpr auto kOverdueCheckInterval = std::chrono::milliseconds(50);
 // Time before a failed relay may be activated again.
 constexpr auto kRelayRetryDelay = std::chrono::milliseconds(3000);
 // Time in which a process that shuts down is expected to restart; it is not
@@ -103,6 +109,7 @@
     if (!this->members.at(report.instance).calls.contains(answer.number)) {
       continue;
     }
+    this->members.at(report.instance).last_reply = now;
     if (!std::holds_alternative<NotSentToVm>(answer.reply)) {
       this->Complete(answer.number, answer.reply);
     } else if (IsStart(this->calls.at(answer.number).order)) {
@@ -288,13 +295,7 @@
   this->batches.erase(relay);
   this->ActivateRelays(now);
   for (const std::uint64_t number : std::exchange(member.calls, {})) {
-    if (IsStart(this->calls.at(number).order)) {
-      // The start may still be executed; the VM's next report shows whether it
-      // was.
-      this->Complete(number, StartReply{jobs::StartAnswer::kRelayLost, 0});
-    } else {
-      this->Resend(number, now);
-    }
+    this->GiveUp(number, now);
   }
 }
 
@@ -321,21 +322,20 @@
 void RelayPool::ExtendDeadlines(Duration stalled) {
   for (auto& [id, member] : this->members) {
     member.last_contact += stalled;
+    member.last_reply += stalled;
   }
   for (auto& [number, open] : this->calls) {
     open.deadline += stalled;
   }
 }
 
+// A relay that answers nothing any more has failed. One that answers some calls
+// is slow: passing it over would move its VMs and calls to the others, which
+// are as busy, so that they become late as well.
 void RelayPool::FailOverdueRelays(Time now) {
-  std::set<InstanceId> late;
-  for (const auto& [number, open] : this->calls) {
-    if (open.relay && now >= open.deadline) {
-      late.insert(*open.relay);
-    }
-  }
-  for (const InstanceId& relay : late) {
-    this->FailRelay(relay, "late", now);
+  if (now >= this->next_overdue_check) {
+    this->next_overdue_check = now + kOverdueCheckInterval;
+    this->GiveUpOverdueCalls(now);
   }
   const std::vector<InstanceId> active_relays(this->active.begin(),
                                               this->active.end());
@@ -356,6 +356,38 @@
   }
 }
 
+void RelayPool::GiveUpOverdueCalls(Time now) {
+  std::set<InstanceId> late;
+  std::vector<std::uint64_t> given_up;
+  for (const auto& [number, open] : this->calls) {
+    if (!open.relay || now < open.deadline) {
+      continue;
+    }
+    if (now - this->members.at(*open.relay).last_reply >= kRelayTimeout) {
+      late.insert(*open.relay);
+    } else if (now >= open.deadline + kSlowRelayTime) {
+      given_up.push_back(number);
+    }
+  }
+  for (const InstanceId& relay : late) {
+    this->FailRelay(relay, "late", now);
+  }
+  for (const std::uint64_t number : given_up) {
+    if (this->calls.contains(number)) {
+      this->GiveUp(number, now);
+    }
+  }
+}
+
+// The start may still be executed; the VM's next report shows whether it was.
+void RelayPool::GiveUp(std::uint64_t number, Time now) {
+  if (IsStart(this->calls.at(number).order)) {
+    this->Complete(number, StartReply{jobs::StartAnswer::kRelayLost, 0});
+  } else {
+    this->Resend(number, now);
+  }
+}
+
 void RelayPool::Tick(Time now) {
   if (this->last_tick != Time() && now - this->last_tick > kStallThreshold) {
     this->ExtendDeadlines(now - this->last_tick - kStallThreshold);
--- a/src/relay/relay_pool.h
+++ b/src/relay/relay_pool.h
@@ -92,7 +92,8 @@
  *
  * Each VM's calls go through one process at a time. The failure of a relay
  * loses no order: orders that may be repeated are resent, and a start is
- * reported as kRelayLost, with its outcome unknown. If a relay refuses a batch
+ * reported as kRelayLost, with its outcome unknown. So are single orders that a
+ * relay leaves unanswered while it answers others. If a relay refuses a batch
  * as stale, a start is reported as kNotCarried and other orders are resent. */
 class RelayPool {
  public:
@@ -129,6 +130,7 @@
     std::string address;
     std::int64_t clock_ms = 0;
     Time last_contact;
+    Time last_reply;  // to a call
     Time last_batch;  // sent to it
     bool connected = false;
     bool leaving = false;
@@ -140,7 +142,7 @@
     Order order;
     std::optional<InstanceId> relay;  // none: this process
     Time submitted_at;
-    Time deadline;  // its relay fails without a reply by then
+    Time deadline;  // its relay is late without a reply by then
   };
 
   [[nodiscard]] std::size_t RequiredRelays() const;
@@ -154,6 +156,8 @@
   void Deactivate(const InstanceId& relay, std::string_view reason, Time now);
   void FailRelay(const InstanceId& relay, std::string_view reason, Time now);
   void FailOverdueRelays(Time now);
+  void GiveUpOverdueCalls(Time now);
+  void GiveUp(std::uint64_t number, Time now);
   void ExtendDeadlines(Duration stalled);
   void Resend(std::uint64_t number, Time now);
   void Complete(std::uint64_t number, Reply reply);
@@ -169,6 +173,7 @@
   std::deque<std::pair<Order, Time>> queued;  // until there is a relay
   std::map<InstanceId, std::vector<Call>> batches;
   Time last_tick;
+  Time next_overdue_check;
   std::vector<Effect> effects;
 };
 
--- a/test/relay/relay_pool_test.cc
+++ b/test/relay/relay_pool_test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <deque>
 #include <map>
 #include <random>
 #include <set>
@@ -105,6 +106,68 @@
 
 BOOST_AUTO_TEST_SUITE(RelayPoolTest)
 
+// Guards against the cascade of a fleet that is left to a few small machines: a
+// relay that is only slow was passed over, and its calls and VMs made the
+// others slow as well.
+BOOST_AUTO_TEST_CASE(SlowRelayThatAnswersKeepsItsVms) {
+  Fixture fixture(3, 90);
+  std::size_t submitted = 0;
+  const auto submit = [&] {
+    for (std::size_t vm = 0; vm < 90; vm += 9) {
+      fixture.pool.Submit(StartOf(vm, static_cast<std::int64_t>(submitted)),
+                          fixture.now);
+      ++submitted;
+    }
+  };
+  // Every call is answered, after a time that grows up to 1.6 s.
+  constexpr std::int64_t step_ms = 100;
+  constexpr int max_steps_late = 16;
+  std::deque<std::map<InstanceId, std::vector<Call>>> open;
+  for (int i = 0; i < 80; ++i) {
+    submit();
+    fixture.Run(step_ms);
+    open.push_back(std::exchange(fixture.sent, {}));
+    const int steps_late = std::min(i / 2, max_steps_late);
+    while (open.size() > static_cast<std::size_t>(steps_late)) {
+      for (auto& [relay, calls] : open.front()) {
+        fixture.sent[relay] = std::move(calls);
+        fixture.AnswerAll(relay);
+      }
+      open.pop_front();
+    }
+  }
+  BOOST_TEST(fixture.pool.relay_count() == 3);
+  BOOST_TEST(fixture.delivered.size() > 0);
+  for (const DeliverReply& reply : fixture.delivered) {
+    BOOST_TEST((std::get<StartReply>(reply.reply).answer !=
+                jobs::StartAnswer::kRelayLost));
+  }
+  // One that answers nothing more is passed over although it reports.
+  fixture.Run(4000);
+  BOOST_TEST(fixture.delivered.size() == submitted);
+}
+
+// Guards against a call that waits for ever for a reply that was lost on the
+// way from a relay that answers others.
+BOOST_AUTO_TEST_CASE(LostReplyOfABusyRelayIsGivenUp) {
+  Fixture fixture(3, 90);
+  fixture.pool.Submit(StartOf(0), fixture.now);
+  fixture.ApplyEffects();
+  const InstanceId relay = fixture.sent.begin()->first;
+  fixture.sent.clear();
+  for (int i = 0; i < 30; ++i) {
+    fixture.pool.Submit(StartOf(0, 2 + i), fixture.now);
+    fixture.Run(100);
+    fixture.AnswerAll(relay);
+  }
+  BOOST_TEST(fixture.pool.open_call_count() == 0);
+  BOOST_TEST(
+      (std::ranges::count_if(fixture.delivered, [](const DeliverReply& reply) {
+         return std::get<StartReply>(reply.reply).answer ==
+                jobs::StartAnswer::kRelayLost;
+       }) == 1));
+}
+
 // Guards against a single process that makes all calls of a large fleet, which
 // takes more processor time than the smallest machine has.
 BOOST_AUTO_TEST_CASE(LargeFleetIsSharedAmongRelays) {
