--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -176,7 +176,8 @@
 // it. Changes can wait while the store is away.
 void Ownership::StoreSelf(Time now) {
   if (this->state != State::kOwner || this->new_self || !this->next_self ||
-      now < *this->next_self) {
+      now < *this->next_self ||
+      (this->stored_self && this->renewals_fail)) {
     return;
   }
   LastOwner self{.owner = this->record,
@@ -188,7 +189,8 @@
            (self.predecessor_orders > Duration::zero()) ==
                (stored.predecessor_orders > Duration::zero());
   };
-  if (this->stored_self && (this->renewals_fail || same(*this->stored_self))) {
+  if (this->stored_self && same(*this->stored_self)) {
+    this->next_self = now + kListingInterval;
     return;
   }
   this->follower_leases.OnListing(self.followers);
