--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -598,6 +598,11 @@
   std::visit(DeliverVisitor{*this->driver.scheduler, effect}, effect.order);
 }
 
+void RelayEffectVisitor::operator()(
+    const relay::DeliverLateReport& effect) const {
+  this->driver.scheduler->OnLateReport(effect.vm, effect.report, Now());
+}
+
 void RelayEffectVisitor::operator()(const relay::Superseded& effect) const {
   net::LogEvent("left_by_relay", {{"relay", effect.reported_by.str()},
                                   {"fence", std::to_string(this->fence)}});
--- a/src/app/fleet/effects.h
+++ b/src/app/fleet/effects.h
@@ -70,6 +70,7 @@
   void operator()(relay::Forward& effect) const;
   void operator()(relay::DirectCall& effect) const;
   void operator()(relay::DeliverReply& effect) const;
+  void operator()(const relay::DeliverLateReport& effect) const;
   void operator()(const relay::Superseded& effect) const;
   void operator()(const relay::LogEvent& effect) const;
 };
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -94,6 +94,9 @@
   // Replies to effects.
   /*! @brief A VM answered a poll; `sent` is when the poll was submitted. */
   void OnReport(const VmId& vm, const VmReport& report, Time sent, Time now);
+  /*! @brief A VM answered a poll that was taken for lost. Only the ends count:
+   * what the report says of runs at work may be outdated. */
+  void OnLateReport(const VmId& vm, const VmReport& report, Time now);
   /*! @brief A poll was refused for its fence (`fenced`), reached another VM at
    * the address (`other_vm`), or had no usable answer. */
   void OnPollFailed(const VmId& vm, bool fenced, bool other_vm, Time now);
@@ -288,6 +291,7 @@
   void LogOutlivedLease(const Vm& vm, const VmReport& report);
   void ReconcileRuns(Vm& vm, Time sent, Time now);
   void HandleRunning(Vm& vm, const RunningRow& row, Time now);
+  void HandleEnds(Vm& vm, const VmReport& report, Time now);
   void HandleEnd(Vm& vm, const EndedRow& row, Time now);
   void LogLostRunDone(const Vm& vm,
                       const EndedRow& row,
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -62,14 +62,7 @@
   vm->reported = true;
   ++vm->report_count;
   this->LogOutlivedLease(*vm, report);
-  vm->expired_in_report =
-      std::ranges::count(report.ended, RunEnd::kExpired, &EndedRow::how);
-  for (const EndedRow& row : report.ended) {
-    if (row.number > std::max(vm->recorded_end, vm->handled_end)) {
-      this->HandleEnd(*vm, row, now);
-      vm->handled_end = row.number;
-    }
-  }
+  this->HandleEnds(*vm, report, now);
   for (const RunningRow& row : report.running) {
     this->HandleRunning(*vm, row, now);
   }
@@ -79,6 +72,32 @@
   this->Acknowledge(*vm, now);
 }
 
+void Scheduler::OnLateReport(const VmId& id, const VmReport& report, Time now) {
+  Vm* vm = this->FindVm(id);
+  if (vm == nullptr || !vm->reported || report.boot_ms != vm->facts.boot_ms) {
+    return;
+  }
+  const std::int64_t handled = vm->handled_end;
+  this->HandleEnds(*vm, report, now);
+  if (vm->handled_end > handled) {
+    this->EmitLogEvent("late_report",
+                       {{"vm", id.str()},
+                        {"ends", std::to_string(vm->handled_end - handled)}});
+    this->Acknowledge(*vm, now);
+  }
+}
+
+void Scheduler::HandleEnds(Vm& vm, const VmReport& report, Time now) {
+  vm.expired_in_report =
+      std::ranges::count(report.ended, RunEnd::kExpired, &EndedRow::how);
+  for (const EndedRow& row : report.ended) {
+    if (row.number > std::max(vm.recorded_end, vm.handled_end)) {
+      this->HandleEnd(vm, row, now);
+      vm.handled_end = row.number;
+    }
+  }
+}
+
 // Runs at work after the latest lease sent show that it does not bound them.
 void Scheduler::LogOutlivedLease(const Vm& vm, const VmReport& report) {
   const std::int64_t past_ms = vm.clock_ms - vm.lease_until_ms;
--- a/src/relay/relay_pool.cc
+++ b/src/relay/relay_pool.cc
@@ -15,6 +15,8 @@
 // this much later. The lease of a VM outlasts both times and the wait of a
 // poll.
 constexpr auto kSlowRelayTime = std::chrono::milliseconds(1100);
+// A relay answers a poll within this time or never.
+constexpr auto kLateReportTime = std::chrono::seconds(10);
 // Interval of the search for overdue calls, which looks at all open ones.
 constexpr auto kOverdueCheckInterval = std::chrono::milliseconds(50);
 // Time before a failed relay may be activated again.
@@ -107,6 +109,7 @@
   this->RegisterMember(report, now);
   for (const CallReply& answer : report.replies) {
     if (!this->members.at(report.instance).calls.contains(answer.number)) {
+      this->HandleLateReply(answer);
       continue;
     }
     this->members.at(report.instance).last_reply = now;
@@ -127,6 +130,21 @@
   }
 }
 
+// A VM lists an end until it is acknowledged, but does not wait for that: a run
+// that it has listed as done must not start again.
+void RelayPool::HandleLateReply(CallReply answer) {
+  const auto found = this->resent_polls.find(answer.number);
+  if (found == this->resent_polls.end()) {
+    return;
+  }
+  if (auto* poll = std::get_if<PollReply>(&answer.reply);
+      poll != nullptr && poll->outcome == PollOutcome::kReport) {
+    this->effects.emplace_back(
+        DeliverLateReport{found->second.vm, std::move(poll->report)});
+  }
+  this->resent_polls.erase(found);
+}
+
 void RelayPool::SendBatch(const InstanceId& to, OrderBatch batch, Time now) {
   Member& member = this->members.at(to);
   member.last_batch = now;
@@ -308,6 +326,7 @@
     this->members.at(*open.relay).calls.erase(number);
   }
   if (auto* look = std::get_if<jobs::PollVm>(&open.order)) {
+    this->resent_polls.emplace(number, ResentPoll{look->to.vm, now});
     // Its lease renewal is old, so the next poll must follow soon. The VM may
     // have restarted since the acknowledgement was decided.
     look->wait_ms = 0;
@@ -336,6 +355,9 @@
   if (now >= this->next_overdue_check) {
     this->next_overdue_check = now + kOverdueCheckInterval;
     this->GiveUpOverdueCalls(now);
+    std::erase_if(this->resent_polls, [now](const auto& row) {
+      return now - row.second.resent_at >= kLateReportTime;
+    });
   }
   const std::vector<InstanceId> active_relays(this->active.begin(),
                                               this->active.end());
--- a/src/relay/relay_pool.h
+++ b/src/relay/relay_pool.h
@@ -70,6 +70,12 @@
   Reply reply;
   Time submitted_at;
 };
+/*! @brief A poll that was sent again has been answered after all. The report is
+ * older than what is known of the VM. */
+struct DeliverLateReport {
+  VmId vm;
+  jobs::VmReport report;
+};
 /*! @brief A process reported that it follows a later owner. */
 struct Superseded {
   InstanceId reported_by;
@@ -85,6 +91,7 @@
                             Forward,
                             DirectCall,
                             DeliverReply,
+                            DeliverLateReport,
                             Superseded,
                             LogEvent>;
 
@@ -155,6 +162,7 @@
   void Send(std::uint64_t number, OpenCall open, Time now);
   void Deactivate(const InstanceId& relay, std::string_view reason, Time now);
   void FailRelay(const InstanceId& relay, std::string_view reason, Time now);
+  void HandleLateReply(CallReply answer);
   void FailOverdueRelays(Time now);
   void GiveUpOverdueCalls(Time now);
   void GiveUp(std::uint64_t number, Time now);
@@ -170,7 +178,12 @@
   std::unordered_map<VmId, InstanceId> relay_by_vm;
   std::uint64_t last_call_number = 0;
   std::unordered_map<std::uint64_t, OpenCall> calls;
-  std::deque<std::pair<Order, Time>> queued;  // until there is a relay
+  struct ResentPoll {
+    VmId vm;
+    Time resent_at;
+  };
+  std::map<std::uint64_t, ResentPoll> resent_polls;  // by their first numbers
+  std::deque<std::pair<Order, Time>> queued;         // until there is a relay
   std::map<InstanceId, std::vector<Call>> batches;
   Time last_tick;
   Time next_overdue_check;
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -106,6 +106,34 @@
   BOOST_TEST(Violations(sim) == "");
 }
 
+// Guards against tasks that run again although their VM has listed their ends:
+// the poll that listed them was taken for lost, and its answer ignored.
+BOOST_AUTO_TEST_CASE(EndsInALateReportCount) {
+  FleetSim sim;
+  WithVms(sim, 2);
+  sim.Submit(SimpleJob("a", "q", 1, 1000, 600));
+  sim.Run(300);
+  const std::string used = sim.vms.at("vm0")->runs.empty() ? "vm1" : "vm0";
+  FakeVm& vm = *sim.vms.at(used);
+  vm.unresponsive = true;
+  sim.Run(1500);
+  BOOST_REQUIRE(vm.ended.size() == 1);
+  VmReport report = sim.ReportOf(vm);
+  // That of another incarnation says nothing.
+  ++report.boot_ms;
+  sim.scheduler->OnLateReport(VmId(used), report, sim.now);
+  BOOST_TEST(NameOf(sim.StateOf("a")) == "running");
+  --report.boot_ms;
+  sim.scheduler->OnLateReport(VmId(used), report, sim.now);
+  BOOST_TEST(sim.Completes("a", 500));
+  sim.Run(8000);
+  vm.unresponsive = false;
+  sim.Run(1000);
+  BOOST_TEST(vm.ended.empty());
+  BOOST_TEST(sim.starts() == 1);
+  BOOST_TEST(Violations(sim) == "");
+}
+
 // Ends cannot be recorded while the store is unavailable. VMs with unrecorded
 // ends must still be polled, or everything on them ends with its lease.
 BOOST_AUTO_TEST_CASE(LeasesAreRenewedWhileTheStoreIsDown) {
--- a/test/relay/relay_pool_test.cc
+++ b/test/relay/relay_pool_test.cc
@@ -37,6 +37,7 @@
   std::map<InstanceId, std::string> alive;       // with incarnation
   std::vector<Call> direct_calls;
   std::vector<DeliverReply> delivered;
+  std::vector<DeliverLateReport> late_reports;
   int connects = 0;
   bool superseded = false;
 
@@ -78,6 +79,8 @@
         this->direct_calls.push_back(std::move(call->call));
       } else if (auto* reply = std::get_if<DeliverReply>(&effect)) {
         this->delivered.push_back(std::move(*reply));
+      } else if (auto* report = std::get_if<DeliverLateReport>(&effect)) {
+        this->late_reports.push_back(std::move(*report));
       } else if (std::holds_alternative<Superseded>(effect)) {
         this->superseded = true;
       } else {
@@ -168,6 +171,34 @@
        }) == 1));
 }
 
+// Guards against tasks that run again because the report that lists their ends
+// came through a relay that had been passed over.
+BOOST_AUTO_TEST_CASE(ReportOfALostRelayIsDelivered) {
+  Fixture fixture(40);
+  fixture.pool.Submit(PollOf(1), fixture.now);
+  fixture.ApplyEffects();
+  const InstanceId lost = fixture.Busiest();
+  const std::uint64_t number = fixture.sent[lost][0].number;
+  fixture.alive.erase(lost);
+  fixture.Run(1500);
+  fixture.alive[lost] = "1";
+  const auto answer = [&] {
+    Report report = fixture.ReportOf(lost);
+    PollReply reply{.outcome = PollOutcome::kReport, .report = {}};
+    reply.report.clock_ms = 42;
+    report.replies.push_back({number, reply});
+    fixture.pool.OnReport(report, fixture.now);
+    fixture.ApplyEffects();
+  };
+  answer();
+  BOOST_TEST(fixture.delivered.empty());
+  BOOST_REQUIRE(fixture.late_reports.size() == 1);
+  BOOST_TEST((fixture.late_reports[0].vm == VmAt(1).vm));
+  BOOST_TEST(fixture.late_reports[0].report.clock_ms == 42);
+  answer();
+  BOOST_TEST(fixture.late_reports.size() == 1);
+}
+
 // Guards against a single process that makes all calls of a large fleet, which
 // takes more processor time than the smallest machine has.
 BOOST_AUTO_TEST_CASE(LargeFleetIsSharedAmongRelays) {
