--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -18,9 +18,10 @@
 
 // Interval of timeouts and looks; half of the shortest of them.
 constexpr auto kTickInterval = std::chrono::milliseconds(50);
-// Interval of decisions on machines, which look at all of them: at least, and
-// in lengths of such a pass.
+// Interval of decisions on machines, which look at all of them: at least, for
+// each machine, and in lengths of such a pass.
 constexpr auto kMachineInterval = std::chrono::milliseconds(25);
+constexpr auto kIntervalPerMachine = std::chrono::microseconds(250);
 constexpr int kMachinePause = 10;
 // Without the fleet only ownership has to be watched.
 constexpr auto kIdleTickInterval = std::chrono::milliseconds(100);
@@ -35,16 +36,21 @@
 // The platform sends no new connections after two missed checks of one second.
 constexpr auto kBalancerTime = std::chrono::milliseconds(2600);
 
+// Without what takes a look at the runs or at the VM's pool.
+upkeep::VmLoad QuickLoadOf(const jobs::Vm& vm, bool runs_known) {
+  return {.runs = vm.runs.size() + vm.orphans.size(),
+          .responsive = !vm.unresponsive,
+          .runs_known = runs_known};
+}
+
 upkeep::VmLoad LoadOf(const jobs::Vm& vm,
                       bool runs_known,
                       double pool_use_without) {
-  return {.runs = vm.runs.size() + vm.orphans.size(),
-          .long_running = static_cast<std::size_t>(std::ranges::count_if(
-              vm.runs,
-              [](const jobs::Task* task) { return task->spec().endless; })),
-          .responsive = !vm.unresponsive,
-          .runs_known = runs_known,
-          .pool_utilization_without = pool_use_without};
+  upkeep::VmLoad load = QuickLoadOf(vm, runs_known);
+  load.long_running = static_cast<std::size_t>(std::ranges::count_if(
+      vm.runs, [](const jobs::Task* task) { return task->spec().endless; }));
+  load.pool_utilization_without = pool_use_without;
+  return load;
 }
 
 }  // namespace
@@ -175,8 +181,10 @@
     if (now >= this->next_machines) {
       this->TickMachines(now);
       this->next_machines =
-          now +
-          std::max<Duration>(kMachineInterval, kMachinePause * (Now() - now));
+          now + std::max<Duration>({kMachineInterval,
+                                    kIntervalPerMachine *
+                                        std::ssize(this->planner->machines()),
+                                    kMachinePause * (Now() - now)});
     }
     this->gate->Tick(now);
     this->Perform(this->gate->TakeEffects());
@@ -237,9 +245,20 @@
     }
     std::set<jobs::MachineId> busy = this->planner->claimed();
     busy.merge(this->gate->BlockedMachines(now));
+    // The mover looks at every machine, but only for those without runs.
+    const auto quick_load_of =
+        [&](const VmId& id) -> std::optional<upkeep::VmLoad> {
+      const auto& vms = this->scheduler->vms();
+      const auto found = vms.find(id);
+      return found == vms.end()
+                 ? std::nullopt
+                 : std::optional(QuickLoadOf(
+                       *found->second,
+                       this->scheduler->RunsKnown(*found->second, now)));
+    };
     this->mover->Tick(this->planner->machines(), this->planner->list_read_at(),
                       busy, this->zones_out,
-                      this->forecast->Observe(pools, now), load_of, now);
+                      this->forecast->Observe(pools, now), quick_load_of, now);
     if (!this->mover->moving().empty()) {
       this->planner->RequestEarlyRead(now);
     }
--- a/src/upkeep/mover.cc
+++ b/src/upkeep/mover.cc
@@ -47,6 +47,8 @@
 }
 
 void Mover::FinishMoves(const MachineList& machines, Time now) {
+  std::erase_if(this->cooldown_until,
+                [now](const auto& row) { return now >= row.second; });
   for (auto row = this->moves.begin(); row != this->moves.end();) {
     const Move& move = row->second;
     const auto machine = machines.find(row->first);
@@ -94,20 +96,23 @@
     Time now) const {
   std::vector<const Machine*> idle;
   for (const auto& [id, machine] : machines) {
-    const auto cooldown_end = this->cooldown_until.find(id);
     const auto pool = pools.find(machine.pool);
-    if (machine.state != MachineState::kUp || busy.contains(id) ||
-        this->moves.contains(id) || pool == pools.end() ||
-        (cooldown_end != this->cooldown_until.end() &&
-         now < cooldown_end->second)) {
+    if (machine.state != MachineState::kUp || pool == pools.end()) {
       continue;
     }
+    // Most machines of a busy fleet have runs.
     if (!pool->second.standby) {
       const auto load = load_of(machine.vm);
       if (!load || !load->responsive || !load->runs_known || load->runs > 0) {
         continue;
       }
     }
+    const auto cooldown_end = this->cooldown_until.find(id);
+    if (busy.contains(id) || this->moves.contains(id) ||
+        (cooldown_end != this->cooldown_until.end() &&
+         now < cooldown_end->second)) {
+      continue;
+    }
     idle.push_back(&machine);
   }
   return idle;
