--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -129,8 +129,8 @@
   NumberRanges finished;            // occurrences
   std::int64_t first_unopened = 0;  // the ones below are open or finished
   bool inherited = false;           // accepted before this scheduler took over
-  // A task was placed, a predecessor stored progress, or the job ended before
-  // either (unless it is scheduled).
+  // A VM has begun a task, a predecessor stored progress, or the job ended
+  // before either (unless it is scheduled).
   bool has_started = false;
   Time arrived;
 
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -601,7 +601,6 @@
   this->in_use[task.job->spec.team] += task.spec().need;
   Step& step = this->StepOf(task);
   --step.waiting;
-  this->MarkStarted(*task.job);
   this->UpdateReady(*task.job, task.job->open.at(task.occurrence), task.step);
 }
 
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -142,8 +142,8 @@
 
   // Views.
   [[nodiscard]] std::optional<JobView> View(const JobId& job) const;
-  /*! @brief Accepted jobs of a queue of which no task has been placed;
-   * scheduled jobs do not count. */
+  /*! @brief Accepted jobs of a queue of which no VM is known to have begun a
+   * task; scheduled jobs do not count. */
   [[nodiscard]] std::int64_t Pending(const QueueId& queue) const;
   [[nodiscard]] const std::map<VmId, std::unique_ptr<Vm>>& vms() const {
     return this->fleet;
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -139,6 +139,7 @@
                                        {"run", std::to_string(row.run)},
                                        {"vm", vm.facts.id.str()}});
   }
+  this->MarkStarted(*task->job);
   if (task->phase == TaskPhase::kStarting) {
     if (task->answered_at != Time()) {
       this->EmitLogEvent(
@@ -228,6 +229,7 @@
     return;
   }
   Job& job = *task->job;
+  this->MarkStarted(job);
   const bool current = task->run == row.run && vm.runs.contains(task);
   if (!current && task->phase == TaskPhase::kWaiting) {
     task->run = std::max(task->run, row.run);
@@ -548,6 +550,7 @@
   switch (answer) {
     case StartAnswer::kAccepted:
       if (current) {
+        this->MarkStarted(*task->job);
         task->phase = TaskPhase::kRunning;
         task->answered_at = now;
       }
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -106,6 +106,30 @@
   BOOST_TEST(Violations(sim) == "");
 }
 
+// Guards against jobs that are told to have begun because their starts are
+// ordered, while no VM has carried one out (MIXED).
+BOOST_AUTO_TEST_CASE(JobsWaitUntilAVmHasBegunATask) {
+  FleetSim sim;
+  WithVms(sim, 1);
+  FakeVm& vm = *sim.vms.at("vm0");
+  const QueueId queue("q");
+  sim.Run(200);
+  vm.unresponsive = true;
+  sim.Submit(SimpleJob("a", "q", 2, 1000, 2000));
+  sim.Run(300);
+  BOOST_TEST(sim.scheduler->counters().starts == 2);
+  BOOST_TEST(sim.scheduler->Pending(queue) == 1);
+  BOOST_TEST(NameOf(sim.StateOf("a")) == "queued");
+  vm.unresponsive = false;
+  BOOST_TEST(sim.RunUntil([&] { return sim.starts() == 2; }, 10'000));
+  sim.Run(300);
+  BOOST_TEST(sim.scheduler->Pending(queue) == 0);
+  BOOST_TEST(NameOf(sim.StateOf("a")) == "running");
+  BOOST_TEST(sim.Completes("a", 10'000));
+  BOOST_TEST(sim.scheduler->Pending(queue) == 0);
+  BOOST_TEST(Violations(sim) == "");
+}
+
 // Guards against tasks that run again although their VM has listed their ends:
 // the poll that listed them was taken for lost, and its answer ignored.
 BOOST_AUTO_TEST_CASE(EndsInALateReportCount) {
