--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -166,7 +166,7 @@
   if (this->scheduler != nullptr && !this->takeover &&
       this->ownership.MayOrder(now)) {
     const std::int64_t wall_ms = WallMs();
-    this->scheduler->Plan(now, wall_ms);
+    this->scheduler->Plan(now, wall_ms, this->roster->StartRoom());
     this->scheduler->Tick(now, wall_ms);
     this->Perform(this->scheduler->TakeEffects());
     this->ReportLoad(now);
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -132,9 +132,12 @@
   /*! @brief A request for advice was refused or not answered. */
   void OnAdviceFailed(Time now);
 
-  /*! @brief Places what can start; `wall_ms` is the Unix time. No effect during
-   * recovery or once superseded. */
-  void Plan(Time now, std::int64_t wall_ms);
+  /*! @brief Places what can start, at most `max_starts` tasks or one gang more;
+   * `wall_ms` is the Unix time. No effect during recovery or once superseded.
+   */
+  void Plan(Time now,
+            std::int64_t wall_ms,
+            std::optional<std::size_t> max_starts = std::nullopt);
   /*! @brief Performs polls, timeouts, retries and writes that are due. */
   void Tick(Time now, std::int64_t wall_ms);
   /*! @brief Removes and returns the effects decided so far. */
@@ -317,7 +320,7 @@
   void EstimateUnreportedUse(Time now);
   void LogWaitingEndless(Time now);
   bool MayRunInherited(const Pool& pool, Time now) const;
-  void PlanPool(Pool& pool, Time now);
+  void PlanPool(Pool& pool, std::uint64_t max_starts, Time now);
   std::vector<Candidate> VmsWithRoom(const Pool& pool,
                                      const Resources& smallest_need,
                                      Time now) const;
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -98,7 +98,9 @@
              pool.vms, [](const auto& row) { return !row.second->reported; });
 }
 
-void Scheduler::Plan(Time now, std::int64_t wall_ms) {
+void Scheduler::Plan(Time now,
+                     std::int64_t wall_ms,
+                     std::optional<std::size_t> max_starts) {
   if (this->in_recovery || this->superseded) {
     return;
   }
@@ -106,11 +108,24 @@
   this->OpenAllDue(wall_ms);
   this->LogWaitingEndless(now);
   this->advice_request.reset();
+  std::vector<Pool*> planned;
   for (auto& [id, pool] : this->pools) {
     if (!pool.ready.empty() && !pool.vms.empty()) {
-      this->PlanPool(pool, now);
+      planned.push_back(&pool);
     }
   }
+  // Each pool gets an equal share of what those before it have left.
+  std::uint64_t left =
+      max_starts.value_or(planned.size() * this->limits.max_starts_per_pass);
+  for (std::size_t i = 0; i < planned.size() && left > 0; ++i) {
+    const std::uint64_t pools = planned.size() - i;
+    const std::uint64_t before = this->counter_values.starts;
+    this->PlanPool(
+        *planned[i],
+        std::min(this->limits.max_starts_per_pass, (left + pools - 1) / pools),
+        now);
+    left -= std::min(left, this->counter_values.starts - before);
+  }
   this->SendAdviceRequest();
 }
 
@@ -217,7 +232,7 @@
   return rows;
 }
 
-void Scheduler::PlanPool(Pool& pool, Time now) {
+void Scheduler::PlanPool(Pool& pool, std::uint64_t max_starts, Time now) {
   CandidateSet room;
   room.smallest_need = pool.ready.begin()->spec().Occupies();
   for (const StepRef& step_ref : pool.ready) {
@@ -252,8 +267,7 @@
     return right.step_ref.job->spec.id < left.step_ref.job->spec.id;
   };
   std::ranges::make_heap(order, later);
-  const std::uint64_t last_start =
-      this->counter_values.starts + this->limits.max_starts_per_pass;
+  const std::uint64_t last_start = this->counter_values.starts + max_starts;
   // The need of a task for which no VM had room; larger tasks are skipped.
   std::optional<Resources> too_large;
   while (!order.empty() && !room.vms.empty() &&
--- a/src/relay/relay_pool.cc
+++ b/src/relay/relay_pool.cc
@@ -178,6 +178,7 @@
   const auto found = this->calls.find(number);
   OpenCall open = std::move(found->second);
   this->calls.erase(found);
+  this->open_starts -= IsStart(open.order) ? 1 : 0;
   if (open.relay) {
     if (const auto member = this->members.find(*open.relay);
         member != this->members.end()) {
@@ -248,7 +249,17 @@
   return relay;
 }
 
+std::optional<std::size_t> RelayPool::StartRoom() const {
+  if (this->RequiredRelays() == 0) {
+    return std::nullopt;
+  }
+  const std::size_t most =
+      kMaxOpenStartsPerRelay * std::max<std::size_t>(1, this->active.size());
+  return most - std::min(most, this->open_starts);
+}
+
 void RelayPool::Submit(Order order, Time now) {
+  this->open_starts += IsStart(order) ? 1 : 0;
   if (this->RequiredRelays() > 0) {
     this->ActivateRelays(now);
     if (this->active.empty() && now < this->join_until) {
--- a/src/relay/relay_pool.h
+++ b/src/relay/relay_pool.h
@@ -19,6 +19,9 @@
 inline constexpr std::size_t kMaxDirectVms = 64;
 /*! @brief Number of VMs that one relay serves in a larger fleet. */
 inline constexpr std::size_t kVmsPerRelay = 32;
+/*! @brief Starts that one relay may have open. A relay that is slow answers
+ * them late, so fewer are ordered, and polls do not wait behind them. */
+inline constexpr std::size_t kMaxOpenStartsPerRelay = 64;
 /*! @brief A relay with open calls that has not reported for this long has
  * failed. */
 inline constexpr Duration kRelayTimeout = std::chrono::milliseconds(900);
@@ -126,6 +129,9 @@
   /*! @brief Returns the effects gathered so far and empties the list. */
   [[nodiscard]] std::vector<Effect> TakeEffects();
 
+  /*! @brief Number of starts that may be submitted now; unset: any number, as
+   * without relays. */
+  [[nodiscard]] std::optional<std::size_t> StartRoom() const;
   [[nodiscard]] std::size_t relay_count() const { return this->active.size(); }
   [[nodiscard]] std::size_t open_call_count() const {
     return this->calls.size();
@@ -178,6 +184,7 @@
   std::unordered_map<VmId, InstanceId> relay_by_vm;
   std::uint64_t last_call_number = 0;
   std::unordered_map<std::uint64_t, OpenCall> calls;
+  std::size_t open_starts = 0;  // of `calls` and `queued`
   struct ResentPoll {
     VmId vm;
     Time resent_at;
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -106,6 +106,38 @@
   BOOST_TEST(Violations(sim) == "");
 }
 
+// Guards against pools that start nothing while another one uses up the starts
+// that the relays can make.
+BOOST_AUTO_TEST_CASE(BoundedStartsAreSharedByThePools) {
+  FleetSim sim;
+  sim.AddVm("vm0", "p", kVmSize);
+  sim.AddVm("vm1", "p2", kVmSize);
+  sim.config.queues[QueueId("q2")] = sim.config.queues.at(QueueId("q"));
+  sim.config.queues[QueueId("q2")].id = QueueId("q2");
+  sim.config.queues[QueueId("q2")].pool = PoolId("p2");
+  ++sim.config.version;
+  sim.scheduler->SetConfig(sim.config, sim.now);
+  sim.Run(200);
+  const auto add = [&sim](const std::string& id, const std::string& queue) {
+    sim.scheduler->AddJob(SimpleJob(id, queue, 6, 1000, 500), "", 0, false,
+                          sim.now, sim.now);
+  };
+  add("a", "q");
+  add("b", "q2");
+  std::map<std::string, int> starts;
+  sim.scheduler->Plan(sim.now, sim.WallMs(), 4);
+  for (const Effect& effect : sim.scheduler->TakeEffects()) {
+    if (const auto* start = std::get_if<StartRun>(&effect)) {
+      ++starts[start->to.vm.str()];
+    }
+  }
+  BOOST_TEST((starts == std::map<std::string, int>{{"vm0", 2}, {"vm1", 2}}));
+  sim.scheduler->Plan(sim.now, sim.WallMs(), 0);
+  for (const Effect& effect : sim.scheduler->TakeEffects()) {
+    BOOST_TEST(!std::holds_alternative<StartRun>(effect));
+  }
+}
+
 // Guards against jobs that are told to have begun because their starts are
 // ordered, while no VM has carried one out (MIXED).
 BOOST_AUTO_TEST_CASE(JobsWaitUntilAVmHasBegunATask) {
--- a/test/relay/relay_pool_test.cc
+++ b/test/relay/relay_pool_test.cc
@@ -171,6 +171,31 @@
        }) == 1));
 }
 
+// Guards against polls, and with them leases, that wait behind more starts than
+// a few slow relays can make.
+BOOST_AUTO_TEST_CASE(OpenStartsAreBoundedByTheRelays) {
+  Fixture fixture(3, 90);
+  fixture.pool.Submit(PollOf(0), fixture.now);
+  fixture.Run(100);
+  BOOST_REQUIRE(fixture.pool.relay_count() == 3);
+  const std::size_t room = 3 * kMaxOpenStartsPerRelay;
+  BOOST_TEST(fixture.pool.StartRoom().value() == room);
+  for (std::size_t i = 0; i < room + 5; ++i) {
+    fixture.pool.Submit(StartOf(i % 90), fixture.now);
+  }
+  fixture.ApplyEffects();
+  BOOST_TEST(fixture.pool.StartRoom().value() == 0);
+  fixture.Run(100);
+  std::size_t answered = 0;
+  for (const auto& [id, incarnation] : fixture.alive) {
+    answered += fixture.sent[id].size();
+    fixture.AnswerAll(id);
+  }
+  BOOST_TEST(answered == room + 5 + 1);
+  BOOST_TEST(fixture.pool.StartRoom().value() == room);
+  BOOST_TEST(!Fixture(3, 10).pool.StartRoom().has_value());
+}
+
 // Guards against tasks that run again because the report that lists their ends
 // came through a relay that had been passed over.
 BOOST_AUTO_TEST_CASE(ReportOfALostRelayIsDelivered) {
