--- a/src/app/fleet/gauges.cc
+++ b/src/app/fleet/gauges.cc
@@ -97,6 +97,12 @@
                 {{"team", id.str()}, {"amount", "limit"}});
   }
   PublishVms(metrics, *this->scheduler);
+  metrics.Set("relays", static_cast<double>(this->roster->relay_count()));
+  metrics.Set("vm_calls_open",
+              static_cast<double>(this->roster->open_call_count()));
+  if (const auto room = this->roster->StartRoom()) {
+    metrics.Set("start_room", static_cast<double>(*room));
+  }
   PublishMachines(metrics, this->planner->machines());
 }
 
