--- a/fake/fleet/key_store.cc
+++ b/fake/fleet/key_store.cc
@@ -21,6 +21,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kForbidden = 403;
 constexpr int kNotFound = 404;
+constexpr int kGone = 410;
 constexpr int kConflict = 412;
 constexpr int kUnavailable = 503;
 
@@ -225,7 +226,16 @@
   reply({.body = json{{"Revision", this->revision}}.dump()});
 }
 
+void KeyStore::DropHistory() {
+  this->history.clear();
+  this->history_from = this->revision;
+}
+
 bool KeyStore::AnswerWatch(const Watch& watch, Time now) const {
+  if (watch.after < this->history_from) {
+    watch.reply({.status = kGone});
+    return true;
+  }
   json events = json::array();
   auto event = std::ranges::upper_bound(this->history, watch.after, {},
                                         &Event::revision);
--- a/fake/fleet/key_store.h
+++ b/fake/fleet/key_store.h
@@ -28,6 +28,9 @@
   /*! @brief Refuses all calls, or serves again. Waiting watches are cut off and
    * leases go on to run out, which shows once the store is back. */
   void SetDown(bool down);
+  /*! @brief Discards the history: watches from an earlier revision are answered
+   * 410. */
+  void DropHistory();
   /*! @brief Drops calls in progress; call it before their server ends. */
   void DropCalls();
 
@@ -70,6 +73,7 @@
 
   std::map<std::string, Record> records;
   std::deque<Event> history;
+  std::uint64_t history_from = 0;  // earlier events are discarded
   std::map<std::uint64_t, Lease> leases;
   std::list<Watch> watches;
   std::list<Watch> cut_off;  // their connections stay open without an answer
--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -299,7 +299,7 @@
 // that of the lease included, is too short. A successor may own the fleet.
 void Driver::OnWake(Time now) {
   net::LogEvent("resumed", {});
-  this->ownership.OnRecordMissed();
+  this->ownership.OnSuspended();
   if (this->ownership.owner()) {
     this->ownership.OnSuperseded(now);
     this->Perform(this->ownership.TakeEffects());
@@ -475,7 +475,6 @@
            [this, seen](std::uint64_t revision) {
              if (!*seen) {
                this->Post([this, revision] {
-                 this->ownership.OnRecordMissed();
                  this->OnOwnerItem(std::nullopt, revision);
                });
              }
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -110,6 +110,8 @@
   this->effects.emplace_back(OwnershipGained{revision});
 }
 
+// An owner that this process has not seen since then has stored itself as the
+// last one before its first order, or has given none.
 bool Ownership::IsCountedBy(const LastOwner& last,
                             std::uint64_t counted_by,
                             Time now) const {
@@ -176,8 +178,7 @@
 // it. Changes can wait while the store is away.
 void Ownership::StoreSelf(Time now) {
   if (this->state != State::kOwner || this->new_self || !this->next_self ||
-      now < *this->next_self ||
-      (this->stored_self && this->renewals_fail)) {
+      now < *this->next_self || (this->stored_self && this->renewals_fail)) {
     return;
   }
   LastOwner self{.owner = this->record,
@@ -206,7 +207,7 @@
          now < this->follower_leases.held_until();
 }
 
-void Ownership::OnRecordMissed() {
+void Ownership::OnSuspended() {
   this->counted_fence = 0;
 }
 
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -185,9 +185,9 @@
                  StoreCallResult result,
                  Time sent,
                  Time now);
-  /*! @brief The record was listed as absent, or this process was suspended: an
-   * owner may have followed unnoticed. */
-  void OnRecordMissed();
+  /*! @brief This process was suspended, so it cannot tell how long ago an owner
+   * sent it a message. */
+  void OnSuspended();
   /*! @brief The owner with this fence has sent a message to this process, which
    * it counts as a follower. */
   void OnOwnerContact(std::uint64_t fence, Time now);
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -319,9 +319,14 @@
   unseen.revision = 85;
   BOOST_TEST((orders_for(unseen) == kPredecessorWait));
   follow(100);
-  ownership.OnRecordMissed();
+  ownership.OnSuspended();
   gain(110);
   BOOST_TEST((orders_for(other) == kPredecessorWait));
+  // That the record is absent says nothing of who counts this process.
+  follow(115);
+  ownership.OnRecord(std::nullopt, 117, now);
+  gain(119);
+  BOOST_TEST((orders_for(other) == Duration::zero()));
   // Counted too long ago.
   follow(120);
   now += kCountedTime;
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -309,6 +309,47 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against tasks that do not run for 20 s after a takeover (LOST): a
+// process that lists the owner's record as absent, as its watch was cut, forgot
+// that this owner had counted it, and waited for the longest outage.
+BOOST_AUTO_TEST_CASE(RecordThatIsListedAsAbsentHoldsWorkBack) {
+  PlatformFleet fleet(2, {.vms = 2, .addresses = 2});
+  const std::size_t owner = fleet.WaitForOwner();
+  const std::size_t other = 1 - owner;
+  jobs::JobSpec job = LastingJob("e");
+  job.steps[0].count = 1;
+  fleet.Accept(job);
+  fleet.WaitFor("the task", [&] { return AllRun(fleet, job); });
+  fleet.WaitFor("the other process to be counted",
+                [&] { return fleet.Counter(owner, "kch_followers") >= 1; });
+  fleet.platform->CutOff(other, true);
+  fleet.Signal(owner, SIGKILL);
+  fleet.WaitForExit(owner);
+  fleet.WaitFor("the end of the owner's record", [&] {
+    return !fleet.platform->With(
+        [](const fake::VmModel&, const fake::KeyStore& store) {
+          return store.Value("kch/owner").has_value();
+        });
+  });
+  // The VM of the task does not answer any more.
+  fleet.platform->With([&](fake::VmModel& world, fake::KeyStore& store) {
+    for (const auto& [id, vm] : world.vms) {
+      vm->unresponsive = !vm->runs.empty();
+    }
+    store.DropHistory();
+  });
+  fleet.platform->CutOff(other, false);
+  fleet.WaitFor("the takeover", [&] {
+    return fleet.Log(other).find("\"recovered\"") != std::string::npos;
+  });
+  BOOST_TEST(fleet.Log(other).find("\"orders_ms\":\"0\"") != std::string::npos);
+  const std::int64_t until_us = WallUs() + 8'000'000;
+  fleet.WaitFor("the longest lease",
+                [&] { return AllRun(fleet, job) || WallUs() >= until_us; });
+  BOOST_TEST(AllRun(fleet, job));
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 // Guards against an owner that goes on while the store refuses it alone, and
 // against its successor starting its work again.
 BOOST_AUTO_TEST_CASE(OwnerCutFromTheStoreIsReplaced) {
