--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -104,6 +104,11 @@
     std::optional<std::string> value;
     std::vector<platform::Put> beside;  // written with it
   };
+  struct OpenRecord {
+    OwnersRecord record;
+    std::function<void(platform::Outcome)> done;
+  };
+  void WriteRecords(std::vector<OpenRecord> records);
   // A wave as the operators wrote it, and when this process first saw it.
   struct SeenWave {
     upkeep::WaveOrder order;
@@ -151,6 +156,11 @@
    * revision in force is known. `done` is dropped once this term is over. */
   void WriteRecord(OwnersRecord record,
                    std::function<void(platform::Outcome)> done);
+  /*! @brief The same with others that wait, in few transactions: many machines
+   * move at once. Sent at the end of the pass or event. */
+  void WriteVmRecord(OwnersRecord record,
+                     std::function<void(platform::Outcome)> done);
+  void FlushVmRecords();
   void OnWave(const platform::Item& item);
   void FollowIntake(std::uint64_t fence);
   void FollowVms(std::uint64_t fence);
@@ -202,6 +212,8 @@
   // Of records that WriteRecord writes, by key, as known in this term; of one
   // that is not named here 0: absent.
   std::map<std::string, std::uint64_t> revisions;
+  std::vector<OpenRecord> vm_records;  // to be written
+  bool vm_records_flush_set = false;
   lead::StoreContact store_contact;
   std::map<std::string, SeenWave> waves;  // by key
   std::unique_ptr<upkeep::Planner> planner;
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <utility>
 
 #include "app/fleet/keys.h"
@@ -200,33 +201,78 @@
 
 void Driver::WriteRecord(OwnersRecord record,
                          std::function<void(Outcome)> done) {
+  std::vector<OpenRecord> records;
+  records.push_back({std::move(record), std::move(done)});
+  this->WriteRecords(std::move(records));
+}
+
+void Driver::WriteVmRecord(OwnersRecord record,
+                           std::function<void(Outcome)> done) {
+  this->vm_records.push_back({std::move(record), std::move(done)});
+  if (std::exchange(this->vm_records_flush_set, true)) {
+    return;
+  }
+  this->PostFor(this->fence, [this] { this->FlushVmRecords(); });
+}
+
+void Driver::FlushVmRecords() {
+  this->vm_records_flush_set = false;
+  // A condition and a write or erasure each, beside that on the owner's record.
+  constexpr std::size_t max_records = 15;
+  std::vector<OpenRecord> batch;
+  std::set<std::string> keys;
+  const auto send = [&] {
+    this->WriteRecords(std::exchange(batch, {}));
+    keys.clear();
+  };
+  for (OpenRecord& open : std::exchange(this->vm_records, {})) {
+    if (batch.size() == max_records || keys.contains(open.record.key)) {
+      send();
+    }
+    keys.insert(open.record.key);
+    batch.push_back(std::move(open));
+  }
+  if (!batch.empty()) {
+    send();
+  }
+}
+
+// All of them are written, or none.
+void Driver::WriteRecords(std::vector<OpenRecord> records) {
   platform::Transaction transaction = OwnersTransaction(this->fence);
-  transaction.conditions.push_back({record.key, this->revisions[record.key]});
-  if (record.value) {
-    transaction.puts.push_back({record.key, *record.value, 0});
-  } else {
-    transaction.erasures.push_back(record.key);
+  for (OpenRecord& open : records) {
+    OwnersRecord& record = open.record;
+    transaction.conditions.push_back({record.key, this->revisions[record.key]});
+    if (record.value) {
+      transaction.puts.push_back({record.key, *record.value, 0});
+    } else {
+      transaction.erasures.push_back(record.key);
+    }
+    transaction.puts.insert(transaction.puts.end(), record.beside.begin(),
+                            record.beside.end());
   }
-  transaction.puts.insert(transaction.puts.end(), record.beside.begin(),
-                          record.beside.end());
   this->parts.store.Write(
       transaction, kWriteTimeoutMs,
-      [this, by = this->fence, key = std::move(record.key),
-       erases = !record.value,
-       done = std::move(done)](const platform::WriteReply& reply) {
-        this->PostFor(by, [this, by, key, erases, done, reply] {
+      [this, by = this->fence,
+       records = std::move(records)](const platform::WriteReply& reply) {
+        this->PostFor(by, [this, by, records, reply] {
           if (reply.outcome == Outcome::kConflict &&
               !StillOwner(reply.items, by)) {
             this->ownership.OnSuperseded(Now());
             this->Perform(this->ownership.TakeEffects());
             return;
           }
-          if (reply.outcome == Outcome::kOk) {
-            this->revisions[key] = erases ? 0 : reply.revision;
-          } else if (reply.outcome == Outcome::kConflict) {
-            this->revisions[key] = RevisionOf(reply.items, key);
+          for (const OpenRecord& open : records) {
+            const std::string& key = open.record.key;
+            if (reply.outcome == Outcome::kOk) {
+              this->revisions[key] = open.record.value ? reply.revision : 0;
+            } else if (reply.outcome == Outcome::kConflict) {
+              this->revisions[key] = RevisionOf(reply.items, key);
+            }
+          }
+          for (const OpenRecord& open : records) {
+            open.done(reply.outcome);
           }
-          done(reply.outcome);
         });
       });
 }
@@ -408,7 +454,7 @@
 // Repeated while the VM is known: a successor that does not find it would start
 // its tasks elsewhere.
 void FleetEffectVisitor::operator()(const jobs::PersistVm& effect) const {
-  this->driver.WriteRecord(
+  this->driver.WriteVmRecord(
       {.key = std::string(kKeptVmPrefix) + effect.vm.id.str(),
        .value = jobs::EncodeVmRecord(effect.vm)},
       [&driver = this->driver, fence = this->fence, effect](Outcome outcome) {
@@ -432,7 +478,7 @@
 // Repeated, since a successor would wait for the answer of a VM that is gone.
 void FleetEffectVisitor::operator()(const jobs::EraseVmRecord& effect) const {
   this->driver.roster->RemoveVm(effect.vm);
-  this->driver.WriteRecord(
+  this->driver.WriteVmRecord(
       {.key = std::string(kKeptVmPrefix) + effect.vm.str()},
       [&driver = this->driver, fence = this->fence, effect](Outcome outcome) {
         if (outcome == Outcome::kOk) {
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -38,6 +38,8 @@
   this->scheduler = std::make_unique<jobs::Scheduler>(this->options.limits);
   this->takeover.emplace();
   this->revisions.clear();
+  this->vm_records.clear();
+  this->vm_records_flush_set = false;
   this->takeover->since = Now();
   this->parts.metrics.Count("takeovers");
   net::LogEvent("owner_gained", {{"fence", std::to_string(gained)}});
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -747,6 +747,45 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against a write for each VM when many machines move at once: the other
+// calls of a small owner waited behind them.
+BOOST_AUTO_TEST_CASE(RecordsOfManyVmsShareTransactions) {
+  PlatformFleet fleet(2, {.vms = kManyVms, .addresses = 2});
+  const auto stored = [&fleet] {
+    return fleet.platform->With(
+        [](const fake::VmModel&, const fake::KeyStore& store) {
+          int records = 0;
+          for (std::size_t i = 0; i < kManyVms; ++i) {
+            records += store.Value("kch/vm/vm" + std::to_string(i)) ? 1 : 0;
+          }
+          return records;
+        });
+  };
+  fleet.WaitFor("the records",
+                [&] { return stored() == static_cast<int>(kManyVms); });
+  std::atomic<int> writes = 0;
+  fleet.platform->SetFaults(
+      [&writes](const std::string& call, const std::string& body) {
+        writes +=
+            call == "store/kv-txn" && body.find("kch/vm/") != std::string::npos;
+        return CallFault::kNone;
+      });
+  for (const bool present : {false, true}) {
+    for (std::size_t i = 0; i < kManyVms; ++i) {
+      fleet.platform->Register("vm" + std::to_string(i), present);
+    }
+    fleet.WaitFor("the change of the records", [&] {
+      return stored() == (present ? static_cast<int>(kManyVms) : 0);
+    });
+  }
+  BOOST_TEST(writes < static_cast<int>(kManyVms));
+  const jobs::JobSpec job = PlainJob("a", 4, 100);
+  fleet.Accept(job);
+  fleet.WaitForCompleted({job});
+  fleet.platform->SetFaults({});
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 // Guards against runs that end, or start twice, when processes that relay calls
 // are killed, paused or stopped while the owner lives.
 BOOST_AUTO_TEST_CASE(LostRelaysInterruptNothing) {
