--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -107,6 +107,7 @@
   this->next_renewal = now;
   this->renewing = false;
   this->renewal_sent = Time();
+  this->failed_renewal = Time();
   this->effects.emplace_back(OwnershipGained{revision});
 }
 
@@ -370,6 +371,10 @@
   if (result == StoreCallResult::kOk) {
     this->valid_until = std::max(this->valid_until, sent + kOwnerLease);
     this->renewals_fail = false;
+    // The renewal that counted as failed has not, so there is no outage.
+    if (sent >= this->failed_renewal) {
+      this->outage_until = Time();
+    }
     if (latest) {
       this->renewing = false;
       this->next_renewal = sent + kRenewInterval;
@@ -388,6 +393,7 @@
 // store was unavailable all the while.
 void Ownership::RenewalFailed(Time now) {
   this->renewing = false;
+  this->failed_renewal = this->renewal_sent;
   if (now < std::max(this->valid_until, this->outage_until)) {
     this->outage_until = now + kOwnerLease;
   }
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -291,6 +291,7 @@
   Time outage_until;  // the next renewal of an outage must fail before
   Time next_renewal;
   Time renewal_sent;      // the latest one
+  Time failed_renewal;    // when the latest one that failed was sent
   bool renewing = false;  // it is neither answered nor overdue
   bool renewals_fail = false;
   Time next_lease_request;
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -137,6 +137,23 @@
   BOOST_TEST(ownership.MayOrder(now));
 }
 
+// Guards against the same after a renewal that was answered late: as it counted
+// as failed meanwhile, the owner took its pause for an outage of the store.
+BOOST_AUTO_TEST_CASE(OrdersNothingAfterAPauseThatFollowsALateAnswer) {
+  BecomeOwner();
+  ownership.OnRenewal(kLease, StoreCallResult::kOk, now, now);
+  const auto decided = After(400);
+  const auto* renewal = Find<RenewLease>(decided);
+  BOOST_REQUIRE(renewal != nullptr);
+  const Time sent = renewal->sent;
+  After(350);
+  ownership.OnRenewal(kLease, StoreCallResult::kOk, sent, now);
+  BOOST_TEST((ownership.lease_until() == sent + kOwnerLease));
+  After(1700);
+  BOOST_TEST(!ownership.HoldsValidLease(now));
+  BOOST_TEST(!ownership.MayOrder(now));
+}
+
 // Guards against an owner that takes its own slowness, or the store's, for the
 // loss of a renewal: an answer counts as long as the lease that it tells of.
 BOOST_AUTO_TEST_CASE(LateAnswersToRenewalsKeepTheLease) {
