--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -395,6 +395,8 @@
   Time predecessor_end;
   bool superseded = false;
 
+  std::uint64_t bounded_passes = 0;  // Plan with max_starts
+
   std::set<JobId> dirty;  // jobs with changes to store
   // Endless steps with waiting tasks, and since when, as of the last look.
   using StepKey = std::tuple<JobId, std::int32_t, std::int32_t>;
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -114,7 +114,13 @@
       planned.push_back(&pool);
     }
   }
-  // Each pool gets an equal share of what those before it have left.
+  // Each pool gets an equal share of what those before it have left. If that is
+  // a single start, it goes to the first, so the pools take turns.
+  if (max_starts.value_or(0) > 0 && !planned.empty()) {
+    const std::uint64_t first = this->bounded_passes++ % planned.size();
+    std::ranges::rotate(planned,
+                        planned.begin() + static_cast<std::ptrdiff_t>(first));
+  }
   std::uint64_t left =
       max_starts.value_or(planned.size() * this->limits.max_starts_per_pass);
   for (std::size_t i = 0; i < planned.size() && left > 0; ++i) {
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -138,6 +138,36 @@
   }
 }
 
+// Guards against a pool that gets each start as relays become free one by one,
+// while the pools after it get none.
+BOOST_AUTO_TEST_CASE(PoolsTakeTurnsAtSingleStarts) {
+  FleetSim sim;
+  sim.AddVm("vm0", "p", kVmSize);
+  sim.AddVm("vm1", "p2", kVmSize);
+  sim.config.queues[QueueId("q2")] = sim.config.queues.at(QueueId("q"));
+  sim.config.queues[QueueId("q2")].id = QueueId("q2");
+  sim.config.queues[QueueId("q2")].pool = PoolId("p2");
+  ++sim.config.version;
+  sim.scheduler->SetConfig(sim.config, sim.now);
+  sim.Run(200);
+  const auto add = [&sim](const std::string& id, const std::string& queue) {
+    sim.scheduler->AddJob(SimpleJob(id, queue, 6, 1000, 500), "", 0, false,
+                          sim.now, sim.now);
+  };
+  add("a", "q");
+  add("b", "q2");
+  std::map<std::string, int> starts;
+  for (int pass = 0; pass < 4; ++pass) {
+    sim.scheduler->Plan(sim.now, sim.WallMs(), 1);
+    for (const Effect& effect : sim.scheduler->TakeEffects()) {
+      if (const auto* start = std::get_if<StartRun>(&effect)) {
+        ++starts[start->to.vm.str()];
+      }
+    }
+  }
+  BOOST_TEST((starts == std::map<std::string, int>{{"vm0", 2}, {"vm1", 2}}));
+}
+
 // Guards against jobs that are told to have begun because their starts are
 // ordered, while no VM has carried one out (MIXED).
 BOOST_AUTO_TEST_CASE(JobsWaitUntilAVmHasBegunATask) {
