--- a/src/relay/relay_pool.cc
+++ b/src/relay/relay_pool.cc
@@ -12,9 +12,12 @@
 // its reply is under way by then.
 constexpr auto kCallTimeout = std::chrono::milliseconds(1100);
 // A relay that answers other calls is slow, so a call through it is given up
-// this much later. The lease of a VM outlasts both times and the wait of a
-// poll.
+// this much later.
 constexpr auto kSlowRelayTime = std::chrono::milliseconds(1100);
+// The same for a poll, less twice its wait. Until it is sent again, a VM holds
+// the lease from the poll before, which waited as long. The lease of 4 s has to
+// outlast both waits, kCallTimeout, this time, and the way of the second poll.
+constexpr auto kSlowPollTime = std::chrono::milliseconds(2600);
 // A relay answers a poll within this time or never.
 constexpr auto kLateReportTime = std::chrono::seconds(10);
 // Interval of the search for overdue calls, which looks at all open ones.
@@ -33,6 +36,12 @@
   return std::chrono::milliseconds(look == nullptr ? 0 : look->wait_ms);
 }
 
+// Time after its deadline at which a call through a slow relay is given up.
+Duration SlowTimeOf(const Order& order) {
+  return std::clamp<Duration>(kSlowPollTime - 2 * PollWaitOf(order),
+                              Duration::zero(), kSlowRelayTime);
+}
+
 bool IsStart(const Order& order) {
   return std::holds_alternative<jobs::StartRun>(order);
 }
@@ -398,7 +407,7 @@
     }
     if (now - this->members.at(*open.relay).last_reply >= kRelayTimeout) {
       late.insert(*open.relay);
-    } else if (now >= open.deadline + kSlowRelayTime) {
+    } else if (now >= open.deadline + SlowTimeOf(open.order)) {
       given_up.push_back(number);
     }
   }
--- a/test/relay/relay_pool_test.cc
+++ b/test/relay/relay_pool_test.cc
@@ -171,6 +171,38 @@
        }) == 1));
 }
 
+// Guards against runs that lapse with a single lost poll: what renews their
+// lease until then is the poll before, which was sent a long wait earlier.
+BOOST_AUTO_TEST_CASE(LostPollOfABusyRelayIsResentWithinTheLease) {
+  Fixture fixture(3, 90);
+  const Time renewed = fixture.now;
+  fixture.pool.Submit(PollOf(0), fixture.now);
+  fixture.Run(1200);
+  const InstanceId relay = fixture.sent.begin()->first;
+  fixture.AnswerAll(relay);
+  BOOST_REQUIRE(fixture.pool.open_call_count() == 0);
+  fixture.pool.Submit(PollOf(0), fixture.now);
+  fixture.ApplyEffects();
+  fixture.sent.clear();  // lost
+  bool resent = false;
+  for (int i = 0; !resent && i < 100; ++i) {
+    fixture.pool.Submit(StartOf(0, 2 + i), fixture.now);
+    fixture.Run(50);
+    for (const auto& [id, calls] : fixture.sent) {
+      resent |= std::ranges::any_of(calls, [](const Call& call) {
+        return std::holds_alternative<jobs::PollVm>(call.order);
+      });
+    }
+    for (const auto& [id, incarnation] : fixture.alive) {
+      fixture.AnswerAll(id);
+    }
+  }
+  BOOST_REQUIRE(resent);
+  // The resent poll has to reach the VM as well.
+  BOOST_TEST(ToMs(fixture.now - renewed) <=
+             ToMs(jobs::Limits().lease - milliseconds(200)));
+}
+
 // Guards against polls, and with them leases, that wait behind more starts than
 // a few slow relays can make.
 BOOST_AUTO_TEST_CASE(OpenStartsAreBoundedByTheRelays) {
@@ -573,6 +605,76 @@
   }
 }
 
+// Guards against calls that are counted as open for ever, so that no start is
+// ordered any more, and against calls of processes that are not known any more.
+BOOST_AUTO_TEST_CASE(CallsOfSlowAndLostRelaysAreAllCounted) {
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    std::mt19937 random(seed);
+    Fixture fixture(8);
+    const auto chance = [&random](int percent) {
+      return std::uniform_int_distribution<int>(1, 100)(random) <= percent;
+    };
+    std::int64_t run = 0;
+    std::size_t submitted = 0;
+    for (int i = 0; i < 1500; ++i) {
+      for (int k = 0; k < 4; ++k) {
+        const std::size_t vm =
+            std::uniform_int_distribution<std::size_t>(0, kVms - 1)(random);
+        const bool start = chance(50) && fixture.pool.StartRoom() != 0;
+        fixture.pool.Submit(start ? StartOf(vm, ++run) : PollOf(vm),
+                            fixture.now);
+        ++submitted;
+      }
+      fixture.Run(chance(2) ? 400 : 50);
+      for (int p = 0; p < 8; ++p) {
+        const InstanceId id("p" + std::to_string(p));
+        const auto alive = fixture.alive.find(id);
+        if (alive == fixture.alive.end()) {
+          if (chance(1)) {
+            fixture.alive[id] = std::to_string(i);
+          }
+        } else if (chance(1) && chance(40)) {
+          fixture.alive.erase(alive);
+          fixture.sent.erase(id);
+        } else if (chance(1)) {
+          Report report = fixture.ReportOf(id);
+          report.leaving = chance(50);
+          fixture.pool.OnReport(report, fixture.now);
+        } else if (chance(3)) {
+          fixture.sent.erase(id);  // lost
+        } else if (chance(2 + 4 * p)) {
+          fixture.AnswerAll(id);
+        }
+      }
+      if (chance(1) && chance(10)) {
+        fixture.now += std::chrono::seconds(40);  // a stall
+      }
+      if (chance(1)) {
+        fixture.pool.SetVmCount(chance(20) ? 10 : kVms);
+      }
+      for (const Call& call : std::exchange(fixture.direct_calls, {})) {
+        fixture.pool.OnReply({call.number, UnansweredReply(call.order)});
+      }
+    }
+    fixture.pool.SetVmCount(kVms);
+    for (int i = 0; i < 200; ++i) {
+      fixture.Run(50);
+      for (const auto& [id, incarnation] : std::map(fixture.alive)) {
+        fixture.AnswerAll(id);
+      }
+      for (const Call& call : std::exchange(fixture.direct_calls, {})) {
+        fixture.pool.OnReply({call.number, UnansweredReply(call.order)});
+      }
+    }
+    fixture.ApplyEffects();
+    BOOST_TEST(fixture.pool.open_call_count() == 0);
+    BOOST_TEST(fixture.delivered.size() == submitted);
+    BOOST_TEST(fixture.pool.StartRoom().value() ==
+               kMaxOpenStartsPerRelay *
+                   std::max<std::size_t>(1, fixture.pool.relay_count()));
+  }
+}
+
 // Guards against a relay that continues to make the calls of most VMs because
 // it was the first to report.
 BOOST_AUTO_TEST_CASE(VmsAreSpreadOverLaterRelays) {
