--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -33,6 +33,9 @@
 constexpr long kMaxConnections = 4096;
 constexpr std::size_t kMaxIdleHandles = 64;
 constexpr int kMaxWaitMs = 1000;
+// If this thread looks at a timeout later than this, it has been held up, and
+// reads what has come meanwhile for as long before it gives the call up.
+constexpr auto kHeldUp = std::chrono::milliseconds(20);
 constexpr int kMaxEvents = 256;
 constexpr int kFirstSuccess = 200;
 constexpr int kLastSuccess = 299;
@@ -56,9 +59,16 @@
   HttpResult result;
   int tries = 0;  // that were allowed to send
   bool expired = false;
+  bool may_be_answered = false;  // its timeout came while this thread stood
   SteadyClock::time_point started;
   std::optional<SteadyClock::time_point> last_part;  // of the answer
 
+  // Its time is over, although it may not have been given up yet.
+  [[nodiscard]] bool Overdue() const {
+    return this->call.stall_timeout_ms == 0 && this->call.timeout_ms > 0 &&
+           SteadyClock::now() >=
+               this->started + std::chrono::milliseconds(this->call.timeout_ms);
+  }
   // When a call with a limit on pauses is given up, unless more arrives.
   [[nodiscard]] SteadyClock::time_point StallDeadline() const {
     using std::chrono::milliseconds;
@@ -81,7 +91,7 @@
               int /*remote_port*/,
               int /*local_port*/) {
   auto& transfer = *static_cast<Transfer*>(user);
-  if (Expired(transfer.call)) {
+  if (Expired(transfer.call) || transfer.Overdue()) {
     transfer.expired = true;
     return CURL_PREREQFUNC_ABORT;
   }
@@ -153,8 +163,9 @@
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(call.connect_timeout_ms));
-  const int total_ms = call.stall_timeout_ms > 0 ? 0 : call.timeout_ms;
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(total_ms));
+  // libcurl would end a call whose answer has come while this thread stood
+  // still, so the client looks at timeouts itself.
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 0L);
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh);
   curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, fresh);
   if (call.method == "GET") {
@@ -448,6 +459,10 @@
     const std::uint64_t number = transfer->number;
     if (transfer->call.stall_timeout_ms > 0) {
       this->CheckStallAt(transfer->StallDeadline(), number);
+    } else if (transfer->call.timeout_ms > 0) {
+      this->CheckTimeoutAt(transfer->started + std::chrono::milliseconds(
+                                                   transfer->call.timeout_ms),
+                           number);
     }
     this->active.emplace(number, std::move(transfer));
   }
@@ -470,6 +485,26 @@
     }
   }
 
+  void CheckTimeoutAt(SteadyClock::time_point when, std::uint64_t number) {
+    const std::lock_guard lock(this->mutex);
+    this->timers.emplace(
+        when, [this, when, number] { this->CheckTimeout(when, number); });
+  }
+
+  void CheckTimeout(SteadyClock::time_point due, std::uint64_t number) {
+    const auto found = this->active.find(number);
+    if (found == this->active.end()) {
+      return;
+    }
+    const auto now = SteadyClock::now();
+    if (now - due > kHeldUp &&
+        !std::exchange(found->second->may_be_answered, true)) {
+      this->CheckTimeoutAt(now + kHeldUp, number);
+    } else {
+      this->End(number, CURLE_OPERATION_TIMEDOUT);
+    }
+  }
+
   void Collect() {
     int left = 0;
     while (CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
--- a/test/net/http_test.cc
+++ b/test/net/http_test.cc
@@ -335,6 +335,58 @@
 }
 
 // Guards against options of one call that stay with the handle for the next.
+// Guards against a busy process that takes its own slowness for the silence of
+// another: the answer was there before the timeout, but had not been read.
+BOOST_AUTO_TEST_CASE(AnswerThatCameDuringAStallCounts) {
+  std::promise<void> received;
+  SlowServer server([&received](const std::string& /*head*/, std::size_t) {
+    received.set_value();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    return SlowServer::Answer{.body = "x"};
+  });
+  const auto client = MakeClient();
+  const HttpCall call{.url = "http://" + server.address() + "/a",
+                      .connect_timeout_ms = 200,
+                      .timeout_ms = 200};
+  auto answered = Send(*client, call);
+  received.get_future().wait();
+  client->Delay(
+      0, [] { std::this_thread::sleep_for(std::chrono::milliseconds(500)); });
+  BOOST_TEST(answered.get().Success());
+}
+
+// Guards against a request that leaves after its time, since its client's
+// thread stood still: the caller takes it for lost.
+BOOST_AUTO_TEST_CASE(CallIsNotSentAfterAStallPastItsTime) {
+  std::promise<HttpReply> first_reply;
+  std::atomic<int> reached = 0;
+  const auto server =
+      HttpServer::Create({}, [&](const HttpRequest& request, HttpReply reply) {
+        ++reached;
+        if (request.path == "/first") {
+          first_reply.set_value(std::move(reply));
+        } else {
+          reply({});
+        }
+      }).value();
+  const auto client =
+      HttpClient::Create({.max_connections_per_host = 1}).value();
+  auto first = Send(*client, {.url = Url(*server, "/first")});
+  const HttpReply reply = first_reply.get_future().get();
+  auto second =
+      Send(*client, {.url = Url(*server, "/second"), .timeout_ms = 200});
+  std::promise<void> stalled;
+  client->Delay(20, [&stalled] {
+    stalled.set_value();
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  });
+  stalled.get_future().wait();
+  reply({});
+  BOOST_TEST(first.get().Success());
+  BOOST_TEST((second.get().status == CallStatus::kNotSent));
+  BOOST_TEST(reached == 1);
+}
+
 BOOST_AUTO_TEST_CASE(CallsAreIndependent) {
   const auto server = HttpServer::Create({}, [](const HttpRequest& request,
                                                 const HttpReply& reply) {
