--- a/test/net/http_test.cc
+++ b/test/net/http_test.cc
@@ -334,7 +334,6 @@
   BOOST_TEST(ToMs(Now() - began) < ToMs(longest));
 }
 
-// Guards against options of one call that stay with the handle for the next.
 // Guards against a busy process that takes its own slowness for the silence of
 // another: the answer was there before the timeout, but had not been read.
 BOOST_AUTO_TEST_CASE(AnswerThatCameDuringAStallCounts) {
@@ -387,6 +386,7 @@
   BOOST_TEST(reached == 1);
 }
 
+// Guards against options of one call that stay with the handle for the next.
 BOOST_AUTO_TEST_CASE(CallsAreIndependent) {
   const auto server = HttpServer::Create({}, [](const HttpRequest& request,
                                                 const HttpReply& reply) {
