--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -118,8 +118,9 @@
   // a single start, it goes to the first, so the pools take turns.
   if (max_starts.value_or(0) > 0 && !planned.empty()) {
     const std::uint64_t first = this->bounded_passes++ % planned.size();
-    std::ranges::rotate(planned,
-                        planned.begin() + static_cast<std::ptrdiff_t>(first));
+    std::rotate(planned.begin(),
+                planned.begin() + static_cast<std::ptrdiff_t>(first),
+                planned.end());
   }
   std::uint64_t left =
       max_starts.value_or(planned.size() * this->limits.max_starts_per_pass);
