--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -165,9 +165,10 @@
     if (tasks == 0) {
       continue;
     }
-    const auto count = [&pool](const auto& holds) {
+    const auto& vms = pool.vms;
+    const auto count = [&vms](const auto& holds) {
       return std::to_string(std::ranges::count_if(
-          pool.vms, [&holds](const auto& row) { return holds(*row.second); }));
+          vms, [&holds](const auto& row) { return holds(*row.second); }));
     };
     this->EmitLogEvent(
         "endless_waits",
