--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -285,12 +285,15 @@
   }
 }
 
-// Tells whether the VM's lease was over when a run that counted as lost with it
-// had ended.
+// Tells whether the VM's lease was over when a run had ended that counted as
+// lost. One of a predecessor that no later run has followed was not.
 void Scheduler::LogLostRunDone(const Vm& vm,
                                const EndedRow& row,
                                const Task& task,
                                Time now) {
+  if (task.run == row.run) {
+    return;
+  }
   this->EmitLogEvent(
       "lost_run_done",
       {{"task", row.task},
