--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -321,6 +321,9 @@
       continue;
     }
     const Pool& pool = this->PoolOf(*task->job);
+    if (task->job->inherited && this->MayRunInherited(pool, now)) {
+      continue;  // it could not start elsewhere
+    }
     const Resources need = task->spec().Occupies();
     const Vm* target =
         this->ChooseVm(*task, {need, this->VmsWithRoom(pool, need, now)}, now);
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -106,6 +106,36 @@
   BOOST_TEST(Violations(sim) == "");
 }
 
+// Guards against an endless task that is evicted and then held back with other
+// inherited tasks, since a VM of its pool has not answered (LOST).
+BOOST_AUTO_TEST_CASE(InheritedTasksThatCouldNotStartAreNotEvicted) {
+  FleetSim sim;
+  WithVms(sim, 3);
+  sim.Submit(EndlessJob("a", 1));
+  sim.Run(500);
+  std::string used;
+  std::string silent;
+  for (const auto& [id, vm] : sim.vms) {
+    (vm->runs.empty() ? silent : used) = id;
+  }
+  sim.vms.at(silent)->unresponsive = true;
+  sim.Takeover();
+  sim.scheduler->SetPredecessorEnd(sim.now + std::chrono::seconds(20));
+  sim.Run(2000);
+  sim.scheduler->Cordon(VmId(used), true);
+  sim.scheduler->EvictEndless(VmId(used), sim.now);
+  sim.Run(1000);
+  BOOST_TEST(sim.vms.at(used)->runs.size() == 1);
+  // Once the VM answers, the task may move.
+  sim.vms.at(silent)->unresponsive = false;
+  sim.Run(1000);
+  sim.scheduler->EvictEndless(VmId(used), sim.now);
+  BOOST_TEST(
+      sim.RunUntil([&] { return sim.vms.at(used)->runs.empty(); }, 2000));
+  BOOST_TEST(sim.RunUntil([&] { return sim.starts() == 2; }, 2000));
+  BOOST_TEST(Violations(sim) == "");
+}
+
 // Guards against pools that start nothing while another one uses up the starts
 // that the relays can make.
 BOOST_AUTO_TEST_CASE(BoundedStartsAreSharedByThePools) {
