--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -19,6 +19,8 @@
 // delay the next steps of its jobs for long.
 constexpr int kWriteTimeoutMs = 700;
 constexpr int kClaimTimeoutMs = 800;
+// A shutdown hands the fleet over after this time, if the store is slow.
+constexpr int kEndTimeoutMs = 150;
 constexpr int kKeptRetryMs = 100;
 
 lead::StoreCallResult AnswerOf(Outcome outcome) {
@@ -375,6 +377,26 @@
   });
 }
 
+// Successors that this owner has not counted need not wait for it.
+void LeadEffectVisitor::operator()(const lead::StoreEnd& effect) const {
+  const std::string key(kLastOwnerKey);
+  platform::Transaction transaction =
+      OwnersTransaction(effect.last.owner.revision);
+  transaction.conditions.push_back({key, this->driver.revisions[key]});
+  transaction.puts.push_back({key, lead::Encode(effect.last), 0});
+  this->driver.parts.lease_store.Write(
+      transaction, kEndTimeoutMs,
+      [&store = this->driver.parts.lease_store,
+       lease = effect.lease](const platform::WriteReply& reply) {
+        if (reply.outcome != Outcome::kOk) {
+          net::LogEvent(
+              "end_not_stored",
+              {{"outcome", std::string(NameOf(AnswerOf(reply.outcome)))}});
+        }
+        store.EndLease(lease, [](Outcome) {});
+      });
+}
+
 void LeadEffectVisitor::operator()(const lead::OwnershipGained& effect) const {
   this->driver.Gain(effect.fence);
 }
--- a/src/app/fleet/effects.h
+++ b/src/app/fleet/effects.h
@@ -17,6 +17,7 @@
   void operator()(const lead::ReadLastOwner& effect) const;
   void operator()(const lead::StoreLastOwner& effect) const;
   void operator()(const lead::EndLease& effect) const;
+  void operator()(const lead::StoreEnd& effect) const;
   void operator()(const lead::OwnershipGained& effect) const;
   void operator()(const lead::OwnershipLost& effect) const;
 };
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -36,6 +36,9 @@
   row["revision"] = last.owner.revision;
   row["followers"] = last.followers;
   row["predecessor_ms"] = ToMs(last.predecessor_orders);
+  if (last.ended) {
+    row["ended"] = true;
+  }
   return row.dump();
 }
 
@@ -57,6 +60,8 @@
         wait->get<std::int64_t>(), 0, ToMs(kPredecessorWait)));
     last.predecessor_orders = left;
   }
+  const auto ended = row.find("ended");
+  last.ended = ended != row.end() && ended->is_boolean() && ended->get<bool>();
   // Owners of earlier versions store no followers.
   if (const auto names = row.find("followers");
       names != row.end() && names->is_array()) {
@@ -136,7 +141,8 @@
   this->next_self = now;
   const bool own_term =
       last && last->owner.incarnation == this->record.incarnation;
-  const bool ended = last && last->owner.instance == this->record.instance;
+  const bool ended =
+      last && (last->ended || last->owner.instance == this->record.instance);
   const bool counted =
       last && this->IsCountedBy(*last, this->gained_counted_fence, now);
   Time until = std::max(now, this->no_claim_until);
@@ -155,7 +161,7 @@
 // go first.
 void Ownership::OnLastOwnerRead(const LastOwner& last, Time now) {
   if (this->state == State::kFollower && this->claim_scheduled &&
-      last.owner.instance != this->record.instance &&
+      last.owner.instance != this->record.instance && !last.ended &&
       !this->IsCountedBy(last, this->counted_fence, now)) {
     this->next_claim =
         std::max(this->next_claim, now + kNewcomerDelay + this->claim_delay);
@@ -186,10 +192,13 @@
                  .followers = this->follower_leases.Listing(now),
                  .predecessor_orders =
                      std::max(Duration::zero(), this->predecessor_until - now)};
+  // A successor counts the wait from when it reads it.
   const auto same = [&self](const LastOwner& stored) {
+    const Duration aged = stored.predecessor_orders - self.predecessor_orders;
     return self.followers == stored.followers &&
-           (self.predecessor_orders > Duration::zero()) ==
-               (stored.predecessor_orders > Duration::zero());
+           (self.predecessor_orders > Duration::zero()
+                ? aged < kWaitListingStep
+                : aged == Duration::zero());
   };
   if (this->stored_self && same(*this->stored_self)) {
     this->next_self = now + kListingInterval;
@@ -408,10 +417,18 @@
   }
 }
 
-void Ownership::Resign(Time /*now*/) {
+void Ownership::Resign(Time now) {
   if (this->state == State::kOwner) {
     this->effects.emplace_back(OwnershipLost{"shutdown"});
-    this->effects.emplace_back(EndLease{this->lease});
+    if (this->stored_self) {
+      LastOwner last = *this->stored_self;
+      last.predecessor_orders =
+          std::max(Duration::zero(), this->predecessor_until - now);
+      last.ended = true;
+      this->effects.emplace_back(StoreEnd{std::move(last), this->lease});
+    } else {
+      this->effects.emplace_back(EndLease{this->lease});
+    }
   }
   this->state = State::kResigned;
 }
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -44,6 +44,9 @@
     std::chrono::milliseconds(100);
 /*! @brief Least interval between changes of that record. */
 inline constexpr Duration kListingInterval = std::chrono::milliseconds(500);
+/*! @brief While the owner waits for an earlier one, the wait that it stores for
+ * its successors is too long by at most this. */
+inline constexpr Duration kWaitListingStep = std::chrono::milliseconds(1000);
 /*! @brief Delay before a failed claim is repeated. */
 inline constexpr Duration kClaimRetryInterval = std::chrono::milliseconds(250);
 /*! @brief Delay of a candidate with one CPU core; see CandidateDelay. */
@@ -83,6 +86,7 @@
   // For how long an owner before this one may still order, counted from when
   // this was stored.
   Duration predecessor_orders{};
+  bool ended = false;  // it has given up the fleet and orders nothing more
 
   bool operator==(const LastOwner&) const = default;
 };
@@ -126,6 +130,12 @@
 struct EndLease {
   std::uint64_t lease = 0;
 };
+/*! @brief Effect: store the owner of this term as one that has ended, then end
+ * its lease, whatever became of the write. */
+struct StoreEnd {
+  LastOwner last;
+  std::uint64_t lease = 0;
+};
 /*! @brief Effect: this instance owns the fleet from now on. */
 struct OwnershipGained {
   std::uint64_t fence = 0;
@@ -143,6 +153,7 @@
                             ReadLastOwner,
                             StoreLastOwner,
                             EndLease,
+                            StoreEnd,
                             OwnershipGained,
                             OwnershipLost>;
 
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -466,10 +466,66 @@
   BOOST_TEST(Find<CreateLease>(counted.After(20)) != nullptr);
 }
 
+// Guards against a wait that starts anew with each takeover: a successor read
+// the time that was left when its predecessor began to wait.
+BOOST_AUTO_TEST_CASE(WaitThatIsHandedOnHasAged) {
+  BecomeOwner();
+  ownership.OnLastOwner(LastOwner{.owner = other, .followers = {}}, now);
+  std::optional<LastOwner> stored;
+  for (Duration waited{}; waited < kPredecessorWait;
+       waited += std::chrono::milliseconds(100)) {
+    const auto effects = After(100);
+    if (const auto* store = Find<StoreLastOwner>(effects)) {
+      stored = store->last;
+      ownership.OnLastOwnerStored(StoreCallResult::kOk, now);
+    }
+    ownership.OnRenewal(kLease, StoreCallResult::kOk, now, now);
+    BOOST_REQUIRE(stored.has_value());
+    const Duration left = ownership.predecessor_orders_until() - now;
+    BOOST_TEST((stored->predecessor_orders <=
+                std::max(Duration::zero(), left) + 2 * kWaitListingStep));
+  }
+}
+
+// Guards against tasks that wait for 20 s after a rolling restart: a process
+// that the last owner had not counted did not know that this owner had stopped.
+BOOST_AUTO_TEST_CASE(OwnerThatHasStoppedIsNotWaitedFor) {
+  BecomeOwner();
+  ownership.OnLastOwner(std::nullopt, now);
+  After(0);
+  ownership.OnLastOwnerStored(StoreCallResult::kOk, now);
+  ownership.Resign(now);
+  const auto effects = ownership.TakeEffects();
+  BOOST_TEST(Find<EndLease>(effects) == nullptr);
+  const auto* end = Find<StoreEnd>(effects);
+  BOOST_REQUIRE(end != nullptr);
+  BOOST_TEST(end->lease == kLease);
+  BOOST_TEST(end->last.ended);
+  BOOST_TEST(end->last.owner.revision == 50);
+  BOOST_TEST(Find<OwnershipLost>({effects.front()}) != nullptr);
+
+  Ownership next({.instance = "n", .incarnation = "n-1"}, kClaimDelay);
+  next.OnRecord(std::nullopt, 60, now);
+  next.OnLastOwnerRead(end->last, now);
+  next.Tick(now + 2 * kClaimDelay);
+  BOOST_TEST(Find<CreateLease>(next.TakeEffects()) != nullptr);
+  next.OnLease(StoreCallResult::kOk, kLease, now);
+  next.OnClaim(kLease, StoreCallResult::kOk, 70, now);
+  next.OnLastOwner(end->last, now);
+  BOOST_TEST((next.predecessor_orders_until() == now));
+  // What that owner waited for itself may go on.
+  LastOwner waiting = end->last;
+  waiting.predecessor_orders = std::chrono::seconds(7);
+  next.OnLastOwner(waiting, now);
+  BOOST_TEST(
+      (next.predecessor_orders_until() == now + std::chrono::seconds(7)));
+}
+
 BOOST_AUTO_TEST_CASE(LastOwnerRoundTrips) {
   const LastOwner last{.owner = other,
                        .followers = {"a", "c"},
-                       .predecessor_orders = std::chrono::seconds(3)};
+                       .predecessor_orders = std::chrono::seconds(3),
+                       .ended = true};
   const auto read = DecodeLastOwner(Encode(last));
   BOOST_REQUIRE(read.has_value());
   BOOST_TEST((*read == last));
