--- a/src/relay/relay_pool.cc
+++ b/src/relay/relay_pool.cc
@@ -121,8 +121,8 @@
       this->HandleLateReply(answer);
       continue;
     }
-    this->members.at(report.instance).last_reply = now;
     if (!std::holds_alternative<NotSentToVm>(answer.reply)) {
+      this->members.at(report.instance).last_reply = now;
       this->Complete(answer.number, answer.reply);
     } else if (IsStart(this->calls.at(answer.number).order)) {
       this->Complete(answer.number,
--- a/src/relay/relay_pool.h
+++ b/src/relay/relay_pool.h
@@ -19,8 +19,9 @@
 inline constexpr std::size_t kMaxDirectVms = 64;
 /*! @brief Number of VMs that one relay serves in a larger fleet. */
 inline constexpr std::size_t kVmsPerRelay = 32;
-/*! @brief Starts that one relay may have open. A relay that is slow answers
- * them late, so fewer are ordered, and polls do not wait behind them. */
+/*! @brief Starts that may be open for each active relay, in all of them
+ * together. Slow relays answer them late, so fewer are ordered, and polls do
+ * not wait long behind them. */
 inline constexpr std::size_t kMaxOpenStartsPerRelay = 64;
 /*! @brief A relay with open calls that has not reported for this long has
  * failed. */
