--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -213,7 +213,6 @@
   // that is not named here 0: absent.
   std::map<std::string, std::uint64_t> revisions;
   std::vector<OpenRecord> vm_records;  // to be written
-  bool vm_records_flush_set = false;
   lead::StoreContact store_contact;
   std::map<std::string, SeenWave> waves;  // by key
   std::unique_ptr<upkeep::Planner> planner;
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -210,17 +210,17 @@
 
 void Driver::WriteVmRecord(OwnersRecord record,
                            std::function<void(Outcome)> done) {
-  this->vm_records.push_back({std::move(record), std::move(done)});
-  if (std::exchange(this->vm_records_flush_set, true)) {
-    return;
+  // The first one that waits sets the flush.
+  if (this->vm_records.empty()) {
+    this->PostFor(this->fence, [this] { this->FlushVmRecords(); });
   }
-  this->PostFor(this->fence, [this] { this->FlushVmRecords(); });
+  this->vm_records.push_back({std::move(record), std::move(done)});
 }
 
 void Driver::FlushVmRecords() {
-  this->vm_records_flush_set = false;
-  // A condition and a write or erasure each, beside that on the owner's record.
-  constexpr std::size_t max_records = 15;
+  const std::size_t max_records =
+      this->options.limits.max_write_entries /
+      jobs::TransactionEntries(jobs::RecordStep::kProgress);
   std::vector<OpenRecord> batch;
   std::set<std::string> keys;
   const auto send = [&] {
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -39,7 +39,6 @@
   this->takeover.emplace();
   this->revisions.clear();
   this->vm_records.clear();
-  this->vm_records_flush_set = false;
   this->takeover->since = Now();
   this->parts.metrics.Count("takeovers");
   net::LogEvent("owner_gained", {{"fence", std::to_string(gained)}});
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -295,8 +295,9 @@
   void ReconcileRuns(Vm& vm, Time sent, Time now);
   void HandleRunning(Vm& vm, const RunningRow& row, Time now);
   void HandleEnds(Vm& vm, const VmReport& report, Time now);
-  void HandleEnd(Vm& vm, const EndedRow& row, Time now);
+  void HandleEnd(Vm& vm, const VmReport& report, const EndedRow& row, Time now);
   void LogLostRunDone(const Vm& vm,
+                      const VmReport& report,
                       const EndedRow& row,
                       const Task& task,
                       Time now);
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -88,11 +88,9 @@
 }
 
 void Scheduler::HandleEnds(Vm& vm, const VmReport& report, Time now) {
-  vm.expired_in_report =
-      std::ranges::count(report.ended, RunEnd::kExpired, &EndedRow::how);
   for (const EndedRow& row : report.ended) {
     if (row.number > std::max(vm.recorded_end, vm.handled_end)) {
-      this->HandleEnd(vm, row, now);
+      this->HandleEnd(vm, report, row, now);
       vm.handled_end = row.number;
     }
   }
@@ -214,7 +212,10 @@
   }
 }
 
-void Scheduler::HandleEnd(Vm& vm, const EndedRow& row, Time now) {
+void Scheduler::HandleEnd(Vm& vm,
+                          const VmReport& report,
+                          const EndedRow& row,
+                          Time now) {
   const auto ref = TaskRef::Parse(row.task);
   if (ref) {
     this->OpenReported(*ref, now);
@@ -264,7 +265,7 @@
     if (current) {
       this->Release(*task);
     } else {
-      this->LogLostRunDone(vm, row, *task, now);
+      this->LogLostRunDone(vm, report, row, *task, now);
       if (task->Placed()) {
         // A run that was considered lost has completed; the current run is not
         // needed.
@@ -288,6 +289,7 @@
 // Tells whether the VM's lease was over when a run had ended that counted as
 // lost. One of a predecessor that no later run has followed was not.
 void Scheduler::LogLostRunDone(const Vm& vm,
+                               const VmReport& report,
                                const EndedRow& row,
                                const Task& task,
                                Time now) {
@@ -302,7 +304,8 @@
        {"number", std::to_string(row.number)},
        {"acknowledged", std::to_string(vm.acknowledged_end)},
        {"lease_over_ms", std::to_string(vm.clock_ms - vm.lease_until_ms)},
-       {"expired_beside", std::to_string(vm.expired_in_report)},
+       {"expired_beside", std::to_string(std::ranges::count(
+                              report.ended, RunEnd::kExpired, &EndedRow::how))},
        {"silent_ms", std::to_string(ToMs(now - vm.unresponsive_since))},
        {"current_run", std::to_string(task.run)},
        {"placed", task.Placed() ? "yes" : "no"}});
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -1,7 +1,6 @@
 #ifndef JOBS_VM_H_
 #define JOBS_VM_H_
 
-#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -54,8 +53,7 @@
 
   bool reported = false;  // has answered this scheduler
   std::uint64_t report_count = 0;
-  std::ptrdiff_t expired_in_report = 0;  // runs, in the latest one
-  std::int64_t recorded_end = 0;         // ends up to this one are recorded
+  std::int64_t recorded_end = 0;  // ends up to this one are recorded
   // Latest number sent in a poll, answered or not.
   std::int64_t acknowledged_end = 0;
   // Ends are acknowledged once the records of these jobs are stored: job and
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -44,6 +44,34 @@
   return used;
 }
 
+// Two pools with one VM each, and a job of six tasks for each of them that the
+// simulation does not plan by itself.
+void AddTwoPoolsWithWork(FleetSim& sim) {
+  sim.AddVm("vm0", "p", kVmSize);
+  sim.AddVm("vm1", "p2", kVmSize);
+  sim.config.queues[QueueId("q2")] = sim.config.queues.at(QueueId("q"));
+  sim.config.queues[QueueId("q2")].id = QueueId("q2");
+  sim.config.queues[QueueId("q2")].pool = PoolId("p2");
+  ++sim.config.version;
+  sim.scheduler->SetConfig(sim.config, sim.now);
+  sim.Run(200);
+  const auto add = [&sim](const std::string& id, const std::string& queue) {
+    sim.scheduler->AddJob(SimpleJob(id, queue, 6, 1000, 500), "", 0, false,
+                          sim.now, sim.now);
+  };
+  add("a", "q");
+  add("b", "q2");
+}
+
+// Adds the starts that the scheduler has decided, by VM.
+void CountStarts(FleetSim& sim, std::map<std::string, int>& starts) {
+  for (const Effect& effect : sim.scheduler->TakeEffects()) {
+    if (const auto* start = std::get_if<StartRun>(&effect)) {
+      ++starts[start->to.vm.str()];
+    }
+  }
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(SchedulerTest)
@@ -140,27 +168,10 @@
 // that the relays can make.
 BOOST_AUTO_TEST_CASE(BoundedStartsAreSharedByThePools) {
   FleetSim sim;
-  sim.AddVm("vm0", "p", kVmSize);
-  sim.AddVm("vm1", "p2", kVmSize);
-  sim.config.queues[QueueId("q2")] = sim.config.queues.at(QueueId("q"));
-  sim.config.queues[QueueId("q2")].id = QueueId("q2");
-  sim.config.queues[QueueId("q2")].pool = PoolId("p2");
-  ++sim.config.version;
-  sim.scheduler->SetConfig(sim.config, sim.now);
-  sim.Run(200);
-  const auto add = [&sim](const std::string& id, const std::string& queue) {
-    sim.scheduler->AddJob(SimpleJob(id, queue, 6, 1000, 500), "", 0, false,
-                          sim.now, sim.now);
-  };
-  add("a", "q");
-  add("b", "q2");
+  AddTwoPoolsWithWork(sim);
   std::map<std::string, int> starts;
   sim.scheduler->Plan(sim.now, sim.WallMs(), 4);
-  for (const Effect& effect : sim.scheduler->TakeEffects()) {
-    if (const auto* start = std::get_if<StartRun>(&effect)) {
-      ++starts[start->to.vm.str()];
-    }
-  }
+  CountStarts(sim, starts);
   BOOST_TEST((starts == std::map<std::string, int>{{"vm0", 2}, {"vm1", 2}}));
   sim.scheduler->Plan(sim.now, sim.WallMs(), 0);
   for (const Effect& effect : sim.scheduler->TakeEffects()) {
@@ -172,28 +183,11 @@
 // while the pools after it get none.
 BOOST_AUTO_TEST_CASE(PoolsTakeTurnsAtSingleStarts) {
   FleetSim sim;
-  sim.AddVm("vm0", "p", kVmSize);
-  sim.AddVm("vm1", "p2", kVmSize);
-  sim.config.queues[QueueId("q2")] = sim.config.queues.at(QueueId("q"));
-  sim.config.queues[QueueId("q2")].id = QueueId("q2");
-  sim.config.queues[QueueId("q2")].pool = PoolId("p2");
-  ++sim.config.version;
-  sim.scheduler->SetConfig(sim.config, sim.now);
-  sim.Run(200);
-  const auto add = [&sim](const std::string& id, const std::string& queue) {
-    sim.scheduler->AddJob(SimpleJob(id, queue, 6, 1000, 500), "", 0, false,
-                          sim.now, sim.now);
-  };
-  add("a", "q");
-  add("b", "q2");
+  AddTwoPoolsWithWork(sim);
   std::map<std::string, int> starts;
   for (int pass = 0; pass < 4; ++pass) {
     sim.scheduler->Plan(sim.now, sim.WallMs(), 1);
-    for (const Effect& effect : sim.scheduler->TakeEffects()) {
-      if (const auto* start = std::get_if<StartRun>(&effect)) {
-        ++starts[start->to.vm.str()];
-      }
-    }
+    CountStarts(sim, starts);
   }
   BOOST_TEST((starts == std::map<std::string, int>{{"vm0", 2}, {"vm1", 2}}));
 }
