--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/time.h"
@@ -42,7 +43,10 @@
   // receives the end of a run again if it was recorded but not acknowledged.
   std::set<std::int64_t> failed_runs;
   std::string checkpoint;
-  VmId vm;          // of the current run
+  VmId vm;  // of the current run, or of the last one
+  // Why the last run counts as ended although its VM has not listed its end;
+  // empty if it has, or if there was no run.
+  std::string_view inferred_end;
   VmId avoided_vm;  // the VM on which the last run failed
   // When the latest order to start or stop was answered, the order to start
   // timed out, or a report first listed the run; unset while the order is
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -594,6 +594,7 @@
 
 void Scheduler::Place(Task& task, Vm& vm) {
   task.vm = vm.facts.id;
+  task.inferred_end = {};
   task.answered_at = Time();
   task.last_listed = 0;
   vm.runs.insert(&task);
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -339,6 +339,7 @@
   bool UsableForEndless(const Vm& vm, Time now) const;
   bool Available(const Vm& vm, Time now) const;
   bool WithinTeamLimit(const Job& job, const Resources& more) const;
+  void LogInferredEnd(const Task& task, const Vm& next, Time now);
   void Start(Task& task, Vm& vm, std::int64_t run, Time now);
 
   // scheduler_advice.cc
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -316,6 +316,7 @@
   const StepRef& step_ref = ranked.step_ref;
   Step& step = step_ref.progress();
   std::string started;
+  std::int64_t last_run = 0;
   bool all = true;
   for (Task& task : step.tasks) {
     if (task.phase != TaskPhase::kWaiting) {
@@ -334,6 +335,7 @@
       break;
     }
     this->Start(task, *vm, std::max(task.run, task.run_floor) + 1, now);
+    last_run = std::max(last_run, task.run);
     started += (started.empty() ? "" : " ") + std::to_string(task.index) + "@" +
                vm->facts.id.str();
   }
@@ -345,6 +347,8 @@
                       std::to_string(step_ref.step)},
          {"tasks", started},
          {"left", std::to_string(step.waiting)},
+         {"run", std::to_string(last_run)},
+         {"inherited", step_ref.job->inherited ? "yes" : "no"},
          {"age_ms", std::to_string(ToMs(now - step_ref.job->arrived))},
          {"config", std::to_string(this->config.version)}});
   }
@@ -484,7 +488,25 @@
   return best;
 }
 
+// A run that follows one whose end no VM has listed rests on what was inferred.
+void Scheduler::LogInferredEnd(const Task& task, const Vm& next, Time now) {
+  const Vm* before = this->FindVm(task.vm);
+  const auto lease_end =
+      before == nullptr ? std::nullopt : before->LeaseEnd(this->limits);
+  this->EmitLogEvent("run_follows",
+                     {{"task", task.Ref().Name()},
+                      {"run", std::to_string(task.run)},
+                      {"vm", task.vm.str()},
+                      {"inferred", std::string(task.inferred_end)},
+                      {"lease_over_ms",
+                       lease_end ? std::to_string(ToMs(now - *lease_end)) : ""},
+                      {"next_vm", next.facts.id.str()}});
+}
+
 void Scheduler::Start(Task& task, Vm& vm, std::int64_t run, Time now) {
+  if (!task.inferred_end.empty()) {
+    this->LogInferredEnd(task, vm, now);
+  }
   task.run = run;
   this->Place(task, vm);
   task.phase = TaskPhase::kStarting;
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -190,6 +190,7 @@
                                           {"vm", vm.facts.id.str()},
                                           {"reason", "not_in_report"}});
           this->Requeue(*task);
+          task->inferred_end = "not_in_report";
         }
         break;
       case TaskPhase::kStopping:
@@ -203,6 +204,7 @@
             this->Release(*task);
           } else {
             this->Requeue(*task);
+            task->inferred_end = "stopped";
           }
         }
         break;
@@ -624,6 +626,7 @@
   }
   if (current) {
     this->Requeue(*task);
+    task->inferred_end = NameOf(answer);
   }
 }
 
@@ -683,6 +686,7 @@
                                     {"vm", vm.facts.id.str()},
                                     {"reason", std::string(reason)}});
     this->Requeue(*task);
+    task->inferred_end = reason;
   }
 }
 
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -24,6 +24,8 @@
 constexpr auto kFreshReportAge = std::chrono::milliseconds(250);
 // Interval of polls while a stopped run has not ended.
 constexpr auto kStopPollInterval = std::chrono::milliseconds(60);
+// VMs that a takeover has not reached and that are told of by name.
+constexpr std::size_t kMaxUnreachedLogged = 20;
 // Time to the next poll of a VM without runs.
 constexpr auto kIdlePollInterval = std::chrono::hours(24);
 
@@ -100,7 +102,13 @@
   std::size_t unresponsive = 0;
   for (auto& [id, vm] : this->fleet) {
     if (!vm->reported) {
-      ++unresponsive;
+      if (++unresponsive <= kMaxUnreachedLogged) {
+        this->EmitLogEvent("vm_unreached",
+                           {{"vm", id.str()},
+                            {"pool", vm->facts.pool.str()},
+                            {"zone", vm->facts.zone.str()},
+                            {"registered", vm->registered ? "yes" : "no"}});
+      }
       this->pools[vm->facts.pool].unreached_at = now;
     }
   }
