--- a/fake/fleet/fleet_platform.cc
+++ b/fake/fleet/fleet_platform.cc
@@ -87,6 +87,7 @@
 Result<void> FleetPlatform::Start() {
   this->started = Now();
   this->world.now = this->started;
+  this->world.max_lease_ms = this->options.max_lease_ms;
   for (std::size_t i = 0; i < this->options.addresses; ++i) {
     auto listening = net::HttpServer::Create(
         {.threads = 1},
@@ -100,6 +101,14 @@
     }
     this->shared.push_back(*std::move(listening));
   }
+  for (const std::string& pool : this->options.pools) {
+    if (pool != this->options.pools.front()) {
+      jobs::Queue queue = this->world.config.queues.at(jobs::QueueId("q"));
+      queue.id = jobs::QueueId(pool);
+      queue.pool = PoolId(pool);
+      this->world.config.queues.emplace(queue.id, queue);
+    }
+  }
   for (std::size_t i = 0; i < this->options.vms; ++i) {
     const std::string number = std::to_string(i);
     const std::string machine = "m" + number;
@@ -113,8 +122,9 @@
     if (!server) {
       return tl::unexpected(server.error());
     }
-    FakeVm& vm = this->world.Add("vm" + number, "p", this->options.vm_size,
-                                 "r" + std::to_string(i / 2));
+    FakeVm& vm = this->world.Add(
+        "vm" + number, this->options.pools[i % this->options.pools.size()],
+        this->options.vm_size, "r" + std::to_string(i / 2));
     vm.facts.address = "127.0.0.1:" + std::to_string((*server)->port());
     vm.facts.zone = ZoneId("z" + std::to_string(i % 3 + 1));
     this->machines[machine].vm = "vm" + number;
@@ -163,6 +173,24 @@
   });
 }
 
+void FleetPlatform::CutVms(std::size_t caller,
+                           const std::string& zone,
+                           bool cut) {
+  this->loop.Call([this, caller, &zone, cut] {
+    if (cut) {
+      this->cut_vms.emplace(caller, zone);
+    } else {
+      this->cut_vms.erase({caller, ZoneId(zone)});
+    }
+  });
+}
+
+bool FleetPlatform::IsCut(std::uint64_t fence, const FakeVm& vm) const {
+  const auto owner = this->owners.find(fence);
+  return owner != this->owners.end() &&
+         this->cut_vms.contains({owner->second, vm.facts.zone});
+}
+
 void FleetPlatform::SetFaults(FaultRule rule) {
   this->loop.Call([this, &rule] { this->faults = std::move(rule); });
 }
@@ -195,7 +223,10 @@
       pools.insert(queue.pool);
     }
     for (const PoolId& pool : pools) {
-      body["Services"].push_back({{"Name", pool.str()}});
+      body["Services"].push_back(
+          {{"Name", pool.str()},
+           {"Standby", this->options.last_pool_stands_by &&
+                           pool.str() == this->options.pools.back()}});
     }
     for (const auto& [id, team] : config.teams) {
       body["Tenants"].push_back({{"Name", id.str()},
@@ -230,6 +261,22 @@
   });
 }
 
+std::vector<std::string> FleetPlatform::VmsUp() {
+  return this->loop.Call([this] {
+    std::vector<std::string> vms;
+    for (const auto& [name, machine] : this->machines) {
+      if (machine.state == "up") {
+        vms.push_back(machine.vm);
+      }
+    }
+    return vms;
+  });
+}
+
+bool FleetPlatform::IsUp(const std::string& vm) {
+  return std::ranges::count(this->VmsUp(), vm) > 0;
+}
+
 void FleetPlatform::RequestWave(int number,
                                 std::vector<std::string> names,
                                 int most,
@@ -341,10 +388,12 @@
                 }
               },
               this->world.now);
+          // The owner's fence is the revision of its record's creation.
+          this->owners.emplace(this->store.CreatedAt("kch/owner"), caller);
         } else if (call == "machines") {
           this->ListMachines(answer);
-        } else if (call == "machine-upkeep") {
-          this->Upkeep(request, answer);
+        } else if (call.starts_with("machine-")) {
+          this->OrderMachine(call, request, answer);
         } else if (call == "advise") {
           this->Advise(json::parse(request.body), answer);
         } else {
@@ -380,6 +429,10 @@
   }
   const json body = json::parse(request.body);
   const std::uint64_t fence = FenceOf(body);
+  if (this->IsCut(fence, vm)) {
+    this->silent.push_back(reply);
+    return;
+  }
   const json clock{{"ClockMs", this->world.ClockOf(vm)}};
   const auto settle = [&](bool admitted) {
     json answer = clock;
@@ -526,7 +579,9 @@
   reply({.body = json{{"Machines", rows}, {"NextToken", ""}}.dump()});
 }
 
-void FleetPlatform::Upkeep(const HttpRequest& request, const HttpReply& reply) {
+void FleetPlatform::OrderMachine(const std::string& call,
+                                 const HttpRequest& request,
+                                 const HttpReply& reply) {
   const json body = json::parse(request.body);
   const std::string name = body.at("Machine");
   const auto found = this->machines.find(name);
@@ -537,38 +592,54 @@
     return;
   }
   Machine& machine = found->second;
+  FakeVm& vm = *this->world.vms.at(machine.vm);
+  const bool move = call == "machine-move";
   const auto refuse = [&reply](std::string_view reason) {
     reply({.status = kConflict, .body = json{{"Reason", reason}}.dump()});
   };
-  const std::int64_t wave = body.at("Wave");
   if (fence < machine.fence) {
     refuse("fence");
-  } else if (machine.waves.contains(wave)) {
-    reply({.body = "{}"});
-  } else if (machine.state != "up") {
+    return;
+  }
+  const bool already = move ? vm.facts.pool.str() == body.at("Pool")
+                            : machine.waves.contains(body.at("Wave"));
+  if (!already && machine.state != "up") {
     refuse("busy");
-  } else {
-    machine.fence = fence;
-    machine.waves.insert(wave);
-    machine.state = "upkeep";
-    this->most_machines_away = std::max(this->most_machines_away, ++this->away);
-    this->world.vms.at(machine.vm)->Restart(this->world.now);
-    this->store.Remove("servers/" + machine.vm);
-    this->later.emplace(
-        this->world.now + std::chrono::milliseconds(this->options.upkeep_ms),
-        [this, name] { this->EndUpkeep(name); });
-    reply({.body = "{}"});
+    return;
+  }
+  machine.fence = fence;
+  if (!already) {
+    this->TakeDown(machine, move ? "moving" : "upkeep");
+    if (move) {
+      vm.facts.pool = PoolId(body.at("Pool").get<std::string>());
+    } else {
+      machine.waves.insert(body.at("Wave").get<std::int64_t>());
+      this->most_machines_away =
+          std::max(this->most_machines_away, ++this->away);
+    }
+    this->later.emplace(this->world.now + std::chrono::milliseconds(
+                                              move ? this->options.move_ms
+                                                   : this->options.upkeep_ms),
+                        [this, name] { this->BringUp(name); });
   }
+  reply({.body = "{}"});
+}
+
+// Everything on the machine ends at once.
+void FleetPlatform::TakeDown(Machine& machine, const std::string& state) {
+  machine.state = state;
+  this->world.vms.at(machine.vm)->Restart(this->world.now);
+  this->store.Remove("servers/" + machine.vm);
 }
 
 // A new VM joins the pool on the machine.
-void FleetPlatform::EndUpkeep(const std::string& name) {
+void FleetPlatform::BringUp(const std::string& name) {
   Machine& machine = this->machines.at(name);
+  this->away -= machine.state == "upkeep" ? 1 : 0;
   auto vm = std::move(this->world.vms.at(machine.vm));
   this->world.vms.erase(machine.vm);
   machine.vm = "vm" + name.substr(1) + "-" + std::to_string(++machine.lives);
   machine.state = "up";
-  --this->away;
   vm->facts.id = VmId(machine.vm);
   this->world.vms[machine.vm] = std::move(vm);
   this->WriteRegistration(machine.vm);
--- a/fake/fleet/fleet_platform.h
+++ b/fake/fleet/fleet_platform.h
@@ -7,7 +7,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fake/event_loop.h"
@@ -45,6 +47,12 @@
     std::size_t addresses = 3;  // of the store, one for each of its callers
     jobs::Resources vm_size{8000, 100'000, 0};
     std::int64_t upkeep_ms = 400;  // that a machine is away
+    std::int64_t move_ms = 400;    // the same for a move
+    // Pools of the VMs, in turn; each has a queue of its name, but the first
+    // has those of VmModel.
+    std::vector<std::string> pools{"p"};
+    bool last_pool_stands_by = false;
+    std::int64_t max_lease_ms = 6000;
   };
 
   [[nodiscard]] static Result<std::unique_ptr<FleetPlatform>> Create(
@@ -61,6 +69,9 @@
   /*! @brief Answers of the store to a caller are lost, those to open calls too,
    * or not. */
   void Mute(std::size_t caller, bool muted);
+  /*! @brief Calls that a caller makes as owner of the fleet do not reach the
+   * VMs of a zone, or do. */
+  void CutVms(std::size_t caller, const std::string& zone, bool cut);
   /*! @brief Runs a function with the model and the store; no other call is
    * handled meanwhile. */
   template <typename F>
@@ -74,6 +85,9 @@
   void PublishConfig();
   /*! @brief Writes or removes a VM's registration. */
   void Register(const std::string& vm, bool present = true);
+  /*! @brief The VMs of the machines that are up. */
+  [[nodiscard]] std::vector<std::string> VmsUp();
+  [[nodiscard]] bool IsUp(const std::string& vm);
   /*! @brief Requests that machines have their upkeep within `length_s`. */
   void RequestWave(int number,
                    std::vector<std::string> machines,
@@ -117,10 +131,15 @@
             const net::HttpReply& reply);
   bool AnswerLook(const Waiting& waiting);
   void Advise(const nlohmann::json& body, const net::HttpReply& reply);
-  void Upkeep(const net::HttpRequest& request, const net::HttpReply& reply);
-  void EndUpkeep(const std::string& name);
+  void OrderMachine(const std::string& call,
+                    const net::HttpRequest& request,
+                    const net::HttpReply& reply);
+  void TakeDown(Machine& machine, const std::string& state);
+  void BringUp(const std::string& name);
   void ListMachines(const net::HttpReply& reply);
   void WriteRegistration(const std::string& vm);
+  /*! @brief Whether a call under a fence is cut off from a VM. */
+  [[nodiscard]] bool IsCut(std::uint64_t fence, const FakeVm& vm) const;
   void Faulted(const std::string& call,
                const net::HttpRequest& request,
                const net::HttpReply& reply,
@@ -132,6 +151,8 @@
   FaultRule faults;
   std::set<std::size_t> cut_off;  // callers that the store refuses
   std::set<std::size_t> muted;    // callers that get no answer
+  std::set<std::pair<std::size_t, ZoneId>> cut_vms;  // by caller and zone
+  std::map<std::uint64_t, std::size_t> owners;       // caller by fence
   std::int64_t late_calls = 0;
   std::map<std::string, Machine> machines;  // by name, as `m0`
   std::vector<Waiting> looks;
--- a/fake/fleet/key_store.cc
+++ b/fake/fleet/key_store.cc
@@ -226,6 +226,11 @@
   reply({.body = json{{"Revision", this->revision}}.dump()});
 }
 
+std::uint64_t KeyStore::CreatedAt(const std::string& key) const {
+  const auto found = this->records.find(key);
+  return found == this->records.end() ? 0 : found->second.created;
+}
+
 void KeyStore::DropHistory() {
   this->history.clear();
   this->history_from = this->revision;
--- a/fake/fleet/key_store.h
+++ b/fake/fleet/key_store.h
@@ -38,6 +38,8 @@
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   [[nodiscard]] std::optional<std::string> Value(const std::string& key) const;
+  /*! @brief Revision at which a record was created; 0: there is none. */
+  [[nodiscard]] std::uint64_t CreatedAt(const std::string& key) const;
 
  private:
   struct Record {
--- a/fake/vms/vm_model.cc
+++ b/fake/vms/vm_model.cc
@@ -91,6 +91,7 @@
                       .task = task,
                       .run = found->second.run,
                       .how = how});
+  this->Note(vm, task, found->second.run, "end " + std::string(NameOf(how)));
   vm.refused_runs[task] = std::max(vm.refused_runs[task], found->second.run);
   if (how == RunEnd::kDone) {
     this->ever_done.insert(task);
@@ -101,6 +102,18 @@
   vm.runs.erase(found);
 }
 
+void VmModel::Note(const FakeVm& vm,
+                   const std::string& task,
+                   std::int64_t run,
+                   const std::string& event) {
+  this->run_history[task].push_back(
+      "at " + std::to_string(ToMs(this->now.time_since_epoch())) + " " +
+      vm.facts.id.str() + " (clock " + std::to_string(this->ClockOf(vm)) +
+      ", lease until " + std::to_string(vm.lease_until_ms) + ", boot " +
+      std::to_string(vm.facts.boot_ms) + ", fence " + std::to_string(vm.fence) +
+      ") run " + std::to_string(run) + ": " + event);
+}
+
 void VmModel::RunTasks(std::int64_t ms) {
   for (auto& [id, vm] : this->vms) {
     const std::int64_t clock = this->ClockOf(*vm);
@@ -264,6 +277,9 @@
             .occupied = step.Occupies(),
             .need = step.need,
             .team = spec.team};
+  this->Note(vm, name, order.run,
+             "start from " + std::to_string(sender_fence) + " until " +
+                 std::to_string(order.lease_until_ms));
   this->CheckStart(vm, run);
   ++this->start_count;
   vm.runs.emplace(name, run);
@@ -272,11 +288,12 @@
 
 bool VmModel::HandleStop(FakeVm& vm,
                          const jobs::StopRun& order,
-                         std::uint64_t sender_fence) const {
+                         std::uint64_t sender_fence) {
   if (!AcceptFence(vm, sender_fence)) {
     return false;
   }
   const std::string name = order.task.Name();
+  this->Note(vm, name, order.run, "stop from " + std::to_string(sender_fence));
   vm.refused_runs[name] = std::max(vm.refused_runs[name], order.run);
   const auto run = vm.runs.find(name);
   if (run != vm.runs.end() && run->second.run == order.run &&
@@ -311,6 +328,8 @@
   }
   while (!vm.ended.empty() && vm.ended.front().number <= poll.recorded_end) {
     if (vm.repeated_ends.contains(vm.ended.front().number)) {
+      this->Note(vm, vm.ended.front().task, vm.ended.front().run,
+                 "end acknowledged by " + std::to_string(sender_fence));
       this->violations.push_back("repeated before its end was acknowledged: " +
                                  vm.ended.front().task);
     }
--- a/fake/vms/vm_model.h
+++ b/fake/vms/vm_model.h
@@ -106,7 +106,7 @@
   /*! @brief False: the fence is too low. */
   bool HandleStop(FakeVm& vm,
                   const jobs::StopRun& order,
-                  std::uint64_t sender_fence) const;
+                  std::uint64_t sender_fence);
   bool HandlePace(FakeVm& vm,
                   const jobs::PaceRun& order,
                   std::uint64_t sender_fence);
@@ -120,6 +120,11 @@
   std::map<VmId, std::string> Advise(const jobs::RequestAdvice& advice_request);
 
   [[nodiscard]] bool Runs(const std::string& task) const;
+  /*! @brief What VMs have done to the runs of each task, a line each. */
+  [[nodiscard]] const std::map<std::string, std::vector<std::string>>& history()
+      const {
+    return this->run_history;
+  }
   [[nodiscard]] std::int64_t starts() const { return this->start_count; }
 
   jobs::FleetConfig config;
@@ -133,6 +138,10 @@
 
  private:
   void End(FakeVm& vm, const std::string& task, jobs::RunEnd how);
+  void Note(const FakeVm& vm,
+            const std::string& task,
+            std::int64_t run,
+            const std::string& event);
   void CheckStart(const FakeVm& vm, const VmRun& run);
   void ExtendLease(FakeVm& vm, std::int64_t until_ms) const;
   /*! @brief True if all members of a gang's run are present or done. */
@@ -142,6 +151,7 @@
 
   std::set<std::string> done;  // tasks whose end was acknowledged
   std::set<std::string> ever_done;
+  std::map<std::string, std::vector<std::string>> run_history;  // by task
   std::int64_t start_count = 0;
 };
 
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -3,6 +3,8 @@
 #include <sys/wait.h>
 
 #include <csignal>
+#include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <sstream>
 #include <stdexcept>
@@ -63,8 +65,10 @@
 
 PlatformFleet::PlatformFleet(std::size_t count,
                              const fake::FleetPlatform::Options& options,
-                             StoreAddress store_address)
+                             StoreAddress store_address,
+                             std::vector<std::string> flags)
     : store_address(std::move(store_address)),
+      flags(std::move(flags)),
       deadline(std::chrono::steady_clock::now() + kTestBound) {
   this->files = MakeTestFolder();
   auto created = net::HttpClient::Create({});
@@ -126,12 +130,15 @@
   const std::string shared = this->platform->address(process.number);
   const std::string store =
       this->store_address ? this->store_address(shared) : shared;
-  process.pid = Spawn(
-      {BinaryPath("kch-fleet"), "--name=" + process.name, "--store=" + store,
-       "--machines=" + shared, "--advice=" + shared, "--callers=127.0.0.1:0",
-       "--readiness=127.0.0.1:0", "--peers=127.0.0.1:0", "--bus=127.0.0.1:0",
-       "--handover-ms=500", "--upkeep-s=0.4"},
-      this->LogOf(process));
+  std::vector<std::string> arguments{
+      BinaryPath("kch-fleet"),   "--name=" + process.name,
+      "--store=" + store,        "--machines=" + shared,
+      "--advice=" + shared,      "--callers=127.0.0.1:0",
+      "--readiness=127.0.0.1:0", "--peers=127.0.0.1:0",
+      "--bus=127.0.0.1:0",       "--handover-ms=500",
+      "--upkeep-s=0.4"};
+  arguments.insert(arguments.end(), this->flags.begin(), this->flags.end());
+  process.pid = Spawn(arguments, this->LogOf(process));
 }
 
 void PlatformFleet::ReadPorts(Process& process) {
@@ -183,6 +190,7 @@
         std::cerr << "== " << process.name << "\n"
                   << ReadFile(this->LogOf(process));
       }
+      this->KeepLogs();
       throw std::runtime_error("waited too long for " + what);
     }
     if (this->while_waiting) {
@@ -308,13 +316,42 @@
 }
 
 std::string PlatformFleet::Breaches() const {
-  return this->platform->With([](const fake::VmModel& world, fake::KeyStore&) {
-    std::string text;
-    for (const std::string& breach : world.violations) {
-      text += breach + "; ";
-    }
-    return text;
-  });
+  std::string text =
+      this->platform->With([](const fake::VmModel& world, fake::KeyStore&) {
+        std::string lines;
+        for (const std::string& breach : world.violations) {
+          lines += breach + "; ";
+        }
+        return lines;
+      });
+  if (!text.empty()) {
+    this->KeepLogs();
+  }
+  return text;
+}
+
+void PlatformFleet::KeepLogs() const {
+  const char* const folder = std::getenv("KCH_KEEP_LOGS");
+  if (folder == nullptr) {
+    return;
+  }
+  const std::filesystem::path kept =
+      std::filesystem::path(folder) / this->files.filename();
+  std::filesystem::create_directories(kept);
+  std::filesystem::copy(this->files, kept,
+                        std::filesystem::copy_options::recursive |
+                            std::filesystem::copy_options::overwrite_existing);
+  std::ofstream(kept / "runs.log")
+      << this->platform->With([](const fake::VmModel& world, fake::KeyStore&) {
+           std::string text;
+           for (const auto& [task, lines] : world.history()) {
+             text += "== " + task + "\n";
+             for (const std::string& line : lines) {
+               text += line + "\n";
+             }
+           }
+           return text;
+         });
 }
 
 }  // namespace kch::test
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -27,7 +27,8 @@
 
   explicit PlatformFleet(std::size_t instances = 3,
                          const fake::FleetPlatform::Options& options = {},
-                         StoreAddress store_address = {});
+                         StoreAddress store_address = {},
+                         std::vector<std::string> flags = {});
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
@@ -64,7 +65,8 @@
   /*! @brief What an instance has logged since its last start. */
   [[nodiscard]] std::string Log(std::size_t instance) const;
 
-  /*! @brief Breaches that the stand-in saw, as one text. */
+  /*! @brief Breaches that the stand-in saw, as one text. If there are any, the
+   * logs are kept in the folder that KCH_KEEP_LOGS names. */
   [[nodiscard]] std::string Breaches() const;
 
   std::unique_ptr<fake::FleetPlatform> platform;
@@ -84,6 +86,7 @@
   void Start(Process& process);
   void ReadPorts(Process& process);
   void StopAll();
+  void KeepLogs() const;
   net::HttpResult Call(const std::string& method,
                        std::size_t instance,
                        const jobs::JobSpec& job,
@@ -91,6 +94,7 @@
   [[nodiscard]] std::filesystem::path LogOf(const Process& process) const;
 
   StoreAddress store_address;
+  std::vector<std::string> flags;  // after those of every instance
   std::chrono::steady_clock::time_point deadline;
   std::filesystem::path files;
   std::unique_ptr<net::HttpClient> client;
