--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -572,10 +572,9 @@
   if (report.fence != this->fence) {
     return;
   }
-  if (const auto& before = this->ownership.predecessor();
-      before && before->owner.instance == instance &&
-      before->owner.incarnation != report.incarnation) {
-    this->scheduler->SetPredecessorEnd(Now());
+  if (this->ownership.OnJoined(instance, report.incarnation, Now())) {
+    this->scheduler->SetPredecessorEnd(
+        this->ownership.predecessor_orders_until());
   }
   if (report.leaving) {
     this->ownership.followers().OnLeaving(instance, report.incarnation, Now());
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -151,12 +151,30 @@
   } else if (last && !ended && !counted) {
     until = now + kPredecessorWait;
   }
+  this->handed_on_until = own_term ? until : now;
   if (last && !own_term) {
-    until = std::max(until, now + last->predecessor_orders);
+    this->handed_on_until = now + last->predecessor_orders;
+    until = std::max(until, this->handed_on_until);
   }
   this->predecessor_until = until;
 }
 
+// The owner before may itself have waited for an earlier one, which goes on.
+bool Ownership::OnJoined(const std::string& instance,
+                         const std::string& incarnation,
+                         Time now) {
+  if (!this->last_owner || this->last_owner->owner.instance != instance ||
+      this->last_owner->owner.incarnation == incarnation) {
+    return false;
+  }
+  const Time end = std::max(now, this->handed_on_until);
+  if (end >= this->predecessor_until) {
+    return false;
+  }
+  this->predecessor_until = end;
+  return true;
+}
+
 // A newcomer would hold work back at VMs that it does not reach, so the others
 // go first.
 void Ownership::OnLastOwnerRead(const LastOwner& last, Time now) {
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -229,6 +229,12 @@
   /*! @brief The owner before this term, as it stored itself; unset if there was
    * none. Called in a takeover. */
   void OnLastOwner(const std::optional<LastOwner>& last, Time now);
+  /*! @brief A process of an instance has joined this owner. If it is a later
+   * one than the owner before this term, that one has ended. Returns true if
+   * that moves predecessor_orders_until forward. */
+  bool OnJoined(const std::string& instance,
+                const std::string& incarnation,
+                Time now);
   /*! @brief ReadLastOwner has returned a record. */
   void OnLastOwnerRead(const LastOwner& last, Time now);
   /*! @brief StoreLastOwner has returned. */
@@ -239,10 +245,6 @@
   [[nodiscard]] Time predecessor_orders_until() const {
     return this->predecessor_until;
   }
-  /*! @brief As passed to OnLastOwner. */
-  [[nodiscard]] const std::optional<LastOwner>& predecessor() const {
-    return this->last_owner;
-  }
   /*! @brief Time until which HoldsValidLease is true unless a renewal extends
    * it; of the current or last term. */
   [[nodiscard]] Time lease_until() const { return this->valid_until; }
@@ -293,6 +295,7 @@
   Time counted_until;
   Time no_claim_until;  // a lease was granted to the owner
   Time predecessor_until;
+  Time handed_on_until;  // the part of it that the owner before has handed on
   FollowerLeases follower_leases;
   Time next_claim;
   bool claim_scheduled = false;  // next_claim is set
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -444,6 +444,23 @@
   BOOST_TEST((ownership.predecessor_orders_until() == now + left));
 }
 
+// Guards against a task at work twice beside an owner that is cut off: its
+// successor, which waited for it, started anew, and the next owner took that
+// for the end of both.
+BOOST_AUTO_TEST_CASE(OwnerBeforeThePredecessorIsWaitedForAfterARestart) {
+  BecomeOwner();
+  const Duration left = std::chrono::seconds(7);
+  ownership.OnLastOwner(
+      LastOwner{.owner = other, .followers = {}, .predecessor_orders = left},
+      now);
+  BOOST_TEST(!ownership.OnJoined(other.instance, other.incarnation, now));
+  BOOST_TEST((ownership.predecessor_orders_until() == now + kPredecessorWait));
+  BOOST_TEST(!ownership.OnJoined("c", "c-2", now));
+  BOOST_TEST((ownership.predecessor_orders_until() == now + kPredecessorWait));
+  BOOST_TEST(ownership.OnJoined(other.instance, "b-2", now));
+  BOOST_TEST((ownership.predecessor_orders_until() == now + left));
+}
+
 // Guards against a new machine that owns the fleet and holds work back, since
 // the others wait for the end of the leases that they have granted.
 BOOST_AUTO_TEST_CASE(NewcomersClaimAfterTheOthers) {
