--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -309,6 +309,7 @@
   void SendStop(Task& task, const Vm& vm);
   bool MayRepeatStop(const Task& task, const Vm& vm, Time now);
   void StopOrphan(Vm& vm, const TaskRef& ref, std::int64_t run, Time now);
+  [[nodiscard]] bool HasOrphan(const Task& task) const;
   void RemoveUnlistedOrphans(Vm& vm, std::uint64_t listed_in);
   void RestartVm(Vm& vm, const VmFacts& facts, Time now);
   void MarkRunsLost(Vm& vm, std::string_view reason);
@@ -399,6 +400,9 @@
 
   std::uint64_t bounded_passes = 0;  // Plan with max_starts
 
+  // How many VMs hold an orphaned run of a task.
+  std::map<TaskRef, int> orphaned_tasks;
+
   std::set<JobId> dirty;  // jobs with changes to store
   // Endless steps with waiting tasks, and since when, as of the last look.
   using StepKey = std::tuple<JobId, std::int32_t, std::int32_t>;
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -319,7 +319,8 @@
   std::int64_t last_run = 0;
   bool all = true;
   for (Task& task : step.tasks) {
-    if (task.phase != TaskPhase::kWaiting) {
+    // An orphaned run is at work until its VM no longer lists it.
+    if (task.phase != TaskPhase::kWaiting || this->HasOrphan(task)) {
       continue;
     }
     if (this->counter_values.starts >= last_start) {
@@ -363,8 +364,11 @@
                          Time now) {
   const StepRef& step_ref = ranked.step_ref;
   Step& step = step_ref.progress();
-  if (step.waiting != static_cast<std::int32_t>(step.tasks.size())) {
-    return true;  // members of the last run have not ended yet
+  const bool orphaned = std::ranges::any_of(
+      step.tasks, [this](const Task& task) { return this->HasOrphan(task); });
+  if (orphaned ||
+      step.waiting != static_cast<std::int32_t>(step.tasks.size())) {
+    return true;  // members of an earlier run have not ended yet
   }
   const bool advised = this->QueueOf(*step_ref.job).advised;
   const StepSpec& spec = step_ref.spec();
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -466,6 +466,7 @@
                                          {"run", std::to_string(run)},
                                          {"vm", vm.facts.id.str()}});
     orphan = vm.orphans.insert(vm.orphans.end(), found);
+    ++this->orphaned_tasks[ref];
   }
   orphan->last_listed = vm.report_count;
   if (orphan->stop_sent == Time() ||
@@ -475,6 +476,11 @@
   }
 }
 
+bool Scheduler::HasOrphan(const Task& task) const {
+  return !this->orphaned_tasks.empty() &&
+         this->orphaned_tasks.contains(task.Ref());
+}
+
 // Removes the orphaned runs that the report with this number does not list.
 void Scheduler::RemoveUnlistedOrphans(Vm& vm, std::uint64_t listed_in) {
   std::erase_if(vm.orphans, [&](const OrphanedRun& orphan) {
@@ -483,6 +489,10 @@
     }
     vm.used -= orphan.occupied;
     this->in_use[orphan.team] -= orphan.team_charge;
+    const auto held = this->orphaned_tasks.find(orphan.task);
+    if (--held->second == 0) {
+      this->orphaned_tasks.erase(held);
+    }
     return true;
   });
   if (vm.orphans.empty()) {
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -490,6 +490,35 @@
   }
 }
 
+// Guards against two runs at once: a VM holds a run that is being stopped, as
+// its task runs elsewhere, and falls silent; the other run is lost, and the
+// task starts again beside the one that is still at work.
+BOOST_AUTO_TEST_CASE(TaskWaitsForItsOrphanedRunToEnd) {
+  FleetSim sim;
+  WithVms(sim, 2);
+  JobSpec job = SimpleJob("a", "q", 1, 1000, 60'000);
+  sim.Submit(job);
+  sim.Run(500);
+  BOOST_REQUIRE(sim.starts() == 1);
+  const bool first = !sim.vms.at("vm0")->runs.empty();
+  FakeVm& used = *sim.vms.at(first ? "vm0" : "vm1");
+  FakeVm& other = *sim.vms.at(first ? "vm1" : "vm0");
+  other.runs = used.runs;
+  other.lease_until_ms = sim.ClockOf(other) + 4000;
+  sim.scheduler->OnReport(other.facts.id, sim.ReportOf(other), sim.now,
+                          sim.now);
+  other.unresponsive = true;
+  sim.Run(1000);
+  used.Restart(sim.now);
+  sim.Register(used.facts.id.str());
+  sim.Run(1500);
+  BOOST_TEST(sim.starts() == 1);
+  other.unresponsive = false;
+  sim.Run(1500);
+  BOOST_TEST(sim.Runs("a.0.0.0"));
+  BOOST_TEST(Violations(sim) == "");
+}
+
 // A failure that was recorded but not acknowledged was counted again by the
 // successor, and the job failed with an attempt left.
 BOOST_AUTO_TEST_CASE(SuccessorCountsAFailureOnce) {
