--- a/src/jobs/limits.h
+++ b/src/jobs/limits.h
@@ -27,6 +27,8 @@
   // The same for VMs on which serving and backfill tasks run beside each other,
   // so that the backfill tasks are throttled in time.
   Duration mixed_poll_wait = std::chrono::milliseconds(400);
+  // An order without an answer may be carried out within this time.
+  Duration late_order_time = std::chrono::seconds(30);
   // Pause before a VM that did not answer is polled again.
   Duration poll_retry = std::chrono::milliseconds(250);
   // Longest time that a new scheduler waits for the reports of all VMs before
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -185,10 +185,16 @@
   for (const Unlisted& run : unlisted) {
     this->Requeue(*run.task);
   }
+  std::vector<LateStart> late_starts = std::move(vm.late_starts);
   this->MarkRunsLost(vm, "vm_restarted");
   this->DropVm(next.id);
   this->SetVm(next, now);
   Vm& restarted = *this->FindVm(next.id);
+  restarted.late_starts = std::move(late_starts);
+  for (LateStart& late : restarted.late_starts) {
+    late.stop_due = true;
+    late.stop_sent = Time();
+  }
   for (const Unlisted& run : unlisted) {
     Task& task = *run.task;
     this->Place(task, restarted);
@@ -201,6 +207,7 @@
       this->StopTask(task);
     }
   }
+  this->StopLateStarts(restarted, now);
 }
 
 void Scheduler::SetEndedVm(const VmId& id, std::int64_t boot_ms) {
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -309,6 +309,7 @@
   void SendStop(Task& task, const Vm& vm);
   bool MayRepeatStop(const Task& task, const Vm& vm, Time now);
   void StopOrphan(Vm& vm, const TaskRef& ref, std::int64_t run, Time now);
+  void StopLateStarts(Vm& vm, Time now);
   [[nodiscard]] bool HasOrphan(const Task& task) const;
   void RemoveUnlistedOrphans(Vm& vm, std::uint64_t listed_in);
   void RestartVm(Vm& vm, const VmFacts& facts, Time now);
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -68,6 +68,7 @@
   }
   this->RemoveUnlistedOrphans(*vm, vm->report_count);
   this->ReconcileRuns(*vm, sent, now);
+  this->StopLateStarts(*vm, now);
   this->PaceVm(*vm, now);
   this->Acknowledge(*vm, now);
 }
@@ -476,6 +477,25 @@
   }
 }
 
+// An incarnation that follows the one that was ordered knows neither the fence
+// nor the stop that barred the run, so it would carry the order out.
+void Scheduler::StopLateStarts(Vm& vm, Time now) {
+  std::erase_if(vm.late_starts, [this, now](const LateStart& late) {
+    return now - late.given_up >= this->limits.late_order_time;
+  });
+  for (LateStart& late : vm.late_starts) {
+    const Task* task = this->FindTask(late.task);
+    const bool placed_here = task != nullptr && task->vm == vm.facts.id &&
+                             task->run == late.run && task->Placed();
+    if (late.stop_due && !placed_here &&
+        (late.stop_sent == Time() ||
+         now - late.stop_sent > this->limits.stop_grace)) {
+      late.stop_sent = now;
+      this->effects.emplace_back(StopRun{vm.Address(), late.task, late.run});
+    }
+  }
+}
+
 bool Scheduler::HasOrphan(const Task& task) const {
   return !this->orphaned_tasks.empty() &&
          this->orphaned_tasks.contains(task.Ref());
@@ -512,6 +532,11 @@
   if (!answered) {
     this->SetUnresponsive(*vm, "stop", now);
   }
+  for (LateStart& late : vm->late_starts) {
+    if (answered && late.task == ref && late.run == run) {
+      late.stop_due = false;
+    }
+  }
   Task* task = this->FindTask(ref);
   if (task == nullptr || task->run != run || !vm->runs.contains(task) ||
       (task->phase != TaskPhase::kStopping &&
@@ -581,6 +606,7 @@
       if (current) {
         task->answered_at = now;
       }
+      vm->late_starts.push_back({.task = ref, .run = run, .given_up = now});
       if (answer == StartAnswer::kNoAnswer) {
         this->SetUnresponsive(*vm, "start", now);
       }
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -519,6 +519,43 @@
   BOOST_TEST(Violations(sim) == "");
 }
 
+// Guards against two runs at once: a start had no answer, a stop made the VM
+// refuse it, and the task runs elsewhere; the VM restarts under its id, knows
+// nothing of the stop, and carries the start out late.
+BOOST_AUTO_TEST_CASE(RestartedVmRefusesStartsThatWereStopped) {
+  FleetSim sim;
+  FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
+  vm.order_delay_ms = 60'000;
+  const JobSpec job = SimpleJob("a", "q", 1, 1000, 60'000);
+  sim.Submit(job);
+  sim.Run(50);
+  vm.order_delay_ms = 0;
+  const auto stopped = [&vm] {
+    const auto row = vm.refused_runs.find("a.0.0.0");
+    return row != vm.refused_runs.end() && row->second >= 1;
+  };
+  BOOST_REQUIRE(sim.RunUntil(stopped, 5000));
+  sim.AddVm("vm1", "p", kVmSize);
+  sim.Register("vm1");
+  BOOST_REQUIRE(sim.RunUntil([&] { return sim.starts() == 1; }, 5000));
+  sim.Run(200);
+  vm.unresponsive = true;
+  vm.Restart(sim.now);
+  sim.Register("vm0");
+  sim.Run(1500);
+  vm.unresponsive = false;
+  BOOST_TEST(sim.RunUntil(stopped, 1500));
+  const auto late =
+      sim.HandleStart(vm,
+                      {.task = {JobId("a"), 0, 0, 0},
+                       .run = 1,
+                       .payload = job.payload,
+                       .lease_until_ms = sim.ClockOf(vm) + 60'000},
+                      1);
+  BOOST_TEST(NameOf(late) == NameOf(StartAnswer::kOldRun));
+  BOOST_TEST(Violations(sim) == "");
+}
+
 // A failure that was recorded but not acknowledged was counted again by the
 // successor, and the job failed with an attempt left.
 BOOST_AUTO_TEST_CASE(SuccessorCountsAFailureOnce) {
