--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -164,6 +164,7 @@
   struct Unlisted {
     Task* task = nullptr;
     bool accepted = false;
+    bool starting = false;
     Time answered_at;
   };
   std::vector<Unlisted> unlisted;
@@ -171,6 +172,7 @@
     if (task->last_listed == 0 && task->Placed()) {
       unlisted.push_back({.task = task,
                           .accepted = task->phase == TaskPhase::kRunning,
+                          .starting = task->phase == TaskPhase::kStarting,
                           .answered_at = task->answered_at});
     }
   }
@@ -202,6 +204,12 @@
     if (run.accepted && !task.job->Ended()) {
       task.phase = TaskPhase::kRunning;
       task.answered_at = run.answered_at;
+    } else if (run.starting && task.spec().endless && !task.job->Ended()) {
+      // A stop could end it at work. The lease in its order says nothing by the
+      // new clock.
+      task.phase = TaskPhase::kStarting;
+      task.answered_at = run.answered_at;
+      task.lease_until_ms = 0;
     } else {
       task.phase = TaskPhase::kStarting;
       this->StopTask(task);
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -174,8 +174,9 @@
         // The order is lost or late; after a stop the VM refuses it for good.
         // Once its lease has expired, the VM refuses it without a stop, so a
         // stop sent then ends no active task.
-        if (settled &&
-            !(task->MayStartLate() && vm.clock_ms < task->lease_until_ms)) {
+        if (settled && !(task->MayStartLate() &&
+                         (vm.clock_ms < task->lease_until_ms ||
+                          now < vm.earlier_lease_end.value_or(Time())))) {
           this->EmitLogEvent("start_barred",
                              {{"task", task->Ref().Name()},
                               {"run", std::to_string(task->run)},
