--- a/fake/vms/vm_model.h
+++ b/fake/vms/vm_model.h
@@ -36,6 +36,8 @@
 struct FakeVm {
   jobs::VmFacts facts;
   std::int64_t clock_offset_ms = 0;
+  double clock_rate = 1;      // against the time of the model
+  std::int64_t lapse_ms = 0;  // from the end of its lease to that of its runs
   std::uint64_t fence = 0;
   std::int64_t lease_until_ms = 0;  // on its clock
   std::map<std::string, VmRun> runs;
--- a/src/jobs/limits.h
+++ b/src/jobs/limits.h
@@ -20,6 +20,9 @@
   Duration max_lease = std::chrono::milliseconds(6000);
   // Longest time from an order to stop a run until the run has ended.
   Duration stop_grace = std::chrono::milliseconds(900);
+  // A VM's process that is not scheduled in time ends its runs this much later
+  // than its lease and the stop grace require.
+  Duration vm_lateness = std::chrono::milliseconds(800);
 
   // A VM answers a poll at the latest after this time: half of the lease minus
   // the time that a lost poll costs, so that a lease outlasts one lost poll.
@@ -60,6 +63,10 @@
   std::size_t max_evictions = 64;
 };
 
+/*! @brief Local time after which all runs on a VM have ended, from a moment at
+ * which its lease lasts for `lease` of its clock. */
+[[nodiscard]] Duration EndOfRuns(Duration lease, const Limits& limits);
+
 /*! @brief Entries of a transaction: conditions, writes and erasures. */
 [[nodiscard]] constexpr std::size_t TransactionEntries(RecordStep step) {
   constexpr std::size_t write = 2;  // a condition and the write or erasure
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -53,15 +53,13 @@
 // This scheduler does not have that lease, so the longest one serves as the
 // bound.
 Duration Scheduler::LongestLease() const {
-  return std::chrono::duration_cast<Duration>(
-      this->limits.lease / kMinVmClockRate + this->limits.stop_grace);
+  return EndOfRuns(this->limits.lease, this->limits);
 }
 
 // A VM whose clock has started anew takes a lease by its earlier clock for one
 // that is far ahead, and cuts it to the longest that it grants.
 Duration Scheduler::LongestGrantedLease() const {
-  return std::chrono::duration_cast<Duration>(
-      this->limits.max_lease / kMinVmClockRate + this->limits.stop_grace);
+  return EndOfRuns(this->limits.max_lease, this->limits);
 }
 
 // Runs that a predecessor may have started end by this time on a VM that was
--- a/src/jobs/vm.cc
+++ b/src/jobs/vm.cc
@@ -1,10 +1,14 @@
 #include "jobs/vm.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace kch::jobs {
 
+Duration EndOfRuns(Duration lease, const Limits& limits) {
+  return std::chrono::duration_cast<Duration>(lease / kMinVmClockRate) +
+         limits.stop_grace + limits.vm_lateness;
+}
+
 Destination Vm::Address() const {
   return {this->facts.id, this->facts.address};
 }
@@ -37,13 +41,11 @@
   if (!this->clock_known) {
     return this->earlier_lease_end;
   }
-  // The clock was read before its answer arrived and may be slow, so the lease
-  // ends no later than this. The run may take the stop grace to end after that.
-  const double left_ms =
-      static_cast<double>(this->lease_until_ms - this->clock_ms);
-  const auto left = std::chrono::milliseconds(
-      static_cast<std::int64_t>(std::ceil(left_ms / kMinVmClockRate)));
-  const Time end = this->clock_at + left + limits.stop_grace;
+  // The clock was read before its answer arrived, so this is no too early.
+  const Time end =
+      this->clock_at + EndOfRuns(std::chrono::milliseconds(
+                                     this->lease_until_ms - this->clock_ms),
+                                 limits);
   return std::max(end, this->earlier_lease_end.value_or(end));
 }
 
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -112,7 +112,7 @@
   /*! @brief The least that the VM's clock can show at a local time. */
   [[nodiscard]] std::int64_t EarliestClockAt(Time now) const;
   /*! @brief Local time by which every lease sent has expired and the runs have
-   * ended, which takes up to Limits::stop_grace; unset if none was sent to this
+   * ended, see EndOfRuns; unset if none was sent to this
    * incarnation or an earlier one. */
   [[nodiscard]] std::optional<Time> LeaseEnd(const Limits& limits) const;
 };
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -350,6 +350,38 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against two runs at once beside VMs that nobody reaches: their runs
+// take the stop grace to end, and their processes act late (issue 48).
+BOOST_AUTO_TEST_CASE(RunsOfCutVmsThatEndLateAreNotRepeated) {
+  constexpr std::int64_t stop_grace_ms = 200;
+  constexpr std::int64_t late_ms = 500;
+  constexpr std::int64_t max_lease_ms = 10'000;
+  PlatformFleet fleet(3, {.vms = 4, .max_lease_ms = max_lease_ms}, {},
+                      {"--max-lease-ms=" + std::to_string(max_lease_ms),
+                       "--stop-grace-ms=" + std::to_string(stop_grace_ms)});
+  fleet.platform->With([](fake::VmModel& world, fake::KeyStore&) {
+    for (auto& [id, vm] : world.vms) {
+      vm->lapse_ms = stop_grace_ms + late_ms;
+    }
+  });
+  const std::size_t owner = *fleet.Owner();
+  jobs::JobSpec job = PlainJob("1", 2, 60'000);
+  job.steps[0].endless = true;
+  fleet.Accept(job);
+  fleet.WaitFor("its runs", [&] { return fleet.starts() == 2; });
+  fleet.Signal(owner, SIGTERM);
+  fleet.WaitForExit(owner);
+  fleet.WaitForOwner();
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  fleet.platform->With([](fake::VmModel& world, fake::KeyStore&) {
+    for (auto& [id, vm] : world.vms) {
+      vm->unresponsive = !vm->runs.empty();
+    }
+  });
+  fleet.WaitFor("other runs", [&] { return fleet.starts() == 4; });
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 // Guards against an owner that goes on while the store refuses it alone, and
 // against its successor starting its work again.
 BOOST_AUTO_TEST_CASE(OwnerCutFromTheStoreIsReplaced) {
