--- a/fake/fleet/fleet_platform.cc
+++ b/fake/fleet/fleet_platform.cc
@@ -328,8 +328,11 @@
                             const HttpReply& reply,
                             std::function<void(const HttpReply&)> execute) {
   this->Advance();
+  const std::string body = request.method == "GET"
+                               ? std::string(request.Query("Prefix"))
+                               : request.body;
   const CallFault fault =
-      this->faults ? this->faults(call, request.body) : CallFault::kNone;
+      this->faults ? this->faults(call, body) : CallFault::kNone;
   switch (fault) {
     case CallFault::kNone:
       break;
--- a/fake/fleet/fleet_platform.h
+++ b/fake/fleet/fleet_platform.h
@@ -33,7 +33,8 @@
 inline constexpr Duration kSlowAnswer = std::chrono::milliseconds(900);
 
 /*! @brief Decides on the fault of a call: `store/kv-txn`, `vm0/run-start`,
- * `machines/machine-upkeep`, `advice/advise`. Runs on the loop's thread. */
+ * `machines/machine-upkeep`, `advice/advise`; `body` of a call that reads the
+ * store is its prefix. Runs on the loop's thread. */
 using FaultRule =
     std::function<CallFault(const std::string& call, const std::string& body)>;
 
--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -166,7 +166,11 @@
   if (this->scheduler != nullptr && !this->takeover &&
       this->ownership.MayOrder(now)) {
     const std::int64_t wall_ms = WallMs();
-    this->scheduler->Plan(now, wall_ms, this->roster->StartRoom());
+    // Without the operators' records, limits and zones that are out of service
+    // are not known. Runs that were found keep their leases.
+    if (this->fleet_config && this->operators_read) {
+      this->scheduler->Plan(now, wall_ms, this->roster->StartRoom());
+    }
     this->scheduler->Tick(now, wall_ms);
     this->Perform(this->scheduler->TakeEffects());
     this->ReportLoad(now);
@@ -366,7 +370,10 @@
            [this](const std::string& key, std::uint64_t /*revision*/) {
              this->Post([this, key] { this->OnOperatorRemoval(key); });
            },
-       .on_listed = [](std::uint64_t /*revision*/) {},
+       .on_listed =
+           [this](std::uint64_t /*revision*/) {
+             this->Post([this] { this->operators_read = true; });
+           },
        .on_reachable =
            [this](bool reachable) {
              this->parts.front.SetStoreReachable(reachable);
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -200,6 +200,7 @@
   Time next_gauges;
   Time next_machines;
   std::optional<jobs::FleetConfig> fleet_config;
+  bool operators_read = false;  // all of the operators' records, once
   std::set<ZoneId> zones_out;
   lead::Ownership ownership;
   Time last_pass;                    // of decisions
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -350,6 +350,41 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against starts beyond limits, or in a zone that is out of service: an
+// owner that has started anew reads the operators' records later than the rest.
+BOOST_AUTO_TEST_CASE(OwnerStartsNothingBeforeItHasReadTheLimits) {
+  PlatformFleet fleet(1, {.vms = 1, .addresses = 1});
+  fleet.platform->With([](fake::VmModel&, fake::KeyStore& store) {
+    store.Put("op/evacuate/z1", "{}");
+  });
+  fleet.WaitFor("the zone to be out", [&] {
+    return fleet.Log(0).find("zone_out") != std::string::npos;
+  });
+  jobs::JobSpec job = PlainJob("1", 1, 60'000);
+  job.steps[0].endless = true;
+  fleet.Accept(job);
+  fleet.Signal(0, SIGKILL);
+  fleet.WaitForExit(0);
+  constexpr std::int64_t unread_ms = 5000;
+  const std::int64_t read_us = WallUs() + unread_ms * kUsPerMs;
+  fleet.platform->SetFaults(
+      [read_us](const std::string& call, const std::string& prefix) {
+        return call == "store/kv-range" && prefix == "op/" && WallUs() < read_us
+                   ? CallFault::kRefuse
+                   : CallFault::kNone;
+      });
+  fleet.Restart(0);
+  fleet.WaitFor("a takeover", [&] {
+    return fleet.Log(0).find("\"recovered\"") != std::string::npos;
+  });
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  BOOST_TEST(fleet.starts() == 0);
+  fleet.platform->With([](fake::VmModel&, fake::KeyStore& store) {
+    store.Remove("op/evacuate/z1");
+  });
+  fleet.WaitFor("its run", [&] { return fleet.starts() == 1; });
+}
+
 // Guards against two runs at once beside VMs that nobody reaches: their runs
 // take the stop grace to end, and their processes act late (issue 48).
 BOOST_AUTO_TEST_CASE(RunsOfCutVmsThatEndLateAreNotRepeated) {
