--- a/test/process/fleet_soak.cc
+++ b/test/process/fleet_soak.cc
@@ -87,8 +87,7 @@
       const std::size_t instance = this->RandomInstance();
       const int action =
           this->Draw(0, static_cast<int>(this->profile.actions.size()) - 1);
-      (this->*this->profile.actions[static_cast<std::size_t>(action)])(
-          instance);
+      this->profile.actions[static_cast<std::size_t>(action)](*this, instance);
       next_ms = NowMs() + this->Draw(50, 700);
     }
     std::this_thread::sleep_for(kPollInterval);
@@ -263,7 +262,7 @@
   this->accepted.erase(job);
 }
 
-void FleetSoak::ChangeConfig(std::size_t /*instance*/) {
+void FleetSoak::ChangeConfig(std::size_t /*instance*/) const {
   this->fleet.platform->With(
       [](fake::VmModel& world, fake::KeyStore&) { ++world.config.version; });
   this->fleet.platform->PublishConfig();
@@ -276,13 +275,13 @@
   this->AddFault(this->Draw(200, 5000), [this, vm] { this->RegisterVm(vm); });
 }
 
-void FleetSoak::DropHistory(std::size_t /*instance*/) {
+void FleetSoak::DropHistory(std::size_t /*instance*/) const {
   this->fleet.platform->With(
       [](fake::VmModel&, fake::KeyStore& store) { store.DropHistory(); });
 }
 
 // A machine may have had its upkeep meanwhile, which ends its VM.
-void FleetSoak::RegisterVm(const std::string& vm) {
+void FleetSoak::RegisterVm(const std::string& vm) const {
   if (this->fleet.platform->IsUp(vm)) {
     this->fleet.platform->Register(vm);
   }
--- a/test/process/fleet_soak.h
+++ b/test/process/fleet_soak.h
@@ -19,7 +19,7 @@
  * job must end and every endless task must run. */
 class FleetSoak {
  public:
-  using Action = void (FleetSoak::*)(std::size_t instance);
+  using Action = std::function<void(FleetSoak&, std::size_t instance)>;
   /*! @brief What a soak runs and which faults it draws from, each as often as
    * it is listed. */
   struct Profile {
@@ -59,9 +59,9 @@
   void EvacuateZone(std::size_t instance);
   void RequestWave(std::size_t instance);
   void CancelJob(std::size_t instance);
-  void ChangeConfig(std::size_t instance);
+  void ChangeConfig(std::size_t instance) const;
   void DropRegistration(std::size_t instance);
-  void DropHistory(std::size_t instance);
+  void DropHistory(std::size_t instance) const;
   void DisturbMachines(std::size_t instance);
 
  private:
@@ -83,7 +83,7 @@
             const std::function<void(bool)>& set);
   void HoldRule(std::int64_t length_ms, const fake::FaultRule& rule);
   void Disturb(const std::string& prefix, std::int64_t length_ms);
-  void RegisterVm(const std::string& vm);
+  void RegisterVm(const std::string& vm) const;
 
   Profile profile;
   PlatformFleet fleet;
