--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -129,6 +129,13 @@
              .first->second.get();
     vm->added = now;
     vm->next_poll = now;
+    if (const auto late = this->late_starts.find(facts.id);
+        late != this->late_starts.end()) {
+      for (LateStart& start : late->second) {
+        start.stop_due = true;
+        start.stop_sent = Time();
+      }
+    }
     this->EmitLogEvent("vm_added", {{"vm", facts.id.str()},
                                     {"pool", facts.pool.str()},
                                     {"zone", facts.zone.str()},
@@ -187,16 +194,10 @@
   for (const Unlisted& run : unlisted) {
     this->Requeue(*run.task);
   }
-  std::vector<LateStart> late_starts = std::move(vm.late_starts);
   this->MarkRunsLost(vm, "vm_restarted");
   this->DropVm(next.id);
   this->SetVm(next, now);
   Vm& restarted = *this->FindVm(next.id);
-  restarted.late_starts = std::move(late_starts);
-  for (LateStart& late : restarted.late_starts) {
-    late.stop_due = true;
-    late.stop_sent = Time();
-  }
   for (const Unlisted& run : unlisted) {
     Task& task = *run.task;
     this->Place(task, restarted);
@@ -205,8 +206,7 @@
       task.phase = TaskPhase::kRunning;
       task.answered_at = run.answered_at;
     } else if (run.starting && task.spec().endless && !task.job->Ended()) {
-      // A stop could end it at work. The lease in its order says nothing by the
-      // new clock.
+      // A stop could end it at work, see BarredAfter.
       task.phase = TaskPhase::kStarting;
       task.answered_at = run.answered_at;
       task.lease_until_ms = 0;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -248,6 +248,16 @@
     std::string token;
     Time valid_until;
   };
+  // An order to start that had no answer and may be carried out late. A stop
+  // makes the incarnation that receives it refuse the run.
+  struct LateStart {
+    TaskRef task;
+    std::int64_t run = 0;
+    Time given_up;  // when no answer had come
+    // An earlier incarnation was ordered, so this one has to receive a stop.
+    bool stop_due = false;
+    Time stop_sent;
+  };
   // Answers of the advice service for a step.
   struct Advice {
     std::map<VmId, Permit> permits;
@@ -309,7 +319,11 @@
   void SendStop(Task& task, const Vm& vm);
   bool MayRepeatStop(const Task& task, const Vm& vm, Time now);
   void StopOrphan(Vm& vm, const TaskRef& ref, std::int64_t run, Time now);
-  void StopLateStarts(Vm& vm, Time now);
+  [[nodiscard]] Time BarredAfter(const Task& task,
+                                 const Vm& vm,
+                                 Time now) const;
+  void StopLateStarts(const Vm& vm, Time now);
+  [[nodiscard]] bool HasLateStop(const Vm& vm) const;
   [[nodiscard]] bool HasOrphan(const Task& task) const;
   void RemoveUnlistedOrphans(Vm& vm, std::uint64_t listed_in);
   void RestartVm(Vm& vm, const VmFacts& facts, Time now);
@@ -401,6 +415,8 @@
 
   std::uint64_t bounded_passes = 0;  // Plan with max_starts
 
+  // By VM, also while it is gone: it may return under its id.
+  std::map<VmId, std::vector<LateStart>> late_starts;
   // How many VMs hold an orphaned run of a task.
   std::map<TaskRef, int> orphaned_tasks;
 
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -160,6 +160,16 @@
   task->gauge = row.gauge;
 }
 
+// Until then, no stop is sent for a start that had no answer. The lease in the
+// order says nothing by the clock of a later incarnation, which is given as
+// long.
+Time Scheduler::BarredAfter(const Task& task, const Vm& vm, Time now) const {
+  return task.lease_until_ms == 0
+             ? vm.added + this->limits.lease
+             : now + std::chrono::milliseconds(task.lease_until_ms -
+                                               vm.ClockAt(now));
+}
+
 // Decides on the runs that a report does not list, and repeats stops that had
 // no answer.
 void Scheduler::ReconcileRuns(Vm& vm, Time sent, Time now) {
@@ -175,8 +185,7 @@
         // Once its lease has expired, the VM refuses it without a stop, so a
         // stop sent then ends no active task.
         if (settled && !(task->MayStartLate() &&
-                         (vm.clock_ms < task->lease_until_ms ||
-                          now < vm.earlier_lease_end.value_or(Time())))) {
+                         now < this->BarredAfter(*task, vm, now))) {
           this->EmitLogEvent("start_barred",
                              {{"task", task->Ref().Name()},
                               {"run", std::to_string(task->run)},
@@ -480,11 +489,19 @@
 
 // An incarnation that follows the one that was ordered knows neither the fence
 // nor the stop that barred the run, so it would carry the order out.
-void Scheduler::StopLateStarts(Vm& vm, Time now) {
-  std::erase_if(vm.late_starts, [this, now](const LateStart& late) {
+void Scheduler::StopLateStarts(const Vm& vm, Time now) {
+  const auto found = this->late_starts.find(vm.facts.id);
+  if (found == this->late_starts.end()) {
+    return;
+  }
+  std::erase_if(found->second, [this, now](const LateStart& late) {
     return now - late.given_up >= this->limits.late_order_time;
   });
-  for (LateStart& late : vm.late_starts) {
+  if (found->second.empty()) {
+    this->late_starts.erase(found);
+    return;
+  }
+  for (LateStart& late : found->second) {
     const Task* task = this->FindTask(late.task);
     const bool placed_here = task != nullptr && task->vm == vm.facts.id &&
                              task->run == late.run && task->Placed();
@@ -497,6 +514,14 @@
   }
 }
 
+bool Scheduler::HasLateStop(const Vm& vm) const {
+  const auto found = this->late_starts.find(vm.facts.id);
+  return found != this->late_starts.end() &&
+         std::ranges::any_of(found->second, [](const LateStart& late) {
+           return late.stop_due && late.stop_sent != Time();
+         });
+}
+
 bool Scheduler::HasOrphan(const Task& task) const {
   return !this->orphaned_tasks.empty() &&
          this->orphaned_tasks.contains(task.Ref());
@@ -533,11 +558,16 @@
   if (!answered) {
     this->SetUnresponsive(*vm, "stop", now);
   }
-  for (LateStart& late : vm->late_starts) {
-    if (answered && late.task == ref && late.run == run) {
-      late.stop_due = false;
+  if (const auto late = this->late_starts.find(id);
+      answered && late != this->late_starts.end()) {
+    for (LateStart& start : late->second) {
+      if (start.task == ref && start.run == run) {
+        start.stop_due = false;
+      }
     }
   }
+  // Whether the run has ended, or the VM answers again, is told by a report.
+  vm->next_poll = std::min(vm->next_poll, now);
   Task* task = this->FindTask(ref);
   if (task == nullptr || task->run != run || !vm->runs.contains(task) ||
       (task->phase != TaskPhase::kStopping &&
@@ -548,7 +578,6 @@
   if (answered) {
     task->answered_at = now;
   }
-  vm->next_poll = std::min(vm->next_poll, now);
 }
 
 void Scheduler::OnStart(const VmId& id,
@@ -607,7 +636,8 @@
       if (current) {
         task->answered_at = now;
       }
-      vm->late_starts.push_back({.task = ref, .run = run, .given_up = now});
+      this->late_starts[id].push_back(
+          {.task = ref, .run = run, .given_up = now});
       if (answer == StartAnswer::kNoAnswer) {
         this->SetUnresponsive(*vm, "start", now);
       }
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -198,7 +198,8 @@
     }
     for (const Task* task : vm.runs) {
       if (task->MayStartLate()) {
-        const std::int64_t left_ms = task->lease_until_ms - vm.ClockAt(now);
+        const std::int64_t left_ms =
+            ToMs(this->BarredAfter(*task, vm, now) - now);
         poll.wait_ms =
             std::min(poll.wait_ms, std::max(left_ms, ToMs(kStopPollInterval)));
       }
@@ -225,8 +226,9 @@
     return;
   }
   const bool has_new_end = vm.recorded_end > vm.acknowledged_end;
-  if (!vm.runs.empty() || !vm.orphans.empty() || has_new_end) {
-    const bool unsettled = !vm.orphans.empty() ||
+  const bool late_stop = this->HasLateStop(vm);
+  if (!vm.runs.empty() || !vm.orphans.empty() || has_new_end || late_stop) {
+    const bool unsettled = !vm.orphans.empty() || late_stop ||
                            std::ranges::any_of(vm.runs, [](const Task* task) {
                              return task->phase == TaskPhase::kStopping ||
                                     task->phase == TaskPhase::kDone;
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -26,17 +26,6 @@
   std::uint64_t last_listed = 0;  // latest report that listed it
 };
 
-/*! @brief An order to start that had no answer and may be carried out late. A
- * stop makes the incarnation that receives it refuse the run. */
-struct LateStart {
-  TaskRef task;
-  std::int64_t run = 0;
-  Time given_up;  // when no answer had come
-  // An earlier incarnation was ordered, so this one has to receive a stop.
-  bool stop_due = false;
-  Time stop_sent;
-};
-
 /*! @brief A scheduler's state of one incarnation of a VM. */
 struct Vm {
   VmFacts facts;
@@ -49,7 +38,6 @@
   Resources endless_used;             // the part of endless tasks
   std::set<Task*, TaskRefLess> runs;  // placed tasks
   std::vector<OrphanedRun> orphans;
-  std::vector<LateStart> late_starts;
   // An orphaned run of unknown size occupies the VM, so its free capacity is
   // unknown.
   bool unknown_orphan = false;
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -30,6 +30,21 @@
   return text;
 }
 
+bool Refuses(const FakeVm& vm, const std::string& task, std::int64_t run) {
+  const auto row = vm.refused_runs.find(task);
+  return row != vm.refused_runs.end() && row->second >= run;
+}
+
+// The times of a platform that stops runs quickly and grants long leases.
+void UseShortStopGrace(FleetSim& sim) {
+  sim.limits.lease = std::chrono::milliseconds(4100);
+  sim.limits.max_lease = std::chrono::milliseconds(10'000);
+  sim.limits.stop_grace = std::chrono::milliseconds(200);
+  sim.max_lease_ms = ToMs(sim.limits.max_lease);
+  sim.scheduler = std::make_unique<Scheduler>(sim.limits);
+  sim.scheduler->SetConfig(sim.config, sim.now);
+}
+
 // A takeover while the VM with the only run does not answer and the predecessor
 // may give orders for 20 s; returns that VM.
 std::string TakeOverWithoutReachingARun(FleetSim& sim) {
@@ -557,14 +572,13 @@
   sim.Submit(job);
   sim.Run(50);
   vm.order_delay_ms = 0;
-  const auto stopped = [&vm] {
-    const auto row = vm.refused_runs.find("a.0.0.0");
-    return row != vm.refused_runs.end() && row->second >= 1;
-  };
+  const auto stopped = [&vm] { return Refuses(vm, "a.0.0.0", 1); };
   BOOST_REQUIRE(sim.RunUntil(stopped, 5000));
+  sim.scheduler->Cordon(VmId("vm0"), true);
   sim.AddVm("vm1", "p", kVmSize);
   sim.Register("vm1");
   BOOST_REQUIRE(sim.RunUntil([&] { return sim.starts() == 1; }, 5000));
+  BOOST_REQUIRE(!sim.vms.at("vm1")->runs.empty());
   sim.Run(200);
   vm.unresponsive = true;
   vm.Restart(sim.now);
@@ -583,6 +597,132 @@
   BOOST_TEST(Violations(sim) == "");
 }
 
+// Guards against a VM that is never asked again: a stop of a start that was
+// sent to its earlier incarnation has no answer, and nothing runs on it.
+BOOST_AUTO_TEST_CASE(LostStopOfALateStartIsSentAgain) {
+  FleetSim sim;
+  FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
+  vm.order_delay_ms = 60'000;
+  sim.Submit(SimpleJob("a", "q", 1, 1000, 60'000));
+  sim.Run(50);
+  vm.order_delay_ms = 0;
+  BOOST_REQUIRE(
+      sim.RunUntil([&vm] { return Refuses(vm, "a.0.0.0", 1); }, 5000));
+  sim.scheduler->Cordon(VmId("vm0"), true);
+  sim.AddVm("vm1", "p", kVmSize);
+  sim.Register("vm1");
+  BOOST_REQUIRE(sim.RunUntil([&] { return sim.starts() == 1; }, 5000));
+  sim.Run(200);
+  vm.order_delay_ms = 60'000;  // orders are lost, looks are answered
+  vm.Restart(sim.now);
+  sim.Register("vm0");
+  sim.Run(1500);
+  vm.order_delay_ms = 0;
+  BOOST_TEST(sim.RunUntil([&vm] { return Refuses(vm, "a.0.0.0", 1); }, 2000));
+  BOOST_TEST(!sim.scheduler->vms().at(VmId("vm0"))->unresponsive);
+  sim.Submit(SimpleJob("b", "q", 1, kVmSize.cpu_m, 300));
+  BOOST_TEST(sim.Completes("b", 10'000));
+}
+
+// Guards against an idle VM that counts as silent for ever: a stop has no
+// answer, and a report has told the end of the run before.
+BOOST_AUTO_TEST_CASE(LostAnswerToAStopLeavesAnIdleVmUsable) {
+  FleetSim sim;
+  sim.AddVm("vm0", "p", kVmSize);
+  sim.Submit(SimpleJob("a", "q", 1, 1000, 300));
+  BOOST_REQUIRE(sim.Completes("a", 5000));
+  sim.Run(1000);
+  sim.scheduler->OnStop(VmId("vm0"), {JobId("a"), 0, 0, 0}, 1, false, sim.now);
+  sim.Run(1000);
+  BOOST_TEST(!sim.scheduler->vms().at(VmId("vm0"))->unresponsive);
+}
+
+// Guards against an endless task that is out for over 6 s (LOST): its start is
+// lost with the incarnation of the VM that it was sent to.
+BOOST_AUTO_TEST_CASE(StartThatARestartedVmHasLostIsRepeatedInTime) {
+  FleetSim sim;
+  UseShortStopGrace(sim);
+  FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
+  sim.Run(100);
+  vm.order_delay_ms = 60'000;
+  sim.Submit(EndlessJob("a", 1));
+  sim.Run(100);
+  vm.order_delay_ms = 0;
+  vm.Restart(sim.now);
+  sim.Register("vm0");
+  BOOST_TEST(sim.RunUntil([&] { return sim.starts() == 1; }, 6000));
+}
+
+// Guards against two runs at once after a takeover: a VM that has restarted
+// takes a lease by its earlier clock for the longest one that it grants, which
+// the successor does not know. Red.
+BOOST_AUTO_TEST_CASE(LeaseByAnEarlierClockOutlastsATakeover,
+                     *boost::unit_test::label("red")) {
+  for (const bool reached : {false, true}) {
+    FleetSim sim;
+    UseShortStopGrace(sim);
+    FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
+    sim.Run(20'000);
+    vm.Restart(sim.now);  // its registration tells of that later
+    sim.Submit(SimpleJob("a", "q", 1, 1000, 60'000));
+    sim.Submit(SimpleJob("b", "q", 1, 1000, 60'000));
+    sim.Run(60);
+    BOOST_REQUIRE(vm.runs.size() == 2U);
+    vm.unresponsive = !reached;
+    if (reached) {
+      sim.Takeover();
+      sim.Run(300);
+    }
+    sim.AddVm("vm1", "p", kVmSize);
+    vm.unresponsive = true;
+    if (!reached) {
+      sim.Takeover();
+    }
+    sim.Run(12'000);
+    BOOST_TEST(Violations(sim) == "");
+  }
+}
+
+// Guards against two runs at once: a start to an earlier incarnation is refused
+// as stopped, and its lease by the earlier clock still counts. Red.
+BOOST_AUTO_TEST_CASE(RefusedLateStartRaisesTheLease,
+                     *boost::unit_test::label("red")) {
+  FleetSim sim;
+  FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
+  sim.Run(7000);  // its clock is far ahead of that of the next incarnation
+  vm.order_delay_ms = 60'000;
+  const JobSpec job = SimpleJob("a", "q", 1, 1000, 60'000);
+  sim.Submit(job);
+  sim.Run(50);
+  const std::int64_t until_ms = sim.ClockOf(vm) + 4000;
+  vm.order_delay_ms = 0;
+  BOOST_REQUIRE(
+      sim.RunUntil([&vm] { return Refuses(vm, "a.0.0.0", 1); }, 5000));
+  sim.scheduler->Cordon(VmId("vm0"), true);
+  sim.AddVm("vm1", "p", kVmSize);
+  sim.Register("vm1");
+  BOOST_REQUIRE(sim.RunUntil([&] { return sim.starts() == 1; }, 5000));
+  vm.Restart(sim.now);
+  sim.Register("vm0");
+  sim.Run(300);
+  BOOST_REQUIRE(Refuses(vm, "a.0.0.0", 1));
+  sim.scheduler->Cordon(VmId("vm1"), true);
+  sim.Submit(SimpleJob("b", "q", 1, 1000, 60'000));
+  sim.Run(100);
+  BOOST_REQUIRE(vm.runs.size() == 1U);
+  const StartAnswer late = sim.HandleStart(vm,
+                                           {.task = {JobId("a"), 0, 0, 0},
+                                            .run = 1,
+                                            .payload = job.payload,
+                                            .lease_until_ms = until_ms},
+                                           1);
+  BOOST_TEST(NameOf(late) == NameOf(StartAnswer::kOldRun));
+  vm.unresponsive = true;
+  sim.scheduler->Cordon(VmId("vm1"), false);
+  sim.Run(9000);
+  BOOST_TEST(Violations(sim) == "");
+}
+
 // A failure that was recorded but not acknowledged was counted again by the
 // successor, and the job failed with an attempt left.
 BOOST_AUTO_TEST_CASE(SuccessorCountsAFailureOnce) {
