--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -166,7 +166,8 @@
 // may be one of the new incarnation: that has received no fence and carries out
 // what reaches it. Such a run stays where it is until a report of the new
 // incarnation tells. If its order to start has no answer yet, the order may
-// still be in transit, so a stop makes the VM refuse the run.
+// still be in transit, so a stop makes the VM refuse the run; that of an
+// endless task is awaited first, see BarredAfter.
 void Scheduler::RestartVm(Vm& vm, const VmFacts& facts, Time now) {
   struct Unlisted {
     Task* task = nullptr;
