--- a/test/upkeep/turns_test.cc
+++ b/test/upkeep/turns_test.cc
@@ -1,7 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "test/jobs/fleet_sim.h"
-#include "upkeep/upkeep.h"
+#include "test/upkeep/mover_sim.h"
 
 // The mover and the scheduler together, in virtual time, under queues whose
 // demand rises by turns beyond the capacity of their pools.
@@ -10,14 +9,12 @@
 namespace {
 
 using std::chrono::milliseconds;
+using test::MoverSim;
 
 constexpr int kPools = 4;
 constexpr int kMachinesPerPool = 10;
 constexpr int kStandbyMachines = 8;
-constexpr jobs::Resources kMachineSize{8000, 100'000, 0};
 constexpr std::int64_t kTurnMs = 4500;
-constexpr std::int64_t kMoveMs = 2000;
-constexpr std::int64_t kTickMs = 25;
 
 // What callers get: jobs by their age at their end.
 struct Outcome {
@@ -38,21 +35,18 @@
  public:
   explicit TurnsSim(Sizing sizing) : sizing(sizing) {
     for (int p = 0; p < kPools; ++p) {
-      jobs::Queue queue = this->sim.config.queues.at(jobs::QueueId("q"));
-      queue.id = jobs::QueueId(PoolName(p));
-      queue.pool = PoolId(PoolName(p));
-      this->sim.config.queues[queue.id] = queue;
-      this->sim.config.pools[queue.pool] = {};
+      this->fleet.AddPool(PoolName(p), false);
       for (int m = 0; m < kMachinesPerPool; ++m) {
-        this->AddMachine(PoolName(p) + "-" + std::to_string(m), queue.pool);
+        this->fleet.AddMachine(PoolName(p) + "-" + std::to_string(m),
+                               PoolId(PoolName(p)));
       }
     }
-    this->sim.config.pools[PoolId("standby")] = {.standby = true};
     for (int m = 0; m < kStandbyMachines; ++m) {
-      this->AddMachine("s-" + std::to_string(m), PoolId("standby"));
+      this->fleet.AddMachine("s-" + std::to_string(m), PoolId("standby"));
     }
-    ++this->sim.config.version;
-    this->sim.scheduler->SetConfig(this->sim.config, this->sim.now);
+    this->fleet.adjust = [this](const auto& states, auto& demands) {
+      this->Adjust(states, demands);
+    };
   }
 
   // Each queue has its turn twice, after a time without load.
@@ -63,10 +57,11 @@
       this->RunFor(kTurnMs, turn % kPools);
     }
     this->RunFor(quiet_ms, -1);
-    BOOST_TEST(this->sim.violations.empty());
+    BOOST_TEST(this->fleet.sim.violations.empty());
     constexpr double ms_per_s = 1000;
-    Outcome outcome{.moves = this->move_count,
-                    .machine_s = static_cast<double>(this->pool_ms) / ms_per_s};
+    Outcome outcome{
+        .moves = this->fleet.move_count,
+        .machine_s = static_cast<double>(this->fleet.pool_ms) / ms_per_s};
     for (const auto& [id, submitted_at] : this->submitted) {
       ++outcome.jobs;
       const auto ended = this->ended.find(id);
@@ -82,64 +77,45 @@
 
   static std::string PoolName(int pool) { return "p" + std::to_string(pool); }
 
-  void AddMachine(const std::string& name, const PoolId& pool) {
-    const bool standby = pool.str() == "standby";
-    const std::string vm =
-        standby ? "" : "vm-" + std::to_string(++this->vm_count);
-    if (!standby) {
-      this->sim.AddVm(vm, pool.str(), kMachineSize);
-    }
-    this->machines[MachineId(name)] = {.id = MachineId(name),
-                                       .pool = pool,
-                                       .vm = VmId(vm),
-                                       .capacity = kMachineSize};
-  }
-
   void RunFor(std::int64_t ms, int busy_queue) {
-    for (std::int64_t passed = 0; passed < ms; passed += kTickMs) {
+    for (std::int64_t passed = 0; passed < ms; passed += MoverSim::kTickMs) {
       for (int p = 0; p < kPools; ++p) {
         // A job has 5 core-seconds; a pool has 80 cores.
         const double jobs_per_s = p == busy_queue ? 26 : 0.8;
-        this->due[p] += jobs_per_s * kTickMs / 1000;
+        this->due[p] += jobs_per_s * MoverSim::kTickMs / 1000;
         for (; this->due[p] >= 1; this->due[p] -= 1) {
           this->Submit(PoolName(p));
         }
       }
-      this->sim.Run(kTickMs);
+      this->fleet.Tick();
       this->NoteEnds();
-      this->TickMover();
     }
   }
 
   void Submit(const std::string& queue) {
     const std::string id = "j" + std::to_string(++this->job_count);
     jobs::JobSpec job = jobs::test::SimpleJob(id, queue, 6, 1000, 400);
-    job.queue = this->sim.config.queues.at(jobs::QueueId(queue));
+    job.queue = this->fleet.sim.config.queues.at(jobs::QueueId(queue));
     job.steps.push_back(job.steps.front());
     job.steps.back().depends_on = {0};
-    this->submitted[id] = this->sim.now;
+    this->submitted[id] = this->fleet.sim.now;
     this->open.insert(id);
-    this->sim.Submit(std::move(job));
+    this->fleet.sim.Submit(std::move(job));
   }
 
   void NoteEnds() {
     std::erase_if(this->open, [this](const std::string& id) {
-      if (this->sim.StateOf(id) != jobs::JobState::kCompleted) {
+      if (this->fleet.sim.StateOf(id) != jobs::JobState::kCompleted) {
         return false;
       }
-      this->ended[id] = this->sim.now;
+      this->ended[id] = this->fleet.sim.now;
       return true;
     });
   }
 
-  void TickMover() {
-    const Time now = this->sim.now;
-    std::map<PoolId, FleetForecast::PoolState> states;
-    for (const auto& [id, facts] : this->sim.config.pools) {
-      states[id] = {this->sim.scheduler->DemandOf(id, now), facts.standby};
-    }
-    std::map<PoolId, PoolDemand> pools = this->forecast.Observe(states, now);
-    for (auto& [id, pool] : pools) {
+  void Adjust(const MoverSim::States& states, MoverSim::Demands& demands) {
+    const Time now = this->fleet.sim.now;
+    for (auto& [id, pool] : demands) {
       if (this->sizing == Sizing::kBacklog) {
         pool.need = pool.used + pool.waiting;
         pool.peak = jobs::Resources{};
@@ -153,63 +129,16 @@
         pool.expected = {};
       }
     }
-    for (const auto& [id, machine] : this->machines) {
-      this->pool_ms += machine.pool.str() == "standby" ? 0 : kTickMs;
-    }
-    const auto load_of = [this](const VmId& id) -> std::optional<VmLoad> {
-      const auto found = this->sim.scheduler->vms().find(id);
-      if (found == this->sim.scheduler->vms().end()) {
-        return std::nullopt;
-      }
-      return VmLoad{.runs = found->second->runs.size(),
-                    .responsive = !found->second->unresponsive};
-    };
-    this->mover.Tick(this->machines, now, {}, {}, pools, load_of, now);
-    for (const Effect& effect : this->mover.TakeEffects()) {
-      if (const auto* cordon = std::get_if<SetCordon>(&effect)) {
-        this->sim.scheduler->Cordon(cordon->vm, cordon->on);
-      } else if (const auto* ended_vm = std::get_if<VmTerminated>(&effect)) {
-        this->sim.scheduler->EndVm(ended_vm->vm);
-      } else if (const auto* order = std::get_if<OrderMove>(&effect)) {
-        this->Move(*order);
-      }
-    }
-    std::erase_if(this->arrivals, [this, now](const auto& row) {
-      if (now < row.first) {
-        return false;
-      }
-      this->AddMachine(row.second.machine.str(), row.second.to);
-      return true;
-    });
-  }
-
-  void Move(const OrderMove& order) {
-    ++this->move_count;
-    Machine& machine = this->machines.at(order.machine);
-    machine.state = MachineState::kMoving;
-    if (!machine.vm.empty()) {
-      this->sim.vms.at(machine.vm.str())->runs.clear();
-      this->sim.vms.at(machine.vm.str())->unresponsive = true;
-    }
-    this->mover.OnOrderAnswer(order.machine, OrderAnswer::kDone, this->sim.now);
-    this->arrivals.emplace_back(this->sim.now + milliseconds(kMoveMs), order);
   }
 
   Sizing sizing;
-  jobs::test::FleetSim sim;
-  Mover mover{MoveLimits{}};
-  MachineList machines;
+  MoverSim fleet;
   std::map<PoolId, PoolForecast> pool_forecasts;
-  FleetForecast forecast{MoveLimits{}.move_duration, this->sim.now};
-  std::vector<std::pair<Time, OrderMove>> arrivals;
   std::map<int, double> due;
   std::map<std::string, Time> submitted;
   std::map<std::string, Time> ended;
   std::set<std::string> open;
-  int vm_count = 0;
   int job_count = 0;
-  std::size_t move_count = 0;
-  std::int64_t pool_ms = 0;
 };
 
 }  // namespace
