--- a/fake/vms/vm_model.h
+++ b/fake/vms/vm_model.h
@@ -49,6 +49,7 @@
   // Ends of `done` runs whose tasks have been started since.
   std::set<std::int64_t> repeated_ends;
   bool unresponsive = false;  // does not answer, but its runs continue
+  bool refuses_connections = false;  // orders to it are not sent
   bool fails_all = false;
   bool drops_responses = false;  // carries out orders without an answer
   // Orders to start and stop runs are carried out this much later, without an
--- a/test/jobs/fleet_sim.cc
+++ b/test/jobs/fleet_sim.cc
@@ -187,6 +187,15 @@
 
   void operator()(const StartRun& order) const {
     FleetSim& at = this->sim;
+    if (at.vms.at(order.to.vm.str())->refuses_connections) {
+      at.RunAfter(kLatencyMs, [&at, order, sender_fence = this->sender_fence] {
+        if (sender_fence == at.fence) {
+          at.scheduler->OnStart(order.to.vm, order.task, order.run,
+                                StartAnswer::kNotSent, 0, at.now);
+        }
+      });
+      return;
+    }
     if (const FakeVm& vm = *at.vms.at(order.to.vm.str());
         vm.order_delay_ms > 0) {
       this->ExecuteDelayed(
@@ -274,7 +283,8 @@
                      std::int64_t boot_ms,
                      Time latest) {
     FakeVm& vm = *at.vms.at(poll.to.vm.str());
-    if (vm.unresponsive || vm.facts.boot_ms != boot_ms) {
+    if (vm.unresponsive || vm.refuses_connections ||
+        vm.facts.boot_ms != boot_ms) {
       at.RunAfter(kPollTimeoutSlackMs, [&at, poll, sender_fence] {
         if (sender_fence == at.fence) {
           at.scheduler->OnPollFailed(poll.to.vm, false, false, at.now);
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -1290,6 +1290,25 @@
   BOOST_TEST(sim.starts() == 0);
 }
 
+// Guards against a sound VM that stays out of service for good since an order
+// to it could not be sent, while tasks that are to last wait (LOST).
+BOOST_AUTO_TEST_CASE(IdleVmServesAgainAfterAnOrderThatWasNotSent,
+                     *boost::unit_test::label("red")) {
+  test::FleetSim sim;
+  fake::FakeVm& vm = sim.AddVm("v1", "p", {8000, 100'000, 0});
+  sim.Run(3000);
+  vm.refuses_connections = true;
+  JobSpec job = test::SimpleJob("lasts", "q", 1, 1000, 60'000);
+  job.steps[0].endless = true;
+  sim.Submit(job);
+  sim.Run(500);
+  BOOST_TEST(sim.scheduler->vms().at(VmId("v1"))->unresponsive);
+  vm.refuses_connections = false;
+  sim.Run(9000);
+  BOOST_TEST(!sim.scheduler->vms().at(VmId("v1"))->unresponsive);
+  BOOST_TEST(sim.Runs("lasts.0.0.0"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::jobs::test
