--- a/test/jobs/large_jobs_test.cc
+++ b/test/jobs/large_jobs_test.cc
@@ -82,6 +82,37 @@
       [&] { sim.scheduler->EvictEndless(VmId("vm0"), sim.now); }));
 }
 
+// What steps need of the VMs of a pool is looked at whenever machines may move:
+// hundreds of rules, as many steps that no VM has room for, and a job for each
+// waiting task.
+BOOST_AUTO_TEST_CASE(ManyRulesOfPlacementHoldNobodyUp) {
+  FleetSim sim;
+  for (int i = 0; i < 2000; ++i) {
+    sim.AddVm("vm" + std::to_string(i), "p", kVmSize);
+  }
+  sim.Run(100);
+  const auto submit = [&sim](const std::string& id, int tasks, int cpu_m,
+                             bool endless) {
+    JobSpec job = SimpleJob(id, "q", tasks, cpu_m, 1000);
+    job.steps[0].label = endless ? "a" : "absent";
+    job.steps[0].endless = endless;
+    job.steps[0].max_per_vm = 1;
+    sim.Submit(std::move(job));
+  };
+  for (int i = 0; i < 400; ++i) {
+    submit("spread-" + std::to_string(i), 4, 500 + i, true);
+    submit("large-" + std::to_string(i), 2, 8001 + i, true);
+  }
+  sim.Run(100);
+  for (int i = 0; i < kMaxTasksPerJob; ++i) {
+    submit("waits-" + std::to_string(i), 1, 1000 + i, false);
+  }
+  std::vector<PlacementNeed> needs;
+  CheckLength(ProcessorSeconds(
+      [&] { needs = sim.scheduler->PlacementNeedsOf(PoolId("p"), sim.now); }));
+  BOOST_TEST(needs.size() > 32U);  // of steps at work, and unplaced ones
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::jobs::test
--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -515,6 +515,24 @@
   BOOST_TEST((order() == upkeep::OrderAnswer::kRateLimited));
 }
 
+// Guards against a list whose labels are not read, so that no machine is found
+// for a step that needs one, and against a row that ends the process.
+BOOST_AUTO_TEST_CASE(ListOfMachinesTellsTheirLabels) {
+  Stand stand;
+  stand.Answer("machines", 200, R"({"Machines": [
+      {"Machine": "m-1", "Pool": "p", "State": "up", "Id": "i-1",
+       "Labels": ["big", 3, null, "r1"], "Capacity": {"Cpu": 8000}},
+      {"Machine": "m-2", "Labels": "big"}, {"Machine": "m-3"}]})");
+  MachineClient machines(*stand.client, stand.Address(), "edge-1");
+  Waiter<std::optional<std::vector<upkeep::Machine>>> waiter;
+  machines.List(waiter.Callback());
+  const auto list = waiter.Wait();
+  BOOST_REQUIRE(list.has_value());
+  BOOST_TEST(list->at(0).labels == (std::set<std::string>{"big", "r1"}));
+  BOOST_TEST(list->at(1).labels.empty());
+  BOOST_TEST(list->at(2).labels.empty());
+}
+
 // Guards against an order to a machine that is sent after its sender's lease
 // has expired, as when the process was paused in between.
 BOOST_AUTO_TEST_CASE(OrdersToMachinesAreNotSentAfterTheLease) {
--- a/test/upkeep/mover_sim.cc
+++ b/test/upkeep/mover_sim.cc
@@ -49,6 +49,12 @@
   this->sim.Deregister(vm);
 }
 
+void MoverSim::Takeover() {
+  this->sim.Takeover();
+  this->mover = Mover(MoveLimits{});
+  this->forecast = FleetForecast(MoveLimits{}.move_duration, this->sim.now);
+}
+
 void MoverSim::Run(std::int64_t ms) {
   for (std::int64_t passed = 0; passed < ms; passed += kTickMs) {
     this->Tick();
@@ -58,6 +64,9 @@
 void MoverSim::Tick() {
   this->sim.Run(kTickMs);
   const Time now = this->sim.now;
+  if (this->sim.scheduler->recovering()) {
+    return;
+  }
   States states;
   for (const auto& [id, facts] : this->sim.config.pools) {
     states[id] = {this->sim.scheduler->DemandOf(id, now), facts.standby,
@@ -70,13 +79,15 @@
   for (const auto& [id, machine] : this->machines) {
     this->pool_ms += machine.pool.str() == "standby" ? 0 : kTickMs;
   }
-  const auto load_of = [this](const VmId& id) -> std::optional<VmLoad> {
+  const auto load_of = [this, now](const VmId& id) -> std::optional<VmLoad> {
     const auto found = this->sim.scheduler->vms().find(id);
     if (found == this->sim.scheduler->vms().end()) {
       return std::nullopt;
     }
-    return VmLoad{.runs = found->second->runs.size(),
-                  .responsive = !found->second->unresponsive};
+    return VmLoad{
+        .runs = found->second->runs.size(),
+        .responsive = !found->second->unresponsive,
+        .runs_known = this->sim.scheduler->RunsKnown(*found->second, now)};
   };
   this->mover.Tick(this->machines, now, {}, {}, demands, load_of, now);
   for (const Effect& effect : this->mover.TakeEffects()) {
--- a/test/upkeep/mover_sim.h
+++ b/test/upkeep/mover_sim.h
@@ -32,6 +32,8 @@
   // Advances the time by a tick.
   void Tick();
   void Run(std::int64_t ms);
+  // Another process owns the fleet from now on.
+  void Takeover();
   // The VM of a machine is gone for good.
   void LoseVm(const std::string& machine);
 
--- a/test/upkeep/mover_test.cc
+++ b/test/upkeep/mover_test.cc
@@ -70,6 +70,15 @@
   }
 };
 
+// Tasks of which each VM takes `max_per_vm`.
+jobs::PlacementNeed SpreadNeed(std::int64_t tasks,
+                               std::int64_t places,
+                               std::int32_t max_per_vm = 1) {
+  return {.rule = {.task = {100, 100, 0}, .max_per_vm = max_per_vm},
+          .tasks = tasks,
+          .places = places};
+}
+
 // A backlog that would take several machines moves this one alone.
 void CheckOnlyOneMoves(MoverFixture& fixture, const std::string& machine) {
   for (int i = 0; i < 4; ++i) {
@@ -334,6 +343,55 @@
   BOOST_TEST(from["c"] == 2);
 }
 
+// Guards against moves for a VM that is silent for a moment, and against more
+// machines than are missing while those that were ordered arrive: the list
+// shows them in their pool before their VMs register.
+BOOST_AUTO_TEST_CASE(PlacesMissingForASecondAreMadeUpOnce) {
+  MoverFixture fixture;
+  for (auto& [id, pool] : fixture.pools) {
+    pool.peak.reset();
+  }
+  const PoolId a("a");
+  fixture.pools[a].placement = {SpreadNeed(12, 8, 2)};
+  BOOST_TEST(fixture.Tick().empty());
+  BOOST_TEST(fixture.Tick(950).empty());
+  const auto orders = fixture.Tick();
+  BOOST_TEST(orders.size() == 2U);
+  for (const OrderMove& order : orders) {
+    BOOST_TEST(order.to == a);
+    fixture.mover.OnOrderAnswer(order.machine, OrderAnswer::kDone, fixture.now);
+  }
+  BOOST_TEST(fixture.Tick(1500).empty());
+  for (const OrderMove& order : orders) {
+    fixture.machines.at(order.machine).pool = a;
+    fixture.machines.at(order.machine).vm = VmId("new" + order.machine.str());
+  }
+  BOOST_TEST(fixture.Tick(1000).empty());
+  BOOST_TEST(fixture.Tick(1000).empty());
+  BOOST_TEST(fixture.mover.moving().empty());
+}
+
+// Guards against a pool that gives up, as idle or for the backlog of another
+// one, machines whose places its steps need.
+BOOST_AUTO_TEST_CASE(PoolsKeepMachinesForTheirSteps) {
+  for (const bool backlog : {false, true}) {
+    MoverFixture fixture;
+    fixture.pools[PoolId("b")].placement = {SpreadNeed(4, 4)};
+    fixture.pools[PoolId("c")].placement = {SpreadNeed(3, 4)};
+    if (backlog) {
+      fixture.SetBacklog("a", 384);
+    } else {
+      fixture.Tick();
+    }
+    std::map<std::string, int> from;
+    for (const OrderMove& order : fixture.Tick(1600)) {
+      ++from[fixture.machines.at(order.machine).pool.str()];
+    }
+    BOOST_TEST(from["b"] == 0);
+    BOOST_TEST(from["c"] == 1);
+  }
+}
+
 // Whatever the load, no pool is left with less than it needs for another one,
 // and no more machines move than make up for the deficits.
 BOOST_AUTO_TEST_CASE(MovesAreBoundedAndLeaveDonorsTheirNeed) {
--- a/test/upkeep/placement_test.cc
+++ b/test/upkeep/placement_test.cc
@@ -12,22 +12,50 @@
 constexpr std::int64_t kRestartMs = 9000;
 // After which a pool's peaks are known, so that it gives up idle machines.
 constexpr std::int64_t kPeaksKnownMs = 40'000;
+// More than it takes to move what a pool lacks, less than the time after which
+// it gives up idle machines.
+constexpr std::int64_t kMovesMs = 9000;
 
-jobs::JobSpec SpreadJob(std::int32_t tasks) {
-  jobs::JobSpec job =
-      jobs::test::SimpleJob("spread", "p", tasks, 100, kLongTaskMs);
+jobs::JobSpec EndlessJob(const std::string& id,
+                         std::int32_t tasks,
+                         std::int64_t cpu_m) {
+  jobs::JobSpec job = jobs::test::SimpleJob(id, "p", tasks, cpu_m, kLongTaskMs);
   job.steps[0].endless = true;
-  job.steps[0].max_per_vm = 1;
   job.steps[0].max_unavailable = 1;
   return job;
 }
 
+jobs::JobSpec SpreadJob(std::int32_t tasks) {
+  jobs::JobSpec job = EndlessJob("spread", tasks, 100);
+  job.steps[0].max_per_vm = 1;
+  return job;
+}
+
+jobs::JobSpec GangJob(std::int32_t tasks) {
+  jobs::JobSpec job = jobs::test::SimpleJob("gang", "p", tasks, 100, 1000);
+  job.steps[0].max_per_vm = 1;
+  job.steps[0].gang = true;
+  return job;
+}
+
+jobs::JobSpec LabelledJob(const std::string& label) {
+  jobs::JobSpec job = EndlessJob("labelled", 1, 100);
+  job.steps[0].label = label;
+  return job;
+}
+
 void AddMachines(MoverSim& fleet, const std::string& pool, int count) {
   for (int i = 0; i < count; ++i) {
     fleet.AddMachine(pool + "-" + std::to_string(i), PoolId(pool));
   }
 }
 
+void AddPools(MoverSim& fleet, int machines, int standby) {
+  fleet.AddPool("p", false);
+  AddMachines(fleet, "p", machines);
+  AddMachines(fleet, "standby", standby);
+}
+
 std::size_t RunsOf(const MoverSim& fleet, const std::string& job) {
   std::size_t runs = 0;
   for (const auto& [id, vm] : fleet.sim.vms) {
@@ -46,9 +74,7 @@
 // pool with fewer VMs than tasks, most of whose room is free (LOST).
 BOOST_AUTO_TEST_CASE(SpreadTasksWhoseVmsAreLostGetOthers) {
   MoverSim fleet;
-  fleet.AddPool("p", false);
-  AddMachines(fleet, "p", 20);
-  AddMachines(fleet, "standby", 10);
+  AddPools(fleet, 20, 10);
   fleet.sim.Submit(SpreadJob(12));
   fleet.Run(kPeaksKnownMs);
   BOOST_TEST(RunsOf(fleet, "spread") == 12U);
@@ -65,6 +91,108 @@
   BOOST_TEST(fleet.sim.violations.empty());
 }
 
+// Guards against a step that waits for good once the only VM with its label is
+// lost, and against a pool that gives the machine it got for it up again.
+BOOST_AUTO_TEST_CASE(LabelledStepWhoseVmIsLostKeepsAnother) {
+  MoverSim fleet;
+  AddPools(fleet, 4, 4);
+  fleet.AddMachine("p-big", PoolId("p"), {"big"});
+  fleet.AddMachine("standby-big", PoolId("standby"), {"big"});
+  fleet.sim.Submit(LabelledJob("big"));
+  fleet.Run(1000);
+  BOOST_TEST(RunsOf(fleet, "labelled") == 1U);
+  fleet.LoseVm("p-big");
+  fleet.Run(kRestartMs);
+  BOOST_TEST(RunsOf(fleet, "labelled") == 1U);
+  const std::int64_t starts = fleet.sim.starts();
+  fleet.Run(kPeaksKnownMs);
+  BOOST_TEST(RunsOf(fleet, "labelled") == 1U);
+  BOOST_TEST(fleet.sim.starts() == starts);
+  BOOST_TEST(fleet.machines.at(MachineId("standby-big")).pool.str() == "p");
+  BOOST_TEST(fleet.sim.violations.empty());
+}
+
+// Guards against a gang that never starts because its pool has fewer VMs than
+// it takes, and against more machines than it lacks.
+BOOST_AUTO_TEST_CASE(GangGetsTheVmsThatItLacks) {
+  MoverSim fleet;
+  AddPools(fleet, 4, 10);
+  fleet.sim.Submit(GangJob(8));
+  fleet.Run(kMovesMs);
+  BOOST_TEST(NameOf(fleet.sim.StateOf("gang")) == "completed");
+  BOOST_TEST(fleet.move_count == 4U);
+  BOOST_TEST(fleet.sim.violations.empty());
+}
+
+// Guards against machines that leave other pools for work that they do not
+// help: a gang beyond all machines, a label that none has, a task larger than
+// each.
+BOOST_AUTO_TEST_CASE(WorkThatNoMachineHelpsMovesNone) {
+  jobs::JobSpec large = EndlessJob("large", 1, 0);
+  large.steps[0].need = {100, MoverSim::kMachineSize.memory_mb + 1, 0};
+  for (const jobs::JobSpec& job : {GangJob(30), LabelledJob("absent"), large}) {
+    MoverSim fleet;
+    AddPools(fleet, 4, 10);
+    fleet.AddPool("other", false);
+    AddMachines(fleet, "other", 4);
+    fleet.sim.Submit(job);
+    fleet.Run(kMovesMs);
+    BOOST_TEST(fleet.move_count == 0U, job.id.str());
+    BOOST_TEST(RunsOf(fleet, job.id.str()) == 0U);
+  }
+}
+
+// Guards against machines that move for a VM that is silent for a moment.
+BOOST_AUTO_TEST_CASE(VmThatIsSilentForAMomentMovesNothing) {
+  MoverSim fleet;
+  AddPools(fleet, 12, 10);
+  fleet.sim.Submit(SpreadJob(12));
+  fleet.Run(3000);
+  const auto& known = *fleet.sim.scheduler->vms().at(VmId("vm-1"));
+  fleet.sim.vms.at("vm-1")->unresponsive = true;
+  while (!known.unresponsive) {
+    fleet.Tick();
+  }
+  fleet.Run(300);
+  fleet.sim.vms.at("vm-1")->unresponsive = false;
+  fleet.Run(3000);
+  BOOST_TEST(!known.unresponsive);
+  BOOST_TEST(fleet.move_count == 0U);
+}
+
+// Guards against a new owner that replaces VMs that have not answered it yet,
+// on which the tasks of its predecessor may be at work.
+BOOST_AUTO_TEST_CASE(VmsThatATakeoverAwaitsAreNotReplaced) {
+  MoverSim fleet;
+  AddPools(fleet, 12, 10);
+  fleet.sim.Submit(SpreadJob(12));
+  fleet.Run(3000);
+  fleet.sim.vms.at("vm-1")->unresponsive = true;
+  fleet.sim.vms.at("vm-2")->unresponsive = true;
+  fleet.Takeover();
+  fleet.Run(3500);  // less than the lease of the tasks
+  fleet.sim.vms.at("vm-1")->unresponsive = false;
+  fleet.sim.vms.at("vm-2")->unresponsive = false;
+  fleet.Run(kMovesMs);
+  BOOST_TEST(fleet.move_count == 0U);
+  BOOST_TEST(RunsOf(fleet, "spread") == 12U);
+  BOOST_TEST(fleet.sim.violations.empty());
+}
+
+// Guards against an endless task that waits for good because its pool has
+// enough free room, but on no single VM.
+BOOST_AUTO_TEST_CASE(EndlessTaskThatFitsOnNoPartOfAVmGetsAMachine) {
+  MoverSim fleet;
+  AddPools(fleet, 3, 4);
+  fleet.sim.Submit(EndlessJob("first", 3, 5000));
+  fleet.Run(1000);
+  fleet.sim.Submit(EndlessJob("second", 1, 4000));
+  fleet.Run(kMovesMs);
+  BOOST_TEST(RunsOf(fleet, "first") == 3U);
+  BOOST_TEST(RunsOf(fleet, "second") == 1U);
+  BOOST_TEST(fleet.move_count == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::upkeep
