--- a/src/upkeep/mover.cc
+++ b/src/upkeep/mover.cc
@@ -277,7 +277,7 @@
   std::vector<const Machine*> idle =
       this->FindIdle(machines, busy, pools, load_of, now);
   bool backlogged = false;
-  // Several pools may receive machines of one donor.
+  // Several pools, and standby, may receive machines of one donor.
   DonatedByPool donated;
   this->ServePlacement(machines, idle, excluded_zones, pools, load_of, reserve,
                        donated, now);
@@ -324,7 +324,7 @@
   }
   this->idle_since = std::move(still_idle);
   if (!backlogged) {
-    this->MoveToStandby(idle, pools, reserve, now);
+    this->MoveToStandby(idle, pools, reserve, donated, now);
   }
 }
 
@@ -427,13 +427,13 @@
 void Mover::MoveToStandby(const std::vector<const Machine*>& idle,
                           const std::map<PoolId, PoolDemand>& pools,
                           const jobs::Resources& reserve,
+                          DonatedByPool& donated,
                           Time now) {
   const auto standby = std::ranges::find_if(
       pools, [](const auto& row) { return row.second.standby; });
   if (standby == pools.end()) {
     return;
   }
-  DonatedByPool donated;
   for (const Machine* machine : idle) {
     const PoolDemand& pool = pools.at(machine->pool);
     if (pool.standby ||
--- a/src/upkeep/mover.h
+++ b/src/upkeep/mover.h
@@ -133,6 +133,7 @@
   void MoveToStandby(const std::vector<const Machine*>& idle,
                      const std::map<PoolId, PoolDemand>& pools,
                      const jobs::Resources& reserve,
+                     DonatedByPool& donated,
                      Time now);
   [[nodiscard]] jobs::Resources ReservePerPool(
       const MachineList& machines,
--- a/test/upkeep/mover_test.cc
+++ b/test/upkeep/mover_test.cc
@@ -423,6 +423,72 @@
   }));
 }
 
+// Whatever the steps need, no donor is left with fewer places than it needs, no
+// more machines move than make up the missing ones, and a gang gets all or
+// none.
+BOOST_AUTO_TEST_CASE(MovesForStepsAreBoundedAndLeaveDonorsTheirPlaces) {
+  BOOST_TEST(rc::check([] {
+    MoverFixture fixture;
+    for (auto& [id, machine] : fixture.machines) {
+      if (*rc::gen::arbitrary<bool>()) {
+        machine.labels.insert("l");
+      }
+      if (*rc::gen::inRange(0, 4) == 0) {
+        fixture.busy.insert(id);
+      }
+    }
+    const auto places = [&](const Machine& machine,
+                            const jobs::PlacementNeed& need) {
+      return need.rule.PlacesOn(machine.capacity, machine.labels, need.tasks);
+    };
+    for (const char* name : {"a", "b", "c"}) {
+      PoolDemand& pool = fixture.pools[PoolId(name)];
+      const int needs = *rc::gen::inRange(0, 3);
+      for (int i = 0; i < needs; ++i) {
+        jobs::PlacementNeed need =
+            SpreadNeed(*rc::gen::inRange(1, 20), 0, *rc::gen::inRange(0, 3));
+        need.rule.task.cpu_m = *rc::gen::inRange(1, 40'000);
+        need.rule.label = *rc::gen::arbitrary<bool>() ? "l" : "";
+        need.rule.all_or_none = *rc::gen::arbitrary<bool>();
+        for (const auto& [id, machine] : fixture.machines) {
+          need.places += machine.pool.str() == name ? places(machine, need) : 0;
+        }
+        pool.placement.push_back(need);
+      }
+    }
+    fixture.Tick();
+    std::map<PoolId, std::vector<const Machine*>> given;
+    std::map<PoolId, std::vector<const Machine*>> received;
+    // Idle machines move to standby in the same pass.
+    for (const OrderMove& order : fixture.Tick(1600)) {
+      const Machine& machine = fixture.machines.at(order.machine);
+      given[machine.pool].push_back(&machine);
+      received[order.to].push_back(&machine);
+    }
+    for (const auto& [id, pool] : fixture.pools) {
+      std::int64_t most_received = pool.standby ? 12 : 0;
+      for (const jobs::PlacementNeed& need : pool.placement) {
+        std::int64_t lost = 0;
+        for (const Machine* machine : given[id]) {
+          lost += places(*machine, need);
+        }
+        RC_ASSERT(lost == 0 || need.places - lost >= need.tasks);
+        std::int64_t gained = 0;
+        for (const Machine* machine : received[id]) {
+          gained += places(*machine, need);
+        }
+        RC_ASSERT(received[id].empty() || pool.placement.size() > 1 ||
+                  !need.rule.all_or_none || gained >= need.Missing());
+        // All machines are of one size, so each that helps offers as much.
+        const std::int64_t each = std::max<std::int64_t>(
+            1, need.rule.PlacesOn(kMachineSize, {"l"}, need.tasks));
+        most_received += (need.Missing() + each - 1) / each;
+      }
+      RC_ASSERT(std::ssize(received[id]) <= most_received);
+    }
+  }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::upkeep
