--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -365,6 +365,8 @@
 
   // scheduler_placement.cc
   using PlacementTasks = std::map<PlacementRule, std::int64_t>;
+  [[nodiscard]] std::int64_t MayStart(const StepRef& step_ref,
+                                      bool held_back) const;
   void AddEndlessPlacement(const Pool& pool,
                            bool held_back,
                            PlacementTasks& tasks) const;
@@ -374,6 +376,7 @@
   [[nodiscard]] std::optional<PlacementNeed> UnplacedNeed(
       const StepRef& step_ref,
       const Pool& pool,
+      std::int64_t tasks,
       Time now) const;
 
   // scheduler_advice.cc
--- a/src/jobs/scheduler_placement.cc
+++ b/src/jobs/scheduler_placement.cc
@@ -33,6 +33,33 @@
 
 }  // namespace
 
+// Waiting tasks of a step that may run as far as the limit of its team goes.
+std::int64_t Scheduler::MayStart(const StepRef& step_ref,
+                                 bool held_back) const {
+  const Job& job = *step_ref.job;
+  const StepSpec& spec = step_ref.spec();
+  std::int64_t most = step_ref.progress().waiting;
+  if (job.inherited && held_back) {
+    return 0;
+  }
+  if (this->WithinTeamLimit(job, spec.need * most)) {
+    return most;
+  }
+  if (spec.gang) {
+    return 0;
+  }
+  std::int64_t least = 0;
+  while (least < most) {
+    const std::int64_t middle = (least + most + 1) / 2;
+    if (this->WithinTeamLimit(job, spec.need * middle)) {
+      least = middle;
+    } else {
+      most = middle - 1;
+    }
+  }
+  return least;
+}
+
 // All tasks of an endless step are to be at work at the same time, those that
 // are placed included: their VM may be lost.
 void Scheduler::AddEndlessPlacement(const Pool& pool,
@@ -46,11 +73,9 @@
         !placed.insert(&step).second) {
       return;
     }
-    const bool may_start = !(step_ref.job->inherited && held_back) &&
-                           this->WithinTeamLimit(*step_ref.job, spec.need);
-    AddTasks(
-        tasks, spec,
-        std::ssize(step.tasks) - step.done - (may_start ? 0 : step.waiting));
+    AddTasks(tasks, spec,
+             std::ssize(step.tasks) - step.done - step.waiting +
+                 this->MayStart(step_ref, held_back));
   };
   for (const auto& [id, vm] : pool.vms) {
     if (vm->endless_used == Resources{}) {
@@ -94,10 +119,10 @@
 // Endless tasks do not go away, so what waits needs room that is free now.
 std::optional<PlacementNeed> Scheduler::UnplacedNeed(const StepRef& step_ref,
                                                      const Pool& pool,
+                                                     std::int64_t tasks,
                                                      Time now) const {
   const StepSpec& spec = step_ref.spec();
-  PlacementNeed need{.rule = RuleOf(spec),
-                     .tasks = step_ref.progress().waiting};
+  PlacementNeed need{.rule = RuleOf(spec), .tasks = tasks};
   for (const auto& [id, vm] : pool.vms) {
     if (need.Missing() == 0) {
       return std::nullopt;
@@ -144,12 +169,12 @@
   }
   std::size_t looked_at = 0;
   for (const StepRef& step_ref : pool.ready) {
-    const StepSpec& spec = step_ref.spec();
-    if (!spec.endless || (step_ref.job->inherited && held_back) ||
-        !this->WithinTeamLimit(*step_ref.job, spec.need)) {
+    const std::int64_t may_start =
+        step_ref.spec().endless ? this->MayStart(step_ref, held_back) : 0;
+    if (may_start == 0) {
       continue;
     }
-    if (auto need = this->UnplacedNeed(step_ref, pool, now)) {
+    if (auto need = this->UnplacedNeed(step_ref, pool, may_start, now)) {
       needs.push_back(*std::move(need));
     }
     if (++looked_at == kMaxUnplacedSteps) {
--- a/test/upkeep/placement_test.cc
+++ b/test/upkeep/placement_test.cc
@@ -142,6 +142,22 @@
   }
 }
 
+// Guards against machines for tasks that the limit of their team keeps waiting.
+BOOST_AUTO_TEST_CASE(TasksBeyondTheLimitOfTheirTeamMoveNothing) {
+  for (const std::size_t most : {0U, 3U, 6U}) {
+    MoverSim fleet;
+    fleet.sim.config.teams[TeamId("t")] = {
+        .maximum = {static_cast<std::int64_t>(100 * most) + 50, 0, 0}};
+    AddPools(fleet, 4, 10);
+    jobs::JobSpec job = SpreadJob(12);
+    job.team = TeamId("t");
+    fleet.sim.Submit(job);
+    fleet.Run(kMovesMs);
+    BOOST_TEST(RunsOf(fleet, "spread") == most);
+    BOOST_TEST(fleet.move_count == (most > 4 ? most - 4 : 0U));
+  }
+}
+
 // Guards against machines that move for a VM that is silent for a moment.
 BOOST_AUTO_TEST_CASE(VmThatIsSilentForAMomentMovesNothing) {
   MoverSim fleet;
