--- a/src/upkeep/mover.cc
+++ b/src/upkeep/mover.cc
@@ -359,17 +359,18 @@
                            const Resources& reserve,
                            DonatedByPool& donated,
                            Time now) {
-  std::map<PoolId, Time> lacking;
+  std::map<std::pair<PoolId, jobs::PlacementRule>, Time> lacking;
   for (const auto& [id, pool] : pools) {
     for (jobs::PlacementNeed need : pool.placement) {
       need.places += this->ArrivingPlaces(id, need, machines, load_of);
       if (pool.standby || need.Missing() == 0) {
         continue;
       }
-      const auto known = this->lacks_places_since.find(id);
+      const std::pair key{id, need.rule};
+      const auto known = this->lacks_places_since.find(key);
       const Time since =
           known == this->lacks_places_since.end() ? now : known->second;
-      lacking[id] = since;
+      lacking[key] = since;
       if (now - since < this->limits.placement_delay) {
         continue;
       }
--- a/src/upkeep/mover.h
+++ b/src/upkeep/mover.h
@@ -38,7 +38,7 @@
   // Time after a move in which a machine is not moved again.
   Duration cooldown = std::chrono::milliseconds(3000);
   Duration order_retry_interval = std::chrono::milliseconds(400);
-  // Time for which a pool must have lacked VMs for its steps before it receives
+  // Time for which a pool must have lacked VMs for a step before it receives
   // machines, since a VM may be silent for a moment.
   Duration placement_delay = std::chrono::milliseconds(1000);
 };
@@ -177,7 +177,7 @@
   std::map<MachineId, Move> moves;
   std::map<MachineId, Time> cooldown_until;  // no further move before
   std::map<MachineId, Time> idle_since;
-  std::map<PoolId, Time> lacks_places_since;
+  std::map<std::pair<PoolId, jobs::PlacementRule>, Time> lacks_places_since;
   OrderedVms ordered_vms;
   std::vector<Effect> effects;
 };
--- a/test/upkeep/placement_test.cc
+++ b/test/upkeep/placement_test.cc
@@ -158,22 +158,28 @@
   }
 }
 
-// Guards against machines that move for a VM that is silent for a moment.
+// Guards against machines that move for a VM that is silent for a moment, also
+// while the pool lacks a VM of another kind for good.
 BOOST_AUTO_TEST_CASE(VmThatIsSilentForAMomentMovesNothing) {
-  MoverSim fleet;
-  AddPools(fleet, 12, 10);
-  fleet.sim.Submit(SpreadJob(12));
-  fleet.Run(3000);
-  const auto& known = *fleet.sim.scheduler->vms().at(VmId("vm-1"));
-  fleet.sim.vms.at("vm-1")->unresponsive = true;
-  while (!known.unresponsive) {
-    fleet.Tick();
+  for (const bool lacks_label : {false, true}) {
+    MoverSim fleet;
+    AddPools(fleet, 12, 10);
+    fleet.sim.Submit(SpreadJob(12));
+    if (lacks_label) {
+      fleet.sim.Submit(LabelledJob("absent"));
+    }
+    fleet.Run(3000);
+    const auto& known = *fleet.sim.scheduler->vms().at(VmId("vm-1"));
+    fleet.sim.vms.at("vm-1")->unresponsive = true;
+    while (!known.unresponsive) {
+      fleet.Tick();
+    }
+    fleet.Run(300);
+    fleet.sim.vms.at("vm-1")->unresponsive = false;
+    fleet.Run(3000);
+    BOOST_TEST(!known.unresponsive);
+    BOOST_TEST(fleet.move_count == 0U);
   }
-  fleet.Run(300);
-  fleet.sim.vms.at("vm-1")->unresponsive = false;
-  fleet.Run(3000);
-  BOOST_TEST(!known.unresponsive);
-  BOOST_TEST(fleet.move_count == 0U);
 }
 
 // Guards against a new owner that replaces VMs that have not answered it yet,
