--- a/test/upkeep/placement_test.cc
+++ b/test/upkeep/placement_test.cc
@@ -192,12 +192,14 @@
   fleet.sim.vms.at("vm-1")->unresponsive = true;
   fleet.sim.vms.at("vm-2")->unresponsive = true;
   fleet.Takeover();
+  fleet.sim.Submit(GangJob(12));
   fleet.Run(3500);  // less than the lease of the tasks
   fleet.sim.vms.at("vm-1")->unresponsive = false;
   fleet.sim.vms.at("vm-2")->unresponsive = false;
   fleet.Run(kMovesMs);
   BOOST_TEST(fleet.move_count == 0U);
   BOOST_TEST(RunsOf(fleet, "spread") == 12U);
+  BOOST_TEST(NameOf(fleet.sim.StateOf("gang")) == "completed");
   BOOST_TEST(fleet.sim.violations.empty());
 }
 
