--- a/src/jobs/scheduler_placement.cc
+++ b/src/jobs/scheduler_placement.cc
@@ -93,16 +93,16 @@
 }
 
 // Finite tasks wait for room, so it is enough that one of them, or all of a
-// gang, would fit if nothing else ran.
+// gang, would fit if no other finite task ran.
 void Scheduler::AddFinitePlacement(const Pool& pool,
                                    bool held_back,
                                    PlacementTasks& tasks) const {
   Resources largest;
   for (const auto& [id, vm] : pool.vms) {
-    const Resources& capacity = vm->facts.capacity;
-    largest = {std::max(largest.cpu_m, capacity.cpu_m),
-               std::max(largest.memory_mb, capacity.memory_mb),
-               std::max(largest.gpus, capacity.gpus)};
+    const Resources room = vm->facts.capacity - vm->endless_used;
+    largest = {std::max(largest.cpu_m, room.cpu_m),
+               std::max(largest.memory_mb, room.memory_mb),
+               std::max(largest.gpus, room.gpus)};
   }
   for (const StepRef& step_ref : pool.ready) {
     const StepSpec& spec = step_ref.spec();
@@ -152,21 +152,28 @@
   }
   const Pool& pool = found->second;
   const bool held_back = this->MayRunInherited(pool, now);
-  PlacementTasks tasks;
-  this->AddEndlessPlacement(pool, held_back, tasks);
-  this->AddFinitePlacement(pool, held_back, tasks);
-  for (const auto& [rule, count] : tasks) {
-    PlacementNeed need{.rule = rule, .tasks = count};
-    for (const auto& [vm_id, vm] : pool.vms) {
-      // After a takeover, VMs have a moment to answer before they are missed.
-      const bool awaited = held_back && vm->registered && !vm->reported;
-      if (awaited || this->Usable(*vm, now)) {
-        need.places +=
-            rule.PlacesOn(vm->facts.capacity, vm->facts.labels, count);
+  const auto add_needs = [&](const PlacementTasks& tasks, bool endless) {
+    for (const auto& [rule, count] : tasks) {
+      PlacementNeed need{.rule = rule, .tasks = count};
+      for (const auto& [vm_id, vm] : pool.vms) {
+        // After a takeover, VMs have a moment to answer before they are missed.
+        const bool awaited = held_back && vm->registered && !vm->reported;
+        if (awaited || this->Usable(*vm, now)) {
+          const Resources& whole = vm->facts.capacity;
+          need.places +=
+              rule.PlacesOn(endless ? whole : whole - vm->endless_used,
+                            vm->facts.labels, count);
+        }
       }
+      needs.push_back(std::move(need));
     }
-    needs.push_back(std::move(need));
-  }
+  };
+  PlacementTasks endless;
+  this->AddEndlessPlacement(pool, held_back, endless);
+  add_needs(endless, true);
+  PlacementTasks finite;
+  this->AddFinitePlacement(pool, held_back, finite);
+  add_needs(finite, false);
   std::size_t looked_at = 0;
   for (const StepRef& step_ref : pool.ready) {
     const std::int64_t may_start =
--- a/test/upkeep/placement_test.cc
+++ b/test/upkeep/placement_test.cc
@@ -217,6 +217,29 @@
   BOOST_TEST(fleet.move_count == 1U);
 }
 
+// Guards against a finite task that waits for good behind endless ones, which
+// do not go away: on the only VM with its label, or on a part of each VM.
+BOOST_AUTO_TEST_CASE(FiniteTaskBehindEndlessOnesGetsAMachine) {
+  for (const std::string label : {"big", ""}) {
+    MoverSim fleet;
+    AddPools(fleet, label.empty() ? 3 : 1, 2);
+    if (!label.empty()) {
+      fleet.AddMachine("p-big", PoolId("p"), {label});
+      fleet.AddMachine("standby-big", PoolId("standby"), {label});
+    }
+    jobs::JobSpec endless = EndlessJob("endless", label.empty() ? 3 : 1, 5000);
+    endless.steps[0].label = label;
+    fleet.sim.Submit(endless);
+    fleet.Run(1000);
+    jobs::JobSpec finite = jobs::test::SimpleJob("finite", "p", 1, 5000, 1000);
+    finite.steps[0].label = label;
+    fleet.sim.Submit(finite);
+    fleet.Run(kMovesMs);
+    BOOST_TEST(NameOf(fleet.sim.StateOf("finite")) == "completed");
+    BOOST_TEST(fleet.move_count == 1U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::upkeep
