--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -370,14 +370,19 @@
     std::int64_t startable = 0;
   };
   using PlacementTasks = std::map<PlacementRule, TaskCounts>;
+  [[nodiscard]] std::int64_t MayStart(const StepRef& step_ref,
+                                      bool held_back) const;
   void AddEndlessPlacement(const Pool& pool,
                            bool held_back,
                            PlacementTasks& tasks) const;
   void AddFinitePlacement(const Pool& pool,
                           bool held_back,
                           PlacementTasks& tasks) const;
-  [[nodiscard]] std::optional<PlacementNeed>
-  UnplacedNeed(const StepRef& step_ref, const Pool& pool, Time now) const;
+  [[nodiscard]] std::optional<PlacementNeed> UnplacedNeed(
+      const StepRef& step_ref,
+      const Pool& pool,
+      std::int64_t tasks,
+      Time now) const;
 
   // scheduler_advice.cc
   const std::string* PermitOf(const StepRef& step_ref,
--- a/src/jobs/scheduler_placement.cc
+++ b/src/jobs/scheduler_placement.cc
@@ -35,6 +35,33 @@
 
 }  // namespace
 
+// Waiting tasks of a step that may run as far as the limit of its team goes.
+std::int64_t Scheduler::MayStart(const StepRef& step_ref,
+                                 bool held_back) const {
+  const Job& job = *step_ref.job;
+  const StepSpec& spec = step_ref.spec();
+  std::int64_t most = step_ref.progress().waiting;
+  if (job.inherited && held_back) {
+    return 0;
+  }
+  if (this->WithinTeamLimit(job, spec.need * most)) {
+    return most;
+  }
+  if (spec.gang) {
+    return 0;
+  }
+  std::int64_t least = 0;
+  while (least < most) {
+    const std::int64_t middle = (least + most + 1) / 2;
+    if (this->WithinTeamLimit(job, spec.need * middle)) {
+      least = middle;
+    } else {
+      most = middle - 1;
+    }
+  }
+  return least;
+}
+
 // All tasks of an endless step are to be at work at the same time, those that
 // are placed included: their VM may be lost.
 void Scheduler::AddEndlessPlacement(const Pool& pool,
@@ -48,10 +75,9 @@
         !placed.insert(&step).second) {
       return;
     }
-    const bool may_start = !(step_ref.job->inherited && held_back) &&
-                           this->WithinTeamLimit(*step_ref.job, spec.need);
     const std::int64_t count = std::ssize(step.tasks) - step.done;
-    AddTasks(tasks, spec, count, count - (may_start ? 0 : step.waiting));
+    AddTasks(tasks, spec, count,
+             count - step.waiting + this->MayStart(step_ref, held_back));
   };
   for (const auto& [id, vm] : pool.vms) {
     if (vm->endless_used == Resources{}) {
@@ -69,16 +95,16 @@
 }
 
 // Finite tasks wait for room, so it is enough that one of them, or all of a
-// gang, would fit if nothing else ran.
+// gang, would fit if no other finite task ran.
 void Scheduler::AddFinitePlacement(const Pool& pool,
                                    bool held_back,
                                    PlacementTasks& tasks) const {
   Resources largest;
   for (const auto& [id, vm] : pool.vms) {
-    const Resources& capacity = vm->facts.capacity;
-    largest = {std::max(largest.cpu_m, capacity.cpu_m),
-               std::max(largest.memory_mb, capacity.memory_mb),
-               std::max(largest.gpus, capacity.gpus)};
+    const Resources room = vm->facts.capacity - vm->endless_used;
+    largest = {std::max(largest.cpu_m, room.cpu_m),
+               std::max(largest.memory_mb, room.memory_mb),
+               std::max(largest.gpus, room.gpus)};
   }
   for (const StepRef& step_ref : pool.ready) {
     const StepSpec& spec = step_ref.spec();
@@ -96,12 +122,12 @@
 // Endless tasks do not go away, so what waits needs room that is free now.
 std::optional<PlacementNeed> Scheduler::UnplacedNeed(const StepRef& step_ref,
                                                      const Pool& pool,
+                                                     std::int64_t tasks,
                                                      Time now) const {
   const StepSpec& spec = step_ref.spec();
-  const std::int64_t waiting = step_ref.progress().waiting;
   PlacementNeed need{.rule = RuleOf(spec),
-                     .tasks = waiting,
-                     .startable = waiting,
+                     .tasks = tasks,
+                     .startable = tasks,
                      .exclusive = true};
   for (const auto& [id, vm] : pool.vms) {
     if (need.Missing() == 0) {
@@ -132,30 +158,37 @@
   }
   const Pool& pool = found->second;
   const bool held_back = this->MayRunInherited(pool, now);
-  PlacementTasks tasks;
-  this->AddEndlessPlacement(pool, held_back, tasks);
-  this->AddFinitePlacement(pool, held_back, tasks);
-  for (const auto& [rule, counts] : tasks) {
-    PlacementNeed need{
-        .rule = rule, .tasks = counts.tasks, .startable = counts.startable};
-    for (const auto& [vm_id, vm] : pool.vms) {
-      // After a takeover, VMs have a moment to answer before they are missed.
-      const bool awaited = held_back && vm->registered && !vm->reported;
-      if (awaited || this->Usable(*vm, now)) {
-        need.places +=
-            rule.PlacesOn(vm->facts.capacity, vm->facts.labels, counts.tasks);
+  const auto add_needs = [&](const PlacementTasks& tasks, bool endless) {
+    for (const auto& [rule, counts] : tasks) {
+      PlacementNeed need{
+          .rule = rule, .tasks = counts.tasks, .startable = counts.startable};
+      for (const auto& [vm_id, vm] : pool.vms) {
+        // After a takeover, VMs have a moment to answer before they are missed.
+        const bool awaited = held_back && vm->registered && !vm->reported;
+        if (awaited || this->Usable(*vm, now)) {
+          const Resources& whole = vm->facts.capacity;
+          need.places +=
+              rule.PlacesOn(endless ? whole : whole - vm->endless_used,
+                            vm->facts.labels, counts.tasks);
+        }
       }
+      needs.push_back(std::move(need));
     }
-    needs.push_back(std::move(need));
-  }
+  };
+  PlacementTasks endless;
+  this->AddEndlessPlacement(pool, held_back, endless);
+  add_needs(endless, true);
+  PlacementTasks finite;
+  this->AddFinitePlacement(pool, held_back, finite);
+  add_needs(finite, false);
   std::size_t looked_at = 0;
   for (const StepRef& step_ref : pool.ready) {
-    const StepSpec& spec = step_ref.spec();
-    if (!spec.endless || (step_ref.job->inherited && held_back) ||
-        !this->WithinTeamLimit(*step_ref.job, spec.need)) {
+    const std::int64_t may_start =
+        step_ref.spec().endless ? this->MayStart(step_ref, held_back) : 0;
+    if (may_start == 0) {
       continue;
     }
-    if (auto need = this->UnplacedNeed(step_ref, pool, now)) {
+    if (auto need = this->UnplacedNeed(step_ref, pool, may_start, now)) {
       needs.push_back(*std::move(need));
     }
     if (++looked_at == kMaxUnplacedSteps) {
--- a/src/upkeep/mover.cc
+++ b/src/upkeep/mover.cc
@@ -32,22 +32,23 @@
 }
 
 // Whether the steps of a pool keep enough VMs that they may use without a
-// machine and those that it has given up before in the same pass.
+// machine and the places, by need, that it has given up in the same pass.
 bool KeepsPlaces(const PoolDemand& pool,
-                 const std::vector<const Machine*>& given_up,
+                 const std::vector<std::int64_t>& given_up,
                  const Machine& machine) {
-  return std::ranges::all_of(
-      pool.placement, [&](const jobs::PlacementNeed& need) {
-        const std::int64_t places = PlacesOn(machine, need);
-        if (need.rule.all_or_none && need.places < need.tasks) {
-          return true;  // the places are of no use
-        }
-        std::int64_t left = need.places - places;
-        for (const Machine* other : given_up) {
-          left -= PlacesOn(*other, need);
-        }
-        return places == 0 || left >= need.tasks;
-      });
+  for (std::size_t i = 0; i < pool.placement.size(); ++i) {
+    const jobs::PlacementNeed& need = pool.placement[i];
+    if (need.rule.all_or_none && need.places < need.tasks) {
+      continue;  // the places are of no use
+    }
+    const std::int64_t before =
+        need.places - (given_up.empty() ? 0 : given_up[i]);
+    const std::int64_t places = PlacesOn(machine, need);
+    if (places > 0 && before - places < need.tasks) {
+      return false;
+    }
+  }
+  return true;
 }
 
 }  // namespace
@@ -75,6 +76,14 @@
   }
 };
 
+void Mover::Donated::Add(const PoolDemand& pool, const Machine& machine) {
+  this->capacity += machine.capacity;
+  this->places.resize(pool.placement.size());
+  for (std::size_t i = 0; i < this->places.size(); ++i) {
+    this->places[i] += PlacesOn(machine, pool.placement[i]);
+  }
+}
+
 std::set<MachineId> Mover::moving() const {
   std::set<MachineId> ids;
   for (const auto& [id, move] : this->moves) {
@@ -228,7 +237,7 @@
     std::pair<Spare, std::int64_t> best_rank{Spare::kNone, 0};
     for (auto& [id, donor] : donors) {
       while (!donor.machines.empty() &&
-             !KeepsPlaces(*donor.pool, donated[id].machines,
+             !KeepsPlaces(*donor.pool, donated[id].places,
                           *donor.machines.back())) {
         donor.machines.pop_back();
       }
@@ -251,9 +260,7 @@
     selected.push_back(&machine);
     best->machines.pop_back();
     best->remaining -= machine.capacity;
-    Donated& from_pool = donated[machine.pool];
-    from_pool.capacity += machine.capacity;
-    from_pool.machines.push_back(&machine);
+    donated[machine.pool].Add(*best->pool, machine);
     std::visit(DeficitVisitor{machine}, deficit);
   }
   return selected;
@@ -280,7 +287,7 @@
   std::vector<const Machine*> idle =
       this->FindIdle(machines, busy, pools, load_of, now);
   bool backlogged = false;
-  // Several pools may receive machines of one donor.
+  // Several pools, and standby, may receive machines of one donor.
   DonatedByPool donated;
   this->ServePlacement(machines, idle, excluded_zones, pools, load_of, reserve,
                        donated, now);
@@ -327,7 +334,7 @@
   }
   this->idle_since = std::move(still_idle);
   if (!backlogged) {
-    this->MoveToStandby(idle, pools, reserve, now);
+    this->MoveToStandby(idle, pools, reserve, donated, now);
   }
 }
 
@@ -379,7 +386,7 @@
                            const Resources& reserve,
                            DonatedByPool& donated,
                            Time now) {
-  std::map<PoolId, Time> lacking;
+  std::map<std::pair<PoolId, jobs::PlacementRule>, Time> lacking;
   for (const auto& [id, pool] : pools) {
     if (pool.standby || pool.placement.empty()) {
       continue;
@@ -390,10 +397,11 @@
       if (need.Missing() == 0) {
         continue;
       }
-      const auto known = this->lacks_places_since.find(id);
+      const std::pair key{id, need.rule};
+      const auto known = this->lacks_places_since.find(key);
       const Time since =
           known == this->lacks_places_since.end() ? now : known->second;
-      lacking[id] = since;
+      lacking[key] = since;
       if (now - since < this->limits.placement_delay) {
         continue;
       }
@@ -459,13 +467,13 @@
 void Mover::MoveToStandby(const std::vector<const Machine*>& idle,
                           const std::map<PoolId, PoolDemand>& pools,
                           const jobs::Resources& reserve,
+                          DonatedByPool& donated,
                           Time now) {
   const auto standby = std::ranges::find_if(
       pools, [](const auto& row) { return row.second.standby; });
   if (standby == pools.end()) {
     return;
   }
-  DonatedByPool donated;
   for (const Machine* machine : idle) {
     const PoolDemand& pool = pools.at(machine->pool);
     if (pool.standby ||
@@ -477,9 +485,8 @@
         pool.capacity - from_pool.capacity - machine->capacity;
     if ((DemandOf(pool) + reserve).Within(remaining) &&
         ServesPeak(pool, remaining) &&
-        KeepsPlaces(pool, from_pool.machines, *machine)) {
-      from_pool.capacity += machine->capacity;
-      from_pool.machines.push_back(machine);
+        KeepsPlaces(pool, from_pool.places, *machine)) {
+      from_pool.Add(pool, *machine);
       this->StartMove(*machine, standby->first, "idle", now);
     }
   }
--- a/src/upkeep/mover.h
+++ b/src/upkeep/mover.h
@@ -38,7 +38,7 @@
   // Time after a move in which a machine is not moved again.
   Duration cooldown = std::chrono::milliseconds(3000);
   Duration order_retry_interval = std::chrono::milliseconds(400);
-  // Time for which a pool must have lacked VMs for its steps before it receives
+  // Time for which a pool must have lacked VMs for a step before it receives
   // machines, since a VM may be silent for a moment.
   Duration placement_delay = std::chrono::milliseconds(1000);
 };
@@ -110,7 +110,9 @@
   // What has been selected of a pool's machines in a pass.
   struct Donated {
     jobs::Resources capacity;
-    std::vector<const Machine*> machines;
+    std::vector<std::int64_t> places;  // by need of the pool; empty: none
+
+    void Add(const PoolDemand& pool, const Machine& machine);
   };
   using DonatedByPool = std::map<PoolId, Donated>;
   // A machine that a pool is about to have, and its room for waiting tasks.
@@ -139,6 +141,7 @@
   void MoveToStandby(const std::vector<const Machine*>& idle,
                      const std::map<PoolId, PoolDemand>& pools,
                      const jobs::Resources& reserve,
+                     DonatedByPool& donated,
                      Time now);
   [[nodiscard]] jobs::Resources ReservePerPool(
       const MachineList& machines,
@@ -182,7 +185,7 @@
   std::map<MachineId, Move> moves;
   std::map<MachineId, Time> cooldown_until;  // no further move before
   std::map<MachineId, Time> idle_since;
-  std::map<PoolId, Time> lacks_places_since;
+  std::map<std::pair<PoolId, jobs::PlacementRule>, Time> lacks_places_since;
   OrderedVms ordered_vms;
   std::vector<Effect> effects;
 };
