--- /dev/null
+++ b/src/jobs/scheduler_placement.cc
@@ -0,0 +1,201 @@
+#include <algorithm>
+
+#include "jobs/scheduler.h"
+
+// What steps need of the VMs of their pool beside capacity: enough different
+// ones, and such that have their label and room for a whole task.
+
+namespace kch::jobs {
+namespace {
+
+// Bounds of the work of a pass. What is beyond them counts by its size alone.
+constexpr std::size_t kMaxRules = 32;
+constexpr std::size_t kMaxUnplacedSteps = 16;
+
+PlacementRule RuleOf(const StepSpec& spec) {
+  return {.label = spec.label,
+          .task = spec.Occupies(),
+          .max_per_vm = spec.max_per_vm,
+          .all_or_none = spec.gang};
+}
+
+// Different steps may share a VM, so of equal rules the largest step counts.
+template <typename Tasks>
+void AddTasks(Tasks& tasks,
+              const StepSpec& spec,
+              std::int64_t count,
+              std::int64_t startable) {
+  const PlacementRule rule = RuleOf(spec);
+  if (tasks.size() < kMaxRules || tasks.contains(rule)) {
+    auto& most = tasks[rule];
+    most.tasks = std::max(most.tasks, count);
+    most.startable = std::max(most.startable, startable);
+  }
+}
+
+}  // namespace
+
+// Waiting tasks of a step that may run as far as the limit of its team goes.
+std::int64_t Scheduler::MayStart(const StepRef& step_ref,
+                                 bool held_back) const {
+  const Job& job = *step_ref.job;
+  const StepSpec& spec = step_ref.spec();
+  std::int64_t most = step_ref.progress().waiting;
+  if (job.inherited && held_back) {
+    return 0;
+  }
+  if (this->WithinTeamLimit(job, spec.need * most)) {
+    return most;
+  }
+  if (spec.gang) {
+    return 0;
+  }
+  std::int64_t least = 0;
+  while (least < most) {
+    const std::int64_t middle = (least + most + 1) / 2;
+    if (this->WithinTeamLimit(job, spec.need * middle)) {
+      least = middle;
+    } else {
+      most = middle - 1;
+    }
+  }
+  return least;
+}
+
+// All tasks of an endless step are to be at work at the same time, those that
+// are placed included: their VM may be lost.
+void Scheduler::AddEndlessPlacement(const Pool& pool,
+                                    bool held_back,
+                                    PlacementTasks& tasks) const {
+  std::set<const Step*> placed;
+  const auto add = [&](const StepRef& step_ref) {
+    const StepSpec& spec = step_ref.spec();
+    const Step& step = step_ref.progress();
+    if (!spec.endless || (spec.max_per_vm == 0 && spec.label.empty()) ||
+        !placed.insert(&step).second) {
+      return;
+    }
+    const std::int64_t count = std::ssize(step.tasks) - step.done;
+    AddTasks(tasks, spec, count,
+             count - step.waiting + this->MayStart(step_ref, held_back));
+  };
+  for (const auto& [id, vm] : pool.vms) {
+    if (vm->endless_used == Resources{}) {
+      continue;
+    }
+    for (const Task* task : vm->runs) {
+      if (task->spec().endless) {
+        add(StepRefOf(*task));
+      }
+    }
+  }
+  for (const StepRef& step_ref : pool.ready) {
+    add(step_ref);
+  }
+}
+
+// Finite tasks wait for room, so it is enough that one of them, or all of a
+// gang, would fit if no other finite task ran.
+void Scheduler::AddFinitePlacement(const Pool& pool,
+                                   bool held_back,
+                                   PlacementTasks& tasks) const {
+  Resources largest;
+  for (const auto& [id, vm] : pool.vms) {
+    const Resources room = vm->facts.capacity - vm->endless_used;
+    largest = {std::max(largest.cpu_m, room.cpu_m),
+               std::max(largest.memory_mb, room.memory_mb),
+               std::max(largest.gpus, room.gpus)};
+  }
+  for (const StepRef& step_ref : pool.ready) {
+    const StepSpec& spec = step_ref.spec();
+    const bool bounded =
+        !spec.label.empty() || spec.gang || !spec.Occupies().Within(largest);
+    if (!spec.endless && bounded && !(step_ref.job->inherited && held_back) &&
+        this->WithinTeamLimit(*step_ref.job,
+                              spec.gang ? spec.need * spec.count : spec.need)) {
+      const std::int64_t count = spec.gang ? spec.count : 1;
+      AddTasks(tasks, spec, count, count);
+    }
+  }
+}
+
+// Endless tasks do not go away, so what waits needs room that is free now.
+std::optional<PlacementNeed> Scheduler::UnplacedNeed(const StepRef& step_ref,
+                                                     const Pool& pool,
+                                                     std::int64_t tasks,
+                                                     Time now) const {
+  const StepSpec& spec = step_ref.spec();
+  PlacementNeed need{.rule = RuleOf(spec),
+                     .tasks = tasks,
+                     .startable = tasks,
+                     .exclusive = true};
+  for (const auto& [id, vm] : pool.vms) {
+    if (need.Missing() == 0) {
+      return std::nullopt;
+    }
+    if (this->Usable(*vm, now)) {
+      const auto beside =
+          spec.max_per_vm == 0
+              ? 0
+              : std::ranges::count_if(vm->runs, [&](const Task* other) {
+                  return !(StepRefOf(*other) < step_ref) &&
+                         !(step_ref < StepRefOf(*other));
+                });
+      need.places +=
+          need.rule.PlacesOn(vm->Free(), vm->facts.labels, need.Missing(),
+                             static_cast<std::int32_t>(beside));
+    }
+  }
+  return need.Missing() > 0 ? std::optional(need) : std::nullopt;
+}
+
+std::vector<PlacementNeed> Scheduler::PlacementNeedsOf(const PoolId& id,
+                                                       Time now) const {
+  std::vector<PlacementNeed> needs;
+  const auto found = this->pools.find(id);
+  if (found == this->pools.end()) {
+    return needs;
+  }
+  const Pool& pool = found->second;
+  const bool held_back = this->MayRunInherited(pool, now);
+  const auto add_needs = [&](const PlacementTasks& tasks, bool endless) {
+    for (const auto& [rule, counts] : tasks) {
+      PlacementNeed need{
+          .rule = rule, .tasks = counts.tasks, .startable = counts.startable};
+      for (const auto& [vm_id, vm] : pool.vms) {
+        // After a takeover, VMs have a moment to answer before they are missed.
+        const bool awaited = held_back && vm->registered && !vm->reported;
+        if (awaited || this->Usable(*vm, now)) {
+          const Resources& whole = vm->facts.capacity;
+          need.places +=
+              rule.PlacesOn(endless ? whole : whole - vm->endless_used,
+                            vm->facts.labels, counts.tasks);
+        }
+      }
+      needs.push_back(std::move(need));
+    }
+  };
+  PlacementTasks endless;
+  this->AddEndlessPlacement(pool, held_back, endless);
+  add_needs(endless, true);
+  PlacementTasks finite;
+  this->AddFinitePlacement(pool, held_back, finite);
+  add_needs(finite, false);
+  std::size_t looked_at = 0;
+  for (const StepRef& step_ref : pool.ready) {
+    const std::int64_t may_start =
+        step_ref.spec().endless ? this->MayStart(step_ref, held_back) : 0;
+    if (may_start == 0) {
+      continue;
+    }
+    if (auto need = this->UnplacedNeed(step_ref, pool, may_start, now)) {
+      needs.push_back(*std::move(need));
+    }
+    if (++looked_at == kMaxUnplacedSteps) {
+      break;
+    }
+  }
+  return needs;
+}
+
+}  // namespace kch::jobs
--- a/src/upkeep/mover.cc
+++ b/src/upkeep/mover.cc
@@ -26,8 +26,64 @@
   return deficit.cpu_m > 0 || deficit.memory_mb > 0;
 }
 
+// Places that a machine's VM would offer in its pool.
+std::int64_t PlacesOn(const Machine& machine, const jobs::PlacementNeed& need) {
+  return need.rule.PlacesOn(machine.capacity, machine.labels, need.tasks);
+}
+
+// Whether the steps of a pool keep enough VMs that they may use without a
+// machine and the places, by need, that it has given up in the same pass.
+bool KeepsPlaces(const PoolDemand& pool,
+                 const std::vector<std::int64_t>& given_up,
+                 const Machine& machine) {
+  for (std::size_t i = 0; i < pool.placement.size(); ++i) {
+    const jobs::PlacementNeed& need = pool.placement[i];
+    if (need.rule.all_or_none && need.places < need.tasks) {
+      continue;  // the places are of no use
+    }
+    const std::int64_t before =
+        need.places - (given_up.empty() ? 0 : given_up[i]);
+    const std::int64_t places = PlacesOn(machine, need);
+    if (places > 0 && before - places < need.tasks) {
+      return false;
+    }
+  }
+  return true;
+}
+
 }  // namespace
 
+// What a deficit asks of a machine, and what is left of it with one.
+struct Mover::DeficitVisitor {
+  const Machine& machine;
+
+  [[nodiscard]] static bool Remains(const Deficit& deficit) {
+    const auto* capacity = std::get_if<Resources>(&deficit);
+    return capacity != nullptr
+               ? HasDeficit(*capacity)
+               : std::get<jobs::PlacementNeed>(deficit).Missing() > 0;
+  }
+  [[nodiscard]] static bool Serves(const Deficit& deficit,
+                                   const Machine& machine) {
+    const auto* need = std::get_if<jobs::PlacementNeed>(&deficit);
+    return need == nullptr || PlacesOn(machine, *need) > 0;
+  }
+  void operator()(Resources& capacity) const {
+    capacity -= this->machine.capacity;
+  }
+  void operator()(jobs::PlacementNeed& need) const {
+    need.places += PlacesOn(this->machine, need);
+  }
+};
+
+void Mover::Donated::Add(const PoolDemand& pool, const Machine& machine) {
+  this->capacity += machine.capacity;
+  this->places.resize(pool.placement.size());
+  for (std::size_t i = 0; i < this->places.size(); ++i) {
+    this->places[i] += PlacesOn(machine, pool.placement[i]);
+  }
+}
+
 std::set<MachineId> Mover::moving() const {
   std::set<MachineId> ids;
   for (const auto& [id, move] : this->moves) {
@@ -153,9 +209,9 @@
     const std::map<PoolId, PoolDemand>& pools,
     const Resources& reserve,
     const PoolId& to,
-    Resources deficit,
+    Deficit deficit,
     Spare most_needed,
-    std::map<PoolId, Resources>& donated) const {
+    DonatedByPool& donated) const {
   struct Donor {
     const PoolDemand* pool = nullptr;
     std::vector<const Machine*> machines;  // the next one last
@@ -163,11 +219,12 @@
   };
   std::map<PoolId, Donor> donors;
   for (const Machine* machine : idle) {
-    if (machine->pool != to && !excluded_zones.contains(machine->zone)) {
+    if (machine->pool != to && !excluded_zones.contains(machine->zone) &&
+        DeficitVisitor::Serves(deficit, *machine)) {
       const PoolDemand& pool = pools.at(machine->pool);
       Donor& donor = donors[machine->pool];
       donor.pool = &pool;
-      donor.remaining = pool.capacity - donated[machine->pool];
+      donor.remaining = pool.capacity - donated[machine->pool].capacity;
       donor.machines.push_back(machine);
     }
   }
@@ -175,10 +232,15 @@
     std::ranges::reverse(donor.machines);
   }
   std::vector<const Machine*> selected;
-  while (HasDeficit(deficit)) {
+  while (DeficitVisitor::Remains(deficit)) {
     Donor* best = nullptr;
     std::pair<Spare, std::int64_t> best_rank{Spare::kNone, 0};
     for (auto& [id, donor] : donors) {
+      while (!donor.machines.empty() &&
+             !KeepsPlaces(*donor.pool, donated[id].places,
+                          *donor.machines.back())) {
+        donor.machines.pop_back();
+      }
       if (donor.machines.empty()) {
         continue;
       }
@@ -194,11 +256,12 @@
     if (best == nullptr) {
       break;
     }
-    selected.push_back(best->machines.back());
+    const Machine& machine = *best->machines.back();
+    selected.push_back(&machine);
     best->machines.pop_back();
-    best->remaining -= selected.back()->capacity;
-    donated[selected.back()->pool] += selected.back()->capacity;
-    deficit -= selected.back()->capacity;
+    best->remaining -= machine.capacity;
+    donated[machine.pool].Add(*best->pool, machine);
+    std::visit(DeficitVisitor{machine}, deficit);
   }
   return selected;
 }
@@ -224,8 +287,10 @@
   std::vector<const Machine*> idle =
       this->FindIdle(machines, busy, pools, load_of, now);
   bool backlogged = false;
-  // Several pools may receive machines of one donor.
-  std::map<PoolId, Resources> donated;
+  // Several pools, and standby, may receive machines of one donor.
+  DonatedByPool donated;
+  this->ServePlacement(machines, idle, excluded_zones, pools, load_of, reserve,
+                       donated, now);
   for (const auto& [id, pool] : pools) {
     if (pool.standby) {
       continue;
@@ -269,8 +334,107 @@
   }
   this->idle_since = std::move(still_idle);
   if (!backlogged) {
-    this->MoveToStandby(idle, pools, reserve, now);
+    this->MoveToStandby(idle, pools, reserve, donated, now);
+  }
+}
+
+// Machines on their way to a pool, and those whose VM the scheduler does not
+// know yet, since it has just arrived.
+std::vector<Mover::Arrival> Mover::ArrivalsAt(
+    const PoolId& pool,
+    const MachineList& machines,
+    const VmLoadLookup& load_of) const {
+  std::vector<Arrival> arrivals;
+  for (const auto& [id, move] : this->moves) {
+    if (move.to == pool) {
+      arrivals.push_back({move.capacity, move.capacity, move.labels});
+    }
+  }
+  for (const auto& [id, until] : this->cooldown_until) {
+    const auto machine = machines.find(id);
+    if (machine != machines.end() && machine->second.pool == pool &&
+        !this->moves.contains(id) && !load_of(machine->second.vm)) {
+      const Machine& arrived = machine->second;
+      arrivals.push_back({arrived.capacity, arrived.capacity, arrived.labels});
+    }
+  }
+  return arrivals;
+}
+
+// Adds the places on arriving machines to a need. Those that tasks wait for are
+// taken, so that the tasks of the next need do not wait for the same ones.
+void Mover::AddArrivals(std::vector<Arrival>& arrivals,
+                        jobs::PlacementNeed& need) {
+  for (Arrival& arrival : arrivals) {
+    const Resources& room = need.exclusive ? arrival.room : arrival.capacity;
+    const std::int64_t places = need.rule.PlacesOn(
+        room, arrival.labels, need.exclusive ? need.Missing() : need.tasks);
+    need.places += places;
+    if (need.exclusive) {
+      arrival.room -= need.rule.task * places;
+    }
+  }
+}
+
+// Moves machines to pools that have the capacity for their tasks, but not on
+// VMs that may take them.
+void Mover::ServePlacement(const MachineList& machines,
+                           std::vector<const Machine*>& idle,
+                           const std::set<ZoneId>& excluded_zones,
+                           const std::map<PoolId, PoolDemand>& pools,
+                           const VmLoadLookup& load_of,
+                           const Resources& reserve,
+                           DonatedByPool& donated,
+                           Time now) {
+  std::map<std::pair<PoolId, jobs::PlacementRule>, Time> lacking;
+  for (const auto& [id, pool] : pools) {
+    if (pool.standby || pool.placement.empty()) {
+      continue;
+    }
+    std::vector<Arrival> arrivals = this->ArrivalsAt(id, machines, load_of);
+    for (jobs::PlacementNeed need : pool.placement) {
+      AddArrivals(arrivals, need);
+      if (need.Missing() == 0) {
+        continue;
+      }
+      const std::pair key{id, need.rule};
+      const auto known = this->lacks_places_since.find(key);
+      const Time since =
+          known == this->lacks_places_since.end() ? now : known->second;
+      lacking[key] = since;
+      if (now - since < this->limits.placement_delay) {
+        continue;
+      }
+      DonatedByPool donated_then = donated;
+      const std::vector<const Machine*> selected =
+          this->SelectDonors(idle, excluded_zones, pools, reserve, id, need,
+                             Spare::kReserve, donated_then);
+      std::int64_t places = 0;
+      for (const Machine* machine : selected) {
+        places += PlacesOn(*machine, need);
+      }
+      if (need.rule.all_or_none && places < need.Missing()) {
+        continue;
+      }
+      donated = std::move(donated_then);
+      for (const Machine* machine : selected) {
+        this->StartMove(*machine, id,
+                        "places " + std::to_string(need.places) + " of " +
+                            std::to_string(need.startable),
+                        now);
+        arrivals.push_back(
+            {machine->capacity, machine->capacity, machine->labels});
+      }
+      if (need.exclusive) {
+        std::vector<Arrival> added(arrivals.end() - std::ssize(selected),
+                                   arrivals.end());
+        AddArrivals(added, need);
+        std::ranges::copy(added, arrivals.end() - std::ssize(selected));
+      }
+      this->EraseMoving(idle);
+    }
   }
+  this->lacks_places_since = std::move(lacking);
 }
 
 void Mover::EraseMoving(std::vector<const Machine*>& machines) const {
@@ -283,8 +447,11 @@
                       const PoolId& to,
                       const std::string& reason,
                       Time now) {
-  this->moves[machine.id] = {
-      .to = to, .vm = machine.vm, .capacity = machine.capacity, .ordered = now};
+  this->moves[machine.id] = {.to = to,
+                             .vm = machine.vm,
+                             .capacity = machine.capacity,
+                             .labels = machine.labels,
+                             .ordered = now};
   if (!machine.vm.empty()) {
     this->effects.emplace_back(SetCordon{machine.vm, true});
   }
@@ -300,25 +467,26 @@
 void Mover::MoveToStandby(const std::vector<const Machine*>& idle,
                           const std::map<PoolId, PoolDemand>& pools,
                           const jobs::Resources& reserve,
+                          DonatedByPool& donated,
                           Time now) {
   const auto standby = std::ranges::find_if(
       pools, [](const auto& row) { return row.second.standby; });
   if (standby == pools.end()) {
     return;
   }
-  std::map<PoolId, jobs::Resources> donated;
   for (const Machine* machine : idle) {
     const PoolDemand& pool = pools.at(machine->pool);
     if (pool.standby ||
         now - this->idle_since.at(machine->id) < this->limits.standby_delay) {
       continue;
     }
-    jobs::Resources& pool_donated = donated[machine->pool];
+    Donated& from_pool = donated[machine->pool];
     const jobs::Resources remaining =
-        pool.capacity - pool_donated - machine->capacity;
+        pool.capacity - from_pool.capacity - machine->capacity;
     if ((DemandOf(pool) + reserve).Within(remaining) &&
-        ServesPeak(pool, remaining)) {
-      pool_donated += machine->capacity;
+        ServesPeak(pool, remaining) &&
+        KeepsPlaces(pool, from_pool.places, *machine)) {
+      from_pool.Add(pool, *machine);
       this->StartMove(*machine, standby->first, "idle", now);
     }
   }
--- a/test/upkeep/mover_test.cc
+++ b/test/upkeep/mover_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "test/jobs/fleet_sim.h"
 #include "upkeep/upkeep.h"
 
 namespace kch::upkeep {
@@ -70,6 +71,16 @@
   }
 };
 
+// Tasks of which each VM takes `max_per_vm`.
+jobs::PlacementNeed SpreadNeed(std::int64_t tasks,
+                               std::int64_t places,
+                               std::int32_t max_per_vm = 1) {
+  return {.rule = {.task = {100, 100, 0}, .max_per_vm = max_per_vm},
+          .tasks = tasks,
+          .startable = tasks,
+          .places = places};
+}
+
 // A backlog that would take several machines moves this one alone.
 void CheckOnlyOneMoves(MoverFixture& fixture, const std::string& machine) {
   for (int i = 0; i < 4; ++i) {
@@ -334,6 +345,86 @@
   BOOST_TEST(from["c"] == 2);
 }
 
+// Guards against moves for a VM that is silent for a moment, and against more
+// machines than are missing while those that were ordered arrive: the list
+// shows them in their pool before their VMs register.
+BOOST_AUTO_TEST_CASE(PlacesMissingForASecondAreMadeUpOnce) {
+  MoverFixture fixture;
+  for (auto& [id, pool] : fixture.pools) {
+    pool.peak.reset();
+  }
+  const PoolId a("a");
+  fixture.pools[a].placement = {SpreadNeed(12, 8, 2)};
+  BOOST_TEST(fixture.Tick().empty());
+  BOOST_TEST(fixture.Tick(950).empty());
+  const auto orders = fixture.Tick();
+  BOOST_TEST(orders.size() == 2U);
+  for (const OrderMove& order : orders) {
+    BOOST_TEST(order.to == a);
+    fixture.mover.OnOrderAnswer(order.machine, OrderAnswer::kDone, fixture.now);
+  }
+  BOOST_TEST(fixture.Tick(1500).empty());
+  for (const OrderMove& order : orders) {
+    fixture.machines.at(order.machine).pool = a;
+    fixture.machines.at(order.machine).vm = VmId("new" + order.machine.str());
+  }
+  BOOST_TEST(fixture.Tick(1000).empty());
+  BOOST_TEST(fixture.Tick(1000).empty());
+  BOOST_TEST(fixture.mover.moving().empty());
+}
+
+// Guards against a pool that gives up, as idle or for the backlog of another
+// one, machines whose places its steps need.
+BOOST_AUTO_TEST_CASE(PoolsKeepMachinesForTheirSteps) {
+  for (const bool backlog : {false, true}) {
+    MoverFixture fixture;
+    fixture.pools[PoolId("b")].placement = {SpreadNeed(4, 4)};
+    fixture.pools[PoolId("c")].placement = {SpreadNeed(3, 4)};
+    if (backlog) {
+      fixture.SetBacklog("a", 384);
+    } else {
+      fixture.Tick();
+    }
+    std::map<std::string, int> from;
+    for (const OrderMove& order : fixture.Tick(1600)) {
+      ++from[fixture.machines.at(order.machine).pool.str()];
+    }
+    BOOST_TEST(from["b"] == 0);
+    BOOST_TEST(from["c"] == 1);
+  }
+}
+
+// Guards against an owner that decides for longer than its lease: many idle
+// machines leave a pool at once, each weighed against all needs of its steps.
+BOOST_AUTO_TEST_CASE(ManyNeedsAndMachinesHoldNobodyUp) {
+  MoverFixture fixture;
+  PoolDemand& a = fixture.pools[PoolId("a")];
+  PoolDemand& b = fixture.pools[PoolId("b")];
+  for (int i = 0; i < 2000; ++i) {
+    Machine machine = fixture.machines.at(MachineId(i % 2 == 0 ? "a0" : "b0"));
+    machine.id = MachineId("more-" + std::to_string(i));
+    machine.vm = VmId(machine.id.str());
+    fixture.pools[machine.pool].capacity += machine.capacity;
+    fixture.loads[machine.vm] = {};
+    fixture.machines[machine.id] = machine;
+  }
+  for (int i = 0; i < 48; ++i) {
+    b.placement.push_back(SpreadNeed(10, 1000));
+    b.placement.back().rule.task.cpu_m += i;
+    a.placement.push_back(SpreadNeed(1000 + 6 * i, 1000));
+    a.placement.back().rule.task.cpu_m += i;
+  }
+  fixture.Tick();
+  std::size_t orders = 0;
+  const double s =
+      jobs::test::ProcessorSeconds([&] { orders = fixture.Tick(1600).size(); });
+  BOOST_TEST_MESSAGE(orders << " orders in " << s << " s");
+  BOOST_TEST(orders > 500U);
+#if !defined(__SANITIZE_ADDRESS__)
+  BOOST_TEST(s < jobs::test::kOwnerLeaseS);
+#endif
+}
+
 // Whatever the load, no pool is left with less than it needs for another one,
 // and no more machines move than make up for the deficits.
 BOOST_AUTO_TEST_CASE(MovesAreBoundedAndLeaveDonorsTheirNeed) {
@@ -365,6 +456,74 @@
   }));
 }
 
+// Whatever the steps need, no donor is left with fewer places than it needs, no
+// more machines move than make up the missing ones, and a gang gets all or
+// none.
+BOOST_AUTO_TEST_CASE(MovesForStepsAreBoundedAndLeaveDonorsTheirPlaces) {
+  BOOST_TEST(rc::check([] {
+    MoverFixture fixture;
+    for (auto& [id, machine] : fixture.machines) {
+      if (*rc::gen::arbitrary<bool>()) {
+        machine.labels.insert("l");
+      }
+      if (*rc::gen::inRange(0, 4) == 0) {
+        fixture.busy.insert(id);
+      }
+    }
+    const auto places = [&](const Machine& machine,
+                            const jobs::PlacementNeed& need) {
+      return need.rule.PlacesOn(machine.capacity, machine.labels, need.tasks);
+    };
+    for (const char* name : {"a", "b", "c"}) {
+      PoolDemand& pool = fixture.pools[PoolId(name)];
+      const int needs = *rc::gen::inRange(0, 3);
+      for (int i = 0; i < needs; ++i) {
+        jobs::PlacementNeed need =
+            SpreadNeed(*rc::gen::inRange(1, 20), 0, *rc::gen::inRange(0, 3));
+        need.rule.task.cpu_m = *rc::gen::inRange(1, 40'000);
+        need.rule.label = *rc::gen::arbitrary<bool>() ? "l" : "";
+        need.rule.all_or_none = *rc::gen::arbitrary<bool>();
+        for (const auto& [id, machine] : fixture.machines) {
+          need.places += machine.pool.str() == name ? places(machine, need) : 0;
+        }
+        pool.placement.push_back(need);
+      }
+    }
+    fixture.Tick();
+    std::map<PoolId, std::vector<const Machine*>> given;
+    std::map<PoolId, std::vector<const Machine*>> received;
+    // Idle machines move to standby in the same pass.
+    for (const OrderMove& order : fixture.Tick(1600)) {
+      const Machine& machine = fixture.machines.at(order.machine);
+      given[machine.pool].push_back(&machine);
+      received[order.to].push_back(&machine);
+    }
+    for (const auto& [id, pool] : fixture.pools) {
+      std::int64_t most_received = pool.standby ? 12 : 0;
+      for (const jobs::PlacementNeed& need : pool.placement) {
+        std::int64_t lost = 0;
+        for (const Machine* machine : given[id]) {
+          lost += places(*machine, need);
+        }
+        // A gang that cannot be placed has no use for its places.
+        const bool useless = need.rule.all_or_none && need.places < need.tasks;
+        RC_ASSERT(lost == 0 || useless || need.places - lost >= need.tasks);
+        std::int64_t gained = 0;
+        for (const Machine* machine : received[id]) {
+          gained += places(*machine, need);
+        }
+        RC_ASSERT(received[id].empty() || pool.placement.size() > 1 ||
+                  !need.rule.all_or_none || gained >= need.Missing());
+        // All machines are of one size, so each that helps offers as much.
+        const std::int64_t each = std::max<std::int64_t>(
+            1, need.rule.PlacesOn(kMachineSize, {"l"}, need.tasks));
+        most_received += (need.Missing() + each - 1) / each;
+      }
+      RC_ASSERT(std::ssize(received[id]) <= most_received);
+    }
+  }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::upkeep
