--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -58,7 +58,7 @@
 Driver::Driver(FleetOptions options, Parts parts)
     : options(std::move(options)),
       parts(parts),
-      load(parts.metrics),
+      load(parts.metrics, parts.client),
       timer(context),
       write_timer(context),
       turn_timer(context),
--- a/src/app/fleet/load_meter.cc
+++ b/src/app/fleet/load_meter.cc
@@ -29,11 +29,31 @@
   this->longest_pass = std::max(this->longest_pass, length);
 }
 
+// What the process calls shares one thread, its connections and the link. If
+// these are short, what it reads and writes is late while its decisions are on
+// time.
+void LoadMeter::LogCalls(const net::ClientLoad& calls) const {
+  net::LogEvent(
+      "calls", {{"open", std::to_string(calls.open)},
+                {"unsent", std::to_string(calls.unsent)},
+                {"answered", std::to_string(calls.answered)},
+                {"not_sent", std::to_string(calls.not_sent)},
+                {"broken", std::to_string(calls.broken)},
+                {"sent_bytes", std::to_string(calls.sent_bytes)},
+                {"received_bytes", std::to_string(calls.received_bytes)},
+                {"busy_ms", std::to_string(ToMs(calls.busy))},
+                {"longest_busy_ms", std::to_string(ToMs(calls.longest_busy))}});
+}
+
 void LoadMeter::Tick(Time now, bool told) {
   if (now - this->since < kInterval) {
     return;
   }
+  const net::ClientLoad calls = this->client.TakeLoad();
   if (this->since != Time()) {
+    this->metrics.Set("calls_open", static_cast<double>(calls.open));
+    this->metrics.Set("calls_unsent", static_cast<double>(calls.unsent));
+    this->metrics.Delay("client_busy", Ms(calls.longest_busy));
     this->metrics.Delay("event_delay", Ms(this->longest_delay));
     this->metrics.Delay("event", Ms(this->longest_event));
     this->metrics.Delay("pass", Ms(this->longest_pass));
@@ -46,6 +66,7 @@
            {"passes", std::to_string(this->passes)},
            {"pass_ms", std::to_string(ToMs(this->pass_time))},
            {"longest_pass_ms", std::to_string(ToMs(this->longest_pass))}});
+      this->LogCalls(calls);
     }
   }
   this->since = now;
--- a/src/app/fleet/load_meter.h
+++ b/src/app/fleet/load_meter.h
@@ -11,7 +11,8 @@
  * tells so once a second. */
 class LoadMeter {
  public:
-  explicit LoadMeter(net::Metrics& metrics) : metrics(metrics) {}
+  LoadMeter(net::Metrics& metrics, net::HttpClient& client)
+      : metrics(metrics), client(client) {}
 
   /*! @brief An event was handled `delay` after it had come, and for `length`.
    */
@@ -23,7 +24,10 @@
   void Tick(Time now, bool told);
 
  private:
+  void LogCalls(const net::ClientLoad& calls) const;
+
   net::Metrics& metrics;
+  net::HttpClient& client;
   Time since;
   std::uint64_t events = 0;
   Duration longest_delay{};
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -293,6 +293,12 @@
     this->Wake();
   }
 
+  ClientLoad TakeLoad() {
+    const std::lock_guard lock(this->mutex);
+    return std::exchange(
+        this->load, {.open = this->load.open, .unsent = this->load.unsent});
+  }
+
   void Abort(std::uint64_t number) {
     const std::lock_guard lock(this->mutex);
     this->aborted.push_back(number);
@@ -344,7 +350,9 @@
 
   void Run() {
     while (this->TakeOrders()) {
-      this->Wait(this->RunTimers());
+      const int wait_ms = this->RunTimers();
+      this->NoteBusy();
+      this->Wait(wait_ms);
       if (this->libcurl_due && *this->libcurl_due <= SteadyClock::now()) {
         this->libcurl_due.reset();
         this->Act(CURL_SOCKET_TIMEOUT, 0);
@@ -356,6 +364,30 @@
     }
   }
 
+  // The thread is about to wait.
+  void NoteBusy() {
+    const auto busy = std::chrono::duration_cast<Duration>(SteadyClock::now() -
+                                                           this->busy_since);
+    const auto unsent = static_cast<std::uint64_t>(std::ranges::count_if(
+        this->active, [](const auto& row) { return row.second->tries == 0; }));
+    const std::lock_guard lock(this->mutex);
+    this->load.open = this->active.size();
+    this->load.unsent = unsent;
+    this->load.busy += busy;
+    this->load.longest_busy = std::max(this->load.longest_busy, busy);
+  }
+
+  void NoteEnd(const Transfer& transfer) {
+    const std::lock_guard lock(this->mutex);
+    this->load.answered += transfer.result.status == CallStatus::kAnswered;
+    this->load.not_sent += transfer.result.status == CallStatus::kNotSent;
+    this->load.broken += transfer.result.status == CallStatus::kBroken;
+    this->load.received_bytes += transfer.result.body.size();
+    if (transfer.tries > 0) {
+      this->load.sent_bytes += transfer.call.body.size();
+    }
+  }
+
   void Act(curl_socket_t socket, int events) {
     int running = 0;
     curl_multi_socket_action(this->multi, socket, events, &running);
@@ -366,6 +398,7 @@
     std::array<epoll_event, kMaxEvents> events{};
     const int count =
         epoll_wait(this->epoll, events.data(), kMaxEvents, wait_ms);
+    this->busy_since = SteadyClock::now();
     {
       const std::lock_guard lock(this->mutex);
       this->waiting = false;
@@ -525,6 +558,7 @@
     const std::unique_ptr<Transfer> transfer = std::move(found->second);
     this->active.erase(found);
     Finish(*transfer, code);
+    this->NoteEnd(*transfer);
     curl_multi_remove_handle(this->multi, transfer->easy.get());
     if (this->idle.size() < kMaxIdleHandles) {
       this->idle.push_back(std::move(transfer->easy));
@@ -537,6 +571,7 @@
   CURLM* multi;
   std::thread thread;
   std::optional<SteadyClock::time_point> libcurl_due;
+  SteadyClock::time_point busy_since = SteadyClock::now();
   std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> active;
   std::vector<Easy> idle;
 
@@ -544,6 +579,7 @@
   bool stopping = false;
   bool waiting = false;
   std::uint64_t last_number = 0;
+  ClientLoad load;
   std::vector<std::unique_ptr<Transfer>> added;
   std::vector<std::uint64_t> aborted;
   std::multimap<SteadyClock::time_point, std::function<void()>> timers;
@@ -581,6 +617,10 @@
   this->impl->Delay(delay_ms, std::move(action));
 }
 
+ClientLoad HttpClient::TakeLoad() {
+  return this->impl->TakeLoad();
+}
+
 void HttpClient::Abort(std::uint64_t call) {
   this->impl->Abort(call);
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -76,6 +76,19 @@
 /*! @brief Called once per call on the client's thread; must not block. */
 using HttpDone = std::function<void(HttpResult)>;
 
+/*! @brief What a client did since the last time that it was asked. */
+struct ClientLoad {
+  std::uint64_t open = 0;    // calls that have not ended, at present
+  std::uint64_t unsent = 0;  // of these: without a connection yet
+  std::uint64_t answered = 0;
+  std::uint64_t not_sent = 0;
+  std::uint64_t broken = 0;
+  std::uint64_t sent_bytes = 0;      // of requests' bodies
+  std::uint64_t received_bytes = 0;  // of answers' bodies
+  Duration busy{};                   // in which its thread did not wait
+  Duration longest_busy{};           // at once
+};
+
 /*! @brief HTTP client with one traffic thread for all calls. */
 class HttpClient {
  public:
@@ -99,6 +112,8 @@
   void Delay(int delay_ms, std::function<void()> action);
   /*! @brief Sends a call and waits for its end; not for control threads. */
   [[nodiscard]] HttpResult SendAndWait(HttpCall call);
+  /*! @brief Returns the load since the last call of this. */
+  [[nodiscard]] ClientLoad TakeLoad();
 
  private:
   class Impl;
