--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -90,13 +90,22 @@
            SteadyClock::now() >=
                this->started + std::chrono::milliseconds(this->call.timeout_ms);
   }
-  // When a call with a limit on pauses is given up, unless more arrives.
-  [[nodiscard]] SteadyClock::time_point StallDeadline() const {
+  [[nodiscard]] bool HasDeadline() const {
+    return this->call.timeout_ms > 0 || this->call.stall_timeout_ms > 0;
+  }
+  // When it is given up, unless more of an answer arrives before.
+  [[nodiscard]] SteadyClock::time_point Deadline() const {
     using std::chrono::milliseconds;
-    return this->last_part
+    return this->call.stall_timeout_ms > 0 && this->last_part
                ? *this->last_part + milliseconds(this->call.stall_timeout_ms)
                : this->started + milliseconds(this->call.timeout_ms);
   }
+  void NotePart() {
+    if (!this->last_part && this->call.on_answer_begun) {
+      this->call.on_answer_begun();
+    }
+    this->last_part = SteadyClock::now();
+  }
 };
 
 bool Expired(const HttpCall& call) {
@@ -124,13 +133,13 @@
 
 std::size_t OnBody(char* data, std::size_t size, std::size_t n, void* user) {
   auto* const transfer = static_cast<Transfer*>(user);
-  transfer->last_part = SteadyClock::now();
+  transfer->NotePart();
   transfer->result.body.append(data, size * n);
   return size * n;
 }
 
 std::size_t OnHeader(char* data, std::size_t size, std::size_t n, void* user) {
-  static_cast<Transfer*>(user)->last_part = SteadyClock::now();
+  static_cast<Transfer*>(user)->NotePart();
   const std::string_view line(data, size * n);
   const std::size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
@@ -552,49 +561,31 @@
     ++this->unsent;
     curl_multi_add_handle(transfer->shard->multi, transfer->easy.get());
     const std::uint64_t number = transfer->number;
-    if (transfer->call.stall_timeout_ms > 0) {
-      this->CheckStallAt(transfer->StallDeadline(), number);
-    } else if (transfer->call.timeout_ms > 0) {
-      this->CheckTimeoutAt(transfer->started + std::chrono::milliseconds(
-                                                   transfer->call.timeout_ms),
-                           number);
+    if (transfer->HasDeadline()) {
+      this->CheckDeadlineAt(transfer->Deadline(), number);
     }
     this->active.emplace(number, std::move(transfer));
   }
 
-  void CheckStallAt(SteadyClock::time_point when, std::uint64_t number) {
-    const std::lock_guard lock(this->mutex);
-    this->timers.emplace(when, [this, number] { this->CheckStall(number); });
-  }
-
-  void CheckStall(std::uint64_t number) {
-    const auto found = this->active.find(number);
-    if (found == this->active.end()) {
-      return;
-    }
-    const SteadyClock::time_point deadline = found->second->StallDeadline();
-    if (SteadyClock::now() < deadline) {
-      this->CheckStallAt(deadline, number);
-    } else {
-      this->End(number, CURLE_OPERATION_TIMEDOUT);
-    }
-  }
-
-  void CheckTimeoutAt(SteadyClock::time_point when, std::uint64_t number) {
+  void CheckDeadlineAt(SteadyClock::time_point when, std::uint64_t number) {
     const std::lock_guard lock(this->mutex);
     this->timers.emplace(
-        when, [this, when, number] { this->CheckTimeout(when, number); });
+        when, [this, when, number] { this->CheckDeadline(when, number); });
   }
 
-  void CheckTimeout(SteadyClock::time_point due, std::uint64_t number) {
+  void CheckDeadline(SteadyClock::time_point due, std::uint64_t number) {
     const auto found = this->active.find(number);
     if (found == this->active.end()) {
       return;
     }
+    Transfer& transfer = *found->second;
     const auto now = SteadyClock::now();
-    if (now - due > kHeldUp &&
-        !std::exchange(found->second->may_be_answered, true)) {
-      this->CheckTimeoutAt(now + kHeldUp, number);
+    if (now < transfer.Deadline()) {
+      transfer.may_be_answered = false;
+      this->CheckDeadlineAt(transfer.Deadline(), number);
+    } else if (now - due > kHeldUp &&
+               !std::exchange(transfer.may_be_answered, true)) {
+      this->CheckDeadlineAt(now + kHeldUp, number);
     } else {
       this->End(number, CURLE_OPERATION_TIMEDOUT);
     }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -53,6 +53,8 @@
   // other end (HttpResult::repeated); a new connection rules that out.
   bool new_connection = false;
   std::optional<Time> valid_until;  // not sent after this time
+  // Called on the client's thread when the first part of an answer has come.
+  std::function<void()> on_answer_begun;
 };
 
 /*! @brief What became of a call. */
--- a/test/net/http_test.cc
+++ b/test/net/http_test.cc
@@ -60,6 +60,14 @@
          static_cast<double>(used.tv_nsec) / ns_per_s;
 }
 
+// Keeps the client's thread busy, in the end of a call.
+void HoldUp(HttpClient& client,
+            const HttpServer& server,
+            std::chrono::milliseconds time) {
+  client.Send({.url = Url(server, "/")},
+              [time](const HttpResult&) { std::this_thread::sleep_for(time); });
+}
+
 class Socket {
  public:
   explicit Socket(int fd) : fd(fd) { BOOST_REQUIRE(fd >= 0); }
@@ -352,15 +360,22 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
     return SlowServer::Answer{.body = "x"};
   });
+  const auto other =
+      HttpServer::Create({}, [](const HttpRequest&, const HttpReply& reply) {
+        reply({});
+      }).value();
   const auto client = MakeClient();
-  const HttpCall call{.url = "http://" + server.address() + "/a",
-                      .connect_timeout_ms = 200,
-                      .timeout_ms = 200};
-  auto answered = Send(*client, call);
-  received.get_future().wait();
-  client->Delay(
-      0, [] { std::this_thread::sleep_for(std::chrono::milliseconds(500)); });
-  BOOST_TEST(answered.get().Success());
+  HttpCall call{.url = "http://" + server.address() + "/a",
+                .connect_timeout_ms = 200,
+                .timeout_ms = 200};
+  for (const int stall_timeout_ms : {0, 200}) {
+    call.stall_timeout_ms = stall_timeout_ms;
+    received = {};
+    auto answered = Send(*client, call);
+    received.get_future().wait();
+    HoldUp(*client, *other, std::chrono::milliseconds(500));
+    BOOST_TEST(answered.get().Success(), stall_timeout_ms);
+  }
 }
 
 // Guards against a request that leaves after its time, since its client's
--- a/test/slow_server.h
+++ b/test/slow_server.h
@@ -25,7 +25,8 @@
     std::size_t parts = 1;
     std::size_t parts_sent = parts;
     std::chrono::milliseconds pause{0};
-    bool silent = false;  // not even a status is sent
+    std::chrono::milliseconds delay{0};  // before the first byte
+    bool silent = false;                 // not even a status is sent
     bool closes = false;  // the connection is closed without an answer
     int status = 200;
   };
@@ -104,6 +105,7 @@
       if (answer.silent) {
         continue;
       }
+      std::this_thread::sleep_for(answer.delay);
       asio::write(socket,
                   asio::buffer("HTTP/1.1 " + std::to_string(answer.status) +
                                " Status\r\nContent-Length: " +
