--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -424,8 +424,7 @@
       case 1:  // arrives after the answer to the second watch
         return SlowServer::Answer{
             .body = R"({"events": [)" + put + R"(], "StoreRevision": 7})",
-            .parts = 2,
-            .pause = 600ms};
+            .delay = 600ms};
       case 2:
         return SlowServer::Answer{
             .body = R"({"events": [)" + put +
@@ -458,6 +457,82 @@
       (seen == std::vector<std::string>{"put servers/a", "removed servers/a"}));
 }
 
+// Guards against a full link that carries the same changes again and again: an
+// answer that takes long to arrive is asked for once more beside it.
+BOOST_AUTO_TEST_CASE(WatchWhoseAnswerArrivesIsNotRepeated) {
+  using namespace std::chrono_literals;
+  std::atomic<int> watches = 0;
+  SlowServer server([&](const std::string& head, std::size_t) {
+    if (head.find("kv-range") != std::string::npos) {
+      return SlowServer::Answer{.body = R"({"items": [], "StoreRevision": 5})"};
+    }
+    ++watches;
+    return head.find("After=5") == std::string::npos
+               ? SlowServer::Answer{.silent = true}
+               : SlowServer::Answer{.body = R"({"events": [)" + ConfigItem(7) +
+                                            R"(], "StoreRevision": 7})",
+                                    .parts = 4,
+                                    .pause = 200ms};
+  });
+  auto client = net::HttpClient::Create({}).value();
+  net::Metrics metrics;
+  Store store(*client, server.address(), metrics);
+  std::promise<int> told;
+  const auto view = PrefixView::Create(
+      *client, store, "op/", {.wait_ms = 3000, .overlap_ms = 100},
+      {.on_put = [&](const Item&) { told.set_value(watches); },
+       .on_removed = [](const std::string&, std::uint64_t) {},
+       .on_listed = [](std::uint64_t) {},
+       .on_reachable = [](bool) {}});
+  BOOST_TEST(told.get_future().get() == 1);
+  view->Stop();
+  client.reset();
+}
+
+// Guards against further watches of a process that takes its own slowness for
+// a lost answer.
+BOOST_AUTO_TEST_CASE(WatchIsNotRepeatedForAnAnswerThatWasNotRead) {
+  using namespace std::chrono_literals;
+  SlowServer other(
+      [](const std::string&, std::size_t) { return SlowServer::Answer{}; });
+  std::atomic<int> watches = 0;
+  std::promise<void> asked;
+  SlowServer server([&](const std::string& head, std::size_t) {
+    if (head.find("kv-range") != std::string::npos) {
+      return SlowServer::Answer{.body = R"({"items": [], "StoreRevision": 5})"};
+    }
+    if (head.find("After=5") == std::string::npos) {
+      return SlowServer::Answer{.silent = true};
+    }
+    if (++watches == 1) {
+      asked.set_value();
+    }
+    return SlowServer::Answer{
+        .body = R"({"events": [)" + ConfigItem(7) + R"(], "StoreRevision": 7})",
+        .delay = 50ms};
+  });
+  auto client = net::HttpClient::Create({}).value();
+  net::Metrics metrics;
+  Store store(*client, server.address(), metrics);
+  std::promise<void> told;
+  const auto view = PrefixView::Create(
+      *client, store, "op/", {.wait_ms = 3000, .overlap_ms = 200},
+      {.on_put = [&](const Item&) { told.set_value(); },
+       .on_removed = [](const std::string&, std::uint64_t) {},
+       .on_listed = [](std::uint64_t) {},
+       .on_reachable = [](bool) {}});
+  asked.get_future().wait();
+  // Keeps the client's thread busy, in the end of a call.
+  client->Send(
+      {.url = "http://" + other.address() + "/"},
+      [](const net::HttpResult&) { std::this_thread::sleep_for(400ms); });
+  told.get_future().wait();
+  std::this_thread::sleep_for(200ms);
+  BOOST_TEST(watches == 1);
+  view->Stop();
+  client.reset();
+}
+
 // Guards against waiting for a lost answer as long as for one over a slow link.
 BOOST_AUTO_TEST_CASE(UnansweredWriteEndsSoonerOnceTheStoreIsKnown) {
   std::atomic<bool> silent = false;
