--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -37,6 +37,13 @@
 // reads what has come meanwhile for as long before it gives the call up.
 constexpr auto kHeldUp = std::chrono::milliseconds(20);
 constexpr int kMaxEvents = 256;
+// At a call, libcurl looks for lost connections among all that share a multi
+// handle, and from the start again after each one that it finds. Hosts are
+// spread over several, so that losing many does not hold the thread up.
+constexpr std::size_t kShards = 32;
+// Stands for the wake event in place of a shard.
+constexpr std::uint32_t kNoShard = 0xffff'ffff;
+constexpr unsigned kShardShift = 32;
 constexpr int kFirstSuccess = 200;
 constexpr int kLastSuccess = 299;
 constexpr std::string_view kExpiredError = "expired before it was sent";
@@ -50,8 +57,22 @@
 
 using Easy = std::unique_ptr<CURL, EasyFree>;
 
+// Multi handle of some of the hosts.
+struct Shard {
+  std::uint32_t index = 0;
+  int epoll = -1;
+  CURLM* multi = nullptr;
+  std::optional<SteadyClock::time_point> due;  // libcurl's next timer
+};
+
+std::uint64_t EventData(std::uint32_t shard, int fd) {
+  return (std::uint64_t{shard} << kShardShift) | static_cast<std::uint32_t>(fd);
+}
+
 struct Transfer {
   std::uint64_t number = 0;
+  Shard* shard = nullptr;
+  std::uint64_t* unsent = nullptr;  // number of calls that were not tried
   HttpCall call;
   HttpDone done;
   Easy easy;
@@ -69,13 +90,22 @@
            SteadyClock::now() >=
                this->started + std::chrono::milliseconds(this->call.timeout_ms);
   }
-  // When a call with a limit on pauses is given up, unless more arrives.
-  [[nodiscard]] SteadyClock::time_point StallDeadline() const {
+  [[nodiscard]] bool HasDeadline() const {
+    return this->call.timeout_ms > 0 || this->call.stall_timeout_ms > 0;
+  }
+  // When it is given up, unless more of an answer arrives before.
+  [[nodiscard]] SteadyClock::time_point Deadline() const {
     using std::chrono::milliseconds;
-    return this->last_part
+    return this->call.stall_timeout_ms > 0 && this->last_part
                ? *this->last_part + milliseconds(this->call.stall_timeout_ms)
                : this->started + milliseconds(this->call.timeout_ms);
   }
+  void NotePart() {
+    if (!this->last_part && this->call.on_answer_begun) {
+      this->call.on_answer_begun();
+    }
+    this->last_part = SteadyClock::now();
+  }
 };
 
 bool Expired(const HttpCall& call) {
@@ -95,19 +125,21 @@
     transfer.expired = true;
     return CURL_PREREQFUNC_ABORT;
   }
-  ++transfer.tries;
+  if (transfer.tries++ == 0) {
+    --*transfer.unsent;
+  }
   return CURL_PREREQFUNC_OK;
 }
 
 std::size_t OnBody(char* data, std::size_t size, std::size_t n, void* user) {
   auto* const transfer = static_cast<Transfer*>(user);
-  transfer->last_part = SteadyClock::now();
+  transfer->NotePart();
   transfer->result.body.append(data, size * n);
   return size * n;
 }
 
 std::size_t OnHeader(char* data, std::size_t size, std::size_t n, void* user) {
-  static_cast<Transfer*>(user)->last_part = SteadyClock::now();
+  static_cast<Transfer*>(user)->NotePart();
   const std::string_view line(data, size * n);
   const std::size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
@@ -214,9 +246,16 @@
                                                 : curl_easy_strerror(code);
 }
 
-// How many connections stay open, in use or not. libcurl's own limit follows
-// the number of open calls, so a quiet moment would close the connections to
-// most hosts of a large fleet.
+// The part of a URL that names the host and its port.
+std::string_view AuthorityOf(std::string_view url) {
+  const std::size_t scheme = url.find("://");
+  url.remove_prefix(scheme == std::string_view::npos ? 0 : scheme + 3);
+  return url.substr(0, url.find('/'));
+}
+
+// How many connections of a shard stay open, in use or not. libcurl's own limit
+// follows the number of open calls, so a quiet moment would close the
+// connections to most hosts of a large fleet.
 long ConnectionLimit(const HttpClient::Options& options) {
   long limit = kMaxConnections;
   rlimit files{};
@@ -224,7 +263,8 @@
       files.rlim_cur / 2 < kMaxConnections) {
     limit = static_cast<long>(files.rlim_cur / 2);
   }
-  return std::max(limit, options.max_connections_per_host);
+  return std::max(limit / static_cast<long>(kShards),
+                  options.max_connections_per_host);
 }
 
 }  // namespace
@@ -242,17 +282,10 @@
 class HttpClient::Impl {
  public:
   Impl(const Options& options, int epoll, int wake_event)
-      : epoll(epoll), wake_event(wake_event), multi(curl_multi_init()) {
-    epoll_event wake{.events = EPOLLIN, .data = {.fd = wake_event}};
+      : options(options), epoll(epoll), wake_event(wake_event) {
+    epoll_event wake{.events = EPOLLIN,
+                     .data = {.u64 = EventData(kNoShard, wake_event)}};
     epoll_ctl(this->epoll, EPOLL_CTL_ADD, wake_event, &wake);
-    curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &OnSocketWanted);
-    curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
-    curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &OnTimerWanted);
-    curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
-    curl_multi_setopt(this->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                      options.max_connections_per_host);
-    curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS,
-                      ConnectionLimit(options));
     this->thread = std::thread([this] { this->Run(); });
   }
 
@@ -263,7 +296,11 @@
       this->Wake();
     }
     this->thread.join();
-    curl_multi_cleanup(this->multi);
+    for (const auto& shard : this->shards) {
+      if (shard != nullptr) {
+        curl_multi_cleanup(shard->multi);
+      }
+    }
     close(this->wake_event);
     close(this->epoll);
   }
@@ -293,6 +330,12 @@
     this->Wake();
   }
 
+  ClientLoad TakeLoad() {
+    const std::lock_guard lock(this->mutex);
+    return std::exchange(
+        this->load, {.open = this->load.open, .unsent = this->load.unsent});
+  }
+
   void Abort(std::uint64_t number) {
     const std::lock_guard lock(this->mutex);
     this->aborted.push_back(number);
@@ -306,27 +349,28 @@
                             int what,
                             void* user,
                             void* known) {
-    const int epoll = static_cast<Impl*>(user)->epoll;
+    const Shard& shard = *static_cast<Shard*>(user);
     if (what == CURL_POLL_REMOVE) {
-      epoll_ctl(epoll, EPOLL_CTL_DEL, socket, nullptr);
+      epoll_ctl(shard.epoll, EPOLL_CTL_DEL, socket, nullptr);
       return 0;
     }
-    epoll_event wanted{.events = 0, .data = {.fd = socket}};
+    epoll_event wanted{.events = 0,
+                       .data = {.u64 = EventData(shard.index, socket)}};
     if ((what & CURL_POLL_IN) != 0) {
       wanted.events |= EPOLLIN;
     }
     if ((what & CURL_POLL_OUT) != 0) {
       wanted.events |= EPOLLOUT;
     }
-    epoll_ctl(epoll, known == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, socket,
-              &wanted);
+    epoll_ctl(shard.epoll, known == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD,
+              socket, &wanted);
     // Marks the socket as registered until libcurl removes it.
-    curl_multi_assign(static_cast<Impl*>(user)->multi, socket, user);
+    curl_multi_assign(shard.multi, socket, user);
     return 0;
   }
 
   static int OnTimerWanted(CURLM* /*multi*/, long wait_ms, void* user) {
-    auto& due = static_cast<Impl*>(user)->libcurl_due;
+    auto& due = static_cast<Shard*>(user)->due;
     if (wait_ms < 0) {
       due.reset();
     } else {
@@ -344,21 +388,72 @@
 
   void Run() {
     while (this->TakeOrders()) {
-      this->Wait(this->RunTimers());
-      if (this->libcurl_due && *this->libcurl_due <= SteadyClock::now()) {
-        this->libcurl_due.reset();
-        this->Act(CURL_SOCKET_TIMEOUT, 0);
+      const int wait_ms = this->RunTimers();
+      this->NoteBusy();
+      this->Wait(wait_ms);
+      for (const auto& shard : this->shards) {
+        if (shard == nullptr) {
+          continue;
+        }
+        if (shard->due && *shard->due <= SteadyClock::now()) {
+          shard->due.reset();
+          Act(*shard, CURL_SOCKET_TIMEOUT, 0);
+        }
+        this->Collect(*shard);
       }
-      this->Collect();
     }
     while (!this->active.empty()) {
       this->End(this->active.begin()->first, CURLE_ABORTED_BY_CALLBACK);
     }
   }
 
-  void Act(curl_socket_t socket, int events) {
+  // The thread is about to wait.
+  void NoteBusy() {
+    const auto busy = std::chrono::duration_cast<Duration>(SteadyClock::now() -
+                                                           this->busy_since);
+    const std::lock_guard lock(this->mutex);
+    this->load.open = this->active.size();
+    this->load.unsent = this->unsent;
+    this->load.busy += busy;
+    this->load.longest_busy = std::max(this->load.longest_busy, busy);
+  }
+
+  void NoteEnd(const Transfer& transfer) {
+    const std::lock_guard lock(this->mutex);
+    this->load.answered += transfer.result.status == CallStatus::kAnswered;
+    this->load.not_sent += transfer.result.status == CallStatus::kNotSent;
+    this->load.broken += transfer.result.status == CallStatus::kBroken;
+    this->load.received_bytes += transfer.result.body.size();
+    if (transfer.tries > 0) {
+      this->load.sent_bytes += transfer.call.body.size();
+    }
+  }
+
+  static void Act(Shard& shard, curl_socket_t socket, int events) {
     int running = 0;
-    curl_multi_socket_action(this->multi, socket, events, &running);
+    curl_multi_socket_action(shard.multi, socket, events, &running);
+  }
+
+  Shard& ShardOf(std::string_view url) {
+    const std::size_t index =
+        std::hash<std::string_view>()(AuthorityOf(url)) % kShards;
+    std::unique_ptr<Shard>& shard = this->shards[index];
+    if (shard == nullptr) {
+      shard = std::make_unique<Shard>(
+          Shard{.index = static_cast<std::uint32_t>(index),
+                .epoll = this->epoll,
+                .multi = curl_multi_init()});
+      CURLM* multi = shard->multi;
+      curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &OnSocketWanted);
+      curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, shard.get());
+      curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &OnTimerWanted);
+      curl_multi_setopt(multi, CURLMOPT_TIMERDATA, shard.get());
+      curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                        this->options.max_connections_per_host);
+      curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS,
+                        ConnectionLimit(this->options));
+    }
+    return *shard;
   }
 
   // Waits for sockets that are ready, and serves them.
@@ -366,13 +461,16 @@
     std::array<epoll_event, kMaxEvents> events{};
     const int count =
         epoll_wait(this->epoll, events.data(), kMaxEvents, wait_ms);
+    this->busy_since = SteadyClock::now();
     {
       const std::lock_guard lock(this->mutex);
       this->waiting = false;
     }
     for (int i = 0; i < count; ++i) {
       const epoll_event& event = events[static_cast<std::size_t>(i)];
-      if (event.data.fd == this->wake_event) {
+      const auto shard =
+          static_cast<std::uint32_t>(event.data.u64 >> kShardShift);
+      if (shard == kNoShard) {
         eventfd_t ignored = 0;
         eventfd_read(this->wake_event, &ignored);
         continue;
@@ -382,7 +480,8 @@
       int ready = 0;
       ready |= (event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
       ready |= (event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
-      this->Act(event.data.fd, ready);
+      Act(*this->shards[shard], static_cast<std::int32_t>(event.data.u64),
+          ready);
     }
   }
 
@@ -392,8 +491,10 @@
     std::vector<std::function<void()>> due;
     const auto now = SteadyClock::now();
     auto until = now + std::chrono::milliseconds(kMaxWaitMs);
-    if (this->libcurl_due) {
-      until = std::min(until, *this->libcurl_due);
+    for (const auto& shard : this->shards) {
+      if (shard != nullptr && shard->due) {
+        until = std::min(until, *shard->due);
+      }
     }
     {
       const std::lock_guard lock(this->mutex);
@@ -455,59 +556,44 @@
     transfer->easy = this->TakeEasy();
     Prepare(*transfer);
     transfer->started = SteadyClock::now();
-    curl_multi_add_handle(this->multi, transfer->easy.get());
+    transfer->shard = &this->ShardOf(transfer->call.url);
+    transfer->unsent = &this->unsent;
+    ++this->unsent;
+    curl_multi_add_handle(transfer->shard->multi, transfer->easy.get());
     const std::uint64_t number = transfer->number;
-    if (transfer->call.stall_timeout_ms > 0) {
-      this->CheckStallAt(transfer->StallDeadline(), number);
-    } else if (transfer->call.timeout_ms > 0) {
-      this->CheckTimeoutAt(transfer->started + std::chrono::milliseconds(
-                                                   transfer->call.timeout_ms),
-                           number);
+    if (transfer->HasDeadline()) {
+      this->CheckDeadlineAt(transfer->Deadline(), number);
     }
     this->active.emplace(number, std::move(transfer));
   }
 
-  void CheckStallAt(SteadyClock::time_point when, std::uint64_t number) {
-    const std::lock_guard lock(this->mutex);
-    this->timers.emplace(when, [this, number] { this->CheckStall(number); });
-  }
-
-  void CheckStall(std::uint64_t number) {
-    const auto found = this->active.find(number);
-    if (found == this->active.end()) {
-      return;
-    }
-    const SteadyClock::time_point deadline = found->second->StallDeadline();
-    if (SteadyClock::now() < deadline) {
-      this->CheckStallAt(deadline, number);
-    } else {
-      this->End(number, CURLE_OPERATION_TIMEDOUT);
-    }
-  }
-
-  void CheckTimeoutAt(SteadyClock::time_point when, std::uint64_t number) {
+  void CheckDeadlineAt(SteadyClock::time_point when, std::uint64_t number) {
     const std::lock_guard lock(this->mutex);
     this->timers.emplace(
-        when, [this, when, number] { this->CheckTimeout(when, number); });
+        when, [this, when, number] { this->CheckDeadline(when, number); });
   }
 
-  void CheckTimeout(SteadyClock::time_point due, std::uint64_t number) {
+  void CheckDeadline(SteadyClock::time_point due, std::uint64_t number) {
     const auto found = this->active.find(number);
     if (found == this->active.end()) {
       return;
     }
+    Transfer& transfer = *found->second;
     const auto now = SteadyClock::now();
-    if (now - due > kHeldUp &&
-        !std::exchange(found->second->may_be_answered, true)) {
-      this->CheckTimeoutAt(now + kHeldUp, number);
+    if (now < transfer.Deadline()) {
+      transfer.may_be_answered = false;
+      this->CheckDeadlineAt(transfer.Deadline(), number);
+    } else if (now - due > kHeldUp &&
+               !std::exchange(transfer.may_be_answered, true)) {
+      this->CheckDeadlineAt(now + kHeldUp, number);
     } else {
       this->End(number, CURLE_OPERATION_TIMEDOUT);
     }
   }
 
-  void Collect() {
+  void Collect(const Shard& shard) {
     int left = 0;
-    while (CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
+    while (CURLMsg* message = curl_multi_info_read(shard.multi, &left)) {
       if (message->msg != CURLMSG_DONE) {
         continue;
       }
@@ -525,18 +611,23 @@
     const std::unique_ptr<Transfer> transfer = std::move(found->second);
     this->active.erase(found);
     Finish(*transfer, code);
-    curl_multi_remove_handle(this->multi, transfer->easy.get());
+    this->NoteEnd(*transfer);
+    curl_multi_remove_handle(transfer->shard->multi, transfer->easy.get());
+    if (transfer->tries == 0) {
+      --this->unsent;
+    }
     if (this->idle.size() < kMaxIdleHandles) {
       this->idle.push_back(std::move(transfer->easy));
     }
     transfer->done(std::move(transfer->result));
   }
 
+  const Options options;
   const int epoll;
   const int wake_event;
-  CURLM* multi;
-  std::thread thread;
-  std::optional<SteadyClock::time_point> libcurl_due;
+  SteadyClock::time_point busy_since = SteadyClock::now();
+  std::array<std::unique_ptr<Shard>, kShards> shards;  // created when needed
+  std::uint64_t unsent = 0;  // active calls that were not tried
   std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> active;
   std::vector<Easy> idle;
 
@@ -544,9 +635,12 @@
   bool stopping = false;
   bool waiting = false;
   std::uint64_t last_number = 0;
+  ClientLoad load;
   std::vector<std::unique_ptr<Transfer>> added;
   std::vector<std::uint64_t> aborted;
   std::multimap<SteadyClock::time_point, std::function<void()>> timers;
+
+  std::thread thread;  // the last member, since it uses the others
 };
 
 Result<std::unique_ptr<HttpClient>> HttpClient::Create(const Options& options) {
@@ -581,6 +675,10 @@
   this->impl->Delay(delay_ms, std::move(action));
 }
 
+ClientLoad HttpClient::TakeLoad() {
+  return this->impl->TakeLoad();
+}
+
 void HttpClient::Abort(std::uint64_t call) {
   this->impl->Abort(call);
 }
