--- a/src/jobs/scheduler_placement.cc
+++ b/src/jobs/scheduler_placement.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "jobs/scheduler.h"
 
@@ -8,10 +9,12 @@
 namespace kch::jobs {
 namespace {
 
-// Bounds of the work of a pass. What is beyond them is looked at once the steps
-// before it are placed.
+// Bounds of the work of a pass. Rules beyond them are looked at once the steps
+// before them are placed, unplaced steps in turns. A turn outlasts the time for
+// which a pool has to lack places before it receives machines.
 constexpr std::size_t kMaxRules = 32;
 constexpr std::size_t kMaxUnplacedSteps = 16;
+constexpr auto kUnplacedTurn = std::chrono::seconds(4);
 
 PlacementRule RuleOf(const StepSpec& spec) {
   return {.label = spec.label,
@@ -174,19 +177,27 @@
   PlacementTasks finite;
   this->AddFinitePlacement(pool, held_back, finite);
   add_needs(finite, false);
-  std::size_t looked_at = 0;
+  std::vector<std::pair<StepRef, std::int64_t>> waiting;
   for (const StepRef& step_ref : pool.ready) {
     const std::int64_t may_start =
         step_ref.spec().endless ? this->MayStart(step_ref, held_back) : 0;
-    if (may_start == 0) {
-      continue;
+    if (may_start > 0) {
+      waiting.emplace_back(step_ref, may_start);
     }
+  }
+  // Steps that no machine helps must not hide others for good.
+  const std::size_t groups =
+      (waiting.size() + kMaxUnplacedSteps - 1) / kMaxUnplacedSteps;
+  const auto turns =
+      static_cast<std::size_t>(now.time_since_epoch() / kUnplacedTurn);
+  const std::size_t first =
+      groups == 0 ? 0 : turns % groups * kMaxUnplacedSteps;
+  const std::size_t last = std::min(first + kMaxUnplacedSteps, waiting.size());
+  for (std::size_t i = first; i < last; ++i) {
+    const auto& [step_ref, may_start] = waiting[i];
     if (auto need = this->UnplacedNeed(step_ref, pool, may_start, now)) {
       needs.push_back(*std::move(need));
     }
-    if (++looked_at == kMaxUnplacedSteps) {
-      break;
-    }
   }
   return needs;
 }
--- a/test/upkeep/placement_test.cc
+++ b/test/upkeep/placement_test.cc
@@ -240,6 +240,24 @@
   }
 }
 
+// Guards against steps that no machine helps and that hide others from view.
+BOOST_AUTO_TEST_CASE(StepsThatNoMachineHelpsHideNoOthers) {
+  MoverSim fleet;
+  AddPools(fleet, 3, 4);
+  fleet.sim.Submit(EndlessJob("first", 3, 5000));
+  fleet.Run(1000);
+  for (int i = 0; i < 40; ++i) {
+    jobs::JobSpec job = LabelledJob("absent");
+    job.id = jobs::JobId("absent" + std::to_string(i));
+    job.steps[0].need.cpu_m += i;
+    fleet.sim.Submit(job);
+  }
+  fleet.sim.Submit(EndlessJob("second", 1, 4000));
+  fleet.Run(3 * kMovesMs);
+  BOOST_TEST(RunsOf(fleet, "second") == 1U);
+  BOOST_TEST(fleet.move_count == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kch::upkeep
