--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -683,31 +683,39 @@
   }
 }
 
-// The same without a registration that tells of the restart: the predecessor
-// has noticed the lease by the answer to a start, and only its record tells.
+// The same where the predecessor has noticed the lease by the answer to a start
+// and only its record tells, or where only the VM's registration does.
 BOOST_AUTO_TEST_CASE(SuccessorLearnsOfALeaseByAnEarlierClock) {
-  FleetSim sim;
-  UseShortStopGrace(sim);
-  FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
-  sim.Run(20'000);
-  const VmFacts earlier = vm.facts;
-  vm.Restart(sim.now);
-  sim.Submit(SimpleJob("a", "q", 1, 1000, 60'000));
-  sim.Run(10);
-  BOOST_REQUIRE(vm.runs.size() == 1U);
-  vm.unresponsive = true;
-  sim.Run(30);
-  BOOST_TEST(sim.persisted_vms.at("vm0").facts.boot_ms == earlier.boot_ms);
-  const VmFacts restarted = std::exchange(vm.facts, earlier);
-  sim.Takeover();
-  vm.facts = restarted;
-  sim.AddVm("vm1", "p", kVmSize);
-  const std::int64_t wait_ms =
-      ToMs(sim.limits.recovery_wait +
-           EndOfRuns(sim.limits.max_lease, sim.limits)) +
-      100;
-  BOOST_TEST(sim.RunUntil([&] { return sim.starts() == 2; }, wait_ms));
-  BOOST_TEST(Violations(sim) == "");
+  for (const bool noticed : {true, false}) {
+    FleetSim sim;
+    UseShortStopGrace(sim);
+    FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
+    sim.Run(20'000);
+    const VmFacts earlier = vm.facts;
+    vm.Restart(sim.now);
+    vm.drops_responses = !noticed;
+    sim.Submit(SimpleJob("a", "q", 1, 1000, 60'000));
+    sim.Run(10);
+    BOOST_REQUIRE(vm.runs.size() == 1U);
+    vm.unresponsive = true;
+    sim.Run(30);
+    const VmRecord& record = sim.persisted_vms.at("vm0");
+    BOOST_TEST(record.facts.boot_ms == earlier.boot_ms);
+    BOOST_TEST(record.earlier_lease == noticed);
+    const VmFacts restarted = vm.facts;
+    if (noticed) {
+      vm.facts = earlier;  // as its registration still says
+    }
+    sim.Takeover();
+    vm.facts = restarted;
+    sim.AddVm("vm1", "p", kVmSize);
+    const std::int64_t wait_ms =
+        ToMs(sim.limits.recovery_wait +
+             EndOfRuns(sim.limits.max_lease, sim.limits)) +
+        100;
+    BOOST_TEST(sim.RunUntil([&] { return sim.starts() == 2; }, wait_ms));
+    BOOST_TEST(Violations(sim) == "");
+  }
 }
 
 // Guards against tasks that wait for the longest lease after each takeover
