--- a/fake/vms/vm_model.h
+++ b/fake/vms/vm_model.h
@@ -48,7 +48,7 @@
   std::int64_t lapsed_end = 0;  // ends up to here precede a lapse of its lease
   // Ends of `done` runs whose tasks have been started since.
   std::set<std::int64_t> repeated_ends;
-  bool unresponsive = false;  // does not answer, but its runs continue
+  bool unresponsive = false;         // does not answer, but its runs continue
   bool refuses_connections = false;  // orders to it are not sent
   bool fails_all = false;
   bool drops_responses = false;  // carries out orders without an answer
