--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -489,6 +489,39 @@
   client.reset();
 }
 
+// Guards against the same changes being asked for a third time, while the late
+// answer of an earlier watch brings them.
+BOOST_AUTO_TEST_CASE(LateAnswerThatArrivesHoldsFurtherWatchesBack) {
+  using namespace std::chrono_literals;
+  std::atomic<int> watches = 0;
+  SlowServer server([&](const std::string& head, std::size_t) {
+    if (head.find("kv-range") != std::string::npos) {
+      return SlowServer::Answer{.body = R"({"items": [], "StoreRevision": 5})"};
+    }
+    if (head.find("After=5") == std::string::npos || ++watches > 1) {
+      return SlowServer::Answer{.silent = true};
+    }
+    return SlowServer::Answer{
+        .body = R"({"events": [)" + ConfigItem(7) + R"(], "StoreRevision": 7})",
+        .parts = 4,
+        .pause = 300ms,
+        .delay = 150ms};
+  });
+  auto client = net::HttpClient::Create({}).value();
+  net::Metrics metrics;
+  Store store(*client, server.address(), metrics);
+  std::promise<int> told;
+  const auto view = PrefixView::Create(
+      *client, store, "op/", {.wait_ms = 3000, .overlap_ms = 100},
+      {.on_put = [&](const Item&) { told.set_value(watches); },
+       .on_removed = [](const std::string&, std::uint64_t) {},
+       .on_listed = [](std::uint64_t) {},
+       .on_reachable = [](bool) {}});
+  BOOST_TEST(told.get_future().get() == 2);
+  view->Stop();
+  client.reset();
+}
+
 // Guards against further watches of a process that takes its own slowness for
 // a lost answer.
 BOOST_AUTO_TEST_CASE(WatchIsNotRepeatedForAnAnswerThatWasNotRead) {
