--- a/test/net/http_test.cc
+++ b/test/net/http_test.cc
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -483,6 +484,10 @@
 // many hosts are lost, while the calls of all others wait.
 BOOST_AUTO_TEST_CASE(LostConnectionsOfManyHostsHoldNobodyUp) {
   constexpr int hosts = 2000;
+  rlimit files{};
+  BOOST_REQUIRE(getrlimit(RLIMIT_NOFILE, &files) == 0);
+  files.rlim_cur = files.rlim_max;
+  BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &files) == 0);
   const auto answer = [](const HttpRequest&, const HttpReply& reply) {
     reply({});
   };
