--- a/src/jobs/placement.h
+++ b/src/jobs/placement.h
@@ -9,8 +9,8 @@
 
 namespace kch::jobs {
 
-/*! @brief Rules that bound which VMs, and how many tasks of a step on each,
- * may serve it, whatever the capacity of the pool as a whole. */
+/*! @brief Bounds of a step beside its pool's capacity: which VMs may take its
+ * tasks, and how many of them each. */
 struct PlacementRule {
   std::string label;            // a VM must have it; empty: any VM
   Resources task;               // what each task occupies
@@ -20,7 +20,7 @@
   bool operator==(const PlacementRule&) const = default;
   auto operator<=>(const PlacementRule&) const = default;
 
-  /*! @brief How many tasks fit on a VM with this room and labels, beside
+  /*! @brief How many tasks fit on a VM with this room and labels that runs
    * `beside` others of the step; at most `most`. */
   [[nodiscard]] std::int64_t PlacesOn(const Resources& room,
                                       const std::set<std::string>& labels,
--- a/src/jobs/scheduler_placement.cc
+++ b/src/jobs/scheduler_placement.cc
@@ -71,12 +71,12 @@
 void Scheduler::AddEndlessPlacement(const Pool& pool,
                                     bool held_back,
                                     PlacementTasks& tasks) const {
-  std::set<const Step*> placed;
+  std::set<const Step*> seen;
   const auto add = [&](const StepRef& step_ref) {
     const StepSpec& spec = step_ref.spec();
     const Step& step = step_ref.progress();
     if (!spec.endless || (spec.max_per_vm == 0 && spec.label.empty()) ||
-        !placed.insert(&step).second) {
+        !seen.insert(&step).second) {
       return;
     }
     const std::int64_t count = std::ssize(step.tasks) - step.done;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -72,7 +72,8 @@
 struct Transfer {
   std::uint64_t number = 0;
   Shard* shard = nullptr;
-  std::uint64_t* unsent = nullptr;  // number of calls that were not tried
+  // The client's number of calls without a try, for libcurl's callback.
+  std::uint64_t* unsent = nullptr;
   HttpCall call;
   HttpDone done;
   Easy easy;
@@ -80,7 +81,7 @@
   HttpResult result;
   int tries = 0;  // that were allowed to send
   bool expired = false;
-  bool may_be_answered = false;  // its timeout came while this thread stood
+  bool looked_again = false;  // its deadline was put off to read what has come
   SteadyClock::time_point started;
   std::optional<SteadyClock::time_point> last_part;  // of the answer
 
@@ -581,10 +582,10 @@
     Transfer& transfer = *found->second;
     const auto now = SteadyClock::now();
     if (now < transfer.Deadline()) {
-      transfer.may_be_answered = false;
+      transfer.looked_again = false;
       this->CheckDeadlineAt(transfer.Deadline(), number);
     } else if (now - due > kHeldUp &&
-               !std::exchange(transfer.may_be_answered, true)) {
+               !std::exchange(transfer.looked_again, true)) {
       this->CheckDeadlineAt(now + kHeldUp, number);
     } else {
       this->End(number, CURLE_OPERATION_TIMEDOUT);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -53,7 +53,8 @@
   // other end (HttpResult::repeated); a new connection rules that out.
   bool new_connection = false;
   std::optional<Time> valid_until;  // not sent after this time
-  // Called on the client's thread when the first part of an answer has come.
+  // Called on the client's thread, amid its work on the call, when the first
+  // part of an answer has come. It must not block and may only queue calls.
   std::function<void()> on_answer_begun;
 };
 
--- a/src/upkeep/mover.cc
+++ b/src/upkeep/mover.cc
@@ -405,10 +405,10 @@
       if (now - since < this->limits.placement_delay) {
         continue;
       }
-      DonatedByPool donated_then = donated;
+      DonatedByPool donated_next = donated;
       const std::vector<const Machine*> selected =
           this->SelectDonors(idle, excluded_zones, pools, reserve, id, need,
-                             Spare::kReserve, donated_then);
+                             Spare::kReserve, donated_next);
       std::int64_t places = 0;
       for (const Machine* machine : selected) {
         places += PlacesOn(*machine, need);
@@ -416,7 +416,7 @@
       if (need.rule.all_or_none && places < need.Missing()) {
         continue;
       }
-      donated = std::move(donated_then);
+      donated = std::move(donated_next);
       for (const Machine* machine : selected) {
         this->StartMove(*machine, id,
                         "places " + std::to_string(need.places) + " of " +
