--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -169,6 +169,49 @@
   }
 };
 
+// A store with one change after its list, in the answers to the watches that
+// ask for it; the test gives these by their number.
+struct BurstStore {
+  inline static const std::string kBurst =
+      R"({"events": [)" + ConfigItem(7) + R"(], "StoreRevision": 7})";
+
+  explicit BurstStore(std::function<SlowServer::Answer(int watch)> answer)
+      : answer(std::move(answer)) {}
+  ~BurstStore() {
+    this->view->Stop();
+    this->client.reset();
+  }
+  BurstStore(const BurstStore&) = delete;
+  BurstStore& operator=(const BurstStore&) = delete;
+
+  // `told` gets the number of watches when the change is told.
+  void Follow(int overlap_ms) {
+    this->view = PrefixView::Create(
+        *this->client, this->store, "op/",
+        {.wait_ms = 3000, .overlap_ms = overlap_ms},
+        {.on_put = [this](const Item&) { this->told.set_value(this->watches); },
+         .on_removed = [](const std::string&, std::uint64_t) {},
+         .on_listed = [](std::uint64_t) {},
+         .on_reachable = [](bool) {}});
+  }
+
+  std::function<SlowServer::Answer(int watch)> answer;
+  std::atomic<int> watches = 0;
+  std::promise<int> told;
+  SlowServer server{[this](const std::string& head, std::size_t) {
+    if (head.find("kv-range") != std::string::npos) {
+      return SlowServer::Answer{.body = R"({"items": [], "StoreRevision": 5})"};
+    }
+    return head.find("After=5") == std::string::npos
+               ? SlowServer::Answer{.silent = true}
+               : this->answer(++this->watches);
+  }};
+  net::Metrics metrics;
+  std::unique_ptr<net::HttpClient> client = net::HttpClient::Create({}).value();
+  Store store{*this->client, this->server.address(), this->metrics};
+  std::shared_ptr<PrefixView> view;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(ClientsTest)
@@ -461,65 +504,27 @@
 // answer that takes long to arrive is asked for once more beside it.
 BOOST_AUTO_TEST_CASE(WatchWhoseAnswerArrivesIsNotRepeated) {
   using namespace std::chrono_literals;
-  std::atomic<int> watches = 0;
-  SlowServer server([&](const std::string& head, std::size_t) {
-    if (head.find("kv-range") != std::string::npos) {
-      return SlowServer::Answer{.body = R"({"items": [], "StoreRevision": 5})"};
-    }
-    ++watches;
-    return head.find("After=5") == std::string::npos
-               ? SlowServer::Answer{.silent = true}
-               : SlowServer::Answer{.body = R"({"events": [)" + ConfigItem(7) +
-                                            R"(], "StoreRevision": 7})",
-                                    .parts = 4,
-                                    .pause = 200ms};
+  BurstStore store([](int) {
+    return SlowServer::Answer{
+        .body = BurstStore::kBurst, .parts = 4, .pause = 200ms};
   });
-  auto client = net::HttpClient::Create({}).value();
-  net::Metrics metrics;
-  Store store(*client, server.address(), metrics);
-  std::promise<int> told;
-  const auto view = PrefixView::Create(
-      *client, store, "op/", {.wait_ms = 3000, .overlap_ms = 100},
-      {.on_put = [&](const Item&) { told.set_value(watches); },
-       .on_removed = [](const std::string&, std::uint64_t) {},
-       .on_listed = [](std::uint64_t) {},
-       .on_reachable = [](bool) {}});
-  BOOST_TEST(told.get_future().get() == 1);
-  view->Stop();
-  client.reset();
+  store.Follow(100);
+  BOOST_TEST(store.told.get_future().get() == 1);
 }
 
 // Guards against the same changes being asked for a third time, while the late
 // answer of an earlier watch brings them.
 BOOST_AUTO_TEST_CASE(LateAnswerThatArrivesHoldsFurtherWatchesBack) {
   using namespace std::chrono_literals;
-  std::atomic<int> watches = 0;
-  SlowServer server([&](const std::string& head, std::size_t) {
-    if (head.find("kv-range") != std::string::npos) {
-      return SlowServer::Answer{.body = R"({"items": [], "StoreRevision": 5})"};
-    }
-    if (head.find("After=5") == std::string::npos || ++watches > 1) {
-      return SlowServer::Answer{.silent = true};
-    }
-    return SlowServer::Answer{
-        .body = R"({"events": [)" + ConfigItem(7) + R"(], "StoreRevision": 7})",
-        .parts = 4,
-        .pause = 300ms,
-        .delay = 150ms};
+  BurstStore store([](int watch) {
+    return watch > 1 ? SlowServer::Answer{.silent = true}
+                     : SlowServer::Answer{.body = BurstStore::kBurst,
+                                          .parts = 4,
+                                          .pause = 300ms,
+                                          .delay = 150ms};
   });
-  auto client = net::HttpClient::Create({}).value();
-  net::Metrics metrics;
-  Store store(*client, server.address(), metrics);
-  std::promise<int> told;
-  const auto view = PrefixView::Create(
-      *client, store, "op/", {.wait_ms = 3000, .overlap_ms = 100},
-      {.on_put = [&](const Item&) { told.set_value(watches); },
-       .on_removed = [](const std::string&, std::uint64_t) {},
-       .on_listed = [](std::uint64_t) {},
-       .on_reachable = [](bool) {}});
-  BOOST_TEST(told.get_future().get() == 2);
-  view->Stop();
-  client.reset();
+  store.Follow(100);
+  BOOST_TEST(store.told.get_future().get() == 2);
 }
 
 // Guards against further watches of a process that takes its own slowness for
@@ -528,42 +533,22 @@
   using namespace std::chrono_literals;
   SlowServer other(
       [](const std::string&, std::size_t) { return SlowServer::Answer{}; });
-  std::atomic<int> watches = 0;
   std::promise<void> asked;
-  SlowServer server([&](const std::string& head, std::size_t) {
-    if (head.find("kv-range") != std::string::npos) {
-      return SlowServer::Answer{.body = R"({"items": [], "StoreRevision": 5})"};
-    }
-    if (head.find("After=5") == std::string::npos) {
-      return SlowServer::Answer{.silent = true};
-    }
-    if (++watches == 1) {
+  BurstStore store([&asked](int watch) {
+    if (watch == 1) {
       asked.set_value();
     }
-    return SlowServer::Answer{
-        .body = R"({"events": [)" + ConfigItem(7) + R"(], "StoreRevision": 7})",
-        .delay = 50ms};
+    return SlowServer::Answer{.body = BurstStore::kBurst, .delay = 50ms};
   });
-  auto client = net::HttpClient::Create({}).value();
-  net::Metrics metrics;
-  Store store(*client, server.address(), metrics);
-  std::promise<void> told;
-  const auto view = PrefixView::Create(
-      *client, store, "op/", {.wait_ms = 3000, .overlap_ms = 200},
-      {.on_put = [&](const Item&) { told.set_value(); },
-       .on_removed = [](const std::string&, std::uint64_t) {},
-       .on_listed = [](std::uint64_t) {},
-       .on_reachable = [](bool) {}});
+  store.Follow(200);
   asked.get_future().wait();
   // Keeps the client's thread busy, in the end of a call.
-  client->Send(
+  store.client->Send(
       {.url = "http://" + other.address() + "/"},
       [](const net::HttpResult&) { std::this_thread::sleep_for(400ms); });
-  told.get_future().wait();
+  store.told.get_future().wait();
   std::this_thread::sleep_for(200ms);
-  BOOST_TEST(watches == 1);
-  view->Stop();
-  client.reset();
+  BOOST_TEST(store.watches == 1);
 }
 
 // Guards against waiting for a lost answer as long as for one over a slow link.
