--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -358,6 +358,7 @@
                 Pool& pool,
                 const CandidateSet& candidates,
                 Time now);
+  static std::int32_t TasksOn(const Vm& vm, const StepRef& step_ref);
   Vm* ChooseVm(const Task& task, const CandidateSet& room, Time now);
   bool Usable(const Vm& vm, Time now) const;
   bool UsableForEndless(const Vm& vm, Time now) const;
--- a/src/jobs/scheduler_placement.cc
+++ b/src/jobs/scheduler_placement.cc
@@ -138,16 +138,10 @@
       return std::nullopt;
     }
     if (this->Usable(*vm, now)) {
-      const auto beside =
-          spec.max_per_vm == 0
-              ? 0
-              : std::ranges::count_if(vm->runs, [&](const Task* other) {
-                  return !(StepRefOf(*other) < step_ref) &&
-                         !(step_ref < StepRefOf(*other));
-                });
-      need.places +=
-          need.rule.PlacesOn(vm->Free(), vm->facts.labels, need.Missing(),
-                             static_cast<std::int32_t>(beside));
+      const std::int32_t beside =
+          spec.max_per_vm == 0 ? 0 : TasksOn(*vm, step_ref);
+      need.places += need.rule.PlacesOn(vm->Free(), vm->facts.labels,
+                                        need.Missing(), beside);
     }
   }
   return need.Missing() > 0 ? std::optional(need) : std::nullopt;
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -439,6 +439,15 @@
   return true;
 }
 
+// Tasks of a step that are placed on a VM.
+std::int32_t Scheduler::TasksOn(const Vm& vm, const StepRef& step_ref) {
+  return static_cast<std::int32_t>(
+      std::ranges::count_if(vm.runs, [&step_ref](const Task* task) {
+        return task->job == step_ref.job && task->step == step_ref.step &&
+               task->occurrence == step_ref.occurrence;
+      }));
+}
+
 // Best fit: the VM with the least free capacity that fits the task. Demand
 // moves between pools, and only idle machines can be moved to another pool or
 // to standby. Endless tasks of a step are spread according to
@@ -481,12 +490,7 @@
       continue;
     }
     if (spec.max_per_vm > 0) {
-      const auto beside =
-          std::ranges::count_if(vm->runs, [&task](const Task* other) {
-            return other->job == task.job && other->step == task.step &&
-                   other->occurrence == task.occurrence;
-          });
-      if (beside >= spec.max_per_vm) {
+      if (TasksOn(*vm, step_ref) >= spec.max_per_vm) {
         continue;
       }
     }
