--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -157,7 +157,7 @@
     const std::vector<Task*> runs(vm->runs.begin(), vm->runs.end());
     for (Task* task : runs) {
       if (task->spec().endless) {
-        this->StopTask(*task);
+        this->StopTask(*task, "vm_leaving");
       }
     }
   }
@@ -225,7 +225,7 @@
       task.lease_until_ms = 0;
     } else {
       task.phase = TaskPhase::kStarting;
-      this->StopTask(task);
+      this->StopTask(task, "vm_restarted");
     }
   }
   this->StopLateStarts(restarted, now);
@@ -293,7 +293,13 @@
   if (found->second->record_sent || found->second->earlier_record) {
     this->effects.emplace_back(EraseVmRecord{id});
   }
-  this->pools[found->second->facts.pool].vms.erase(id);
+  const Vm& vm = *found->second;
+  this->EmitLogEvent("vm_dropped",
+                     {{"vm", id.str()},
+                      {"registered", vm.registered ? "yes" : "no"},
+                      {"reported", vm.reported ? "yes" : "no"},
+                      {"settled", vm.Settled() ? "yes" : "no"}});
+  this->pools[vm.facts.pool].vms.erase(id);
   this->DropAdvice(id);
   this->fleet.erase(found);
 }
@@ -680,12 +686,14 @@
   job.state = state;
   this->ended_jobs.emplace_back(now, job.spec.id);
   this->scheduled.erase(job.spec.id);
+  std::size_t stopped = 0;
   for (auto& [number, occurrence] : job.open) {
     for (Step& step : occurrence.steps) {
       for (Task& task : step.tasks) {
         if (task.phase == TaskPhase::kStarting ||
             task.phase == TaskPhase::kRunning) {
           this->StopTask(task);
+          ++stopped;
         }
       }
     }
@@ -707,6 +715,7 @@
   this->EmitLogEvent("job_ended",
                      {{"job", job.spec.id.str()},
                       {"state", std::string(NameOf(state))},
+                      {"stopped_runs", std::to_string(stopped)},
                       {"age_ms", std::to_string(ToMs(now - job.arrived))}});
 }
 
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -323,7 +323,8 @@
   void HandleDone(Task& task, bool current, Time now);
   void HandleFailure(Task& task, Vm& vm, std::int64_t run, Time now);
   void CompleteStep(Job& job, Occurrence& occurrence, Time now);
-  void StopTask(Task& task);
+  // An empty `reason`: another event tells why.
+  void StopTask(Task& task, std::string_view reason = {});
   void SendStop(Task& task, const Vm& vm);
   bool MayRepeatStop(const Task& task, const Vm& vm, Time now);
   void StopOrphan(Vm& vm, const TaskRef& ref, std::int64_t run, Time now);
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -353,6 +353,7 @@
         {{"job", step_ref.job->spec.id.str()},
          {"step", std::to_string(step_ref.occurrence) + "." +
                       std::to_string(step_ref.step)},
+         {"pool", this->QueueOf(*step_ref.job).pool.str()},
          {"tasks", started},
          {"left", std::to_string(step.waiting)},
          {"run", std::to_string(last_run)},
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -359,7 +359,7 @@
         if (&member != &task && current) {
           this->Release(member);
         } else if (&member != &task && member.Placed()) {
-          this->StopTask(member);
+          this->StopTask(member, "gang_done");
         }
         finish(member);
       }
@@ -432,11 +432,17 @@
                                     {"times", std::to_string(vm.ejections)}});
 }
 
-void Scheduler::StopTask(Task& task) {
+void Scheduler::StopTask(Task& task, std::string_view reason) {
   Vm* vm = this->FindVm(task.vm);
   if (vm == nullptr || !task.Placed()) {
     return;
   }
+  if (!reason.empty()) {
+    this->EmitLogEvent("run_stopped", {{"task", task.Ref().Name()},
+                                       {"run", std::to_string(task.run)},
+                                       {"vm", task.vm.str()},
+                                       {"reason", std::string(reason)}});
+  }
   task.phase = TaskPhase::kStopping;
   this->SendStop(task, *vm);
 }
