--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -415,6 +415,9 @@
   }
   this->config_version = config->version;
   this->config_since = Now();
+  if (this->fleet_config) {
+    config->fleet.AddEarlierPools(*this->fleet_config);
+  }
   this->fleet_config = config->fleet;
   net::LogEvent("config", {{"version", std::to_string(config->version)},
                            {"revision", std::to_string(item.revision)},
--- a/src/jobs/model.cc
+++ b/src/jobs/model.cc
@@ -22,8 +22,26 @@
   return __builtin_mul_overflow(amount, count, &product) ? kMaxAmount : product;
 }
 
+// Bounds what is kept of queues that come and go.
+constexpr std::size_t kMaxEarlierQueues = 1000;
+
 }  // namespace
 
+void FleetConfig::AddEarlierPools(const FleetConfig& earlier) {
+  this->earlier_pools = earlier.earlier_pools;
+  for (const auto& [id, queue] : earlier.queues) {
+    const auto now = this->queues.find(id);
+    if (now == this->queues.end() || now->second.pool != queue.pool) {
+      this->earlier_pools[id].insert(queue.pool);
+    }
+  }
+  if (this->earlier_pools.size() > kMaxEarlierQueues) {
+    std::erase_if(this->earlier_pools, [this](const auto& row) {
+      return !this->queues.contains(row.first);
+    });
+  }
+}
+
 bool IsJobId(std::string_view text) {
   // The platform's ids have 16 digits, this project's interface allows more.
   constexpr std::size_t max_length = 64;
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -200,6 +200,12 @@
   std::map<QueueId, Queue> queues;
   std::map<TeamId, TeamLimit> teams;
   std::map<PoolId, PoolFacts> pools;
+  // Pools that queues have led to under earlier versions, as far as is known;
+  // also of queues that have been removed.
+  std::map<QueueId, std::set<PoolId>> earlier_pools;
+
+  /*! @brief Adds what is known of the pools of an earlier version's queues. */
+  void AddEarlierPools(const FleetConfig& earlier);
 };
 
 /*! @brief The contents of a VM's registration. */
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -360,7 +360,7 @@
       continue;
     }
     const Pool& pool = this->PoolOf(*task->job);
-    if (task->job->inherited && this->MayRunInherited(pool, now)) {
+    if (this->HeldBack(*task->job)) {
       continue;  // it could not start elsewhere
     }
     const Resources need = task->spec().Occupies();
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -343,9 +343,12 @@
   void DropVm(const VmId& id);
 
   // scheduler_plan.cc
-  void EstimateUnreportedUse(Time now);
+  void EstimateUnreportedUse();
   void LogWaitingEndless(Time now);
   bool MayRunInherited(const Pool& pool, Time now) const;
+  void UpdateUnreachedPools(Time now);
+  std::set<PoolId> PoolsOf(const Job& job) const;
+  bool HeldBack(const Job& job) const;
   void PlanPool(Pool& pool, std::uint64_t max_starts, Time now);
   std::vector<Candidate> VmsWithRoom(const Pool& pool,
                                      const Resources& smallest_need,
@@ -375,14 +378,9 @@
     std::int64_t startable = 0;
   };
   using PlacementTasks = std::map<PlacementRule, TaskCounts>;
-  [[nodiscard]] std::int64_t MayStart(const StepRef& step_ref,
-                                      bool held_back) const;
-  void AddEndlessPlacement(const Pool& pool,
-                           bool held_back,
-                           PlacementTasks& tasks) const;
-  void AddFinitePlacement(const Pool& pool,
-                          bool held_back,
-                          PlacementTasks& tasks) const;
+  [[nodiscard]] std::int64_t MayStart(const StepRef& step_ref) const;
+  void AddEndlessPlacement(const Pool& pool, PlacementTasks& tasks) const;
+  void AddFinitePlacement(const Pool& pool, PlacementTasks& tasks) const;
   [[nodiscard]] std::optional<PlacementNeed> UnplacedNeed(
       const StepRef& step_ref,
       const Pool& pool,
@@ -417,6 +415,9 @@
   std::map<VmId, std::unique_ptr<Vm>> fleet;
   std::unordered_map<JobId, std::unique_ptr<Job>> jobs;
   std::map<PoolId, Pool> pools;
+  // Pools where inherited tasks may run on VMs that have not answered, as of
+  // the last pass.
+  std::set<PoolId> unreached_pools;
   std::map<TeamId, Resources> in_use;
   std::map<TeamId, Resources>
       unreported_use;  // by tasks that may run on VMs without a report
--- a/src/jobs/scheduler_placement.cc
+++ b/src/jobs/scheduler_placement.cc
@@ -40,12 +40,11 @@
 }  // namespace
 
 // Waiting tasks of a step that may run as far as the limit of its team goes.
-std::int64_t Scheduler::MayStart(const StepRef& step_ref,
-                                 bool held_back) const {
+std::int64_t Scheduler::MayStart(const StepRef& step_ref) const {
   const Job& job = *step_ref.job;
   const StepSpec& spec = step_ref.spec();
   std::int64_t most = step_ref.progress().waiting;
-  if (job.inherited && held_back) {
+  if (this->HeldBack(job)) {
     return 0;
   }
   if (this->WithinTeamLimit(job, spec.need * most)) {
@@ -69,7 +68,6 @@
 // All tasks of an endless step are to be at work at the same time, those that
 // are placed included: their VM may be lost.
 void Scheduler::AddEndlessPlacement(const Pool& pool,
-                                    bool held_back,
                                     PlacementTasks& tasks) const {
   std::set<const Step*> seen;
   const auto add = [&](const StepRef& step_ref) {
@@ -81,7 +79,7 @@
     }
     const std::int64_t count = std::ssize(step.tasks) - step.done;
     AddTasks(tasks, spec, count,
-             count - step.waiting + this->MayStart(step_ref, held_back));
+             count - step.waiting + this->MayStart(step_ref));
   };
   for (const auto& [id, vm] : pool.vms) {
     if (vm->endless_used == Resources{}) {
@@ -101,7 +99,6 @@
 // Finite tasks wait for room, so it is enough that one of them, or all of a
 // gang, would fit if no other finite task ran.
 void Scheduler::AddFinitePlacement(const Pool& pool,
-                                   bool held_back,
                                    PlacementTasks& tasks) const {
   Resources largest;
   for (const auto& [id, vm] : pool.vms) {
@@ -114,7 +111,7 @@
     const StepSpec& spec = step_ref.spec();
     const bool bounded =
         !spec.label.empty() || spec.gang || !spec.Occupies().Within(largest);
-    if (!spec.endless && bounded && !(step_ref.job->inherited && held_back) &&
+    if (!spec.endless && bounded && !this->HeldBack(*step_ref.job) &&
         this->WithinTeamLimit(*step_ref.job,
                               spec.gang ? spec.need * spec.count : spec.need)) {
       const std::int64_t count = spec.gang ? spec.count : 1;
@@ -155,14 +152,14 @@
     return needs;
   }
   const Pool& pool = found->second;
-  const bool held_back = this->MayRunInherited(pool, now);
+  const bool unreached = this->unreached_pools.contains(id);
   const auto add_needs = [&](const PlacementTasks& tasks, bool endless) {
     for (const auto& [rule, counts] : tasks) {
       PlacementNeed need{
           .rule = rule, .tasks = counts.tasks, .startable = counts.startable};
       for (const auto& [vm_id, vm] : pool.vms) {
         // After a takeover, VMs have a moment to answer before they are missed.
-        const bool awaited = held_back && vm->registered && !vm->reported;
+        const bool awaited = unreached && vm->registered && !vm->reported;
         if (awaited || this->Usable(*vm, now)) {
           const Resources& whole = vm->facts.capacity;
           need.places +=
@@ -174,15 +171,15 @@
     }
   };
   PlacementTasks endless;
-  this->AddEndlessPlacement(pool, held_back, endless);
+  this->AddEndlessPlacement(pool, endless);
   add_needs(endless, true);
   PlacementTasks finite;
-  this->AddFinitePlacement(pool, held_back, finite);
+  this->AddFinitePlacement(pool, finite);
   add_needs(finite, false);
   std::vector<std::pair<StepRef, std::int64_t>> waiting;
   for (const StepRef& step_ref : pool.ready) {
     const std::int64_t may_start =
-        step_ref.spec().endless ? this->MayStart(step_ref, held_back) : 0;
+        step_ref.spec().endless ? this->MayStart(step_ref) : 0;
     if (may_start > 0) {
       waiting.emplace_back(step_ref, may_start);
     }
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -58,30 +58,37 @@
          within(total.gpus, most.gpus);
 }
 
-// Inherited tasks that no VM has reported may run on VMs of their pool that
+// Inherited tasks that no VM has reported may run on VMs of their pools that
 // have not reported. Up to the capacity of these VMs they count against the
 // limits of their teams.
-void Scheduler::EstimateUnreportedUse(Time now) {
+void Scheduler::EstimateUnreportedUse() {
   this->unreported_use.clear();
+  if (this->unreached_pools.empty()) {
+    return;
+  }
+  std::map<PoolId, std::map<TeamId, Resources>> wanted;
   for (const auto& [id, pool] : this->pools) {
-    if (!this->MayRunInherited(pool, now)) {
-      continue;
+    for (const StepRef& step_ref : pool.ready) {
+      const Job& job = *step_ref.job;
+      if (!job.inherited) {
+        continue;
+      }
+      for (const PoolId& may_run : this->PoolsOf(job)) {
+        if (this->unreached_pools.contains(may_run)) {
+          wanted[may_run][job.spec.team] +=
+              step_ref.spec().need * step_ref.progress().waiting;
+        }
+      }
     }
+  }
+  for (const auto& [id, by_team] : wanted) {
     Resources room;
-    for (const auto& [vm_id, vm] : pool.vms) {
+    for (const auto& [vm_id, vm] : this->pools.at(id).vms) {
       if (!vm->reported) {
         room += vm->facts.capacity;
       }
     }
-    std::map<TeamId, Resources> wanted;
-    for (const StepRef& step_ref : pool.ready) {
-      if (!step_ref.job->inherited) {
-        continue;
-      }
-      wanted[step_ref.job->spec.team] +=
-          step_ref.spec().need * step_ref.progress().waiting;
-    }
-    for (const auto& [team, need] : wanted) {
+    for (const auto& [team, need] : by_team) {
       this->unreported_use[team] += {std::min(need.cpu_m, room.cpu_m),
                                      std::min(need.memory_mb, room.memory_mb),
                                      std::min(need.gpus, room.gpus)};
@@ -100,13 +107,45 @@
          });
 }
 
+void Scheduler::UpdateUnreachedPools(Time now) {
+  this->unreached_pools.clear();
+  for (const auto& [id, pool] : this->pools) {
+    if (this->MayRunInherited(pool, now)) {
+      this->unreached_pools.insert(id);
+    }
+  }
+}
+
+// Pools where a predecessor may have started tasks of a job: a configuration
+// may have led its queue to another pool since.
+std::set<PoolId> Scheduler::PoolsOf(const Job& job) const {
+  const QueueId& queue = job.spec.queue.id;
+  const auto earlier = this->config.earlier_pools.find(queue);
+  std::set<PoolId> found;
+  if (earlier != this->config.earlier_pools.end()) {
+    found = earlier->second;
+  }
+  found.insert({this->QueueOf(job).pool, job.spec.queue.pool});
+  return found;
+}
+
+// Whether tasks of the job may be at work on VMs that have not answered this
+// scheduler.
+bool Scheduler::HeldBack(const Job& job) const {
+  return job.inherited && !this->unreached_pools.empty() &&
+         std::ranges::any_of(this->PoolsOf(job), [this](const PoolId& pool) {
+           return this->unreached_pools.contains(pool);
+         });
+}
+
 void Scheduler::Plan(Time now,
                      std::int64_t wall_ms,
                      std::optional<std::size_t> max_starts) {
   if (this->in_recovery || this->superseded) {
     return;
   }
-  this->EstimateUnreportedUse(now);
+  this->UpdateUnreachedPools(now);
+  this->EstimateUnreportedUse();
   this->OpenAllDue(wall_ms);
   this->LogWaitingEndless(now);
   this->advice_request.reset();
@@ -148,6 +187,7 @@
   std::map<StepKey, Time> waits;
   for (const auto& [id, pool] : this->pools) {
     std::int32_t tasks = 0;
+    bool held_back = false;
     Duration longest{};
     for (const StepRef& step_ref : pool.ready) {
       if (!step_ref.spec().endless) {
@@ -161,6 +201,7 @@
       waits.emplace(key, since);
       if (now - since >= kLongWait) {
         tasks += step_ref.progress().waiting;
+        held_back = held_back || this->HeldBack(*step_ref.job);
         longest = std::max(longest, now - since);
       }
     }
@@ -181,7 +222,7 @@
         {{"pool", id.str()},
          {"tasks", std::to_string(tasks)},
          {"longest_ms", std::to_string(ToMs(longest))},
-         {"held_back", this->MayRunInherited(pool, now) ? "yes" : "no"},
+         {"held_back", held_back ? "yes" : "no"},
          {"places_missing", std::to_string(missing)},
          {"vms", std::to_string(pool.vms.size())},
          {"usable",
@@ -263,10 +304,9 @@
   }
   std::vector<RankedStep> order;
   order.reserve(pool.ready.size());
-  const bool unreached = this->MayRunInherited(pool, now);
   for (const StepRef& step_ref : pool.ready) {
     const Job& job = *step_ref.job;
-    if (job.inherited && unreached) {
+    if (this->HeldBack(job)) {
       continue;
     }
     order.push_back(
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -148,6 +148,7 @@
     }
   }
   this->in_recovery = false;
+  this->UpdateUnreachedPools(now);
   this->EmitLogEvent("recovered", {{"jobs", std::to_string(this->jobs.size())},
                                    {"vms", std::to_string(this->fleet.size())},
                                    {"silent", std::to_string(unresponsive)}});
--- a/test/jobs/record_test.cc
+++ b/test/jobs/record_test.cc
@@ -16,6 +16,32 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(PoolsOfMovedAndRemovedQueuesAreKept) {
+  const QueueId q("q");
+  const QueueId gone("gone");
+  FleetConfig first;
+  first.queues[q].pool = PoolId("a");
+  first.queues[gone].pool = PoolId("a");
+  FleetConfig second;
+  second.queues[q].pool = PoolId("b");
+  second.AddEarlierPools(first);
+  FleetConfig third;
+  third.queues[q].pool = PoolId("a");
+  third.AddEarlierPools(second);
+  const std::set<PoolId> both{PoolId("a"), PoolId("b")};
+  BOOST_TEST((third.earlier_pools.at(q) == both));
+  BOOST_TEST(third.earlier_pools.at(gone).size() == 1);
+  FleetConfig same = third;
+  same.AddEarlierPools(third);
+  BOOST_TEST(same.earlier_pools.size() == 2);
+  // What is kept of removed queues is bounded.
+  for (int i = 0; i < 1000; ++i) {
+    first.queues[QueueId(std::to_string(i))].pool = PoolId("a");
+  }
+  second.AddEarlierPools(first);
+  BOOST_TEST(second.earlier_pools.size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(SpecRoundTrips) {
   JobSpec spec = SimpleJob("a", "q", 3, 1500, 700);
   spec.team = TeamId("t");
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -398,6 +398,37 @@
   BOOST_TEST(Violations(sim) == "");
 }
 
+// Guards against a task at work twice: the configuration leads its queue to
+// another pool while a VM of the first one is out of reach.
+BOOST_AUTO_TEST_CASE(InheritedTasksOfAMovedQueueAreHeldBack) {
+  for (const bool back : {false, true}) {
+    FleetSim sim;
+    sim.AddVm("vm0", "p", kVmSize);
+    sim.AddVm("vm1", "p2", kVmSize);
+    Queue& queue = sim.config.queues.at(QueueId("q"));
+    if (back) {
+      // Accepted for the pool to which the queue returns later.
+      queue.pool = PoolId("p2");
+      sim.Submit(EndlessJob("a", 1));
+      queue.pool = PoolId("p");
+      ++sim.config.version;
+      sim.scheduler->SetConfig(sim.config, sim.now);
+    } else {
+      sim.Submit(EndlessJob("a", 1));
+    }
+    sim.Run(500);
+    BOOST_REQUIRE(sim.vms.at("vm0")->runs.size() == 1);
+    sim.vms.at("vm0")->unresponsive = true;
+    queue.pool = PoolId("p2");
+    sim.config.earlier_pools[QueueId("q")] = {PoolId("p")};
+    ++sim.config.version;
+    sim.Takeover();
+    BOOST_TEST(sim.RunUntil(
+        [&sim] { return sim.vms.at("vm1")->runs.size() == 1; }, 9000));
+    BOOST_TEST(Violations(sim) == "");
+  }
+}
+
 // Guards against work that waits for a predecessor although it has ended, or
 // although all VMs have answered.
 BOOST_AUTO_TEST_CASE(TakeoverWaitsNoLongerThanItsPredecessorMatters) {
