--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <asio/post.hpp>
 #include <chrono>
+#include <cmath>
 #include <csignal>
 #include <utility>
 
@@ -63,12 +64,13 @@
       write_timer(context),
       turn_timer(context),
       signals(context, SIGTERM, SIGINT, SIGHUP),
-      ownership({.instance = this->options.instance,
-                 .incarnation = this->options.incarnation,
-                 .address = this->options.peer_address,
-                 .bus_address = this->options.bus_address},
-                lead::CandidateDelay(this->options.cores,
-                                     this->options.incarnation)) {}
+      ownership(
+          {.instance = this->options.instance,
+           .incarnation = this->options.incarnation,
+           .address = this->options.peer_address,
+           .bus_address = this->options.bus_address},
+          lead::CandidateDelay(this->options.cores, this->options.incarnation)),
+      handover(this->options.cores) {}
 
 void Driver::Post(std::function<void()> event) {
   asio::post(this->context, [this, came = Now(), event = std::move(event)] {
@@ -290,7 +292,9 @@
   }
   this->Turn();
   this->PublishGauges(now);
-  this->load.Tick(now, this->scheduler != nullptr);
+  if (const auto past = this->load.Tick(now, this->scheduler != nullptr)) {
+    this->OnLoad(*past, now);
+  }
   this->timer.expires_after(this->scheduler != nullptr ? kTickInterval
                                                        : kIdleTickInterval);
   this->timer.async_wait([this](const asio::error_code& error) {
@@ -311,6 +315,31 @@
   }
 }
 
+// An owner whose work exceeds its machine serves everyone late, and may do so
+// for as long as it renews its lease.
+void Driver::OnLoad(const lead::OwnerLoad& past, Time now) {
+  if (this->scheduler == nullptr) {
+    return;
+  }
+  this->handover.OnLoad(past, now);
+  const double largest = this->roster->LargestMember(now);
+  if (this->takeover || !this->handover.Due(largest, now)) {
+    return;
+  }
+  constexpr double percent = 100;
+  const bool handed_over = this->ownership.HandOver(now);
+  net::LogEvent(
+      "handover",
+      {{"fence", std::to_string(this->fence)},
+       {"decisions_percent",
+        std::to_string(std::lround(past.decisions * percent))},
+       {"calls_percent", std::to_string(std::lround(past.calls * percent))},
+       {"cores", std::to_string(this->options.cores)},
+       {"largest_follower", std::to_string(largest)},
+       {"begun", handed_over ? "yes" : "no"}});
+  this->Perform(this->ownership.TakeEffects());
+}
+
 void Driver::Run() {
   net::LogEvent("started", {{"incarnation", this->options.incarnation},
                             {"peer_address", this->options.peer_address}});
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -135,6 +135,7 @@
                    std::uint64_t seen_at);
   void OnFollowerReport(const relay::Report& report);
   void OnWake(Time now);
+  void OnLoad(const lead::OwnerLoad& load, Time now);
 
   void Gain(std::uint64_t fence);
   void Lose(const std::string& reason);
@@ -203,6 +204,7 @@
   bool operators_read = false;  // all of the operators' records, once
   std::set<ZoneId> zones_out;
   lead::Ownership ownership;
+  lead::HandoverPolicy handover;
   Time last_pass;                    // of decisions
   bool lease_expired = false;        // at the last pass
   bool orders_held = false;          // at the last pass
--- a/src/app/fleet/load_meter.cc
+++ b/src/app/fleet/load_meter.cc
@@ -21,6 +21,7 @@
   ++this->events;
   this->longest_delay = std::max(this->longest_delay, delay);
   this->longest_event = std::max(this->longest_event, length);
+  this->event_time += length;
 }
 
 void LoadMeter::OnPass(Duration length) {
@@ -45,12 +46,17 @@
                 {"longest_busy_ms", std::to_string(ToMs(calls.longest_busy))}});
 }
 
-void LoadMeter::Tick(Time now, bool told) {
-  if (now - this->since < kInterval) {
-    return;
+std::optional<lead::OwnerLoad> LoadMeter::Tick(Time now, bool told) {
+  const Duration interval = now - this->since;
+  if (interval < kInterval) {
+    return std::nullopt;
   }
+  std::optional<lead::OwnerLoad> load;
   const net::ClientLoad calls = this->client.TakeLoad();
   if (this->since != Time()) {
+    load = {.decisions = (this->event_time + this->pass_time) /
+                         std::chrono::duration<double>(interval),
+            .calls = calls.busy / std::chrono::duration<double>(interval)};
     this->metrics.Set("calls_open", static_cast<double>(calls.open));
     this->metrics.Set("calls_unsent", static_cast<double>(calls.unsent));
     this->metrics.Delay("client_busy", Ms(calls.longest_busy));
@@ -73,9 +79,11 @@
   this->events = 0;
   this->longest_delay = {};
   this->longest_event = {};
+  this->event_time = {};
   this->passes = 0;
   this->pass_time = {};
   this->longest_pass = {};
+  return load;
 }
 
 }  // namespace kch::app
--- a/src/app/fleet/load_meter.h
+++ b/src/app/fleet/load_meter.h
@@ -2,7 +2,9 @@
 #define APP_FLEET_LOAD_METER_H_
 
 #include <cstdint>
+#include <optional>
 
+#include "lead/lead.h"
 #include "net/net.h"
 
 namespace kch::app {
@@ -19,9 +21,9 @@
   void OnEvent(Duration delay, Duration length);
   /*! @brief A pass of decisions took this long. */
   void OnPass(Duration length);
-  /*! @brief Publishes the last second; a process that is late, or `told` to,
-   * logs it as well. */
-  void Tick(Time now, bool told);
+  /*! @brief Once a second publishes and returns the load since the last time; a
+   * process that is late, or `told` to, logs it as well. */
+  std::optional<lead::OwnerLoad> Tick(Time now, bool told);
 
  private:
   void LogCalls(const net::ClientLoad& calls) const;
@@ -32,6 +34,7 @@
   std::uint64_t events = 0;
   Duration longest_delay{};
   Duration longest_event{};
+  Duration event_time{};
   std::uint64_t passes = 0;
   Duration pass_time{};
   Duration longest_pass{};
--- a/src/app/fleet/main.cc
+++ b/src/app/fleet/main.cc
@@ -277,7 +277,8 @@
   kch::app::RelayWorker relay(
       {.instance = kch::InstanceId(name),
        .incarnation = incarnation,
-       .address = bus_for_others},
+       .address = bus_for_others,
+       .cores = *cores},
       {.client = **client, .vms = vms, .bus = **bus, .metrics = metrics});
   relay_worker = &relay;
   kch::app::Driver driver(
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -218,6 +218,7 @@
         this->ownership.OnLastOwner(last, now);
         const Time until = this->ownership.predecessor_orders_until();
         this->scheduler->SetPredecessorEnd(until);
+        this->handover.OnTerm(this->ownership.follows_handover(), now);
         net::LogEvent(
             "last_owner",
             {{"instance", last ? last->owner.instance : ""},
--- a/src/lead/lead.h
+++ b/src/lead/lead.h
@@ -2,6 +2,7 @@
 #define LEAD_LEAD_H_
 
 #include "lead/follower_leases.h"
+#include "lead/handover.h"
 #include "lead/ownership.h"
 #include "lead/store_contact.h"
 #include "lead/suspension.h"
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -39,6 +39,9 @@
   if (last.ended) {
     row["ended"] = true;
   }
+  if (last.handed_over) {
+    row["handed_over"] = true;
+  }
   return row.dump();
 }
 
@@ -60,8 +63,12 @@
         wait->get<std::int64_t>(), 0, ToMs(kPredecessorWait)));
     last.predecessor_orders = left;
   }
-  const auto ended = row.find("ended");
-  last.ended = ended != row.end() && ended->is_boolean() && ended->get<bool>();
+  const auto is_set = [&row](const char* name) {
+    const auto found = row.find(name);
+    return found != row.end() && found->is_boolean() && found->get<bool>();
+  };
+  last.ended = is_set("ended");
+  last.handed_over = is_set("handed_over");
   // Owners of earlier versions store no followers.
   if (const auto names = row.find("followers");
       names != row.end() && names->is_array()) {
@@ -99,6 +106,7 @@
   this->gained_counted_fence = std::exchange(this->counted_fence, 0);
   this->last_owner.reset();
   this->next_self.reset();
+  this->leases_granted_until = Time();
   this->stored_self.reset();
   this->new_self.reset();
   this->follower_leases = {};
@@ -435,15 +443,36 @@
   }
 }
 
+// This owner as one that orders nothing more. It is stored already.
+LastOwner Ownership::EndedSelf(Time now) const {
+  LastOwner last = *this->stored_self;
+  last.predecessor_orders =
+      std::max(Duration::zero(), this->predecessor_until - now);
+  last.ended = true;
+  return last;
+}
+
+// A successor relies on the record of an owner that has ended, and followers
+// that have granted a lease claim only after it.
+bool Ownership::HandOver(Time now) {
+  if (!this->HoldsValidLease(now) || this->renewals_fail ||
+      !this->stored_self || now < this->leases_granted_until) {
+    return false;
+  }
+  LastOwner last = this->EndedSelf(now);
+  last.handed_over = true;
+  this->effects.emplace_back(OwnershipLost{"handed_over"});
+  this->effects.emplace_back(StoreEnd{std::move(last), this->lease});
+  this->no_claim_until = std::max(this->no_claim_until, now + kHandoverPause);
+  this->BecomeFollower(this->no_claim_until + this->claim_delay);
+  return true;
+}
+
 void Ownership::Resign(Time now) {
   if (this->state == State::kOwner) {
     this->effects.emplace_back(OwnershipLost{"shutdown"});
     if (this->stored_self) {
-      LastOwner last = *this->stored_self;
-      last.predecessor_orders =
-          std::max(Duration::zero(), this->predecessor_until - now);
-      last.ended = true;
-      this->effects.emplace_back(StoreEnd{std::move(last), this->lease});
+      this->effects.emplace_back(StoreEnd{this->EndedSelf(now), this->lease});
     } else {
       this->effects.emplace_back(EndLease{this->lease});
     }
@@ -482,6 +511,7 @@
   if (this->state == State::kOwner && this->renewals_fail &&
       now >= this->next_lease_request) {
     this->next_lease_request = now + kFollowerLeaseInterval;
+    this->leases_granted_until = now + kFollowerLease + kFollowerLeaseMargin;
     this->effects.emplace_back(RequestFollowerLeases{});
   }
 }
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -47,6 +47,9 @@
 /*! @brief While the owner waits for an earlier one, the wait that it stores for
  * its successors is too long by at most this. */
 inline constexpr Duration kWaitListingStep = std::chrono::milliseconds(1000);
+/*! @brief A process that has handed the fleet over claims it no earlier. */
+inline constexpr Duration kHandoverPause =
+    kFollowerLease + kFollowerLeaseMargin;
 /*! @brief Delay before a failed claim is repeated. */
 inline constexpr Duration kClaimRetryInterval = std::chrono::milliseconds(250);
 /*! @brief Delay of a candidate with one CPU core; see CandidateDelay. */
@@ -87,6 +90,7 @@
   // this was stored.
   Duration predecessor_orders{};
   bool ended = false;  // it has given up the fleet and orders nothing more
+  bool handed_over = false;  // it has ended for a larger process to follow
 
   bool operator==(const LastOwner&) const = default;
 };
@@ -208,6 +212,14 @@
   [[nodiscard]] FollowerLeases& followers() { return this->follower_leases; }
   /*! @brief A VM or instance has rejected this owner for a later one. */
   void OnSuperseded(Time now);
+  /*! @brief Gives up the fleet for another process to claim it. False, without
+   * any effect, if this process does not certainly own it, or if others have
+   * promised not to claim it or would have to wait for this one. */
+  bool HandOver(Time now);
+  /*! @brief True if the owner before this term has handed the fleet over. */
+  [[nodiscard]] bool follows_handover() const {
+    return this->last_owner && this->last_owner->handed_over;
+  }
   /*! @brief Gives up ownership for a shutdown; no claim follows. */
   void Resign(Time now);
   /*! @brief Starts claims and renewals that are due. */
@@ -273,6 +285,7 @@
   void BecomeFollower(Time claim_at);
   void RenewalFailed(Time now);
   void StoreSelf(Time now);
+  [[nodiscard]] LastOwner EndedSelf(Time now) const;
   [[nodiscard]] bool IsCountedBy(const LastOwner& last,
                                  std::uint64_t counted_by,
                                  Time now) const;
@@ -309,6 +322,7 @@
   bool renewing = false;  // it is neither answered nor overdue
   bool renewals_fail = false;
   Time next_lease_request;
+  Time leases_granted_until;  // by followers, as last requested
   std::vector<Effect> effects;
 };
 
--- a/src/relay/call.h
+++ b/src/relay/call.h
@@ -76,6 +76,7 @@
   std::string address;        // host:port of its peer bus
   std::int64_t clock_ms = 0;  // its host's boot-time clock, with suspensions
   bool leaving = false;       // it shuts down and accepts no more calls
+  double cores = 0;           // that it may use; 0: not reported
   // OrderBatch::lease_request_ms of the lease that it grants; 0: none.
   std::int64_t lease_granted_ms = 0;
   std::vector<CallReply> replies;
--- a/src/relay/relay_pool.cc
+++ b/src/relay/relay_pool.cc
@@ -99,6 +99,7 @@
   member.incarnation = report.incarnation;
   member.address = report.address;
   member.last_contact = now;
+  member.cores = report.cores;
   member.clock_ms = std::max(member.clock_ms, report.clock_ms);
   if (!member.connected) {
     member.connected = true;
@@ -267,6 +268,16 @@
   return most - std::min(most, this->open_starts);
 }
 
+double RelayPool::LargestMember(Time now) const {
+  double largest = 0;
+  for (const auto& [id, member] : this->members) {
+    if (AcceptsBatches(member, now)) {
+      largest = std::max(largest, member.cores);
+    }
+  }
+  return largest;
+}
+
 void RelayPool::Submit(Order order, Time now) {
   this->open_starts += IsStart(order) ? 1 : 0;
   if (this->RequiredRelays() > 0) {
--- a/src/relay/relay_pool.h
+++ b/src/relay/relay_pool.h
@@ -133,6 +133,9 @@
   /*! @brief Number of starts that may be submitted now; unset: any number, as
    * without relays. */
   [[nodiscard]] std::optional<std::size_t> StartRoom() const;
+  /*! @brief CPU cores of the largest process that has reported lately and is
+   * not leaving; 0 if there is none. */
+  [[nodiscard]] double LargestMember(Time now) const;
   [[nodiscard]] std::size_t relay_count() const { return this->active.size(); }
   [[nodiscard]] std::size_t open_call_count() const {
     return this->calls.size();
@@ -148,6 +151,7 @@
     Time last_batch;  // sent to it
     bool connected = false;
     bool leaving = false;
+    double cores = 0;
     Time excluded_until;  // not activated before; set on failure or leaving
     std::size_t assigned_vms = 0;
     std::set<std::uint64_t> calls;  // assigned to it and not answered
--- a/src/wire/relay_codec.cc
+++ b/src/wire/relay_codec.cc
@@ -225,6 +225,7 @@
     put.set_clock_ms(report.clock_ms);
     put.set_leaving(report.leaving);
     put.set_lease_granted_ms(report.lease_granted_ms);
+    put.set_cores(report.cores);
     for (const relay::CallReply& answer : report.replies) {
       RelayAnswer& row = *put.add_answers();
       row.set_number(answer.number);
@@ -275,6 +276,7 @@
                        .address = row.address(),
                        .clock_ms = row.clock_ms(),
                        .leaving = row.leaving(),
+                       .cores = row.cores(),
                        .lease_granted_ms = row.lease_granted_ms()};
   for (const RelayAnswer& answer : row.answers()) {
     auto reply = TakeReply(answer);
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -538,11 +538,64 @@
       (next.predecessor_orders_until() == now + std::chrono::seconds(7)));
 }
 
+// A successor need not wait for the owner that hands over, which claims the
+// fleet again only if nobody else does.
+BOOST_AUTO_TEST_CASE(HandoverEndsTheTermForOthersToClaim) {
+  BecomeOwner();
+  ownership.OnLastOwner(std::nullopt, now);
+  After(0);
+  ownership.OnLastOwnerStored(StoreCallResult::kOk, now);
+  BOOST_REQUIRE(ownership.HandOver(now));
+  BOOST_TEST(!ownership.owner());
+  const auto effects = ownership.TakeEffects();
+  BOOST_TEST(Find<OwnershipLost>({effects.front()}) != nullptr);
+  const auto* end = Find<StoreEnd>(effects);
+  BOOST_REQUIRE(end != nullptr);
+  BOOST_TEST(end->lease == kLease);
+  BOOST_TEST(end->last.ended);
+  BOOST_TEST(end->last.handed_over);
+  ownership.OnRecord(std::nullopt, 60, now);
+  BOOST_TEST(Find<CreateLease>(After(1000)) == nullptr);
+  BOOST_TEST(Find<CreateLease>(After(100)) != nullptr);
+
+  Ownership next({.instance = "n", .incarnation = "n-1"}, kClaimDelay);
+  next.OnRecord(std::nullopt, 60, now);
+  next.OnLastOwnerRead(end->last, now);
+  next.Tick(now + 2 * kClaimDelay);
+  next.OnLease(StoreCallResult::kOk, kLease, now);
+  next.OnClaim(kLease, StoreCallResult::kOk, 70, now);
+  next.OnLastOwner(end->last, now);
+  BOOST_TEST(next.follows_handover());
+  BOOST_TEST((next.predecessor_orders_until() == now));
+}
+
+// Guards against a fleet without an owner: others claim nothing while they have
+// granted a lease, and wait for an owner that is not stored as the last one.
+BOOST_AUTO_TEST_CASE(NothingIsHandedOverThatOthersCannotClaimAtOnce) {
+  BOOST_TEST(!ownership.HandOver(now));
+  BecomeOwner();
+  BOOST_TEST(!ownership.HandOver(now));  // not stored as the last owner
+  ownership.OnLastOwner(std::nullopt, now);
+  After(0);
+  ownership.OnLastOwnerStored(StoreCallResult::kOk, now);
+  After(300);  // the renewal has no answer
+  BOOST_TEST(!ownership.HandOver(now));
+  After(100);
+  ownership.OnRenewal(kLease, StoreCallResult::kOk, now, now);
+  BOOST_TEST(!ownership.HandOver(now));  // leases may be granted
+  for (int i = 0; i < 11; ++i) {
+    After(100);
+    ownership.OnRenewal(kLease, StoreCallResult::kOk, now, now);
+  }
+  BOOST_TEST(ownership.HandOver(now));
+}
+
 BOOST_AUTO_TEST_CASE(LastOwnerRoundTrips) {
   const LastOwner last{.owner = other,
                        .followers = {"a", "c"},
                        .predecessor_orders = std::chrono::seconds(3),
-                       .ended = true};
+                       .ended = true,
+                       .handed_over = true};
   const auto read = DecodeLastOwner(Encode(last));
   BOOST_REQUIRE(read.has_value());
   BOOST_TEST((*read == last));
--- a/test/relay/relay_pool_test.cc
+++ b/test/relay/relay_pool_test.cc
@@ -413,6 +413,23 @@
   BOOST_TEST((batches() == Requests{{"p0", 0}}));
 }
 
+BOOST_AUTO_TEST_CASE(LargestMemberCouldClaimTheFleet) {
+  Fixture fixture(3, 1);
+  BOOST_TEST(fixture.pool.LargestMember(fixture.now) == 0);
+  Report large = fixture.ReportOf(InstanceId("p1"));
+  large.cores = 0.5;
+  Report small = fixture.ReportOf(InstanceId("p2"));
+  small.cores = 0.12;
+  fixture.pool.OnReport(large, fixture.now);
+  fixture.pool.OnReport(small, fixture.now);
+  BOOST_TEST(fixture.pool.LargestMember(fixture.now) == 0.5);
+  large.leaving = true;
+  fixture.pool.OnReport(large, fixture.now);
+  BOOST_TEST(fixture.pool.LargestMember(fixture.now) == 0.12);
+  fixture.now += kMaxCandidateReportAge;
+  BOOST_TEST(fixture.pool.LargestMember(fixture.now) == 0);
+}
+
 // Guards against delivery of a reply of another kind, which would terminate the
 // owner's process.
 BOOST_AUTO_TEST_CASE(ReplyOfAnotherKindCountsAsUnanswered) {
--- a/test/wire/relay_codec_test.cc
+++ b/test/wire/relay_codec_test.cc
@@ -80,6 +80,7 @@
       .address = "10.0.0.2:1",
       .clock_ms = 11,
       .leaving = true,
+      .cores = 0.5,
       .lease_granted_ms = 14,
       .replies = {{1, relay::StartReply{jobs::StartAnswer::kOldRun, 12}},
                   {2, relay::ControlReply{true}},
@@ -92,6 +93,7 @@
   BOOST_TEST(got.address == sent.address);
   BOOST_TEST(got.clock_ms == 11);
   BOOST_TEST(got.leaving);
+  BOOST_TEST(got.cores == 0.5);
   BOOST_TEST(got.lease_granted_ms == 14);
   BOOST_REQUIRE(got.replies.size() == 4U);
   BOOST_TEST(std::holds_alternative<relay::NotSentToVm>(got.replies[3].reply));
