Hand nothing over while the owner's record is being written

Callers: tasks on VMs out of reach wait for up to 20.5 s after a handover, and the successor may hand the fleet on at once. Cause: the end of the term is stored on the condition that the record of the last owner has the revision that the process knows. A write of that record that is open, or that ended without an answer, changes it, so the end is refused (`end_not_stored`) and the lease is ended all the same. Evidence: NothingIsHandedOverWhileTheOwnersRecordIsWritten failed before. The record changes as followers come and go, as around the outages after which small owners are overloaded. Fix: HandOver refuses while such a write is open or unsure; the policy asks again a second later. Run: lead_test, 38 cases.

--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -109,6 +109,7 @@
   this->leases_granted_until = Time();
   this->stored_self.reset();
   this->new_self.reset();
+  this->self_unsure = false;
   this->follower_leases = {};
   this->record.revision = revision;
   this->observed_record = this->record;
@@ -199,6 +200,7 @@
     return;
   }
   const bool stored = result == StoreCallResult::kOk;
+  this->self_unsure = result == StoreCallResult::kUnknown;
   if (stored) {
     this->follower_leases.OnListed(this->new_self->followers);
     this->stored_self = std::move(this->new_self);
@@ -452,11 +454,13 @@
   return last;
 }
 
-// A successor relies on the record of an owner that has ended, and followers
-// that have granted a lease claim only after it.
+// A successor relies on the record of an owner that has ended, which replaces
+// the one that is known here, and followers that have granted a lease claim
+// only after it.
 bool Ownership::HandOver(Time now) {
   if (!this->HoldsValidLease(now) || this->renewals_fail ||
-      !this->stored_self || now < this->leases_granted_until) {
+      !this->stored_self || this->new_self || this->self_unsure ||
+      now < this->leases_granted_until) {
     return false;
   }
   LastOwner last = this->EndedSelf(now);
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -213,8 +213,9 @@
   /*! @brief A VM or instance has rejected this owner for a later one. */
   void OnSuperseded(Time now);
   /*! @brief Gives up the fleet for another process to claim it. False, without
-   * any effect, if this process does not certainly own it, or if others have
-   * promised not to claim it or would have to wait for this one. */
+   * any effect, if this process does not certainly own it, if others have
+   * promised not to claim it or would have to wait for this one, or while its
+   * record as the last owner is being written. */
   bool HandOver(Time now);
   /*! @brief True if the owner before this term has handed the fleet over. */
   [[nodiscard]] bool follows_handover() const {
@@ -302,6 +303,7 @@
   // This owner as the last one: as stored, and as being stored.
   std::optional<LastOwner> stored_self;
   std::optional<LastOwner> new_self;
+  bool self_unsure = false;  // a write without an answer may have replaced it
   std::optional<Time> next_self;    // unset: the last owner is not read yet
   std::uint64_t counted_fence = 0;  // of the owner that counts this process
   std::uint64_t gained_counted_fence = 0;  // the same, when this term began
@@ -315,7 +317,7 @@
   std::uint64_t lease = 0;
   Time lease_sent;
   Time valid_until;
-  Time outage_until;  // the next renewal of an outage must fail before
+  Time outage_until;         // the next renewal of an outage must fail before
   Time next_renewal;
   Time renewal_sent;      // the latest one
   Time failed_renewal;    // when the latest one that failed was sent
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -590,6 +590,34 @@
   BOOST_TEST(ownership.HandOver(now));
 }
 
+// Guards against a successor that is not told of the end: it is stored on the
+// condition that the owner's record as the last one has not changed.
+BOOST_AUTO_TEST_CASE(NothingIsHandedOverWhileTheOwnersRecordIsWritten) {
+  BecomeOwner();
+  ownership.OnLastOwner(std::nullopt, now);
+  After(0);
+  ownership.OnLastOwnerStored(StoreCallResult::kOk, now);
+  ownership.followers().OnContact("b", "b-1", now);
+  const auto stores_itself_within = [this](int ms) {
+    for (; ms > 0; ms -= 50) {
+      const auto effects = After(50);
+      ownership.OnRenewal(kLease, StoreCallResult::kOk, now, now);
+      if (Find<StoreLastOwner>(effects) != nullptr) {
+        return true;
+      }
+    }
+    return false;
+  };
+  BOOST_REQUIRE(stores_itself_within(500));
+  BOOST_TEST(!ownership.HandOver(now));
+  // The write may have been carried out.
+  ownership.OnLastOwnerStored(StoreCallResult::kUnknown, now);
+  BOOST_TEST(!ownership.HandOver(now));
+  BOOST_REQUIRE(stores_itself_within(100));
+  ownership.OnLastOwnerStored(StoreCallResult::kOk, now);
+  BOOST_TEST(ownership.HandOver(now));
+}
+
 BOOST_AUTO_TEST_CASE(LastOwnerRoundTrips) {
   const LastOwner last{.owner = other,
                        .followers = {"a", "c"},
