Leave the fleet to others until the lease of a handover is over

Callers: none seen; an overloaded owner may take the fleet back at once. Cause: the process claims again 1.05 s after a handover. If the call that ends its lease is lost, others see its record for up to 2 s, while it replaces that record by itself, being its own. So nobody else could claim, and if the end was not stored, the next handover follows after 3 s. Evidence: FleetIsNotTakenBackWhileOthersSeeAnOwner failed before.

--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -468,7 +468,8 @@
   this->effects.emplace_back(OwnershipLost{"handed_over"});
   this->effects.emplace_back(StoreEnd{std::move(last), this->lease});
   this->no_claim_until = std::max(this->no_claim_until, now + kHandoverPause);
-  this->BecomeFollower(this->no_claim_until + this->claim_delay);
+  // If the end of the lease is lost, others see an owner until it is over.
+  this->BecomeFollower(this->valid_until + kHandoverPause + this->claim_delay);
   return true;
 }
 
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -47,7 +47,8 @@
 /*! @brief While the owner waits for an earlier one, the wait that it stores for
  * its successors is too long by at most this. */
 inline constexpr Duration kWaitListingStep = std::chrono::milliseconds(1000);
-/*! @brief A process that has handed the fleet over claims it no earlier. */
+/*! @brief A process that has handed the fleet over claims it no earlier, and
+ * as long after its lease if its record may still be seen. */
 inline constexpr Duration kHandoverPause =
     kFollowerLease + kFollowerLeaseMargin;
 /*! @brief Delay before a failed claim is repeated. */
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -618,6 +618,24 @@
   BOOST_TEST(ownership.HandOver(now));
 }
 
+// Guards against an owner that takes the fleet back before anyone else could
+// claim it: the answer to the end of its lease is lost, so others see its
+// record until the lease is over.
+BOOST_AUTO_TEST_CASE(FleetIsNotTakenBackWhileOthersSeeAnOwner) {
+  BecomeOwner();
+  ownership.OnLastOwner(std::nullopt, now);
+  After(0);
+  ownership.OnLastOwnerStored(StoreCallResult::kOk, now);
+  const Time lease_until = ownership.lease_until();
+  BOOST_REQUIRE(ownership.HandOver(now));
+  static_cast<void>(ownership.TakeEffects());
+  while (now < lease_until + kMaxCandidateDelay) {
+    BOOST_REQUIRE(Find<CreateLease>(After(50)) == nullptr);
+  }
+  // Nobody else claims.
+  BOOST_TEST(Find<CreateLease>(After(1000)) != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(LastOwnerRoundTrips) {
   const LastOwner last{.owner = other,
                        .followers = {"a", "c"},
