End the lease of a handover only once its end is stored

Cause: a process that sees a record of its own from a term that it has given up ends that lease. After a handover the record is still there until the end is stored, so a list or read that brings it then ends the lease first, and the end is refused. A shutdown is not affected, since it ignores the record. Evidence: HandoverIsStoredBeforeItsLeaseEnds failed before. Fix: the record of the term that was handed over is passed over; its lease ends after the write, or by itself.

--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -110,6 +110,7 @@
   this->stored_self.reset();
   this->new_self.reset();
   this->self_unsure = false;
+  this->handed_over = false;
   this->follower_leases = {};
   this->record.revision = revision;
   this->observed_record = this->record;
@@ -306,6 +307,9 @@
     return;
   }
   if (is_own && observed->revision == this->record.revision) {
+    if (this->handed_over) {
+      return;
+    }
     // The record belongs to a term that this process has given up. Replies to
     // calls of that term may still arrive, so the next term requires a fencing
     // token of its own.
@@ -468,6 +472,7 @@
   this->effects.emplace_back(OwnershipLost{"handed_over"});
   this->effects.emplace_back(StoreEnd{std::move(last), this->lease});
   this->no_claim_until = std::max(this->no_claim_until, now + kHandoverPause);
+  this->handed_over = true;
   // If the end of the lease is lost, others see an owner until it is over.
   this->BecomeFollower(this->valid_until + kHandoverPause + this->claim_delay);
   return true;
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -318,6 +318,7 @@
   std::uint64_t lease = 0;
   Time lease_sent;
   Time valid_until;
+  bool handed_over = false;  // the lease ends once that is stored
   Time outage_until;         // the next renewal of an outage must fail before
   Time next_renewal;
   Time renewal_sent;      // the latest one
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -636,6 +636,20 @@
   BOOST_TEST(Find<CreateLease>(After(1000)) != nullptr);
 }
 
+// Guards against a lease that is ended before it is stored that the owner gives
+// no more orders: the record of the owner is listed again meanwhile.
+BOOST_AUTO_TEST_CASE(HandoverIsStoredBeforeItsLeaseEnds) {
+  BecomeOwner();
+  ownership.OnLastOwner(std::nullopt, now);
+  After(0);
+  ownership.OnLastOwnerStored(StoreCallResult::kOk, now);
+  const std::optional<OwnerRecord> own = ownership.observed_owner();
+  BOOST_REQUIRE(ownership.HandOver(now));
+  static_cast<void>(ownership.TakeEffects());
+  ownership.OnRecord(own, own->revision, now);
+  BOOST_TEST(Find<EndLease>(ownership.TakeEffects()) == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(LastOwnerRoundTrips) {
   const LastOwner last{.owner = other,
                        .followers = {"a", "c"},
