Give the end of a handover the time of other writes

Callers: as for the other faults of the stored end: tasks on VMs out of reach wait for up to 20.5 s if the successor was not counted, and it may hand on at once. Cause: the end is stored with the time-out of a shutdown, 150 ms. An owner that hands over is overloaded, so its client is late; then the lease ends without a known record. No test: the effect needs a store and a slow client. Fix: the time-out of other writes, 700 ms. Nobody waits for the process, and its lease keeps the fleet for it meanwhile, so the fleet has no owner for at most 0.55 s longer than before.

--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -377,7 +377,9 @@
   });
 }
 
-// Successors that this owner has not counted need not wait for it.
+// Successors that this owner has not counted need not wait for it. A shutdown
+// has no time for a slow store; an owner that is overloaded has a slow client,
+// and its lease keeps the fleet for it meanwhile.
 void LeadEffectVisitor::operator()(const lead::StoreEnd& effect) const {
   const std::string key(kLastOwnerKey);
   platform::Transaction transaction =
@@ -385,7 +387,7 @@
   transaction.conditions.push_back({key, this->driver.revisions[key]});
   transaction.puts.push_back({key, lead::Encode(effect.last), 0});
   this->driver.parts.lease_store.Write(
-      transaction, kEndTimeoutMs,
+      transaction, effect.last.handed_over ? kWriteTimeoutMs : kEndTimeoutMs,
       [&store = this->driver.parts.lease_store,
        lease = effect.lease](const platform::WriteReply& reply) {
         if (reply.outcome != Outcome::kOk) {
