Hand over only to processes whose own report is recent

Callers: a takeover, which stops starts for up to two seconds, for a process that has gone. Cause: a call that is assigned to a process without open calls sets its last_contact, as it reports more often from then on; LargestMember took that for a report, so a silent process counts as a candidate for up to 1.25 s more. Evidence: SilentMemberThatReceivesACallIsNotTheLargest failed before. Fix: the time of the last report is kept by itself.

--- a/src/relay/relay_pool.cc
+++ b/src/relay/relay_pool.cc
@@ -99,6 +99,7 @@
   member.incarnation = report.incarnation;
   member.address = report.address;
   member.last_contact = now;
+  member.last_report = now;
   member.cores = report.cores;
   member.clock_ms = std::max(member.clock_ms, report.clock_ms);
   if (!member.connected) {
@@ -271,7 +272,7 @@
 double RelayPool::LargestMember(Time now) const {
   double largest = 0;
   for (const auto& [id, member] : this->members) {
-    if (AcceptsBatches(member, now)) {
+    if (!member.leaving && now - member.last_report < kMaxCandidateReportAge) {
       largest = std::max(largest, member.cores);
     }
   }
@@ -372,6 +373,7 @@
 void RelayPool::ExtendDeadlines(Duration stalled) {
   for (auto& [id, member] : this->members) {
     member.last_contact += stalled;
+    member.last_report += stalled;
     member.last_reply += stalled;
   }
   for (auto& [number, open] : this->calls) {
--- a/src/relay/relay_pool.h
+++ b/src/relay/relay_pool.h
@@ -147,6 +147,7 @@
     std::string address;
     std::int64_t clock_ms = 0;
     Time last_contact;
+    Time last_report;
     Time last_reply;  // to a call
     Time last_batch;  // sent to it
     bool connected = false;
--- a/test/relay/relay_pool_test.cc
+++ b/test/relay/relay_pool_test.cc
@@ -430,6 +430,19 @@
   BOOST_TEST(fixture.pool.LargestMember(fixture.now) == 0);
 }
 
+// Guards against a handover to a process that has gone: a call that was
+// assigned to it counted as a report.
+BOOST_AUTO_TEST_CASE(SilentMemberThatReceivesACallIsNotTheLargest) {
+  Fixture fixture(1);
+  Report large = fixture.ReportOf(InstanceId("p0"));
+  large.cores = 0.5;
+  fixture.pool.OnReport(large, fixture.now);
+  fixture.now += kMaxCandidateReportAge - milliseconds(50);
+  fixture.pool.Submit(PollOf(0), fixture.now);
+  fixture.now += milliseconds(100);
+  BOOST_TEST(fixture.pool.LargestMember(fixture.now) == 0);
+}
+
 // Guards against delivery of a reply of another kind, which would terminate the
 // owner's process.
 BOOST_AUTO_TEST_CASE(ReplyOfAnotherKindCountsAsUnanswered) {
