--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -429,6 +429,30 @@
   }
 }
 
+// Guards against a task at work twice: its queue has moved twice since the job
+// was accepted, and the new owner's process has started after the moves, so it
+// knows of the first and the last pool only.
+BOOST_AUTO_TEST_CASE(TasksOfMovesBeforeTheOwnersStartAreHeldBack,
+                     *boost::unit_test::label("red")) {
+  FleetSim sim;
+  sim.AddVm("vm0", "p2", kVmSize);
+  sim.AddVm("vm1", "p3", kVmSize);
+  sim.Submit(EndlessJob("a", 1));
+  Queue& queue = sim.config.queues.at(QueueId("q"));
+  queue.pool = PoolId("p2");
+  ++sim.config.version;
+  sim.scheduler->SetConfig(sim.config, sim.now);
+  sim.Run(500);
+  BOOST_REQUIRE(sim.vms.at("vm0")->runs.size() == 1);
+  sim.vms.at("vm0")->unresponsive = true;
+  queue.pool = PoolId("p3");
+  ++sim.config.version;
+  sim.Takeover();
+  BOOST_TEST(sim.RunUntil(
+      [&sim] { return sim.vms.at("vm1")->runs.size() == 1; }, 9000));
+  BOOST_TEST(Violations(sim) == "");
+}
+
 // Guards against work that waits for a predecessor although it has ended, or
 // although all VMs have answered.
 BOOST_AUTO_TEST_CASE(TakeoverWaitsNoLongerThanItsPredecessorMatters) {
