--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -453,6 +453,27 @@
   BOOST_TEST(Violations(sim) == "");
 }
 
+// Guards against a task at work twice: the owner before has granted longer
+// leases than its successor does, as one of another version or with other
+// settings.
+BOOST_AUTO_TEST_CASE(LongerLeasesOfAPredecessorAreWaitedFor,
+                     *boost::unit_test::label("red")) {
+  FleetSim sim;
+  sim.limits.lease = sim.limits.max_lease;
+  sim.scheduler = std::make_unique<Scheduler>(sim.limits);
+  sim.scheduler->SetConfig(sim.config, sim.now);
+  WithVms(sim, 2);
+  sim.Submit(EndlessJob("a", 1));
+  sim.Run(1500);
+  const std::string used = sim.vms.at("vm0")->runs.empty() ? "vm1" : "vm0";
+  BOOST_REQUIRE(sim.vms.at(used)->runs.size() == 1);
+  sim.vms.at(used)->unresponsive = true;
+  sim.limits.lease = std::chrono::milliseconds(2000);
+  sim.Takeover();
+  BOOST_TEST(sim.RunUntil([&sim] { return sim.starts() == 2; }, 12'000));
+  BOOST_TEST(Violations(sim) == "");
+}
+
 // Guards against work that waits for a predecessor although it has ended, or
 // although all VMs have answered.
 BOOST_AUTO_TEST_CASE(TakeoverWaitsNoLongerThanItsPredecessorMatters) {
