--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -134,7 +134,9 @@
       for (LateStart& start : late->second) {
         start.stop_due = true;
         start.stop_sent = Time();
+        start.stop_answered = Time();
         start.earlier_clock = true;
+        this->late_start_vms[start.task].insert(facts.id);
       }
     }
     this->EmitLogEvent("vm_added", {{"vm", facts.id.str()},
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -262,6 +262,7 @@
     // An earlier incarnation was ordered, so this one has to receive a stop.
     bool stop_due = false;
     Time stop_sent;
+    Time stop_answered;
     bool earlier_clock = false;  // its lease is one by an earlier clock
   };
   // Answers of the advice service for a step.
@@ -332,7 +333,9 @@
                                  const Vm& vm,
                                  Time now) const;
   void StopLateStarts(Vm& vm, Time now);
+  void SettleLateStarts(Vm& vm, Time sent);
   [[nodiscard]] bool HasLateStop(const Vm& vm) const;
+  bool MayRunLate(const Task& task, Time now);
   [[nodiscard]] bool HasOrphan(const Task& task) const;
   void RemoveUnlistedOrphans(Vm& vm, std::uint64_t listed_in);
   void RestartVm(Vm& vm, const VmFacts& facts, Time now);
@@ -449,6 +452,8 @@
 
   // By VM, also while it is gone: it may return under its id.
   std::map<VmId, std::vector<LateStart>> late_starts;
+  // VMs that may hold late starts with a stop due, by task.
+  std::map<TaskRef, std::set<VmId>> late_start_vms;
   // How many VMs hold an orphaned run of a task.
   std::map<TaskRef, int> orphaned_tasks;
 
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -367,7 +367,8 @@
   bool all = true;
   for (Task& task : step.tasks) {
     // An orphaned run is at work until its VM no longer lists it.
-    if (task.phase != TaskPhase::kWaiting || this->HasOrphan(task)) {
+    if (task.phase != TaskPhase::kWaiting || this->HasOrphan(task) ||
+        this->MayRunLate(task, now)) {
       continue;
     }
     if (this->counter_values.starts >= last_start) {
@@ -412,10 +413,11 @@
                          Time now) {
   const StepRef& step_ref = ranked.step_ref;
   Step& step = step_ref.progress();
-  const bool orphaned = std::ranges::any_of(
-      step.tasks, [this](const Task& task) { return this->HasOrphan(task); });
-  if (orphaned ||
-      step.waiting != static_cast<std::int32_t>(step.tasks.size())) {
+  const bool at_work =
+      std::ranges::any_of(step.tasks, [this, now](const Task& task) {
+        return this->HasOrphan(task) || this->MayRunLate(task, now);
+      });
+  if (at_work || step.waiting != static_cast<std::int32_t>(step.tasks.size())) {
     return true;  // members of an earlier run have not ended yet
   }
   const bool advised = this->QueueOf(*step_ref.job).advised;
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -72,6 +72,7 @@
   }
   this->RemoveUnlistedOrphans(*vm, vm->report_count);
   this->ReconcileRuns(*vm, sent, now);
+  this->SettleLateStarts(*vm, sent);
   this->StopLateStarts(*vm, now);
   this->PaceVm(*vm, now);
   this->Acknowledge(*vm, now);
@@ -504,17 +505,30 @@
   if (found == this->late_starts.end()) {
     return;
   }
-  std::erase_if(found->second, [this, now, &vm](const LateStart& late) {
+  std::vector<TaskRef> erased;
+  std::erase_if(found->second, [&](const LateStart& late) {
     const Time latest = late.given_up + this->limits.late_order_time;
     if (now < latest) {
       return false;
     }
+    erased.push_back(late.task);
     if (late.earlier_clock) {
       const Time end = latest + this->LongestGrantedLease();
       vm.earlier_lease_end = std::max(vm.earlier_lease_end.value_or(end), end);
     }
     return true;
   });
+  for (const TaskRef& ref : erased) {
+    const auto held = this->late_start_vms.find(ref);
+    if (held != this->late_start_vms.end() &&
+        std::ranges::find(found->second, ref, &LateStart::task) ==
+            found->second.end()) {
+      held->second.erase(vm.facts.id);
+      if (held->second.empty()) {
+        this->late_start_vms.erase(held);
+      }
+    }
+  }
   if (found->second.empty()) {
     this->late_starts.erase(found);
     return;
@@ -523,7 +537,7 @@
     const Task* task = this->FindTask(late.task);
     const bool placed_here = task != nullptr && task->vm == vm.facts.id &&
                              task->run == late.run && task->Placed();
-    if (late.stop_due && !placed_here &&
+    if (late.stop_due && late.stop_answered == Time() && !placed_here &&
         (late.stop_sent == Time() ||
          now - late.stop_sent > this->limits.stop_grace)) {
       late.stop_sent = now;
@@ -532,6 +546,20 @@
   }
 }
 
+// Once a report follows the answer to its stop, the VM either lists the run or
+// refuses it.
+void Scheduler::SettleLateStarts(Vm& vm, Time sent) {
+  const auto found = this->late_starts.find(vm.facts.id);
+  if (found == this->late_starts.end()) {
+    return;
+  }
+  for (LateStart& late : found->second) {
+    if (late.stop_answered != Time() && late.stop_answered < sent) {
+      late.stop_due = false;
+    }
+  }
+}
+
 bool Scheduler::HasLateStop(const Vm& vm) const {
   const auto found = this->late_starts.find(vm.facts.id);
   return found != this->late_starts.end() &&
@@ -540,6 +568,32 @@
          });
 }
 
+// Whether a VM that has restarted may still carry out an order to start the
+// task that was sent before.
+bool Scheduler::MayRunLate(const Task& task, Time now) {
+  if (this->late_start_vms.empty()) {
+    return false;
+  }
+  const auto held = this->late_start_vms.find(task.Ref());
+  if (held == this->late_start_vms.end()) {
+    return false;
+  }
+  std::erase_if(held->second, [this, now, &held](const VmId& id) {
+    const auto found = this->late_starts.find(id);
+    return this->FindVm(id) == nullptr || found == this->late_starts.end() ||
+           std::ranges::none_of(found->second, [&](const LateStart& late) {
+             return late.stop_due && late.task == held->first &&
+                    now < late.given_up + this->limits.late_order_time +
+                              this->LongestGrantedLease();
+           });
+  });
+  if (!held->second.empty()) {
+    return true;
+  }
+  this->late_start_vms.erase(held);
+  return false;
+}
+
 bool Scheduler::HasOrphan(const Task& task) const {
   return !this->orphaned_tasks.empty() &&
          this->orphaned_tasks.contains(task.Ref());
@@ -580,7 +634,7 @@
       answered && late != this->late_starts.end()) {
     for (LateStart& start : late->second) {
       if (start.task == ref && start.run == run) {
-        start.stop_due = false;
+        start.stop_answered = now;
       }
     }
   }
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -224,6 +224,7 @@
     vm.lease_until_ms = std::max(vm.lease_until_ms, *poll.lease_until_ms);
     const bool unsettled =
         !vm.awaited_records.empty() || !vm.orphans.empty() ||
+        this->HasLateStop(vm) ||
         (!fresh && vm.acknowledged_end < vm.recorded_end) ||
         std::ranges::any_of(vm.runs, [](const Task* task) {
           return task->phase == TaskPhase::kStopping ||
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -629,6 +629,46 @@
   BOOST_TEST(Violations(sim) == "");
 }
 
+// Guards against two runs at once: the task of a start without an answer waits
+// again when the VM that may still carry the start out has restarted, and the
+// stop that makes that VM refuse it is late.
+BOOST_AUTO_TEST_CASE(TaskAwaitsTheStopOfItsLateStartOnARestartedVm) {
+  for (const bool carried_out : {true, false}) {
+    FleetSim sim;
+    FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
+    vm.order_delay_ms = 60'000;
+    const JobSpec job = SimpleJob("a", "q", 1, 1000, 2000);
+    sim.Submit(job);
+    sim.Run(50);
+    const std::int64_t until_ms = sim.ClockOf(vm) + 4000;
+    vm.order_delay_ms = 0;
+    BOOST_REQUIRE(
+        sim.RunUntil([&vm] { return Refuses(vm, "a.0.0.0", 1); }, 5000));
+    sim.scheduler->Cordon(VmId("vm0"), true);
+    FakeVm& other = sim.AddVm("vm1", "p", kVmSize);
+    BOOST_REQUIRE(sim.RunUntil([&] { return sim.starts() == 1; }, 5000));
+    sim.Run(200);
+    vm.order_delay_ms = 60'000;
+    vm.Restart(sim.now);
+    sim.Register("vm0");
+    sim.Run(50);
+    vm.order_delay_ms = 0;  // the stop that has been sent is late
+    other.Restart(sim.now);
+    sim.Register("vm1");
+    sim.Run(300);
+    if (carried_out) {
+      sim.HandleStart(vm,
+                      {.task = {JobId("a"), 0, 0, 0},
+                       .run = 1,
+                       .payload = job.payload,
+                       .lease_until_ms = until_ms},
+                      1);
+    }
+    BOOST_TEST(sim.Completes("a", 6000));
+    BOOST_TEST(Violations(sim) == "");
+  }
+}
+
 // Guards against a VM that is never asked again: a stop of a start that was
 // sent to its earlier incarnation has no answer, and nothing runs on it.
 BOOST_AUTO_TEST_CASE(LostStopOfALateStartIsSentAgain) {
