--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -33,7 +33,7 @@
 bool Scheduler::Available(const Vm& vm, Time now) const {
   return vm.registered && vm.recorded && vm.reported && vm.clock_known &&
          !vm.clock_doubtful && !vm.unresponsive && !vm.unknown_orphan &&
-         !vm.facts.leaving && vm.ejected_until <= now &&
+         !vm.late_starts_due && !vm.facts.leaving && vm.ejected_until <= now &&
          !this->unavailable_zones.contains(vm.facts.zone);
 }
 
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -501,6 +501,7 @@
 // An incarnation that follows the one that was ordered knows neither the fence
 // nor the stop that barred the run, so it would carry the order out.
 void Scheduler::StopLateStarts(Vm& vm, Time now) {
+  vm.late_starts_due = false;
   const auto found = this->late_starts.find(vm.facts.id);
   if (found == this->late_starts.end()) {
     return;
@@ -537,6 +538,7 @@
     const Task* task = this->FindTask(late.task);
     const bool placed_here = task != nullptr && task->vm == vm.facts.id &&
                              task->run == late.run && task->Placed();
+    vm.late_starts_due |= late.stop_due && !placed_here;
     if (late.stop_due && late.stop_answered == Time() && !placed_here &&
         (late.stop_sent == Time() ||
          now - late.stop_sent > this->limits.stop_grace)) {
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -43,6 +43,9 @@
   // An orphaned run of unknown size occupies the VM, so its free capacity is
   // unknown.
   bool unknown_orphan = false;
+  // Until it has received stops for orders to an earlier incarnation, it may
+  // carry these out in addition to what is placed on it.
+  bool late_starts_due = false;
 
   // The VM's clock as last read, and when the answer arrived.
   std::int64_t clock_ms = 0;
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -669,6 +669,39 @@
   }
 }
 
+// Guards against a VM over its capacity: it has restarted and is given tasks
+// while it may still carry out a start that was sent before, since the stop of
+// that one is late.
+BOOST_AUTO_TEST_CASE(RestartedVmIsGivenNothingUntilItsLateStartsAreStopped) {
+  FleetSim sim;
+  FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
+  vm.order_delay_ms = 60'000;
+  const JobSpec job = SimpleJob("a", "q", 1, kVmSize.cpu_m, 60'000);
+  sim.Submit(job);
+  sim.Run(50);
+  const std::int64_t until_ms = sim.ClockOf(vm) + 4000;
+  vm.order_delay_ms = 0;
+  BOOST_REQUIRE(
+      sim.RunUntil([&vm] { return Refuses(vm, "a.0.0.0", 1); }, 5000));
+  sim.Cancel("a");
+  sim.Run(200);
+  vm.order_delay_ms = 60'000;
+  vm.Restart(sim.now);
+  sim.Register("vm0");
+  sim.Run(50);
+  vm.order_delay_ms = 0;  // the stop that has been sent is late
+  sim.Submit(SimpleJob("b", "q", 1, kVmSize.cpu_m, 300));
+  sim.Run(300);
+  sim.HandleStart(vm,
+                  {.task = {JobId("a"), 0, 0, 0},
+                   .run = 1,
+                   .payload = job.payload,
+                   .lease_until_ms = until_ms},
+                  1);
+  BOOST_TEST(sim.Completes("b", 4000));
+  BOOST_TEST(Violations(sim) == "");
+}
+
 // Guards against a VM that is never asked again: a stop of a start that was
 // sent to its earlier incarnation has no answer, and nothing runs on it.
 BOOST_AUTO_TEST_CASE(LostStopOfALateStartIsSentAgain) {
