--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -33,7 +33,7 @@
 bool Scheduler::Available(const Vm& vm, Time now) const {
   return vm.registered && vm.recorded && vm.reported && vm.clock_known &&
          !vm.clock_doubtful && !vm.unresponsive && !vm.unknown_orphan &&
-         !vm.facts.leaving && vm.ejected_until <= now &&
+         !vm.late_starts_due && !vm.facts.leaving && vm.ejected_until <= now &&
          !this->unavailable_zones.contains(vm.facts.zone);
 }
 
@@ -367,7 +367,8 @@
   bool all = true;
   for (Task& task : step.tasks) {
     // An orphaned run is at work until its VM no longer lists it.
-    if (task.phase != TaskPhase::kWaiting || this->HasOrphan(task)) {
+    if (task.phase != TaskPhase::kWaiting || this->HasOrphan(task) ||
+        this->MayRunLate(task, now)) {
       continue;
     }
     if (this->counter_values.starts >= last_start) {
@@ -412,10 +413,11 @@
                          Time now) {
   const StepRef& step_ref = ranked.step_ref;
   Step& step = step_ref.progress();
-  const bool orphaned = std::ranges::any_of(
-      step.tasks, [this](const Task& task) { return this->HasOrphan(task); });
-  if (orphaned ||
-      step.waiting != static_cast<std::int32_t>(step.tasks.size())) {
+  const bool at_work =
+      std::ranges::any_of(step.tasks, [this, now](const Task& task) {
+        return this->HasOrphan(task) || this->MayRunLate(task, now);
+      });
+  if (at_work || step.waiting != static_cast<std::int32_t>(step.tasks.size())) {
     return true;  // members of an earlier run have not ended yet
   }
   const bool advised = this->QueueOf(*step_ref.job).advised;
