--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -54,7 +54,8 @@
   this->next_load_report = Time();
   this->last_load = {};
   this->gate = std::make_unique<upkeep::OrderGate>(
-      this->options.upkeep_limits.handover_period);
+      this->options.upkeep_limits.handover_period,
+      this->options.upkeep_limits.late_order_time);
   // Before the first relay connects: what it followed so far may be dropped.
   this->parts.relay.Follow(this->ownership.observed_owner());
   this->roster.emplace(gained, Now() + kJoinTime);
--- a/src/upkeep/order_gate.cc
+++ b/src/upkeep/order_gate.cc
@@ -23,6 +23,7 @@
 void OrderGate::SetPredecessorMachines(OrderedMachines machines, Time now) {
   this->predecessor_machines = std::move(machines);
   this->blocked_until = now + this->handover;
+  this->persisted_until = this->blocked_until + this->late_order_time;
 }
 
 std::set<MachineId> OrderGate::BlockedMachines(Time now) const {
@@ -83,8 +84,8 @@
     this->persisting.emplace(machine, last.vm);
   }
   // Machines of a predecessor stay persisted, in case another successor takes
-  // over within the handover period.
-  if (now < this->blocked_until) {
+  // over while their orders may be carried out.
+  if (now < this->persisted_until) {
     this->persisting.insert(this->predecessor_machines.begin(),
                             this->predecessor_machines.end());
   }
--- a/src/upkeep/order_gate.h
+++ b/src/upkeep/order_gate.h
@@ -22,8 +22,10 @@
 class OrderGate {
  public:
   /*! @brief `handover` is the period in which two instances must not order the
-   * same machine. */
-  explicit OrderGate(Duration handover) : handover(handover) {}
+   * same machine; within `late_order_time`, an order of a predecessor without
+   * an answer may be carried out. */
+  OrderGate(Duration handover, Duration late_order_time)
+      : handover(handover), late_order_time(late_order_time) {}
 
   /*! @brief Blocks the machines that a predecessor persisted, for the handover
    * period from `now`. */
@@ -51,8 +53,10 @@
   static const VmId& VmOf(const Order& order);
 
   Duration handover;
+  Duration late_order_time;
   OrderedMachines predecessor_machines;
   Time blocked_until;
+  Time persisted_until;  // the predecessor's machines
   std::vector<Order> pending;
   std::map<MachineId, Ordered> ordered;  // latest order of each machine
   OrderedMachines persisted;             // in the store
--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -60,11 +60,22 @@
 }
 
 void Planner::SetPredecessorOrders(const OrderedMachines& machines, Time now) {
+  const Time until = std::max(now, this->start) + this->limits.late_order_time;
   for (const auto& [machine, vm] : machines) {
     this->ordered_vms.Add(machine, vm, now);
+    this->predecessor_orders[machine] = {vm, until};
   }
 }
 
+const Planner::PredecessorOrder* Planner::FindPredecessorOrder(
+    const MachineId& id,
+    Time now) const {
+  const auto found = this->predecessor_orders.find(id);
+  return found == this->predecessor_orders.end() || now >= found->second.until
+             ? nullptr
+             : &found->second;
+}
+
 void Planner::OnMachineList(const std::vector<Machine>& machines, Time now) {
   this->list.clear();
   for (const Machine& machine : machines) {
@@ -110,6 +121,7 @@
       item.stage = Stage::kUnavailable;
       item.since = now;
       wave.started.insert(id);
+      this->predecessor_orders.erase(id);
       this->ordered_vms.Add(id, item.vm, now);
       this->effects.emplace_back(SaveWave{wave_id, wave.started, false});
       break;
@@ -301,27 +313,46 @@
   }
 }
 
-// Starts to drain further machines, those with the least pool utilization and
-// the fewest runs first. Draining machines count as unavailable, since they may
-// go down at any moment.
+// A machine that this process has not taken may be down by an order of a
+// predecessor, also if its upkeep is recorded as started.
+Planner::Unavailable Planner::CountUnavailable(const Wave& wave,
+                                               Time now) const {
+  Unavailable count;
+  for (const auto& [id, item] : wave.items) {
+    const Machine* machine = this->FindMachine(id);
+    const bool in_progress =
+        item.stage != Stage::kDue && item.stage != Stage::kDone;
+    if (in_progress ||
+        (machine != nullptr && machine->state == MachineState::kUpkeep)) {
+      ++count.taken;
+    } else if (item.stage == Stage::kDue &&
+               this->FindPredecessorOrder(id, now) != nullptr) {
+      ++count.may_go_down;
+    }
+  }
+  return count;
+}
+
+// Starts to drain further machines: first those that a predecessor may have
+// ordered, then those with the least pool utilization and the fewest runs.
+// Draining machines count as unavailable, since they may go down at any moment.
 void Planner::AdmitMachines(Wave& wave,
                             bool urgent,
                             Time now,
                             const VmLoadLookup& load_of) {
-  std::int64_t unavailable = 0;
-  for (const auto& [id, item] : wave.items) {
-    unavailable += item.stage == Stage::kDraining ||
-                   item.stage == Stage::kOrdered ||
-                   item.stage == Stage::kUnavailable;
-  }
+  // The order of a machine that still runs the VM it was ordered with has not
+  // been carried out yet.
+  enum class Predecessor : std::uint8_t { kOrderOpen, kOrdered, kNone };
   struct Candidate {
+    Predecessor predecessor = Predecessor::kNone;
     double utilization = 0;
     std::size_t runs = 0;
     MachineId id;
 
     bool operator<(const Candidate& other) const {
-      return std::tie(this->utilization, this->runs, this->id) <
-             std::tie(other.utilization, other.runs, other.id);
+      return std::tie(this->predecessor, this->utilization, this->runs,
+                      this->id) < std::tie(other.predecessor, other.utilization,
+                                           other.runs, other.id);
     }
   };
   std::vector<Candidate> candidates;
@@ -331,18 +362,28 @@
         machine->state != MachineState::kUp) {
       continue;
     }
+    auto predecessor = Predecessor::kNone;
+    if (const auto* order = this->FindPredecessorOrder(id, now)) {
+      predecessor = order->vm.empty() || order->vm == machine->vm
+                        ? Predecessor::kOrderOpen
+                        : Predecessor::kOrdered;
+    }
     const auto load = load_of(machine->vm);
-    candidates.push_back(
-        {load ? load->pool_utilization_without : 0, load ? load->runs : 0, id});
+    candidates.push_back({predecessor,
+                          load ? load->pool_utilization_without : 0,
+                          load ? load->runs : 0, id});
   }
   std::sort(candidates.begin(), candidates.end());
+  Unavailable unavailable = this->CountUnavailable(wave, now);
   std::map<PoolId, std::int32_t> admitted_by_pool;
   for (const Candidate& candidate : candidates) {
-    if (unavailable >= wave.order.max_unavailable) {
+    const bool ordered_before = candidate.predecessor != Predecessor::kNone;
+    if (unavailable.taken + (ordered_before ? 0 : unavailable.may_go_down) >=
+        wave.order.max_unavailable) {
       return;
     }
     const Machine& machine = *this->FindMachine(candidate.id);
-    if (!urgent) {
+    if (!urgent && !ordered_before) {
       // `candidate.utilization` is the utilization without one machine; each
       // further machine of the same pool raises it by about 15 %.
       const double utilization =
@@ -356,7 +397,8 @@
     item.stage = Stage::kDraining;
     item.vm = machine.vm;
     item.since = now;
-    ++unavailable;
+    ++unavailable.taken;
+    unavailable.may_go_down -= ordered_before ? 1 : 0;
     if (!item.vm.empty()) {
       this->effects.emplace_back(SetCordon{item.vm, true});
     }
@@ -365,7 +407,8 @@
                         {"wave", wave.order.id.str()},
                         {"vm", item.vm.str()},
                         {"runs", std::to_string(candidate.runs)},
-                        {"pressed", urgent ? "yes" : "no"}});
+                        {"pressed", urgent ? "yes" : "no"},
+                        {"ordered_before", ordered_before ? "yes" : "no"}});
   }
 }
 
--- a/src/upkeep/planner.h
+++ b/src/upkeep/planner.h
@@ -19,6 +19,9 @@
 struct Limits {
   // Time within which orders of a predecessor are carried out or refused.
   Duration handover_period = std::chrono::milliseconds(3000);
+  // An order of a predecessor without an answer may be carried out within this
+  // time, unless a successor orders the machine before.
+  Duration late_order_time = std::chrono::seconds(30);
   // Time that a machine is unavailable during its upkeep.
   Duration upkeep_duration = std::chrono::milliseconds(2000);
   // Typical time to drain a machine.
@@ -67,7 +70,10 @@
   /*! @brief Marks machines as done whose upkeep a predecessor has recorded as
    * started. May be called before SetWave. */
   void SetStarted(const WaveId& wave, const std::set<MachineId>& started);
-  /*! @brief Machines that a predecessor may have ordered, with their VMs. */
+  /*! @brief Machines that a predecessor may have ordered, with their VMs. They
+   * count as unavailable and are ordered before others of their waves, since an
+   * order without an answer may be carried out within the late order time. An
+   * own order of the machine fences it. */
   void SetPredecessorOrders(const OrderedMachines& machines, Time now);
   /*! @brief Handles the result of a ReadMachines. */
   void OnMachineList(const std::vector<Machine>& machines, Time now);
@@ -129,7 +135,21 @@
     std::set<MachineId> started;
   };
 
+  struct PredecessorOrder {
+    VmId vm;
+    Time until;  // the order is not carried out after
+  };
+  // Machines of a wave in use of its limit.
+  struct Unavailable {
+    std::int64_t taken = 0;        // draining, ordered or down
+    std::int64_t may_go_down = 0;  // through an order of a predecessor
+  };
+
   const Machine* FindMachine(const MachineId& id) const;
+  [[nodiscard]] const PredecessorOrder* FindPredecessorOrder(
+      const MachineId& id,
+      Time now) const;
+  [[nodiscard]] Unavailable CountUnavailable(const Wave& wave, Time now) const;
   void TickWave(Wave& wave, Time now, const VmLoadLookup& load_of);
   void AdvanceItem(Wave& wave,
                    const MachineId& id,
@@ -157,6 +177,7 @@
   Time read_at;  // start of the read that returned the list
   Time next_read;
   OrderedVms ordered_vms;
+  std::map<MachineId, PredecessorOrder> predecessor_orders;
   std::vector<Effect> effects;
 };
 
--- a/test/upkeep/order_gate_test.cc
+++ b/test/upkeep/order_gate_test.cc
@@ -6,10 +6,11 @@
 namespace {
 
 constexpr auto kHandover = std::chrono::milliseconds(3000);
+constexpr auto kLateOrderTime = std::chrono::seconds(30);
 
 struct OrderGateFixture {
   Time now{std::chrono::seconds(100)};
-  OrderGate gate{kHandover};
+  OrderGate gate{kHandover, kLateOrderTime};
   OrderedMachines stored;
   std::vector<std::string> sent;
   bool store_down = false;
@@ -73,6 +74,23 @@
   BOOST_TEST(fixture.stored.contains(MachineId("b")));
 }
 
+// Guards against a second successor that does not learn of an order that the
+// first of three owners gave without an answer and that is still carried out.
+BOOST_AUTO_TEST_CASE(MachinesOfAPredecessorStayPersistedWhileOrdersMayBeLate) {
+  OrderGateFixture fixture;
+  fixture.gate.SetPredecessorMachines({{MachineId("a"), VmId("vm")}},
+                                      fixture.now);
+  fixture.Run(12'000);
+  fixture.gate.Add(OrderGateFixture::Move("b"));
+  fixture.Run(50);
+  BOOST_TEST(fixture.stored.contains(MachineId("a")));
+  BOOST_TEST(fixture.gate.BlockedMachines(fixture.now).empty());
+  fixture.Run(22'000);
+  fixture.gate.Add(OrderGateFixture::Move("c"));
+  fixture.Run(50);
+  BOOST_TEST(!fixture.stored.contains(MachineId("a")));
+}
+
 // Guards against a takeover that blocks the orders of all machines: in
 // inc-e66e, no machine was moved for 3 s while the demand of a queue rose. Only
 // the machines that the predecessor persisted are blocked.
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -70,6 +70,19 @@
     }
   }
 
+  // An order of a predecessor, unless one of the planner came first, which
+  // fences it.
+  void CarryOutLate(const char* id, std::int64_t upkeep_ms = 2000) {
+    const MachineId machine(id);
+    if (this->orders.contains(machine)) {
+      return;
+    }
+    this->orders[machine] = 1;
+    this->machines.at(machine).state = MachineState::kUpkeep;
+    this->away_until[machine] =
+        this->now + std::chrono::milliseconds(upkeep_ms);
+  }
+
   void Run(std::int64_t ms) {
     const Time end = this->now + std::chrono::milliseconds(ms);
     while (this->now < end) {
@@ -176,6 +189,83 @@
   BOOST_TEST(fixture.started_at_completion == 4);
 }
 
+// Guards against exceeding the limit of a wave: an order of a killed
+// predecessor that had no answer is carried out seconds later, while the
+// successor has taken another machine of the wave.
+BOOST_AUTO_TEST_CASE(LateOrderOfAPredecessorKeepsTheLimit) {
+  for (int late_ms = 100; late_ms < 12'000; late_ms += 300) {
+    for (const std::size_t runs : {0U, 2U}) {
+      PlannerFixture fixture(4, 0.1);
+      fixture.planner =
+          Planner(Limits{}, fixture.now + std::chrono::seconds(3));
+      // By itself the last one to be taken.
+      fixture.loads.at(VmId("vm2")) = {.runs = runs,
+                                       .pool_utilization_without = 0.6};
+      fixture.planner.SetPredecessorOrders({{MachineId("m2"), VmId("vm2")}},
+                                           fixture.now);
+      fixture.Order(4, 1, 60);
+      fixture.Run(late_ms);
+      fixture.CarryOutLate("m2");
+      fixture.loads.at(VmId("vm2")).runs = 0;
+      fixture.Run(25'000);
+      BOOST_TEST_CONTEXT("late by " << late_ms << " ms, runs " << runs) {
+        BOOST_TEST(fixture.max_unavailable == 1);
+        BOOST_TEST(fixture.completed);
+        BOOST_TEST(fixture.orders.size() == 4);
+      }
+    }
+  }
+}
+
+// The same if the predecessor may have ordered more machines than a wave takes
+// out at a time: one still down is counted while the others are ordered.
+BOOST_AUTO_TEST_CASE(LateOrderOfAPredecessorIsCountedBesideItsOthers) {
+  PlannerFixture fixture(4, 0.1);
+  fixture.planner = Planner(Limits{}, fixture.now + std::chrono::seconds(3));
+  fixture.planner.SetPredecessorOrders({{MachineId("m1"), VmId("earlier")},
+                                        {MachineId("m2"), VmId("vm2")},
+                                        {MachineId("m3"), VmId("vm3")}},
+                                       fixture.now);
+  fixture.Order(4, 2, 60);
+  fixture.Run(2000);
+  fixture.CarryOutLate("m3", 4000);
+  fixture.Run(30'000);
+  BOOST_TEST(fixture.max_unavailable == 2);
+  BOOST_TEST(fixture.completed);
+  BOOST_TEST(fixture.orders.size() == 4);
+}
+
+// Guards against exceeding the limit of a wave: a machine whose upkeep is
+// recorded as started is still down when the successor takes further ones.
+BOOST_AUTO_TEST_CASE(StartedMachineCountsWhileItIsDown) {
+  PlannerFixture fixture(3, 0.1);
+  fixture.planner = Planner(Limits{}, fixture.now + std::chrono::seconds(3));
+  fixture.planner.SetStarted(WaveId("1"), {MachineId("m0")});
+  fixture.CarryOutLate("m0", 6000);
+  fixture.Order(3, 1, 60);
+  fixture.Run(20'000);
+  BOOST_TEST(fixture.max_unavailable == 1);
+  BOOST_TEST(fixture.completed);
+}
+
+// Guards against a wave that stands still for a machine that a predecessor may
+// have ordered and that does not come back: others go on within the limit, and
+// all once no order of the predecessor can be carried out any more.
+BOOST_AUTO_TEST_CASE(MachineOfAPredecessorHoldsItsWaveForALimitedTime) {
+  for (const int max_unavailable : {1, 2}) {
+    PlannerFixture fixture(4, 0.1);
+    fixture.planner = Planner(Limits{}, fixture.now + std::chrono::seconds(3));
+    fixture.planner.SetPredecessorOrders({{MachineId("m0"), VmId("vm0")}},
+                                         fixture.now);
+    fixture.machines.at(MachineId("m0")).state = MachineState::kDown;
+    fixture.Order(4, max_unavailable, 90);
+    fixture.Run(30'000);
+    BOOST_TEST(fixture.orders.size() == (max_unavailable == 1 ? 0U : 3U));
+    fixture.Run(20'000);
+    BOOST_TEST(fixture.orders.size() == 3);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RemovedMachineDoesNotBlockItsWave) {
   PlannerFixture fixture(3, 0.1);
   fixture.machines.erase(MachineId("m2"));
