--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -356,6 +356,7 @@
   std::vector<Candidate> VmsWithRoom(const Pool& pool,
                                      const Resources& smallest_need,
                                      Time now) const;
+  void ReadOldClocks(std::vector<Candidate>& room, Time now) const;
   bool PlanStep(const RankedStep& ranked,
                 Pool& pool,
                 const CandidateSet& room,
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -12,6 +12,8 @@
 constexpr auto kWaitsLogInterval = std::chrono::seconds(1);
 // An endless task that waits for longer is told of.
 constexpr auto kLongWait = std::chrono::seconds(2);
+// VMs of a pool whose clocks are read in one pass.
+constexpr std::size_t kMaxClockReads = 16;
 
 }  // namespace
 
@@ -288,6 +290,23 @@
   return rows;
 }
 
+// A VM that has been idle for long is asked for its clock before it is given
+// anything: by the last reading, its lease would be short or over.
+void Scheduler::ReadOldClocks(std::vector<Candidate>& room, Time now) const {
+  std::size_t reads = 0;
+  std::erase_if(room, [&](const Candidate& candidate) {
+    Vm& vm = *candidate.vm;
+    if (vm.ClockAt(now) - vm.LeaseClockAt(now) <=
+        ToMs(this->limits.lease) / 2) {
+      return false;
+    }
+    if (!vm.poll_pending && ++reads <= kMaxClockReads) {
+      vm.next_poll = std::min(vm.next_poll, now);
+    }
+    return true;
+  });
+}
+
 void Scheduler::PlanPool(Pool& pool, std::uint64_t max_starts, Time now) {
   CandidateSet room;
   room.smallest_need = pool.ready.begin()->spec().Occupies();
@@ -299,6 +318,7 @@
         std::min(room.smallest_need.gpus, need.gpus)};
   }
   room.vms = this->VmsWithRoom(pool, room.smallest_need, now);
+  this->ReadOldClocks(room.vms, now);
   if (room.vms.empty()) {
     return;
   }
@@ -573,7 +593,7 @@
   if (this->QueueOf(*task.job).advised) {
     permit = *this->PermitOf(StepRefOf(task), vm.facts.id, now);
   }
-  const std::int64_t until = vm.ClockAt(now) + ToMs(this->limits.lease);
+  const std::int64_t until = vm.LeaseClockAt(now) + ToMs(this->limits.lease);
   vm.lease_until_ms = std::max(vm.lease_until_ms, until);
   task.lease_until_ms = until;
   task.ordered_after_ms = vm.EarliestClockAt(now);
--- a/src/jobs/vm.cc
+++ b/src/jobs/vm.cc
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace kch::jobs {
+namespace {
+
+// Leases that a successor reckons with last longer by what a clock that is 2%
+// slow is behind its estimate; Limits::vm_lateness covers this part.
+constexpr auto kMaxClockLead = std::chrono::milliseconds(100);
+
+}  // namespace
 
 Duration EndOfRuns(Duration lease, const Limits& limits) {
   return std::chrono::duration_cast<Duration>(lease / kMinVmClockRate) +
@@ -37,6 +44,11 @@
              static_cast<double>(ToMs(now - this->clock_at)) * kMinVmClockRate);
 }
 
+std::int64_t Vm::LeaseClockAt(Time now) const {
+  return std::min(this->ClockAt(now),
+                  this->EarliestClockAt(now) + ToMs(kMaxClockLead));
+}
+
 std::optional<Time> Vm::LeaseEnd(const Limits& limits) const {
   if (!this->clock_known) {
     return this->earlier_lease_end;
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -106,6 +106,9 @@
   [[nodiscard]] std::int64_t ClockAt(Time now) const;
   /*! @brief The least that the VM's clock can show at a local time. */
   [[nodiscard]] std::int64_t EarliestClockAt(Time now) const;
+  /*! @brief The clock from which leases are counted: the estimate, but ahead of
+   * the VM's clock by at most kMaxClockLead, however long ago it was read. */
+  [[nodiscard]] std::int64_t LeaseClockAt(Time now) const;
   /*! @brief Local time by which every lease sent has expired and the runs have
    * ended, see EndOfRuns; unset if none was sent to this
    * incarnation or an earlier one. */
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -702,6 +702,41 @@
   BOOST_TEST(Violations(sim) == "");
 }
 
+// Guards against two runs at once after a takeover: a VM has been idle, its
+// clock is slow, and a lease by the estimate of its clock lasts longer than the
+// successor reckons with.
+BOOST_AUTO_TEST_CASE(LeaseOfAnIdleVmWithASlowClockEndsAsASuccessorExpects) {
+  for (const std::int64_t idle_ms : {90'000, 300'000}) {
+    FleetSim sim;
+    UseShortStopGrace(sim);
+    FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
+    vm.clock_rate = kMinVmClockRate;
+    sim.Run(idle_ms);
+    sim.Submit(SimpleJob("a", "q", 1, 1000, 60'000));
+    BOOST_REQUIRE(sim.RunUntil([&] { return sim.starts() == 1; }, 1000));
+    vm.unresponsive = true;
+    sim.AddVm("vm1", "p", kVmSize);
+    sim.Takeover();
+    BOOST_TEST(sim.RunUntil([&] { return sim.starts() == 2; }, 9000));
+    BOOST_TEST(Violations(sim) == "");
+  }
+}
+
+// Guards against starts that idle VMs refuse, or whose leases run out, because
+// the lease allows for a clock slower than theirs.
+BOOST_AUTO_TEST_CASE(IdleVmsAcceptTheFirstStart) {
+  for (const std::int64_t idle_ms : {90'000, 120'000, 300'000}) {
+    FleetSim sim;
+    UseShortStopGrace(sim);
+    WithVms(sim, 3);
+    sim.Run(idle_ms);
+    sim.Submit(SimpleJob("a", "q", 1, 1000, 300));
+    BOOST_TEST(sim.Completes("a", 500));
+    BOOST_TEST(sim.starts() == 1);
+    BOOST_TEST(sim.scheduler->counters().refused_starts == 0U);
+  }
+}
+
 // Guards against a VM that is never asked again: a stop of a start that was
 // sent to its earlier incarnation has no answer, and nothing runs on it.
 BOOST_AUTO_TEST_CASE(LostStopOfALateStartIsSentAgain) {
