--- a/fake/vms/vm_model.cc
+++ b/fake/vms/vm_model.cc
@@ -9,8 +9,6 @@
 using jobs::RunEnd;
 using jobs::StartAnswer;
 
-// Time from an order to stop until the run has ended.
-constexpr std::int64_t kStopMs = 40;
 constexpr std::int64_t kClockOffsetMs = 5000;
 // Time for which a member of a gang waits for the others.
 constexpr std::int64_t kGangWaitMs = 3000;
@@ -303,7 +301,7 @@
   if (run != vm.runs.end() && run->second.run == order.run &&
       !run->second.stopping) {
     run->second.stopping = true;
-    run->second.stops_at_ms = this->ClockOf(vm) + kStopMs;
+    run->second.stops_at_ms = this->ClockOf(vm) + vm.stop_ms;
   }
   return true;
 }
--- a/fake/vms/vm_model.h
+++ b/fake/vms/vm_model.h
@@ -55,7 +55,8 @@
   // Orders to start and stop runs are carried out this much later, without an
   // answer.
   std::int64_t order_delay_ms = 0;
-  std::int64_t tail_ms = 0;  // gauge of serving tasks
+  std::int64_t stop_ms = 40;  // from an order to stop until the run has ended
+  std::int64_t tail_ms = 0;   // gauge of serving tasks
 
   /*! @brief Restarts under its id without any earlier state; its clock starts
    * anew. */
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -528,6 +528,31 @@
             std::string(kEndedVmPrefix) + effect.vm.str(), std::nullopt);
 }
 
+// Not repeated: the records of all ended jobs are read after a takeover, too.
+void FleetEffectVisitor::operator()(const jobs::ReadEndedJob& effect) const {
+  this->driver.parts.store.Get(
+      KeyOf(kEndedJobPrefix, effect.job),
+      [&driver = this->driver, fence = this->fence,
+       job = effect.job](const platform::GetReply& reply) {
+        const bool found = reply.outcome == Outcome::kOk;
+        net::LogEvent("stray_job", {{"job", job.str()},
+                                    {"ended", found ? "yes" : "unknown"}});
+        if (!found) {
+          return;
+        }
+        const auto view = jobs::DecodeEnded(reply.item.value);
+        if (!view) {
+          net::LogEvent("job_unreadable",
+                        {{"job", job.str()}, {"error", view.error().Text()}});
+          return;
+        }
+        driver.PostFor(fence, [&driver, job, view = *view,
+                               revision = reply.item.revision] {
+          driver.scheduler->AddEnded(job, view, revision, Now());
+        });
+      });
+}
+
 void FleetEffectVisitor::operator()(const jobs::Superseded& effect) const {
   net::LogEvent("fenced", {{"vm", effect.refused_by.str()},
                            {"fence", std::to_string(this->fence)}});
--- a/src/app/fleet/effects.h
+++ b/src/app/fleet/effects.h
@@ -37,6 +37,7 @@
   void operator()(const jobs::EraseVmRecord& effect) const;
   void operator()(const jobs::PersistEndedVm& effect) const;
   void operator()(const jobs::EraseEndedVmRecord& effect) const;
+  void operator()(const jobs::ReadEndedJob& effect) const;
   void operator()(const jobs::Superseded& effect) const;
   void operator()(const jobs::LogEvent& effect) const;
 
--- a/src/jobs/effect.h
+++ b/src/jobs/effect.h
@@ -109,6 +109,12 @@
   VmId vm;
 };
 
+/*! @brief Reads the record of a job that may have ended under a predecessor;
+ * Scheduler::AddEnded takes it. */
+struct ReadEndedJob {
+  JobId job;
+};
+
 /*! @brief A VM refused an order for its fence: another scheduler has taken
  * over, and no further orders may be sent. */
 struct Superseded {
@@ -131,6 +137,7 @@
                             EraseVmRecord,
                             PersistEndedVm,
                             EraseEndedVmRecord,
+                            ReadEndedJob,
                             Superseded,
                             LogEvent>;
 
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -511,6 +511,17 @@
   job.state = view.state;
   job.revision = revision;
   this->ended_jobs.emplace_back(now, id);
+  for (const VmId& vm_id : this->unknown_orphan_vms) {
+    Vm* vm = this->FindVm(vm_id);
+    if (vm == nullptr) {
+      continue;
+    }
+    for (OrphanedRun& orphan : vm->orphans) {
+      if (orphan.unknown_size && orphan.task.job == id) {
+        orphan.team = view.team;
+      }
+    }
+  }
 }
 
 void Scheduler::CancelJob(const JobId& id, Time now) {
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -344,6 +344,7 @@
 
   // scheduler_plan.cc
   void EstimateUnreportedUse();
+  void EstimateUnknownUse();
   void LogWaitingEndless(Time now);
   bool MayRunInherited(const Pool& pool, Time now) const;
   void UpdateUnreachedPools(Time now);
@@ -421,6 +422,12 @@
   std::map<TeamId, Resources> in_use;
   std::map<TeamId, Resources>
       unreported_use;  // by tasks that may run on VMs without a report
+  // VMs with orphaned runs of unknown size, what these may use, by team, and
+  // what runs of unknown teams may use.
+  std::set<VmId> unknown_orphan_vms;
+  std::set<JobId> sought_jobs;  // whose teams have been asked for
+  std::map<TeamId, Resources> unknown_use;
+  Resources unattributed_use;
   std::map<QueueId, std::int64_t> pending;
   std::set<JobId> scheduled;  // jobs with occurrences that are not open yet
   std::unordered_set<JobId> early_cancels;  // cancelled before they were added
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -44,7 +44,9 @@
   }
   const Resources& most = found->second.maximum;
   Resources total = more;
-  for (const auto* amounts : {&this->in_use, &this->unreported_use}) {
+  total += this->unattributed_use;
+  for (const auto* amounts :
+       {&this->in_use, &this->unreported_use, &this->unknown_use}) {
     if (const auto amount = amounts->find(job.spec.team);
         amount != amounts->end()) {
       total += amount->second;
@@ -96,6 +98,38 @@
   }
 }
 
+// Orphaned runs of unknown size may use all that is left of their VM. They
+// count against the limit of their team or, while that is not known, of every
+// team.
+void Scheduler::EstimateUnknownUse() {
+  this->unknown_use.clear();
+  this->unattributed_use = {};
+  std::erase_if(this->unknown_orphan_vms, [this](const VmId& id) {
+    const Vm* vm = this->FindVm(id);
+    return vm == nullptr || !vm->unknown_orphan;
+  });
+  if (this->unknown_orphan_vms.empty()) {
+    this->sought_jobs.clear();
+  }
+  for (const VmId& id : this->unknown_orphan_vms) {
+    const Vm& vm = *this->FindVm(id);
+    std::set<TeamId> teams;
+    for (const OrphanedRun& orphan : vm.orphans) {
+      if (orphan.unknown_size) {
+        teams.insert(orphan.team);
+      }
+    }
+    const Resources left = vm.Free();
+    if (teams.contains(TeamId())) {
+      this->unattributed_use += left;
+      continue;
+    }
+    for (const TeamId& team : teams) {
+      this->unknown_use[team] += left;
+    }
+  }
+}
+
 // Whether tasks of inherited jobs may be at work on VMs of the pool that have
 // not answered this scheduler.
 bool Scheduler::MayRunInherited(const Pool& pool, Time now) const {
@@ -146,6 +180,7 @@
   }
   this->UpdateUnreachedPools(now);
   this->EstimateUnreportedUse();
+  this->EstimateUnknownUse();
   this->OpenAllDue(wall_ms);
   this->LogWaitingEndless(now);
   this->advice_request.reset();
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -471,15 +471,23 @@
   if (orphan == vm.orphans.end()) {
     OrphanedRun found{.task = ref, .run = run};
     const Job* job = this->FindJob(ref.job);
+    if (job != nullptr) {
+      found.team = job->spec.team;
+    }
     if (job != nullptr &&
         static_cast<std::size_t>(ref.step) < job->spec.steps.size()) {
       const StepSpec& step =
           job->spec.steps[static_cast<std::size_t>(ref.step)];
       found.occupied = step.Occupies();
       found.team_charge = step.need;
-      found.team = job->spec.team;
     } else {
+      // Of a job that has ended, its steps are not stored.
+      found.unknown_size = true;
       vm.unknown_orphan = true;
+      this->unknown_orphan_vms.insert(vm.facts.id);
+      if (job == nullptr && this->sought_jobs.insert(ref.job).second) {
+        this->effects.emplace_back(ReadEndedJob{ref.job});
+      }
     }
     vm.used += found.occupied;
     this->in_use[found.team] += found.team_charge;
@@ -559,9 +567,8 @@
     }
     return true;
   });
-  if (vm.orphans.empty()) {
-    vm.unknown_orphan = false;
-  }
+  vm.unknown_orphan =
+      std::ranges::any_of(vm.orphans, &OrphanedRun::unknown_size);
 }
 
 void Scheduler::OnStop(const VmId& id,
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -21,7 +21,8 @@
   std::int64_t run = 0;
   Resources occupied;
   Resources team_charge;  // against the limit of its team
-  TeamId team;
+  TeamId team;            // empty: unknown
+  bool unknown_size = false;
   Time stop_sent;
   std::uint64_t last_listed = 0;  // latest report that listed it
 };
--- a/test/jobs/fleet_sim.cc
+++ b/test/jobs/fleet_sim.cc
@@ -348,6 +348,16 @@
   void operator()(const EraseEndedVmRecord& effect) const {
     this->sim.ended.erase(effect.vm);
   }
+  void operator()(const ReadEndedJob& effect) const {
+    this->sim.RunAfter(kStoreLatencyMs, [&at = this->sim, job = effect.job,
+                                         by = this->sender_fence] {
+      const auto row = at.store.ended.find(job);
+      if (by == at.fence && !at.store.down && row != at.store.ended.end()) {
+        at.scheduler->AddEnded(job, DecodeEnded(row->second.value).value(),
+                               row->second.revision, at.now);
+      }
+    });
+  }
   void operator()(const Superseded& /*effect*/) const {}
   void operator()(const LogEvent& log_event) const {
     this->sim.log_events.push_back(log_event);
@@ -426,11 +436,23 @@
   for (const JobId& job : this->cancelled) {
     this->scheduler->CancelJob(job, this->now);
   }
+  if (this->ended_read_ms == 0) {
+    this->ReadEndedJobs();
+  } else {
+    this->RunAfter(this->ended_read_ms, [this, by = this->fence] {
+      if (by == this->fence) {
+        this->ReadEndedJobs();
+      }
+    });
+  }
+  this->scheduler->BeginRecovery(this->now, this->WallMs());
+}
+
+void FleetSim::ReadEndedJobs() {
   for (const auto& [id, record] : this->store.ended) {
     this->scheduler->AddEnded(id, DecodeEnded(record.value).value(),
                               record.revision, this->now);
   }
-  this->scheduler->BeginRecovery(this->now, this->WallMs());
 }
 
 void FleetSim::Register(const std::string& vm) {
--- a/test/jobs/fleet_sim.h
+++ b/test/jobs/fleet_sim.h
@@ -74,6 +74,8 @@
   std::map<VmId, std::int64_t> ended;
   std::vector<LogEvent> log_events;
   std::int64_t wall_offset_ms = 0;  // of the present scheduler's wall clock
+  // After a takeover, until the records of ended jobs are read.
+  std::int64_t ended_read_ms = 0;
 
  private:
   struct EffectVisitor;
@@ -82,6 +84,7 @@
                            std::uint64_t sender_fence);
   void Write(const WriteRecords& write, std::uint64_t fence);
   void RunScheduler();
+  void ReadEndedJobs();
 
   std::uint64_t fence = 1;
   std::multimap<Time, std::function<void()>> events;
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -341,6 +341,75 @@
   BOOST_TEST(Violations(sim) == "");
 }
 
+// A job of team t whose tasks are being stopped when its record has been
+// replaced by that of its end, and another owner takes over.
+void TakeOverWhileRunsStop(FleetSim& sim, std::int64_t ended_read_ms) {
+  WithVms(sim, 4);
+  sim.ended_read_ms = ended_read_ms;
+  sim.config.teams[TeamId("t")] = {.maximum = {8000, 0, 0}};
+  sim.config.teams[TeamId("u")] = {.maximum = {8000, 0, 0}};
+  ++sim.config.version;
+  sim.scheduler->SetConfig(sim.config, sim.now);
+  for (auto& [id, vm] : sim.vms) {
+    vm->stop_ms = 850;
+  }
+  JobSpec old = SimpleJob("old", "q", 8, 1000, 60'000);
+  old.team = TeamId("t");
+  sim.Submit(old);
+  sim.Run(200);
+  BOOST_REQUIRE(sim.starts() == 8);
+  sim.Cancel("old");
+  BOOST_REQUIRE(sim.RunUntil(
+      [&] { return sim.store.ended.contains(JobId("old")); }, 300));
+  JobSpec next = SimpleJob("next", "q", 8, 1000, 200);
+  next.team = TeamId("t");
+  sim.Submit(next);
+  for (const char* const team : {"u", "v"}) {
+    JobSpec other = SimpleJob(team, "q", 4, 1000, 100);
+    other.team = TeamId(team);
+    sim.Submit(other);
+  }
+  sim.Takeover();
+}
+
+// Guards against a team beyond its limit: the runs of an ended job that still
+// stop after a takeover counted for no team, so other tasks of the team
+// started beside them.
+BOOST_AUTO_TEST_CASE(RunsOfAnEndedJobCountForItsTeamUntilTheyHaveStopped) {
+  for (const std::int64_t ended_read_ms : {0, 2000}) {
+    FleetSim sim;
+    TakeOverWhileRunsStop(sim, ended_read_ms);
+    BOOST_TEST(sim.Completes("next", 4000));
+    BOOST_TEST(Violations(sim) == "");
+  }
+}
+
+// Guards against other teams that wait for such runs, with a limit or without.
+BOOST_AUTO_TEST_CASE(RunsOfAnEndedJobHoldNoOtherTeamBack) {
+  for (const std::int64_t ended_read_ms : {0, 2000}) {
+    FleetSim sim;
+    TakeOverWhileRunsStop(sim, ended_read_ms);
+    const Time before = sim.now;
+    BOOST_TEST(sim.Completes("u", 4000));
+    BOOST_TEST(sim.Completes("v", 4000));
+    BOOST_TEST(ToMs(sim.now - before) < 600);
+    BOOST_TEST((sim.StateOf("next") == JobState::kQueued));
+    BOOST_TEST(Violations(sim) == "");
+  }
+}
+
+// Guards against a team beyond its limit while it is not known whose the runs
+// are: the record of the ended job is not read before they have stopped.
+BOOST_AUTO_TEST_CASE(RunsOfAnUnknownJobCountForEveryTeam) {
+  FleetSim sim;
+  TakeOverWhileRunsStop(sim, 2000);
+  sim.store.ended.clear();
+  BOOST_TEST(sim.Completes("v", 600));
+  BOOST_TEST(sim.Completes("next", 4000));
+  BOOST_TEST(sim.Completes("u", 1000));
+  BOOST_TEST(Violations(sim) == "");
+}
+
 BOOST_AUTO_TEST_CASE(TakeoverAdoptsRunningTasks) {
   FleetSim sim;
   WithVms(sim, 3);
