--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -406,16 +406,12 @@
     sim.AddVm("vm0", "p", kVmSize);
     sim.AddVm("vm1", "p2", kVmSize);
     Queue& queue = sim.config.queues.at(QueueId("q"));
+    JobSpec job = EndlessJob("a", 1);
     if (back) {
       // Accepted for the pool to which the queue returns later.
-      queue.pool = PoolId("p2");
-      sim.Submit(EndlessJob("a", 1));
-      queue.pool = PoolId("p");
-      ++sim.config.version;
-      sim.scheduler->SetConfig(sim.config, sim.now);
-    } else {
-      sim.Submit(EndlessJob("a", 1));
+      job.queue.pool = PoolId("p2");
     }
+    sim.Submit(std::move(job));
     sim.Run(500);
     BOOST_REQUIRE(sim.vms.at("vm0")->runs.size() == 1);
     sim.vms.at("vm0")->unresponsive = true;
