--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -743,20 +743,23 @@
 // again when the VM that may still carry the start out has restarted, and the
 // stop that makes that VM refuse it is late.
 BOOST_AUTO_TEST_CASE(TaskAwaitsTheStopOfItsLateStartOnARestartedVm) {
-  for (const bool carried_out : {true, false}) {
+  for (const auto& [gang, carried_out] :
+       {std::pair(false, true), std::pair(false, false), std::pair(true, true),
+        std::pair(true, false)}) {
     FleetSim sim;
     FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
     vm.order_delay_ms = 60'000;
-    const JobSpec job = SimpleJob("a", "q", 1, 1000, 2000);
+    JobSpec job = SimpleJob("a", "q", 2, 1000, 2000);
+    job.steps[0].gang = gang;
     sim.Submit(job);
     sim.Run(50);
     const std::int64_t until_ms = sim.ClockOf(vm) + 4000;
     vm.order_delay_ms = 0;
     BOOST_REQUIRE(
-        sim.RunUntil([&vm] { return Refuses(vm, "a.0.0.0", 1); }, 5000));
+        sim.RunUntil([&vm] { return Refuses(vm, "a.0.0.1", 1); }, 5000));
     sim.scheduler->Cordon(VmId("vm0"), true);
     FakeVm& other = sim.AddVm("vm1", "p", kVmSize);
-    BOOST_REQUIRE(sim.RunUntil([&] { return sim.starts() == 1; }, 5000));
+    BOOST_REQUIRE(sim.RunUntil([&] { return sim.starts() == 2; }, 5000));
     sim.Run(200);
     vm.order_delay_ms = 60'000;
     vm.Restart(sim.now);
@@ -768,7 +771,7 @@
     sim.Run(300);
     if (carried_out) {
       sim.HandleStart(vm,
-                      {.task = {JobId("a"), 0, 0, 0},
+                      {.task = {JobId("a"), 0, 0, 1},
                        .run = 1,
                        .payload = job.payload,
                        .lease_until_ms = until_ms},
