--- a/fake/fleet/fleet_platform.cc
+++ b/fake/fleet/fleet_platform.cc
@@ -195,16 +195,20 @@
   this->loop.Call([this, &rule] { this->faults = std::move(rule); });
 }
 
-void FleetPlatform::PublishConfig() {
-  this->loop.Call([this] {
+void FleetPlatform::PublishConfig(const std::set<jobs::QueueId>& left_out) {
+  this->loop.Call([this, &left_out] {
     const jobs::FleetConfig& config = this->world.config;
     json body{{"Version", config.version},
               {"Routes", json::array()},
               {"Services", json::array()},
               {"Tenants", json::array()},
               {"Limits", json::object()}};
-    std::set<PoolId> pools;
+    const std::set<std::string> pools(this->options.pools.begin(),
+                                      this->options.pools.end());
     for (const auto& [id, queue] : config.queues) {
+      if (left_out.contains(id)) {
+        continue;
+      }
       json route{{"Name", id.str()},
                  {"Host", "jobs.example"},
                  {"Prefix", "/" + id.str() + "/"},
@@ -220,13 +224,12 @@
                            {"ValidMs", this->world.advice.valid_ms}};
       }
       body["Routes"].push_back(route);
-      pools.insert(queue.pool);
     }
-    for (const PoolId& pool : pools) {
+    for (const std::string& pool : pools) {
       body["Services"].push_back(
-          {{"Name", pool.str()},
+          {{"Name", pool},
            {"Standby", this->options.last_pool_stands_by &&
-                           pool.str() == this->options.pools.back()}});
+                           pool == this->options.pools.back()}});
     }
     for (const auto& [id, team] : config.teams) {
       body["Tenants"].push_back({{"Name", id.str()},
@@ -277,6 +280,18 @@
   return std::ranges::count(this->VmsUp(), vm) > 0;
 }
 
+std::vector<std::size_t> FleetPlatform::Owners() {
+  return this->loop.Call([this] {
+    std::vector<std::size_t> callers;
+    for (const auto& [fence, caller] : this->owners) {
+      if (fence > 0) {
+        callers.push_back(caller);
+      }
+    }
+    return callers;
+  });
+}
+
 void FleetPlatform::RequestWave(int number,
                                 std::vector<std::string> names,
                                 int most,
--- a/fake/fleet/fleet_platform.h
+++ b/fake/fleet/fleet_platform.h
@@ -82,13 +82,16 @@
   }
   /*! @brief Replaces the rule; an empty one ends all faults. */
   void SetFaults(FaultRule rule);
-  /*! @brief Writes the configuration that the model holds. */
-  void PublishConfig();
+  /*! @brief Writes the configuration that the model holds, but for queues that
+   * are left out. */
+  void PublishConfig(const std::set<jobs::QueueId>& left_out = {});
   /*! @brief Writes or removes a VM's registration. */
   void Register(const std::string& vm, bool present = true);
   /*! @brief The VMs of the machines that are up. */
   [[nodiscard]] std::vector<std::string> VmsUp();
   [[nodiscard]] bool IsUp(const std::string& vm);
+  /*! @brief The callers that have owned the fleet, in order. */
+  [[nodiscard]] std::vector<std::size_t> Owners();
   /*! @brief Requests that machines have their upkeep within `length_s`. */
   void RequestWave(int number,
                    std::vector<std::string> machines,
--- a/test/process/fleet_soak.cc
+++ b/test/process/fleet_soak.cc
@@ -1,7 +1,10 @@
 #include "test/process/fleet_soak.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <iterator>
+#include <limits>
 #include <optional>
 #include <thread>
 #include <utility>
@@ -68,6 +71,22 @@
           .queues = {"q", "q", "p2"}};
 }
 
+FleetSoak::Profile FleetSoak::ReturningOwners(std::uint64_t seed) {
+  using Soak = FleetSoak;
+  Profile profile = HandOvers(seed);
+  profile.actions = {
+      &Soak::ReturnOwner,  &Soak::ReturnOwner,      &Soak::ReturnOwner,
+      &Soak::StormConfigs, &Soak::StormConfigs,     &Soak::SilenceVm,
+      &Soak::SilenceVm,    &Soak::SilenceVm,        &Soak::CutVms,
+      &Soak::CutVms,       &Soak::RestartVm,        &Soak::DisturbCalls,
+      &Soak::DropHistory,  &Soak::DropRegistration, &Soak::CancelJob,
+      &Soak::HandIn,       &Soak::HandIn,           &Soak::HandIn};
+  profile.phase_ms = 25'000;
+  // The stop grace, and as much as a busy machine may act late.
+  profile.lapse_ms = 700;
+  return profile;
+}
+
 FleetSoak::FleetSoak(std::uint64_t seed, Profile wanted)
     : profile(std::move(wanted)),
       fleet(this->profile.instances,
@@ -76,6 +95,11 @@
             this->profile.flags),
       random(seed) {
   this->fleet.while_waiting = [this] { this->EndDueFaults(NowMs()); };
+  this->fleet.platform->With([this](fake::VmModel& world, fake::KeyStore&) {
+    for (auto& [id, vm] : world.vms) {
+      vm->lapse_ms = this->profile.lapse_ms;
+    }
+  });
 }
 
 void FleetSoak::Run() {
@@ -92,7 +116,9 @@
     }
     std::this_thread::sleep_for(kPollInterval);
   }
-  this->EndDueFaults(end_ms + this->profile.phase_ms);
+  while (!this->faults.empty()) {
+    this->EndDueFaults(std::numeric_limits<std::int64_t>::max());
+  }
   for (const jobs::JobSpec& job : this->unaccepted) {
     this->fleet.Accept(job);
     this->accepted.push_back(job);
@@ -115,6 +141,11 @@
     const std::string state = this->fleet.StateOf(job);
     BOOST_TEST(state.empty(), job.id.str() << " was refused, is " << state);
   }
+  std::string owners;
+  for (const std::size_t owner : this->fleet.platform->Owners()) {
+    owners += " e" + std::to_string(owner);
+  }
+  BOOST_TEST_MESSAGE("owners:" + owners);
   BOOST_TEST(this->fleet.Breaches() == "");
 }
 
@@ -142,13 +173,17 @@
 }
 
 void FleetSoak::EndDueFaults(std::int64_t now_ms) {
-  std::erase_if(this->faults, [now_ms](const Fault& fault) {
-    if (fault.until_ms > now_ms) {
-      return false;
-    }
+  const auto due = std::stable_partition(
+      this->faults.begin(), this->faults.end(),
+      [now_ms](const Fault& fault) { return fault.until_ms > now_ms; });
+  // What ends may add faults.
+  std::vector<Fault> ending(std::make_move_iterator(due),
+                            std::make_move_iterator(this->faults.end()));
+  this->faults.erase(due, this->faults.end());
+  std::ranges::stable_sort(ending, {}, &Fault::until_ms);
+  for (const Fault& fault : ending) {
     fault.end();
-    return true;
-  });
+  }
 }
 
 void FleetSoak::Pause(std::size_t instance, std::int64_t length_ms) {
@@ -175,7 +210,10 @@
 }
 
 void FleetSoak::CutOff(std::size_t instance) {
-  const int length_ms = this->Draw(300, 4000);
+  this->CutOffFor(instance, this->Draw(300, 4000));
+}
+
+void FleetSoak::CutOffFor(std::size_t instance, std::int64_t length_ms) {
   this->Hold("cut " + std::to_string(instance), length_ms,
              [this, instance](bool on) {
                this->fleet.platform->CutOff(instance, on);
@@ -268,6 +306,66 @@
   this->fleet.platform->PublishConfig();
 }
 
+// Versions in quick succession; the last one is like the first.
+void FleetSoak::StormConfigs(std::size_t /*instance*/) {
+  std::int64_t at_ms = 0;
+  for (int versions = this->Draw(2, 8); versions > 0; --versions) {
+    this->AddFault(at_ms, [this] { this->MoveOrRemoveQueue(); });
+    at_ms += this->Draw(50, 600);
+  }
+  this->Hold("queues", at_ms + this->Draw(0, 6000), [this](bool on) {
+    if (!on) {
+      this->fleet.platform->With([](fake::VmModel& world, fake::KeyStore&) {
+        ++world.config.version;
+        world.config.queues.at(jobs::QueueId("q")).pool = PoolId("p");
+        world.config.queues.at(jobs::QueueId("p2")).pool = PoolId("p2");
+      });
+      this->fleet.platform->PublishConfig();
+    }
+  });
+}
+
+void FleetSoak::MoveOrRemoveQueue() {
+  const jobs::QueueId queue(this->Draw(0, 1) == 0 ? "q" : "p2");
+  const PoolId pool(this->Draw(0, 1) == 0 ? "p" : "p2");
+  const bool removed = this->Draw(0, 2) == 0;
+  this->fleet.platform->With([&](fake::VmModel& world, fake::KeyStore&) {
+    ++world.config.version;
+    world.config.queues.at(queue).pool = pool;
+  });
+  this->fleet.platform->PublishConfig(removed ? std::set<jobs::QueueId>{queue}
+                                              : std::set<jobs::QueueId>());
+}
+
+// It does not run, or the store refuses it.
+void FleetSoak::KeepFromOwning(std::size_t instance, std::int64_t length_ms) {
+  this->Draw(0, 1) == 0 ? this->Pause(instance, length_ms)
+                        : this->CutOffFor(instance, length_ms);
+}
+
+// The owner is kept from owning for longer than its lease, and then all others
+// are.
+void FleetSoak::ReturnOwner(std::size_t /*instance*/) {
+  const auto owner = this->fleet.Owner();
+  if (!owner || this->held["return"] > 0) {
+    return;
+  }
+  const int away_ms = this->Draw(2800, 6000);
+  const int others_ms = this->Draw(3000, 6000);
+  if (this->Draw(0, 3) == 0) {
+    this->EndProcess(*owner);
+  }
+  this->KeepFromOwning(*owner, away_ms);
+  this->Hold("return", away_ms + others_ms, [](bool) {});
+  this->AddFault(away_ms, [this, owner, others_ms] {
+    for (std::size_t i = 0; i < this->profile.instances; ++i) {
+      if (i != *owner) {
+        this->KeepFromOwning(i, others_ms);
+      }
+    }
+  });
+}
+
 // As after a VM's silence or an outage of the store.
 void FleetSoak::DropRegistration(std::size_t /*instance*/) {
   const std::string vm = this->RandomVm();
--- a/test/process/fleet_soak.h
+++ b/test/process/fleet_soak.h
@@ -30,6 +30,7 @@
     std::int64_t phase_ms = 14'000;   // time in which faults begin
     int endless_interval = 8;         // every such job is endless
     std::vector<std::string> queues;  // of all jobs; none: those of VmModel
+    std::int64_t lapse_ms = 0;        // of VMs, from the end of their leases
   };
 
   /*! @brief Cuts, pauses, restarts, lost calls and outages; every third seed
@@ -39,6 +40,10 @@
    * not answer, with cancelled jobs, waves, evacuations and configurations. */
   [[nodiscard]] static Profile HandOvers(std::uint64_t seed);
 
+  /*! @brief Earlier owners that own the fleet again while lasting runs of their
+   * first term go on, beside configurations that move and remove queues. */
+  [[nodiscard]] static Profile ReturningOwners(std::uint64_t seed);
+
   FleetSoak(std::uint64_t seed, Profile profile);
   void Run();
   void Check();
@@ -60,6 +65,8 @@
   void RequestWave(std::size_t instance);
   void CancelJob(std::size_t instance);
   void ChangeConfig(std::size_t instance) const;
+  void StormConfigs(std::size_t instance);
+  void ReturnOwner(std::size_t instance);
   void DropRegistration(std::size_t instance);
   void DropHistory(std::size_t instance) const;
   void DisturbMachines(std::size_t instance);
@@ -73,9 +80,13 @@
   int Draw(int low, int high);
   std::size_t RandomInstance();
   std::string RandomVm();
+  /*! @brief Calls `end` after a time, or at the end of all faults. */
   void AddFault(std::int64_t length_ms, std::function<void()> end);
   void EndDueFaults(std::int64_t now_ms);
   void Pause(std::size_t instance, std::int64_t length_ms);
+  void CutOffFor(std::size_t instance, std::int64_t length_ms);
+  void KeepFromOwning(std::size_t instance, std::int64_t length_ms);
+  void MoveOrRemoveQueue();
   /*! @brief Begins a fault that lasts until the last of those under its name
    * ends. */
   void Hold(const std::string& name,
--- a/test/process/fleet_soak_test.cc
+++ b/test/process/fleet_soak_test.cc
@@ -41,5 +41,12 @@
   Soak("KCH_HANDOVER_SEEDS", 1, 1, &FleetSoak::HandOvers);
 }
 
+// Guards against two runs of a task at once when an earlier owner owns the
+// fleet again while its runs go on and configurations move queues (issue 54).
+// KCH_RETURN_SEEDS=FIRST-LAST sets the seeds of a long run.
+BOOST_AUTO_TEST_CASE(ReturningOwnersRepeatNothing) {
+  Soak("KCH_RETURN_SEEDS", 1, 1, &FleetSoak::ReturningOwners);
+}
+
 }  // namespace
 }  // namespace kch::test
