--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -417,6 +417,39 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against two runs at once after a queue has led to another pool and
+// back: the next owner has started since, and a VM of that pool is silent.
+BOOST_AUTO_TEST_CASE(TasksOfAQueueThatLedElsewhereBeforeAStartAreHeldBack) {
+  PlatformFleet fleet(1, {.vms = 2, .addresses = 1, .pools = {"p", "p2"}});
+  const auto silence = [&fleet](const std::string& silent) {
+    fleet.platform->With([&silent](fake::VmModel& world, fake::KeyStore&) {
+      for (auto& [id, vm] : world.vms) {
+        vm->unresponsive = id == silent;
+      }
+    });
+  };
+  const auto lead_to = [&fleet](const std::string& pool) {
+    fleet.platform->With([&pool](fake::VmModel& world, fake::KeyStore&) {
+      world.config.queues.at(jobs::QueueId("q")).pool = PoolId(pool);
+      ++world.config.version;
+    });
+    fleet.platform->PublishConfig();
+  };
+  silence("vm0");
+  jobs::JobSpec job = PlainJob("1", 1, 60'000);
+  job.steps[0].endless = true;
+  fleet.Accept(job);
+  lead_to("p2");
+  fleet.WaitFor("its run", [&] { return fleet.starts() > 0; });
+  fleet.Signal(0, SIGKILL);
+  fleet.WaitForExit(0);
+  silence("vm1");
+  lead_to("p");
+  fleet.Restart(0);
+  fleet.WaitFor("another run", [&] { return fleet.starts() > 1; });
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 // Guards against an owner that goes on while the store refuses it alone, and
 // against its successor starting its work again.
 BOOST_AUTO_TEST_CASE(OwnerCutFromTheStoreIsReplaced) {
