Take in the record of an ended job in one place

ReadEndedJob decoded, added and reported a record as the reading of all ended jobs does; OnEndedJob serves both. An unreadable record is now reported only by a process that still owns the fleet, as in the other reading.

--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -170,6 +170,7 @@
   void OnVmItem(const platform::Item& item);
   void FinishTakeover();
   void ReadEndedJobs(std::uint64_t fence, const std::string& after);
+  void OnEndedJob(const platform::Item& item);
 
   void Perform(std::vector<lead::Effect> decided);
   void Perform(std::vector<jobs::Effect> decided);
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -539,19 +539,10 @@
         const bool found = reply.outcome == Outcome::kOk;
         net::LogEvent("stray_job", {{"job", job.str()},
                                     {"ended", found ? "yes" : "unknown"}});
-        if (!found) {
-          return;
-        }
-        const auto view = jobs::DecodeEnded(reply.item.value);
-        if (!view) {
-          net::LogEvent("job_unreadable",
-                        {{"job", job.str()}, {"error", view.error().Text()}});
-          return;
+        if (found) {
+          driver.PostFor(
+              fence, [&driver, item = reply.item] { driver.OnEndedJob(item); });
         }
-        driver.PostFor(fence, [&driver, job, view = *view,
-                               revision = reply.item.revision] {
-          driver.scheduler->AddEnded(job, view, revision, Now());
-        });
       });
 }
 
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -356,6 +356,16 @@
   this->scheduler->SetVm(*vm, Now());
 }
 
+void Driver::OnEndedJob(const platform::Item& item) {
+  const jobs::JobId job(item.key.substr(kEndedJobPrefix.size()));
+  if (const auto view = jobs::DecodeEnded(item.value)) {
+    this->scheduler->AddEnded(job, *view, item.revision, Now());
+  } else {
+    net::LogEvent("job_unreadable",
+                  {{"job", job.str()}, {"error", view.error().Text()}});
+  }
+}
+
 // Ended jobs only wait for their erasure, so they are read when there is time:
 // one page after the other with a pause.
 void Driver::ReadEndedJobs(std::uint64_t by, const std::string& after) {
@@ -364,13 +374,7 @@
       [this, by, after](const platform::ListReply& reply) {
         this->PostFor(by, [this, by, after, reply] {
           for (const platform::Item& item : reply.items) {
-            const jobs::JobId job(item.key.substr(kEndedJobPrefix.size()));
-            if (const auto view = jobs::DecodeEnded(item.value)) {
-              this->scheduler->AddEnded(job, *view, item.revision, Now());
-            } else {
-              net::LogEvent("job_unreadable", {{"job", job.str()},
-                                               {"error", view.error().Text()}});
-            }
+            this->OnEndedJob(item);
           }
           const bool answered = reply.outcome == platform::Outcome::kOk;
           if (answered && (!reply.more || reply.items.empty())) {
