--- /dev/null
+++ b/review/standin-2/cases.cc
@@ -0,0 +1,171 @@
+#include "review/standin-2/cases.h"
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
+namespace review {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::this_thread::sleep_for;
+
+constexpr int kCouldNotRun = 2;
+
+// Waits until a condition on the platform holds.
+template <typename F>
+bool WaitFor(Platform& platform, int ms, const F& holds) {
+  for (int waited = 0; waited < ms; waited += 10) {
+    if (platform.With(holds)) {
+      return true;
+    }
+    sleep_for(milliseconds(10));
+  }
+  return false;
+}
+
+std::string JobBody(const std::string& spec, int count, int cpu, int mem_mb,
+                    int estimate_ms) {
+  return json{{"Spec", spec},
+              {"Steps",
+               {{{"Count", count},
+                 {"Cpu", cpu},
+                 {"MemMb", mem_mb},
+                 {"EstimateMs", estimate_ms}}}}}
+      .dump();
+}
+
+// Asks until the job has ended; the last state that was shown.
+std::string AwaitEnd(const std::string& front, const std::string& path,
+                     int seconds, Record& record) {
+  std::string state;
+  for (int i = 0; i < seconds * 2; ++i) {
+    const Answer answer = CallFront(front, "GET", path, "", record);
+    if (answer.status == 200) {
+      state = json::parse(answer.body).value("State", "");
+      if (state == "completed" || state == "failed" || state == "cancelled") {
+        break;
+      }
+    }
+    sleep_for(milliseconds(500));
+  }
+  return state;
+}
+
+int Judge(Platform& platform, Record& record) {
+  return platform.With([&record](Platform& p) {
+    record.Line(std::to_string(p.starts) + " starts, " +
+                std::to_string(p.breaks.size()) + " breaks of the rule");
+    return p.breaks.empty() ? 0 : 1;
+  });
+}
+
+}  // namespace
+
+// 600 tasks of a job run on one VM, 4 s each; a longer task takes part of
+// another VM. The process that owns the fleet is
+// killed as they are about to end, so that no one takes note of their ends until
+// another process has taken over.
+int PlayEnds(Setting& setting) {
+  Record& record = setting.record;
+  const Options options{.vms = 3};
+  Platform platform(options, record);
+  PublishConfig(platform, options, 3);
+  Processes processes(3, setting.program, setting.logs, platform.address(),
+                      options, record);
+  if (!processes.WaitUntilReady(10)) {
+    return kCouldNotRun;
+  }
+  sleep_for(milliseconds(4000));  // an owner has taken over
+  const std::size_t owner = processes.Owner(platform);
+  if (owner == processes.size()) {
+    return kCouldNotRun;
+  }
+  const std::size_t other = (owner + 1) % processes.size();
+  constexpr int tasks = 600;
+  const std::string path = "/q/00000000000000a1";
+  const Answer accepted =
+      CallFront(processes.Front(other), "POST", path,
+                JobBody("ms=4000", tasks, 100, 150, 4000), record);
+  if (accepted.status != 200 ||
+      !WaitFor(platform, 3500, [](Platform& p) { return p.starts >= tasks; })) {
+    record.Line("the tasks did not start in time");
+    return kCouldNotRun;
+  }
+  if (CallFront(processes.Front(other), "POST", "/q/00000000000000a2",
+                JobBody("ms=30000", 1, 30000, 4000, 30000), record)
+          .status != 200) {
+    return kCouldNotRun;
+  }
+  if (setting.trouble) {
+    const std::int64_t due_ms =
+        platform.With([](Platform& p) { return p.first_start_ms; }) + 3800;
+    sleep_for(milliseconds(
+        std::max<std::int64_t>(0, due_ms - record.ElapsedMs())));
+    processes.Kill(owner);
+    sleep_for(milliseconds(3000));  // the machine is dark for 3 s
+    processes.Start(owner);
+  }
+  const std::string state =
+      AwaitEnd(processes.Front(other), path, 20, record);
+  sleep_for(milliseconds(1500));
+  if (state != "completed") {
+    record.Line("the job is shown as '" + state + "'");
+  }
+  return Judge(platform, record);
+}
+
+// A task that can never be done fails on a VM that is cut off just after it has
+// accepted the task.
+int PlayBudget(Setting& setting) {
+  Record& record = setting.record;
+  const Options options{.vms = 6, .max_attempts = 2};
+  Platform platform(options, record);
+  PublishConfig(platform, options, 3);
+  Processes processes(3, setting.program, setting.logs, platform.address(),
+                      options, record);
+  if (!processes.WaitUntilReady(10)) {
+    return kCouldNotRun;
+  }
+  sleep_for(milliseconds(4000));
+  const std::string path = "/q/00000000000000b1";
+  std::string cut;  // used on the platform's thread
+  if (setting.trouble) {
+    platform.With([&](Platform& p) {
+      p.on_start = [&](Vm& vm, const std::string& task, std::int64_t run) {
+        if (cut.empty() && run == 1) {
+          cut = vm.id;
+          (void)task;
+        }
+      };
+    });
+  }
+  const Answer accepted =
+      CallFront(processes.Front(0), "POST", path,
+                JobBody("fail=150", 1, 1000, 500, 500), record);
+  if (accepted.status != 200) {
+    return kCouldNotRun;
+  }
+  if (setting.trouble) {
+    if (!WaitFor(platform, 3000, [&](Platform&) { return !cut.empty(); })) {
+      return kCouldNotRun;
+    }
+    sleep_for(milliseconds(30));  // the answer to the start arrives
+    platform.With([&](Platform& p) {
+      p.vms.at(cut).cut = true;
+      record.Line("cut     " + cut + " is cut off");
+    });
+    sleep_for(milliseconds(5500));
+    platform.With([&](Platform& p) {
+      p.vms.at(cut).cut = false;
+      record.Line("cut     " + cut + " is reached again");
+    });
+  }
+  const std::string state = AwaitEnd(processes.Front(0), path, 10, record);
+  sleep_for(milliseconds(2500));
+  record.Line("the job is shown as '" + state + "'");
+  return Judge(platform, record);
+}
+
+}  // namespace review
