Show that no process claims the fleet after lost claims and reads (review case 7)

Cause: a claim without an answer is verified by one read; without an answer to that, the process waits for a change that no one is left to make. Change: a script that loses the owner's machine under a slow store, which then goes down for 4.5 s; the stand-in's store can be slow and silent.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 harness=../../target/review-2/harness
 [ -x "$harness" ] && [ -x ../../target/kch-fleet ] || exit 2
-exec timeout -s KILL 110 "$harness" budget "$PWD" "$PWD/../../target/kch-fleet"
+exec timeout -s KILL 110 "$harness" claim "$PWD" "$PWD/../../target/kch-fleet"
--- a/review/standin-2/cases.cc
+++ b/review/standin-2/cases.cc
@@ -168,4 +168,142 @@
   return Judge(platform, record);
 }
 
+// The machine of the owner is lost for good while the store is slow, and the
+// store is down for some seconds while the others try to take over.
+int PlayClaim(Setting& setting) {
+  Record& record = setting.record;
+  const Options options{.vms = 3};
+  Platform platform(options, record);
+  PublishConfig(platform, options, 3);
+  Processes processes(6, setting.program, setting.logs, platform.address(),
+                      options, record);
+  if (!processes.WaitUntilReady(10)) {
+    return kCouldNotRun;
+  }
+  sleep_for(milliseconds(4000));
+  const std::size_t owner = processes.Owner(platform);
+  if (owner == processes.size()) {
+    return kCouldNotRun;
+  }
+  const std::size_t other = (owner + 1) % processes.size();
+  if (setting.trouble) {
+    platform.With([&](Platform& p) {
+      p.store_time = milliseconds(360);
+      record.Line("store   is slow: 360 ms an answer");
+    });
+    sleep_for(milliseconds(1000));
+    processes.Kill(owner);
+    if (!WaitFor(platform, 4000, [](Platform& p) {
+          return !p.store.Value("kch/owner").has_value();
+        })) {
+      return kCouldNotRun;
+    }
+    record.Line("store   the owner's record is gone");
+    sleep_for(milliseconds(600));
+    platform.With([&](Platform& p) {
+      p.SetStoreSilent(true);
+      p.store_time = milliseconds(4);
+      record.Line("store   is down, silent");
+    });
+    sleep_for(milliseconds(4500));
+    platform.With([&](Platform& p) {
+      p.SetStoreSilent(false);
+      record.Line("store   is back, 4 ms an answer");
+    });
+  } else {
+    processes.Kill(owner);
+    sleep_for(milliseconds(6000));
+  }
+  sleep_for(milliseconds(12000));  // RecoveryS
+  const std::string path = "/q/00000000000000c1";
+  const Answer accepted = CallFront(processes.Front(other), "POST", path,
+                                    JobBody("ms=500", 3, 1000, 500, 500),
+                                    record);
+  if (accepted.status != 200) {
+    return kCouldNotRun;
+  }
+  const std::string state = AwaitEnd(processes.Front(other), path, 20, record);
+  record.Line("the job is shown as '" + state + "' after 20 s");
+  const auto owned = platform.With(
+      [](Platform& p) { return p.store.Value("kch/owner").has_value(); });
+  record.Line(owned ? "a process owns the fleet" : "no process owns the fleet");
+  if (state != "completed") {
+    platform.With([](Platform& p) {
+      p.breaks.push_back(
+          "LOST: an accepted job has had nothing running for 3 s");
+    });
+  }
+  return Judge(platform, record);
+}
+
+// Two of 84 jobs that last can never be done. Later, others that can are handed
+// in.
+int PlayEject(Setting& setting) {
+  Record& record = setting.record;
+  const Options options{.vms = 9, .max_attempts = 3};
+  Platform platform(options, record);
+  PublishConfig(platform, options, 3);
+  Processes processes(3, setting.program, setting.logs, platform.address(),
+                      options, record);
+  if (!processes.WaitUntilReady(10)) {
+    return kCouldNotRun;
+  }
+  sleep_for(milliseconds(4000));
+  const auto body = [](const std::string& spec) {
+    return json{{"Spec", spec},
+                {"Steps",
+                 {{{"Count", 1},
+                   {"Cpu", 500},
+                   {"MemMb", 256},
+                   {"EstimateMs", 500},
+                   {"LongRunning", true}}}}}
+        .dump();
+  };
+  const auto id = [](int number) {
+    std::string text = std::to_string(number);
+    return std::string(16 - text.size(), '0') + text;
+  };
+  constexpr int jobs = 84;
+  for (int i = 0; i < jobs; ++i) {
+    const bool hopeless = setting.trouble && (i == 20 || i == 60);
+    if (CallFront(processes.Front(0), "POST", "/q/" + id(i),
+                  body(hopeless ? "fail=150 lasts" : "lasts"), record)
+            .status != 200) {
+      return kCouldNotRun;
+    }
+    sleep_for(milliseconds(20));
+  }
+  sleep_for(milliseconds(25000));
+  std::map<std::string, std::int64_t> accepted;
+  constexpr int later_jobs = 12;
+  for (int i = 0; i < later_jobs; ++i) {
+    const std::string job = id(1000 + i);
+    if (CallFront(processes.Front(1), "POST", "/q/" + job, body("lasts"),
+                  record)
+            .status != 200) {
+      return kCouldNotRun;
+    }
+    accepted[job] = record.ElapsedMs();
+    sleep_for(milliseconds(2000));
+  }
+  sleep_for(milliseconds(13000));
+  platform.With([&](Platform& p) {
+    for (const auto& [job, at] : accepted) {
+      const auto start = p.first_start.find(job);
+      const std::int64_t waited =
+          (start == p.first_start.end() ? record.ElapsedMs() : start->second) -
+          at;
+      record.Line("job " + job + " waited " + std::to_string(waited) +
+                  " ms for its first start");
+      if (waited > 3000) {
+        const std::string text = "LOST: " + job + " had nothing running for " +
+                                 std::to_string(waited) + " ms";
+        p.breaks.push_back(text);
+        record.Line(text);
+      }
+    }
+  });
+  return Judge(platform, record);
+}
+
 }  // namespace review
--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -14,6 +14,8 @@
 
 int PlayEnds(Setting& setting);
 int PlayBudget(Setting& setting);
+int PlayClaim(Setting& setting);
+int PlayEject(Setting& setting);
 
 }  // namespace review
 
--- a/review/standin-2/main.cc
+++ b/review/standin-2/main.cc
@@ -13,6 +13,8 @@
   const std::map<std::string, std::function<int(Setting&)>> cases{
       {"ends", review::PlayEnds},
       {"budget", review::PlayBudget},
+      {"claim", review::PlayClaim},
+      {"eject", review::PlayEject},
   };
   if (argc != 4 || !cases.contains(argv[1])) {
     std::cerr << "usage: harness CASE FOLDER PROGRAM\n";
--- a/review/standin-2/platform.cc
+++ b/review/standin-2/platform.cc
@@ -44,7 +44,10 @@
 }
 
 Platform::Platform(const Options& options, Record& record)
-    : options(options), record(record), timer(loop.context()) {
+    : store_time(kStoreTime),
+      options(options),
+      record(record),
+      timer(loop.context()) {
   auto listening = kch::net::HttpServer::Create(
       {.threads = 1}, [this](const HttpRequest& request, const auto& reply) {
         this->loop.Post([this, request, reply] {
@@ -95,6 +98,11 @@
   this->store.Put(key, value.dump());
 }
 
+void Platform::SetStoreSilent(bool silent) {
+  this->store_silent = silent;
+  this->store.SetDown(silent);
+}
+
 void Platform::Register(Vm& vm) {
   this->Put("servers/" + vm.id,
             {{"Service", "p"},
@@ -167,7 +175,7 @@
       ends.emplace_back(task, "lapsed");
     } else if (run.stops_ms != 0 && clock >= run.stops_ms) {
       ends.emplace_back(task, "stopped");
-    } else if (!run.lasts && clock >= run.ends_ms) {
+    } else if ((!run.lasts || run.fails) && clock >= run.ends_ms) {
       ends.emplace_back(task, run.fails ? "failed" : "done");
     }
   }
@@ -279,6 +287,8 @@
                    .ends_ms = vm.ClockMs(now) + work_ms,
                    .fails = fail_ms > 0,
                    .lasts = spec.find("lasts") != std::string::npos};
+  this->first_start.try_emplace(task.substr(0, task.find('.')),
+                                this->record.ElapsedMs());
   if (this->starts++ == 0) {
     this->first_start_ms = this->record.ElapsedMs();
   }
@@ -391,13 +401,17 @@
   }
   const std::string call = request.path.substr(kCommonPath.size());
   if (call.starts_with("kv-")) {
-    this->store.Handle(
-        call, request,
-        [this, reply](const kch::net::HttpResponse& response) {
-          this->later.emplace(Now() + kStoreTime,
-                              [reply, response] { reply(response); });
-        },
-        Now());
+    if (this->store_silent) {
+      this->silent.push_back(reply);
+      return;
+    }
+    this->later.emplace(Now() + this->store_time, [this, call, request, reply] {
+      if (this->store_silent) {
+        this->silent.push_back(reply);
+      } else {
+        this->store.Handle(call, request, reply, Now());
+      }
+    });
   } else if (call == "machines") {
     json rows = json::array();
     for (const auto& [id, vm] : this->vms) {
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -1,7 +1,7 @@
 #ifndef REVIEW_STANDIN_2_PLATFORM_H_
 #define REVIEW_STANDIN_2_PLATFORM_H_
 
-#include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <fstream>
@@ -100,6 +100,11 @@
   // Used on the platform's thread only.
   std::map<std::string, Vm> vms;
   kch::fake::KeyStore store;
+  // The store carries out a call, and answers it, after this time.
+  std::chrono::milliseconds store_time;
+  /*! @brief The store answers nobody, carries out nothing and cuts off watches,
+   * or serves again. Leases run out meanwhile. */
+  void SetStoreSilent(bool silent);
   std::vector<std::string> breaks;  // of rules
   std::int64_t starts = 0;
   std::int64_t first_start_ms = 0;  // as in the record
@@ -111,6 +116,7 @@
     std::set<std::string> unacknowledged;
   };
   std::map<std::string, Failures> failures;
+  std::map<std::string, std::int64_t> first_start;  // by job, as in the record
   // Called after a start was carried out and answered.
   std::function<void(Vm&, const std::string& task, std::int64_t run)> on_start;
   void Put(const std::string& key, const nlohmann::json& value);
@@ -144,8 +150,9 @@
   Record& record;
   std::vector<Waiting> holds;
   std::vector<kch::net::HttpReply> silent;  // calls that get no answer
-  // Answers of the store that are on their way.
+  // Calls to the store that are on their way.
   std::multimap<kch::Time, std::function<void()>> later;
+  bool store_silent = false;
   kch::Time next_heartbeat;
   kch::fake::EventLoop loop;
   asio::steady_timer timer;
