--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -13,9 +13,9 @@
 };
 
 int PlayEnds(Setting& setting);
-int PlayBudget(Setting& setting);
 int PlayClaim(Setting& setting);
 int PlayEject(Setting& setting);
+int PlayLate(Setting& setting);
 
 }  // namespace review
 
--- a/review/standin-2/main.cc
+++ b/review/standin-2/main.cc
@@ -12,9 +12,9 @@
   using review::Setting;
   const std::map<std::string, std::function<int(Setting&)>> cases{
       {"ends", review::PlayEnds},
-      {"budget", review::PlayBudget},
       {"claim", review::PlayClaim},
       {"eject", review::PlayEject},
+      {"late", review::PlayLate},
   };
   if (argc != 4 || !cases.contains(argv[1])) {
     std::cerr << "usage: harness CASE FOLDER PROGRAM\n";
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -65,6 +65,7 @@
   std::map<std::string, std::int64_t> refused;  // runs up to here are refused
   std::deque<End> ended;                        // not acknowledged
   std::int64_t last_end = 0;
+  kch::Time next_heartbeat;
   bool cut = false;  // partitioned from all machines of the system
   bool up = true;
   std::int64_t sequence = 0;
@@ -85,7 +86,7 @@
 };
 
 /*! @brief The platform's store, machine list and VMs on loopback, and the check
- * of the rules TWICE and BUDGET from what the VMs see. */
+ * of rule TWICE from what the VMs see. */
 class Platform {
  public:
   Platform(const Options& options, Record& record);
@@ -108,17 +109,26 @@
   std::vector<std::string> breaks;  // of rules
   std::int64_t starts = 0;
   std::int64_t first_start_ms = 0;  // as in the record
-  // Runs of a task that have ended `failed`, and of these the ones that were
-  // acknowledged, by VM.
-  struct Failures {
-    int ended = 0;
-    int ended_at_last_start = 0;
-    std::set<std::string> unacknowledged;
-  };
-  std::map<std::string, Failures> failures;
   std::map<std::string, std::int64_t> first_start;  // by job, as in the record
   // Called after a start was carried out and answered.
   std::function<void(Vm&, const std::string& task, std::int64_t run)> on_start;
+  // Called for each call to a VM that is up; true if it has taken the call.
+  std::function<bool(Vm&,
+                     const std::string& call,
+                     const kch::net::HttpRequest&,
+                     const kch::net::HttpReply&)>
+      intercept;
+  /*! @brief Carries a call out at a VM, as it is at that time. */
+  void Execute(const std::string& id,
+               const kch::net::HttpRequest& request,
+               const kch::net::HttpReply& reply);
+  /*! @brief The VM goes dark, and its runs end. */
+  void Crash(Vm& vm);
+  /*! @brief It starts again under its id, and writes its first heartbeat after
+   * `beat_ms`. */
+  void Restart(Vm& vm, int beat_ms);
+  /*! @brief Runs a function later on the platform's thread. */
+  void After(int ms, std::function<void()> action);
   void Put(const std::string& key, const nlohmann::json& value);
 
  private:
@@ -153,7 +163,6 @@
   // Calls to the store that are on their way.
   std::multimap<kch::Time, std::function<void()>> later;
   bool store_silent = false;
-  kch::Time next_heartbeat;
   kch::fake::EventLoop loop;
   asio::steady_timer timer;
   std::unique_ptr<kch::net::HttpServer> shared;
--- a/review/standin-2/processes.cc
+++ b/review/standin-2/processes.cc
@@ -7,6 +7,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <stdexcept>
@@ -19,6 +21,18 @@
 
 using nlohmann::json;
 
+// Processes to end if this one is ended or takes too long.
+std::array<std::atomic<pid_t>, 16> children{};
+
+void EndAll(int /*signal*/) {
+  for (const auto& child : children) {
+    if (child != 0) {
+      kill(child, SIGKILL);
+    }
+  }
+  _exit(2);
+}
+
 int FreePort() {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
@@ -63,6 +77,11 @@
                           .peers = FreePort(),
                           .bus = FreePort()});
   }
+  constexpr unsigned longest_s = 115;
+  std::signal(SIGTERM, &EndAll);
+  std::signal(SIGINT, &EndAll);
+  std::signal(SIGALRM, &EndAll);
+  alarm(longest_s);
   for (std::size_t i = 0; i < count; ++i) {
     this->Start(i);
   }
@@ -113,6 +132,7 @@
     throw std::runtime_error("cannot start " + this->program);
   }
   posix_spawn_file_actions_destroy(&actions);
+  children.at(index) = row.pid;
   this->record.Line("process " + row.name + " started");
 }
 
@@ -121,6 +141,7 @@
   kill(row.pid, SIGKILL);
   waitpid(row.pid, nullptr, 0);
   row.pid = 0;
+  children.at(index) = 0;
   this->record.Line("process " + row.name + " killed");
 }
 
