--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -129,6 +129,14 @@
                  {"queue_ms", std::to_string(ToMs(now - answered))}});
 }
 
+// A process that has not come to own the fleet tells by these how far it got.
+void LogClaimCall(std::string_view call, Outcome outcome, Time sent) {
+  net::LogEvent("claim_call",
+                {{"call", std::string(call)},
+                 {"outcome", std::string(NameOf(AnswerOf(outcome)))},
+                 {"call_ms", std::to_string(ToMs(Now() - sent))}});
+}
+
 // A write of the owner takes effect only while it owns the fleet.
 platform::Transaction OwnersTransaction(std::uint64_t fence) {
   platform::Transaction transaction;
@@ -281,8 +289,9 @@
 
 void LeadEffectVisitor::operator()(const lead::CreateLease& /*effect*/) const {
   this->driver.parts.lease_store.CreateLease(
-      ToMs(lead::kOwnerLease),
-      [&driver = this->driver](const platform::LeaseReply& reply) {
+      ToMs(lead::kOwnerLease), [&driver = this->driver, sent = Now()](
+                                   const platform::LeaseReply& reply) {
+        LogClaimCall("create_lease", reply.outcome, sent);
         driver.Post([&driver, reply] {
           driver.ownership.OnLease(AnswerOf(reply.outcome), reply.lease, Now());
         });
@@ -297,8 +306,9 @@
       {std::string(kOwnerKey), lead::Encode(effect.record), effect.lease});
   this->driver.parts.lease_store.Write(
       transaction, kClaimTimeoutMs,
-      [&driver = this->driver,
-       lease = effect.lease](const platform::WriteReply& reply) {
+      [&driver = this->driver, lease = effect.lease,
+       sent = Now()](const platform::WriteReply& reply) {
+        LogClaimCall("write_record", reply.outcome, sent);
         driver.Post([&driver, lease, reply] {
           driver.ownership.OnClaim(lease, AnswerOf(reply.outcome),
                                    reply.revision, Now());
@@ -310,7 +320,8 @@
 void LeadEffectVisitor::operator()(const lead::ReadRecord& /*effect*/) const {
   this->driver.parts.lease_store.List(
       std::string(kOwnerKey), "",
-      [&driver = this->driver](const platform::ListReply& reply) {
+      [&driver = this->driver, sent = Now()](const platform::ListReply& reply) {
+        LogClaimCall("read_record", reply.outcome, sent);
         if (reply.outcome != Outcome::kOk) {
           return;  // the view of the record brings it
         }
