--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -323,7 +323,8 @@
       [&driver = this->driver, sent = Now()](const platform::ListReply& reply) {
         LogClaimCall("read_record", reply.outcome, sent);
         if (reply.outcome != Outcome::kOk) {
-          return;  // the view of the record brings it
+          driver.Post([&driver] { driver.ownership.OnRecordUnread(Now()); });
+          return;
         }
         const auto found =
             std::ranges::find(reply.items, kOwnerKey, &platform::Item::key);
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -350,6 +350,14 @@
   }
 }
 
+// The record of a claim that has not taken effect does not change, so no news
+// of it follows that would end the wait.
+void Ownership::OnRecordUnread(Time now) {
+  if (this->state == State::kVerifyingClaim) {
+    this->next_read = now + kClaimRetryInterval;
+  }
+}
+
 void Ownership::OnLease(StoreCallResult result, std::uint64_t id, Time now) {
   if (this->state != State::kCreatingLease) {
     if (result == StoreCallResult::kOk) {
@@ -389,6 +397,7 @@
       break;
     case StoreCallResult::kUnknown:
       this->state = State::kVerifyingClaim;
+      this->next_read.reset();
       this->effects.emplace_back(ReadRecord{});
       break;
     case StoreCallResult::kRefused:
@@ -504,6 +513,11 @@
     this->lease_sent = now;
     this->effects.emplace_back(CreateLease{});
   }
+  if (this->state == State::kVerifyingClaim && this->next_read &&
+      now >= *this->next_read) {
+    this->next_read.reset();
+    this->effects.emplace_back(ReadRecord{});
+  }
   // A renewal without an answer counts as failed, but stays open: one that is
   // answered while the lease that it gave lasts still counts.
   if (this->state == State::kOwner && this->renewing &&
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -51,7 +51,8 @@
  * as long after its lease if its record may still be seen. */
 inline constexpr Duration kHandoverPause =
     kFollowerLease + kFollowerLeaseMargin;
-/*! @brief Delay before a failed claim is repeated. */
+/*! @brief Delay before a failed claim, or the read that verifies one, is
+ * repeated. */
 inline constexpr Duration kClaimRetryInterval = std::chrono::milliseconds(250);
 /*! @brief Delay of a candidate with one CPU core; see CandidateDelay. */
 inline constexpr Duration kCandidateDelay = std::chrono::milliseconds(20);
@@ -115,7 +116,8 @@
   std::uint64_t expected_revision = 0;
   OwnerRecord record;
 };
-/*! @brief Effect: read the owner record, as after a claim without a reply. */
+/*! @brief Effect: read the owner record, as after a claim without a reply; then
+ * call OnRecord or OnRecordUnread. */
 struct ReadRecord {};
 /*! @brief Effect: renew a lease. The answer counts until kOwnerLease after
  * `sent`. */
@@ -188,6 +190,8 @@
   bool OnRecord(const std::optional<OwnerRecord>& observed,
                 std::uint64_t seen_at,
                 Time now);
+  /*! @brief ReadRecord had no reply. */
+  void OnRecordUnread(Time now);
   /*! @brief CreateLease has returned. */
   void OnLease(StoreCallResult result, std::uint64_t lease, Time now);
   /*! @brief ClaimRecord under `lease` has returned; `revision` is that of the
@@ -314,7 +318,8 @@
   Time handed_on_until;  // the part of it that the owner before has handed on
   FollowerLeases follower_leases;
   Time next_claim;
-  bool claim_scheduled = false;  // next_claim is set
+  bool claim_scheduled = false;   // next_claim is set
+  std::optional<Time> next_read;  // of the record, to verify a claim
   std::uint64_t lease = 0;
   Time lease_sent;
   Time valid_until;
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -102,6 +102,28 @@
   BOOST_TEST(ownership.fence() == 51);
 }
 
+// Guards against a fleet without an owner: a claim and the read after it had no
+// reply, and nothing asked for the record again.
+BOOST_AUTO_TEST_CASE(ClaimIsReadBackUntilTheStoreReplies) {
+  ownership.OnRecord(std::nullopt, 30, now);
+  After(20);
+  ownership.OnLease(StoreCallResult::kOk, kLease, now);
+  ownership.OnClaim(kLease, StoreCallResult::kUnknown, 0, now);
+  static_cast<void>(ownership.TakeEffects());
+  for (int lost = 0; lost < 3; ++lost) {
+    BOOST_TEST(After(1000).empty());  // one read at a time
+    ownership.OnRecordUnread(now);
+    const auto effects = After(ToMs(kClaimRetryInterval));
+    BOOST_TEST(effects.size() == 1U);
+    BOOST_TEST(Find<ReadRecord>(effects) != nullptr);
+  }
+  ownership.OnRecord(std::nullopt, 30, now);
+  BOOST_TEST(Find<EndLease>(ownership.TakeEffects()) != nullptr);
+  BOOST_TEST(Find<CreateLease>(After(20)) != nullptr);
+  ownership.OnRecordUnread(now);  // of no claim
+  BOOST_TEST(After(1000).empty());
+}
+
 // Guards against an owner that stops although the store is unavailable, so that
 // no successor can take over.
 BOOST_AUTO_TEST_CASE(RemainsOwnerWhileTheStoreIsUnavailable) {
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -477,6 +477,39 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against a fleet without an owner, and accepted jobs that wait for
+// good: the claims of all processes and the reads that verify them had no
+// answer.
+BOOST_AUTO_TEST_CASE(FleetIsClaimedAgainAfterLostClaimsAndReads) {
+  PlatformFleet fleet;
+  const std::size_t killed = fleet.WaitForOwner();
+  fleet.Signal(killed, SIGKILL);
+  fleet.WaitForExit(killed);
+  constexpr int processes = 2;
+  std::atomic<int> claims = 0;
+  std::atomic<int> reads = 0;
+  fleet.platform->SetFaults(
+      [&claims, &reads](const std::string& call, const std::string& body) {
+        const bool of_owner = body.find("kch/owner") != std::string::npos;
+        if (call == "store/kv-txn" && of_owner && claims < processes) {
+          ++claims;
+          return CallFault::kLoseCall;
+        }
+        if (call == "store/kv-range" && of_owner && reads < processes) {
+          ++reads;
+          return CallFault::kLoseCall;
+        }
+        return CallFault::kNone;
+      });
+  fleet.WaitFor("the loss of claims and reads",
+                [&] { return claims == processes && reads == processes; });
+  const jobs::JobSpec job = ChainJob("a");
+  fleet.Accept(job);
+  fleet.WaitForCompleted({job});
+  fleet.platform->SetFaults({});
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 // Guards against a job that was accepted and is forgotten when every process
 // ends right after the answer.
 BOOST_AUTO_TEST_CASE(AcceptedJobsSurviveTheEndOfAllProcesses) {
