--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -261,7 +261,8 @@
   std::int64_t clock_ms = 0;  // the VM's clock
   std::int64_t boot_ms = 0;   // 0: not reported
   std::vector<RunningRow> running;
-  std::vector<EndedRow> ended;
+  std::vector<EndedRow> ended;  // the earliest that are not acknowledged
+  bool more_ends = false;       // `ended` may leave later ones out
 };
 
 }  // namespace kch::jobs
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -66,6 +66,13 @@
   vm->reported = true;
   ++vm->report_count;
   this->LogOutlivedLease(*vm, report);
+  if (report.more_ends) {
+    this->EmitLogEvent("ends_left_out",
+                       {{"vm", id.str()},
+                        {"listed", std::to_string(report.ended.size())},
+                        {"last", std::to_string(report.ended.back().number)},
+                        {"runs", std::to_string(vm->runs.size())}});
+  }
   this->HandleEnds(*vm, report, now);
   for (const RunningRow& row : report.running) {
     this->HandleRunning(*vm, row, now);
--- a/src/wire/relay_codec.cc
+++ b/src/wire/relay_codec.cc
@@ -133,6 +133,7 @@
     this->to.set_outcome(ToNumber(reply.outcome));
     this->to.set_clock_ms(reply.report.clock_ms);
     this->to.set_boot_ms(reply.report.boot_ms);
+    this->to.set_more_ends(reply.report.more_ends);
     for (const jobs::RunningRow& row : reply.report.running) {
       RunningRow& put = *this->to.add_running();
       put.set_task(row.task);
@@ -157,9 +158,10 @@
   if (!outcome) {
     return std::nullopt;
   }
-  PollReply reply{
-      .outcome = *outcome,
-      .report = {.clock_ms = from.clock_ms(), .boot_ms = from.boot_ms()}};
+  PollReply reply{.outcome = *outcome,
+                  .report = {.clock_ms = from.clock_ms(),
+                             .boot_ms = from.boot_ms(),
+                             .more_ends = from.more_ends()}};
   for (const RunningRow& row : from.running()) {
     reply.report.running.push_back({.task = row.task(),
                                     .run = row.run(),
--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -335,6 +335,27 @@
              R"({"FencingToken":9,"LastSeen":57,"UntilMs":900,"WaitMs":10})");
 }
 
+// Guards against a list of 500 ends that is taken for all of them.
+BOOST_AUTO_TEST_CASE(FullListsOfEndsMayLeaveSomeOut) {
+  constexpr int full = 500;
+  for (const int ends : {full - 1, full}) {
+    Stand stand;
+    std::string rows;
+    for (int i = 1; i <= ends; ++i) {
+      rows += (i > 1 ? ",[" : "[") + std::to_string(i) + R"(,"0a.0.0.)" +
+              std::to_string(i) + R"(",1,"done",""])";
+    }
+    stand.Answer("hold", 200,
+                 R"({"ClockMs": 5, "Running": [], "Ended": [)" + rows + "]}");
+    VmClient vms(*stand.client);
+    Waiter<PollReply> waiter;
+    vms.Look({.to = {VmId("i-1"), stand.Address()}}, 9, waiter.Callback());
+    const PollReply reply = waiter.Wait();
+    BOOST_TEST(reply.report.ended.size() == static_cast<std::size_t>(ends));
+    BOOST_TEST(reply.report.more_ends == (ends == full));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AdviceNamesTheVmsThatMayRunAStep) {
   Stand stand;
   const jobs::RequestAdvice question{
--- a/test/wire/relay_codec_test.cc
+++ b/test/wire/relay_codec_test.cc
@@ -70,7 +70,7 @@
 
 BOOST_AUTO_TEST_CASE(ReportsRoundTrip) {
   relay::PollReply look{.outcome = relay::PollOutcome::kReport};
-  look.report = {.clock_ms = 1, .boot_ms = 2};
+  look.report = {.clock_ms = 1, .boot_ms = 2, .more_ends = true};
   look.report.running.push_back({"a.0.0.1", 3, "c", 50, 60});
   look.report.ended.push_back({7, "a.0.0.2", 8, jobs::RunEnd::kBroken, "d"});
   const relay::Report sent{
@@ -104,6 +104,7 @@
   const auto& back = std::get<relay::PollReply>(got.replies[2].reply);
   BOOST_TEST((back.outcome == relay::PollOutcome::kReport));
   BOOST_TEST(back.report.boot_ms == 2);
+  BOOST_TEST(back.report.more_ends);
   BOOST_REQUIRE(back.report.running.size() == 1U);
   BOOST_TEST(back.report.running[0].task == "a.0.0.1");
   BOOST_TEST(back.report.running[0].percent == 50);
