--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -557,6 +557,7 @@
       return;
     }
     record = *std::move(decoded);
+    record->lease = item->lease;
   }
   const bool current = this->ownership.OnRecord(record, seen_at, Now());
   net::LogEvent("owner",
--- a/src/lead/ownership.cc
+++ b/src/lead/ownership.cc
@@ -317,11 +317,18 @@
     this->BecomeFollower(now + this->claim_delay);
     return;
   }
-  if (is_own) {
+  const bool claiming =
+      this->state == State::kClaiming || this->state == State::kVerifyingClaim;
+  if (is_own && claiming && observed->lease == this->lease) {
     // A claim whose reply was lost has taken effect.
     this->BecomeOwner(observed->revision, now);
     return;
   }
+  if (is_own) {
+    // A claim that was given up has been carried out late. Its lease is not the
+    // one that this process would renew.
+    this->effects.emplace_back(EndLease{observed->lease});
+  }
   if (this->state == State::kVerifyingClaim ||
       (this->state == State::kClaiming && observed)) {
     // The claim has not taken effect. A write that is executed later is
--- a/src/lead/ownership.h
+++ b/src/lead/ownership.h
@@ -78,6 +78,7 @@
   std::string address;         // host:port for other instances
   std::string bus_address;     // host:port for relays; empty: none
   std::uint64_t revision = 0;  // store revision at creation; the fencing token
+  std::uint64_t lease = 0;     // as read from the store, under which it exists
 
   bool operator==(const OwnerRecord&) const = default;
 };
--- a/test/lead/ownership_test.cc
+++ b/test/lead/ownership_test.cc
@@ -96,7 +96,8 @@
   ownership.OnRecord(OwnerRecord{.instance = "a",
                                  .incarnation = "a-1",
                                  .address = "h:1",
-                                 .revision = 51},
+                                 .revision = 51,
+                                 .lease = kLease},
                      51, now);
   BOOST_TEST(Find<OwnershipGained>(ownership.TakeEffects()) != nullptr);
   BOOST_TEST(ownership.fence() == 51);
@@ -124,6 +125,43 @@
   BOOST_TEST(After(1000).empty());
 }
 
+// Guards against two owners at once: a claim that was given up is carried out
+// late, and its record is taken for that of the next claim, whose lease
+// outlives it.
+BOOST_AUTO_TEST_CASE(RecordOfAnEarlierClaimIsGivenUp) {
+  constexpr std::uint64_t next_lease = 8;
+  const OwnerRecord late{.instance = "a",
+                         .incarnation = "a-1",
+                         .address = "h:1",
+                         .revision = 51,
+                         .lease = kLease};
+  for (const bool claims_again : {false, true}) {
+    Fixture candidate;
+    Ownership& claims = candidate.ownership;
+    claims.OnRecord(std::nullopt, 30, candidate.now);
+    candidate.After(20);
+    claims.OnLease(StoreCallResult::kOk, kLease, candidate.now);
+    claims.OnClaim(kLease, StoreCallResult::kUnknown, 0, candidate.now);
+    claims.OnRecord(std::nullopt, 40, candidate.now);
+    static_cast<void>(claims.TakeEffects());
+    if (claims_again) {
+      candidate.After(20);
+      claims.OnLease(StoreCallResult::kOk, next_lease, candidate.now);
+      static_cast<void>(claims.TakeEffects());
+    }
+    claims.OnRecord(late, late.revision, candidate.now);
+    const auto effects = claims.TakeEffects();
+    BOOST_TEST(!claims.owner());
+    BOOST_REQUIRE(Find<EndLease>(effects) != nullptr);
+    BOOST_TEST(Find<EndLease>(effects)->lease == kLease);
+    BOOST_TEST(Find<CreateLease>(candidate.After(20)) != nullptr);
+    claims.OnLease(StoreCallResult::kOk, 9, candidate.now);
+    const auto claim = claims.TakeEffects();
+    BOOST_REQUIRE(Find<ClaimRecord>(claim) != nullptr);
+    BOOST_TEST(Find<ClaimRecord>(claim)->expected_revision == late.revision);
+  }
+}
+
 // Guards against an owner that stops although the store is unavailable, so that
 // no successor can take over.
 BOOST_AUTO_TEST_CASE(RemainsOwnerWhileTheStoreIsUnavailable) {
