--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -303,6 +303,7 @@
   bool RunsKnown(const Vm& vm, Time reached, Time now) const;
   std::optional<Time> LeaseEnd(const Vm& vm) const;
   bool MayHoldEarlierLease(const Vm& vm, Time now) const;
+  bool MayStartLate(const Vm& vm, Time now) const;
   bool Active(const Task& task, Time now) const;
   /*! @brief Number of other tasks of its step that are not known to be active.
    */
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -24,6 +24,10 @@
 constexpr auto kFreshReportAge = std::chrono::milliseconds(250);
 // Interval of polls while a stopped run has not ended.
 constexpr auto kStopPollInterval = std::chrono::milliseconds(60);
+// Longest time between polls of a VM without runs, or without answers, that may
+// carry out a late start. If it has restarted, it refuses none until it is
+// polled, and its next heartbeat may come later.
+constexpr auto kLateStartPollInterval = std::chrono::milliseconds(250);
 // VMs that a takeover has not reached and that are told of by name.
 constexpr std::size_t kMaxUnreachedLogged = 20;
 // Time to the next poll of a VM without runs.
@@ -120,6 +124,15 @@
          });
 }
 
+// Whether orders to start runs that had no answer may still be carried out.
+bool Scheduler::MayStartLate(const Vm& vm, Time now) const {
+  const auto found = this->late_starts.find(vm.facts.id);
+  return found != this->late_starts.end() &&
+         std::ranges::any_of(found->second, [&](const LateStart& late) {
+           return now < late.given_up + this->limits.late_order_time;
+         });
+}
+
 void Scheduler::SetPredecessorEnd(Time end) {
   this->predecessor_end = this->predecessor_end == Time()
                               ? end
@@ -211,8 +224,11 @@
     }
     // A poll returns unrecorded ends again at once, so a VM that has some is
     // polled at intervals: for the ends that follow, and to renew its lease.
+    const bool watched = (vm->unresponsive || vm->runs.empty()) &&
+                         now >= vm->poll_sent + kLateStartPollInterval &&
+                         this->MayStartLate(*vm, now);
     const bool due = vm->awaited_records.empty()
-                         ? now >= vm->next_poll
+                         ? watched || now >= vm->next_poll
                          : now >= vm->poll_sent + std::clamp<Duration>(
                                                       now - vm->awaited_since,
                                                       kMinAwaitPollInterval,
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -802,6 +802,38 @@
   BOOST_TEST(Violations(sim) == "");
 }
 
+// A start without an answer is barred by a stop, and its task runs on another
+// VM. Guards against a second run on the first VM: that has restarted, and no
+// heartbeat tells so before the start is carried out.
+BOOST_AUTO_TEST_CASE(RestartOfAVmWithALateStartIsNoticedBeforeItsHeartbeat) {
+  FleetSim sim;
+  FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
+  vm.order_delay_ms = 60'000;
+  const JobSpec job = SimpleJob("a", "q", 1, 1000, 60'000);
+  sim.Submit(job);
+  sim.Run(50);
+  vm.order_delay_ms = 0;
+  const auto stopped = [&vm] { return Refuses(vm, "a.0.0.0", 1); };
+  BOOST_REQUIRE(sim.RunUntil(stopped, 5000));
+  sim.scheduler->Cordon(VmId("vm0"), true);
+  sim.AddVm("vm1", "p", kVmSize);
+  BOOST_REQUIRE(sim.RunUntil([&] { return sim.starts() == 1; }, 5000));
+  sim.Run(200);
+  vm.unresponsive = true;
+  vm.Restart(sim.now);
+  sim.Run(1000);
+  vm.unresponsive = false;
+  constexpr std::int64_t heartbeat_ms = 1500;
+  BOOST_TEST(sim.RunUntil(stopped, heartbeat_ms));
+  sim.HandleStart(vm,
+                  {.task = {JobId("a"), 0, 0, 0},
+                   .run = 1,
+                   .payload = job.payload,
+                   .lease_until_ms = sim.ClockOf(vm) + 60'000},
+                  1);
+  BOOST_TEST(Violations(sim) == "");
+}
+
 // Guards against two runs at once: the task of a start without an answer waits
 // again when the VM that may still carry the start out has restarted, and the
 // stop that makes that VM refuse it is late.
