--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -408,6 +408,7 @@
   // scheduler_tick.cc
   void FinishRecovery(Time now);
   void PollVms(Time now);
+  bool PollDue(const Vm& vm, Time now) const;
   void SendPoll(Vm& vm, Time now);
   void PaceVm(Vm& vm, Time now);
   void WriteChanges(Time now);
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -74,9 +74,9 @@
                                     : this->LongestLease());
 }
 
-// `reached`: when a VM that has not answered could still be reached. One that
-// has left ends out lists them with its next answers; if it falls silent, it is
-// given up like its runs, with the lease that it may hold.
+// `reached`: when a VM that has not answered could last have been reached. One
+// that has left ends out lists them in its next answers; if it falls silent,
+// its ends are awaited no longer than the leases that it may hold.
 bool Scheduler::RunsKnown(const Vm& vm, Time reached, Time now) const {
   if (!vm.reported) {
     return now >= this->InheritedRunsEnd(vm, reached);
@@ -222,18 +222,7 @@
         continue;
       }
     }
-    // A poll returns unrecorded ends again at once, so a VM that has some is
-    // polled at intervals: for the ends that follow, and to renew its lease.
-    const bool watched = (vm->unresponsive || vm->runs.empty()) &&
-                         now >= vm->poll_sent + kLateStartPollInterval &&
-                         this->MayStartLate(*vm, now);
-    const bool due = vm->awaited_records.empty()
-                         ? watched || now >= vm->next_poll
-                         : now >= vm->poll_sent + std::clamp<Duration>(
-                                                      now - vm->awaited_since,
-                                                      kMinAwaitPollInterval,
-                                                      kMaxAwaitPollInterval);
-    if (!vm->poll_pending && due) {
+    if (!vm->poll_pending && this->PollDue(*vm, now)) {
       this->SendPoll(*vm, now);
     }
   }
@@ -242,6 +231,20 @@
   }
 }
 
+// A poll returns unrecorded ends again at once, so a VM that has some is polled
+// at intervals: for the ends that follow, and to renew its lease.
+bool Scheduler::PollDue(const Vm& vm, Time now) const {
+  const Duration passed = now - vm.poll_sent;
+  if (!vm.awaited_records.empty()) {
+    return passed >= std::clamp<Duration>(now - vm.awaited_since,
+                                          kMinAwaitPollInterval,
+                                          kMaxAwaitPollInterval);
+  }
+  return now >= vm.next_poll ||
+         ((vm.unresponsive || vm.runs.empty()) &&
+          passed >= kLateStartPollInterval && this->MayStartLate(vm, now));
+}
+
 void Scheduler::SendPoll(Vm& vm, Time now) {
   // A VM that has restarted under its id restarts the numbers of its ends, and
   // an old number would acknowledge ends that were never received. So
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -287,8 +287,8 @@
 }
 
 // A VM lists a few ends at a time. Guards against tasks that run again because
-// the first list leaves their ends out: those of a VM that was silent for a
-// moment, and those that a successor reads.
+// the first list after an outage of the store leaves their ends out, which the
+// same owner or a successor reads.
 BOOST_AUTO_TEST_CASE(EndsThatAListLeavesOutAreAwaited) {
   for (const bool takeover : {false, true}) {
     FleetSim sim;
