Say that pools also wait for ends that were left out

Comments only: Pool::unreached_at and unreached_pools cover VMs that have answered but not listed all ends. Without comments the header is the same.

--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -233,8 +233,8 @@
   struct Pool {
     std::map<VmId, Vm*> vms;
     std::set<StepRef> ready;
-    // Some VMs of the pool had not answered at this time, so inherited tasks
-    // may run there.
+    // Some VMs of the pool had not answered at this time, or had left ends out,
+    // so inherited tasks may run there or have ended there.
     std::optional<Time> unreached_at;
     ArrivedWork arrived;
   };
@@ -423,8 +423,8 @@
   std::map<VmId, std::unique_ptr<Vm>> fleet;
   std::unordered_map<JobId, std::unique_ptr<Job>> jobs;
   std::map<PoolId, Pool> pools;
-  // Pools where inherited tasks may run on VMs that have not answered, as of
-  // the last pass.
+  // Pools where inherited tasks may run on VMs that have not answered, or have
+  // ended on VMs that have left ends out, as of the last pass.
   std::set<PoolId> unreached_pools;
   std::map<TeamId, Resources> in_use;
   std::map<TeamId, Resources>
