Leave more time between the steps of review case 13

On a slower machine the brief tasks could have ended before the order, or still have run at the takeover. 5 of 5 runs, none without the disruption.

--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -225,7 +225,7 @@
   Submit(stage, other, lasting, JobBody(1, 1000, true, "b"), 0);
   Require(stage.WaitFor(5000, [&] { return AtWork(stage, lasting); }),
           "the lasting task");
-  Submit(stage, other, brief, JobBody(2, 400, false, "a"), 400);
+  Submit(stage, other, brief, JobBody(2, 800, false, "a"), 800);
   Require(stage.WaitFor(5000, [&] { return AtWork(stage, brief); }),
           "the brief tasks");
   bool kept = false;
@@ -247,7 +247,7 @@
     Require(stage.WaitFor(2000, [&] { return stage.With([&] { return kept; }); }),
             "the order to v1");
     stage.Kill(owner);
-    Sleep(500);
+    Sleep(1000);
     stage.StartProcess(owner);
   }
   Require(stage.WaitFor(10'000, [&] { return AtWork(stage, job); }),
