--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -10,4 +10,4 @@
     exit 2
   fi
 done
-exec target/review-3/kch-review-3 cancelled-before-stored "$here/record.txt"
+exec target/review-3/kch-review-3 adopted-runs "$here/record.txt"
--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -421,6 +421,58 @@
   return Report(stage, breaches);
 }
 
+// A successor adopts the runs of a minion, and its first order to the minion is
+// lost with its connection.
+int AdoptedRuns(Stage& stage, bool trouble) {
+  for (int i = 1; i <= 7; ++i) {
+    stage.AddMinion("v" + std::to_string(i), i == 1 ? "a" : "b");
+  }
+  stage.PublishConfig();
+  for (std::size_t i = 0; i < 3; ++i) {
+    stage.StartProcess(i);
+  }
+  const std::size_t owner = OwnerOf(stage);
+  const std::size_t other = (owner + 1) % 3;
+  const std::string cancelled = "00000000000000f1";
+  const std::string job = "00000000000000f2";
+  Submit(stage, other, cancelled, JobBody(1, 1000, true, "a"), 0);
+  Require(stage.WaitFor(5000, [&] { return AtWork(stage, cancelled); }),
+          "a run of the first job");
+  Submit(stage, other, job, JobBody(1, 1000, true), 0);
+  Require(stage.WaitFor(5000, [&] { return AtWork(stage, job); }),
+          "a run of the second job");
+  Require(stage.With([&] {
+            return stage.minions.at("v1").running.contains(job + ".0.0.0");
+          }),
+          "a run of the second job on v1");
+  Sleep(1500);
+  int resets = 0;
+  if (trouble) {
+    stage.With([&] {
+      stage.resets_connection = [&](const std::string& minion,
+                                    std::string_view sent) {
+        // The client repeats a request once if its connection was in use before.
+        const bool now = resets < 2 && minion == "v1" &&
+                         sent.find("/run-stop") != std::string_view::npos;
+        if (now) {
+          ++resets;
+          stage.Note("a connection to v1 is reset, with an order to stop");
+        }
+        return now;
+      };
+    });
+    stage.Kill(owner);
+  }
+  Require(stage.Call("DELETE", other, cancelled) == 200, "the cancelling");
+  if (trouble) {
+    Sleep(500);
+    stage.StartProcess(owner);
+  }
+  Sleep(5000);
+  Require(!trouble || stage.With([&] { return resets == 2; }), "orders to stop");
+  return ReportTwice(stage);
+}
+
 }  // namespace
 }  // namespace review
 
@@ -430,7 +482,8 @@
       {"late-acknowledgement", review::LateAcknowledgement},
       {"late-start", review::LateStart},
       {"cancelled-before-stored", review::CancelledBeforeStored},
-      {"flapping-minion", review::FlappingMinion}};
+      {"flapping-minion", review::FlappingMinion},
+      {"adopted-runs", review::AdoptedRuns}};
   if (argc != 3 || !cases.contains(argv[1])) {
     std::cerr << "usage: kch-review-3 CASE RECORD\n";
     return 2;
--- a/review/standin-3/stage.cc
+++ b/review/standin-3/stage.cc
@@ -98,6 +98,7 @@
     }
   }
   this->loop.Stop();
+  this->proxies.clear();
   this->store.DropCalls();
   this->waiting.clear();
   this->silent.clear();
@@ -220,9 +221,15 @@
   if (!server) {
     throw std::runtime_error(server.error().Text());
   }
-  const std::string address =
-      "127.0.0.1:" + std::to_string((*server)->port());
+  const std::uint16_t port = (*server)->port();
   this->servers.push_back(*std::move(server));
+  const std::string address = this->With([&] {
+    this->proxies.push_back(std::make_unique<Proxy>(
+        this->loop.context(), port, [this, id](std::string_view sent) {
+          return this->resets_connection && this->resets_connection(id, sent);
+        }));
+    return "127.0.0.1:" + std::to_string(this->proxies.back()->port());
+  });
   this->With([&] {
     Minion& minion = this->minions[id];
     minion = {.id = id,
--- a/review/standin-3/stage.h
+++ b/review/standin-3/stage.h
@@ -23,6 +23,7 @@
 #include "net/clock.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "proxy.h"
 
 namespace review {
 
@@ -89,6 +90,11 @@
                      const std::string& body)>
       on_store_call;
 
+  // Whether the connection to a minion is reset as these bytes come; runs on the
+  // stage's thread.
+  std::function<bool(const std::string& minion, std::string_view sent)>
+      resets_connection;
+
   void AddMinion(const std::string& id, const std::string& label);
   void PublishConfig();
   /*! @brief Starts process `number` and waits until it serves. */
@@ -193,6 +199,7 @@
   asio::steady_timer timer{loop.context()};
   std::vector<std::unique_ptr<kch::net::HttpServer>> shared;  // by process
   std::vector<std::unique_ptr<kch::net::HttpServer>> servers;
+  std::vector<std::unique_ptr<Proxy>> proxies;  // before the servers
   std::vector<Process> processes;
   std::unique_ptr<kch::net::HttpClient> client;
 };
