--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -447,13 +447,21 @@
           "a run of the second job on v1");
   Sleep(1500);
   int resets = 0;
+  std::int64_t first_reset = 0;
   if (trouble) {
     stage.With([&] {
       stage.resets_connection = [&](const std::string& minion,
                                     std::string_view sent) {
-        // The client repeats a request once if its connection was in use before.
-        const bool now = resets < 2 && minion == "v1" &&
-                         sent.find("/run-stop") != std::string_view::npos;
+        // The client repeats a request on other connections that it has open, and
+        // on a new one.
+        if (minion != "v1" ||
+            sent.find("/run-stop") == std::string_view::npos) {
+          return false;
+        }
+        if (resets == 0) {
+          first_reset = stage.NowMs();
+        }
+        const bool now = stage.NowMs() < first_reset + 150;
         if (now) {
           ++resets;
           stage.Note("a connection to v1 is reset, with an order to stop");
@@ -469,7 +477,7 @@
     stage.StartProcess(owner);
   }
   Sleep(5000);
-  Require(!trouble || stage.With([&] { return resets == 2; }), "orders to stop");
+  Require(!trouble || stage.With([&] { return resets > 0; }), "an order to stop");
   return ReportTwice(stage);
 }
 
