--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -190,7 +190,7 @@
   const VmFacts next = facts;
   // Orders to the earlier incarnation may have reached this one.
   const bool unknown_orders = !vm.reported;
-  const bool ordered = unknown_orders || vm.lease_until_ms > 0;
+  const bool ordered = unknown_orders || vm.lease_until_ms.has_value();
   // The next record replaces this one, without a time in which there is none.
   const bool earlier_record = vm.record_sent || vm.earlier_record;
   vm.record_sent = false;
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -628,7 +628,7 @@
     permit = *this->PermitOf(StepRefOf(task), vm.facts.id, now);
   }
   const std::int64_t until = vm.LeaseClockAt(now) + ToMs(this->limits.lease);
-  vm.lease_until_ms = std::max(vm.lease_until_ms, until);
+  vm.lease_until_ms = std::max(vm.lease_until_ms, std::optional(until));
   task.lease_until_ms = until;
   task.ordered_after_ms = vm.EarliestClockAt(now);
   this->effects.emplace_back(StartRun{vm.Address(), task.Ref(), run,
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -60,8 +60,11 @@
   vm->clock_known = true;
   vm->clock_doubtful = false;
   // From now on the VM refuses the orders of a predecessor.
-  if (!vm->reported && vm->may_hold_earlier_lease) {
-    vm->earlier_lease_end = now + this->LongestGrantedLease();
+  if (!vm->reported) {
+    vm->predecessor_lease_end = now + this->LongestLease();
+    if (vm->may_hold_earlier_lease) {
+      vm->earlier_lease_end = now + this->LongestGrantedLease();
+    }
   }
   vm->reported = true;
   ++vm->report_count;
@@ -117,9 +120,11 @@
 
 // Runs at work after the latest lease sent show that it does not bound them.
 void Scheduler::LogOutlivedLease(const Vm& vm, const VmReport& report) {
-  const std::int64_t past_ms = vm.clock_ms - vm.lease_until_ms;
-  if (vm.lease_until_ms == 0 || report.running.empty() ||
-      past_ms <= ToMs(this->limits.stop_grace)) {
+  if (!vm.lease_until_ms || report.running.empty()) {
+    return;
+  }
+  const std::int64_t past_ms = vm.clock_ms - *vm.lease_until_ms;
+  if (past_ms <= ToMs(this->limits.stop_grace)) {
     return;
   }
   this->EmitLogEvent("lease_outlived",
@@ -339,7 +344,9 @@
        {"vm", vm.facts.id.str()},
        {"number", std::to_string(row.number)},
        {"acknowledged", std::to_string(vm.acknowledged_end)},
-       {"lease_over_ms", std::to_string(vm.clock_ms - vm.lease_until_ms)},
+       {"lease_over_ms", vm.lease_until_ms
+                             ? std::to_string(vm.clock_ms - *vm.lease_until_ms)
+                             : ""},
        {"expired_beside", std::to_string(std::ranges::count(
                               report.ended, RunEnd::kExpired, &EndedRow::how))},
        {"silent_ms", std::to_string(ToMs(now - vm.unresponsive_since))},
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -257,7 +257,7 @@
     // which the runs may start elsewhere.
   } else if ((!vm.runs.empty() || !vm.orphans.empty()) && vm.clock_known) {
     poll.lease_until_ms = vm.LeaseClockAt(now) + ToMs(this->limits.lease);
-    vm.lease_until_ms = std::max(vm.lease_until_ms, *poll.lease_until_ms);
+    vm.lease_until_ms = std::max(vm.lease_until_ms, poll.lease_until_ms);
     const bool unsettled =
         !vm.awaited_records.empty() || !vm.orphans.empty() || vm.more_ends ||
         this->HasLateStop(vm) ||
--- a/src/jobs/vm.cc
+++ b/src/jobs/vm.cc
@@ -50,15 +50,18 @@
 }
 
 std::optional<Time> Vm::LeaseEnd(const Limits& limits) const {
-  if (!this->clock_known) {
-    return this->earlier_lease_end;
+  // An unset bound is less than any time.
+  std::optional<Time> end =
+      std::max(this->predecessor_lease_end, this->earlier_lease_end);
+  if (this->lease_until_ms) {
+    // The clock was read before its answer arrived, so this is no too early.
+    const Time sent_end =
+        this->clock_at + EndOfRuns(std::chrono::milliseconds(
+                                       *this->lease_until_ms - this->clock_ms),
+                                   limits);
+    end = std::max(end, std::optional(sent_end));
   }
-  // The clock was read before its answer arrived, so this is no too early.
-  const Time end =
-      this->clock_at + EndOfRuns(std::chrono::milliseconds(
-                                     this->lease_until_ms - this->clock_ms),
-                                 limits);
-  return std::max(end, this->earlier_lease_end.value_or(end));
+  return end;
 }
 
 }  // namespace kch::jobs
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -52,8 +52,12 @@
   std::int64_t clock_ms = 0;
   Time clock_at;
   bool clock_known = false;
-  bool clock_doubtful = false;      // it refused an order as expired
-  std::int64_t lease_until_ms = 0;  // latest lease sent, answered or not
+  bool clock_doubtful = false;  // it refused an order as expired
+  // Latest lease sent by this incarnation's clock, answered or not.
+  std::optional<std::int64_t> lease_until_ms;
+  // By then leases end that a predecessor has sent by this incarnation's clock;
+  // set by the first report, after which the VM refuses a predecessor's orders.
+  std::optional<Time> predecessor_lease_end;
   // By then leases end that were sent by an earlier incarnation's clock.
   std::optional<Time> earlier_lease_end;
   // A predecessor may have sent such a lease; decided by the first report.
@@ -114,9 +118,9 @@
   /*! @brief The clock from which leases are counted: the estimate, but ahead of
    * the VM's clock by at most kMaxClockLead, however long ago it was read. */
   [[nodiscard]] std::int64_t LeaseClockAt(Time now) const;
-  /*! @brief Local time by which every lease sent has expired and the runs have
-   * ended, see EndOfRuns; unset if none was sent to this
-   * incarnation or an earlier one. */
+  /*! @brief Local time by which every lease has expired that this scheduler, a
+   * predecessor or an earlier incarnation's clock gave, and the runs have
+   * ended, see EndOfRuns; unset if there can be none. */
   [[nodiscard]] std::optional<Time> LeaseEnd(const Limits& limits) const;
 };
 
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -487,6 +487,33 @@
   BOOST_TEST(Violations(sim) == "");
 }
 
+// Guards against two runs at once: a successor has adopted a run and sent no
+// lease yet when an order to its VM fails, and counts the lease of its
+// predecessor as over.
+BOOST_AUTO_TEST_CASE(AdoptedRunsKeepTheLeaseOfThePredecessor) {
+  FleetSim sim;
+  FakeVm& used = sim.AddVm("vm0", "p", kVmSize);
+  sim.Submit(EndlessJob("a", 1));
+  sim.Submit(EndlessJob("b", 1));
+  sim.Run(500);
+  BOOST_REQUIRE(used.runs.size() == 2U);
+  sim.AddVm("vm1", "p", kVmSize);
+  sim.Run(100);
+  sim.cancelled.insert(JobId("b"));
+  sim.Takeover();
+  const Vm& known = *sim.scheduler->vms().at(VmId("vm0"));
+  BOOST_REQUIRE(sim.RunUntil([&known] { return known.reported; }, 100));
+  used.unresponsive = true;
+  sim.scheduler->OnStop(VmId("vm0"), {JobId("b"), 0, 0, 0}, 1, false, sim.now);
+  sim.Run(3000);
+  BOOST_TEST(used.runs.contains("a.0.0.0"));
+  BOOST_TEST(sim.starts() == 2);
+  BOOST_TEST(Violations(sim) == "");
+  const std::int64_t longest_ms = ToMs(EndOfRuns(sim.limits.lease, sim.limits));
+  BOOST_TEST(sim.RunUntil([&sim] { return sim.starts() == 3; }, longest_ms));
+  BOOST_TEST(Violations(sim) == "");
+}
+
 // A VM that does not answer the new scheduler may run any task of its pool.
 BOOST_AUTO_TEST_CASE(TakeoverWaitsForTheLeaseOfAnUnresponsiveVm) {
   FleetSim sim;
