--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -190,7 +190,8 @@
   const VmFacts next = facts;
   // Orders to the earlier incarnation may have reached this one.
   const bool unknown_orders = !vm.reported;
-  const bool ordered = unknown_orders || vm.lease_until_ms.has_value();
+  const bool ordered =
+      unknown_orders || vm.earlier_orders || vm.lease_until_ms.has_value();
   // The next record replaces this one, without a time in which there is none.
   const bool earlier_record = vm.record_sent || vm.earlier_record;
   vm.record_sent = false;
@@ -211,6 +212,7 @@
   Vm& restarted = *this->FindVm(next.id);
   restarted.earlier_record = earlier_record;
   restarted.may_hold_earlier_lease = unknown_orders;
+  restarted.earlier_orders = ordered;
   if (ordered) {
     restarted.earlier_lease_end = now + this->LongestGrantedLease();
   }
@@ -277,6 +279,7 @@
   vm->record_sent = true;
   vm->recorded = true;
   vm->record_earlier_lease = record.earlier_lease;
+  vm->earlier_orders = true;
   // The predecessor may not have noticed that the VM has restarted.
   vm->may_hold_earlier_lease =
       record.earlier_lease || facts.boot_ms != vm->facts.boot_ms;
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -62,6 +62,9 @@
   std::optional<Time> earlier_lease_end;
   // A predecessor may have sent such a lease; decided by the first report.
   bool may_hold_earlier_lease = false;
+  // A predecessor, or this scheduler to an earlier incarnation, may have sent
+  // orders, which a later incarnation may still carry out.
+  bool earlier_orders = false;
 
   bool reported = false;  // has answered this scheduler
   // Its latest report may have left ends out, of runs that it does not list as
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -1192,6 +1192,34 @@
   }
 }
 
+// Guards against two runs at once: a VM restarts before its new owner has sent
+// it a lease, a predecessor's renewal by the earlier clock is carried out late,
+// and the owner takes the VM for one that no one has ordered.
+BOOST_AUTO_TEST_CASE(LateRenewalOfAPredecessorRaisesTheLease) {
+  FleetSim sim;
+  UseShortStopGrace(sim);
+  FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
+  sim.Run(20'000);  // its clock is far ahead of that of the next incarnation
+  sim.Submit(SimpleJob("a", "q", 1, 1000, 100));
+  BOOST_REQUIRE(sim.Completes("a", 1000));
+  const PollVm renewal{
+      .to = {vm.facts.id, vm.facts.address},
+      .lease_until_ms = sim.ClockOf(vm) + ToMs(sim.limits.lease)};
+  sim.Takeover();
+  sim.Run(200);
+  vm.Restart(sim.now);
+  constexpr std::uint64_t predecessors_fence = 1;
+  BOOST_REQUIRE(sim.HandlePoll(vm, renewal, predecessors_fence));
+  sim.Register("vm0");
+  sim.Submit(SimpleJob("b", "q", 1, 1000, 60'000));
+  BOOST_REQUIRE(sim.RunUntil([&vm] { return vm.runs.size() == 1; }, 500));
+  sim.AddVm("vm1", "p", kVmSize);
+  vm.unresponsive = true;
+  sim.Run(12'000);
+  BOOST_TEST(Violations(sim) == "");
+  BOOST_TEST(sim.Runs("b.0.0.0"));
+}
+
 // A failure that was recorded but not acknowledged was counted again by the
 // successor, and the job failed with an attempt left.
 BOOST_AUTO_TEST_CASE(SuccessorCountsAFailureOnce) {
