--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -29,6 +29,8 @@
 
 /*! @brief One task and its current run. */
 struct Task {
+  static constexpr std::int32_t kUnknownPace = -1;
+
   Job* job = nullptr;
   std::int32_t occurrence = 0;
   std::int32_t step = 0;
@@ -61,8 +63,8 @@
   std::uint64_t last_listed = 0;  // latest report that listed the run
   std::int32_t percent = 0;       // as last reported, see RunningRow
   std::int64_t gauge = 0;         // as last reported, see RunningRow
-  // Share of the work that it may do, in percent; -1: unknown, sent again after
-  // the next report.
+  // Share of the work that it may do, in percent, or kUnknownPace: the next
+  // report sends it.
   std::int32_t pace = 100;
 
   [[nodiscard]] TaskRef Ref() const;
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -157,6 +157,7 @@
     task->run = row.run;
     this->Place(*task, vm);
     task->phase = TaskPhase::kStarting;
+    task->pace = Task::kUnknownPace;  // the predecessor may have throttled it
     this->EmitLogEvent("run_adopted", {{"task", row.task},
                                        {"run", std::to_string(row.run)},
                                        {"vm", vm.facts.id.str()}});
--- a/src/jobs/scheduler_tick.cc
+++ b/src/jobs/scheduler_tick.cc
@@ -356,7 +356,7 @@
   Task* task = this->FindTask(ref);
   if (vm != nullptr && task != nullptr && task->run == run &&
       vm->runs.contains(task) && !answered) {
-    task->pace = -1;  // unknown; the next report sets it again
+    task->pace = Task::kUnknownPace;
   }
 }
 
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -1569,6 +1569,29 @@
   BOOST_TEST(vm.runs.at("filling.0.0.0").percent == 100);
 }
 
+// Guards against backfill tasks that stand still for good: their predecessor
+// has throttled them, and the successor, whose reports show low tail latencies,
+// takes an adopted run for one at its full share.
+BOOST_AUTO_TEST_CASE(AdoptedBackfillTasksAreNotLeftThrottled) {
+  FleetSim sim;
+  WithVms(sim, 1);
+  JobSpec serving = EndlessJob("serving", 1);
+  serving.steps[0].target_ms = 100;
+  JobSpec filling = EndlessJob("filling", 1);
+  filling.steps[0].backfill = true;
+  sim.Submit(serving);
+  sim.Submit(filling);
+  sim.Run(500);
+  FakeVm& vm = *sim.vms.at("vm0");
+  vm.tail_ms = 180;
+  sim.Run(3500);
+  BOOST_REQUIRE(vm.runs.at("filling.0.0.0").percent == 0);
+  vm.tail_ms = 40;
+  sim.Takeover();
+  sim.Run(1500);
+  BOOST_TEST(vm.runs.at("filling.0.0.0").percent == 100);
+}
+
 // Guards against evicting a task that the last report showed below 100 percent
 // while another task of its step is unavailable.
 BOOST_AUTO_TEST_CASE(EvictionCountsOtherUnavailableTasks) {
