--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -194,6 +194,7 @@
       unknown_orders || vm.earlier_orders || vm.lease_until_ms.has_value();
   // The next record replaces this one, without a time in which there is none.
   const bool earlier_record = vm.record_sent || vm.earlier_record;
+  const bool cordoned = vm.cordoned;  // who cordoned it looks at its id
   vm.record_sent = false;
   vm.earlier_record = false;
   this->EmitLogEvent(
@@ -211,6 +212,7 @@
   this->SetVm(next, now);
   Vm& restarted = *this->FindVm(next.id);
   restarted.earlier_record = earlier_record;
+  restarted.cordoned = cordoned;
   restarted.may_hold_earlier_lease = unknown_orders;
   restarted.earlier_orders = ordered;
   if (ordered) {
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -1018,6 +1018,7 @@
   sim.AddVm("vm1", "p", kVmSize);
   sim.Register("vm1");
   BOOST_REQUIRE(sim.RunUntil([&] { return sim.starts() == 1; }, 5000));
+  sim.scheduler->Cordon(VmId("vm0"), false);
   sim.Run(200);
   vm.order_delay_ms = 60'000;  // orders are lost, looks are answered
   vm.Restart(sim.now);
@@ -1166,6 +1167,7 @@
     sim.AddVm("vm1", "p", kVmSize);
     sim.Register("vm1");
     BOOST_REQUIRE(sim.RunUntil([&] { return sim.starts() == 1; }, 5000));
+    sim.scheduler->Cordon(VmId("vm0"), false);
     vm.Restart(sim.now);
     sim.Register("vm0");
     sim.Run(300);
@@ -1897,6 +1899,22 @@
 }
 
 // A cordoned VM without endless tasks may be ordered down at any time.
+// Guards against starts on a VM whose machine is about to be ordered away: the
+// VM restarts under its id while it drains.
+BOOST_AUTO_TEST_CASE(RestartedVmStaysCordoned) {
+  FleetSim sim;
+  FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
+  sim.Run(100);
+  sim.scheduler->Cordon(VmId("vm0"), true);
+  vm.Restart(sim.now);
+  sim.Register("vm0");
+  sim.Submit(SimpleJob("a", "q", 1, 1000, 100));
+  sim.Run(1000);
+  BOOST_TEST(sim.starts() == 0);
+  sim.scheduler->Cordon(VmId("vm0"), false);
+  BOOST_TEST(sim.Completes("a", 500));
+}
+
 BOOST_AUTO_TEST_CASE(NothingStartsOnAnEmptiedVm) {
   FleetSim sim;
   WithVms(sim, 1);
