--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -11,5 +11,6 @@
 #include "jobs/record.h"
 #include "jobs/scheduler.h"
 #include "jobs/vm.h"
+#include "jobs/vm_failures.h"
 
 #endif  // JOBS_JOBS_H_
--- a/src/jobs/limits.h
+++ b/src/jobs/limits.h
@@ -37,9 +37,9 @@
   // Longest time that a new scheduler waits for the reports of all VMs before
   // it starts tasks; Scheduler::BeginRecovery may extend it.
   Duration recovery_wait = std::chrono::milliseconds(700);
-  // Ejection time of a VM on which runs of several jobs failed in a row
-  // (kFailuresToEject); doubles from the minimum up to the maximum. A VM that
-  // refuses a start because it is unhealthy is ejected for the minimum.
+  // Ejection time of a VM on which runs of several jobs failed by its fault
+  // (kFailedJobsToEject); doubles from the minimum up to the maximum. A VM that
+  // refuses a start because it is unhealthy is left out for the minimum.
   Duration min_ejection = std::chrono::milliseconds(1500);
   Duration max_ejection = std::chrono::milliseconds(12000);
   // A finished job's state stays readable for this long. The platform's
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -309,6 +309,7 @@
                       {"settled", vm.Settled() ? "yes" : "no"}});
   this->pools[vm.facts.pool].vms.erase(id);
   this->DropAdvice(id);
+  this->vm_failures.Clear(id);
   this->fleet.erase(found);
 }
 
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -19,6 +19,7 @@
 #include "jobs/placement.h"
 #include "jobs/rank.h"
 #include "jobs/vm.h"
+#include "jobs/vm_failures.h"
 
 namespace kch::jobs {
 
@@ -342,7 +343,9 @@
   void RemoveUnlistedOrphans(Vm& vm, std::uint64_t listed_in);
   void RestartVm(Vm& vm, const VmFacts& facts, Time now);
   void MarkRunsLost(Vm& vm, std::string_view reason);
+  void BlameVm(Vm& vm, const Task& task, Time now);
   void EjectIfFailing(Vm& vm, const Task& task, Time now);
+  void EndUnfoundedEjection(Vm& vm, Time now);
   void SetUnresponsive(Vm& vm, std::string_view unanswered, Time now);
   void OnFenced(const VmId& id);
   void DropVm(const VmId& id);
@@ -465,6 +468,7 @@
   std::map<VmId, std::vector<LateStart>> late_starts;
   // VMs that may hold late starts with a stop due, by task.
   std::map<TaskRef, std::set<VmId>> late_start_vms;
+  VmFailures vm_failures;
   // How many VMs hold an orphaned run of a task.
   std::map<TaskRef, int> orphaned_tasks;
 
--- a/src/jobs/scheduler_plan.cc
+++ b/src/jobs/scheduler_plan.cc
@@ -36,6 +36,7 @@
   return vm.registered && vm.recorded && vm.reported && vm.clock_known &&
          !vm.clock_doubtful && !vm.unresponsive && !vm.unknown_orphan &&
          !vm.late_starts_due && !vm.facts.leaving && vm.ejected_until <= now &&
+         vm.refused_until <= now &&
          !this->unavailable_zones.contains(vm.facts.zone);
 }
 
@@ -570,9 +571,9 @@
         !spec.preferred_rack.empty() && vm.facts.rack != spec.preferred_rack;
     // After a failure, a VM that has just completed a run shows best whether
     // the task or the first VM was at fault.
-    const bool doubtful =
-        !task.failed_runs.empty() &&
-        (vm.facts.id == task.avoided_vm || vm.failures_in_row > 0);
+    const bool doubtful = !task.failed_runs.empty() &&
+                          (vm.facts.id == task.avoided_vm ||
+                           this->vm_failures.FailsJobs(vm.facts.id, 1));
     const bool crowded =
         spec.endless && siblings >= std::max(1, spec.max_unavailable);
     return std::tuple(vm.cordoned, doubtful, vm.facts.id == task.avoided_vm,
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -11,8 +11,10 @@
 namespace kch::jobs {
 namespace {
 
-// Failures of different jobs in a row, without a success, that eject a VM.
-constexpr std::int32_t kFailuresToEject = 2;
+// Different jobs whose failures eject a VM, and one that was ejected before and
+// has not proved sound since.
+constexpr std::size_t kFailedJobsToEject = 2;
+constexpr std::size_t kFailedJobsToEjectAgain = 1;
 // Doublings after which the ejection time no longer grows.
 constexpr std::int32_t kMaxEjectionDoublings = 4;
 // Longest wait of the first long poll after a call without an answer.
@@ -282,9 +284,9 @@
     task->checkpoint = row.checkpoint;
   }
   if (row.how == RunEnd::kDone) {
-    vm.failures_in_row = 0;
+    this->vm_failures.OnDone({job.spec.id, task->step});
+    this->vm_failures.Clear(vm.facts.id);
     vm.ejections = 0;
-    vm.last_done = now;
   }
   if (job.Ended() || task->phase == TaskPhase::kDone) {
     if (current) {
@@ -419,11 +421,7 @@
 void Scheduler::HandleFailure(Task& task, Vm& vm, std::int64_t run, Time now) {
   Job& job = *task.job;
   task.avoided_vm = vm.facts.id;
-  if (vm.last_failed_job != job.spec.id) {
-    ++vm.failures_in_row;
-    vm.last_failed_job = job.spec.id;
-    this->EjectIfFailing(vm, task, now);
-  }
+  this->BlameVm(vm, task, now);
   if (task.spec().endless) {
     return;
   }
@@ -437,10 +435,45 @@
   }
 }
 
-// A VM on which runs of several jobs failed in a row is ejected: it receives no
-// starts for some time.
+// Ejects a VM on which runs of several jobs have failed by its fault: it
+// receives no starts for some time.
+void Scheduler::BlameVm(Vm& vm, const Task& task, Time now) {
+  const VmFailures::StepKey step{task.job->spec.id, task.step};
+  const bool has_done =
+      this->StepOf(task).done > 0 || task.job->finished.size() > 0;
+  const auto acquitted =
+      this->vm_failures.OnFailure(vm.facts.id, step, has_done, now);
+  if (Vm* other = acquitted ? this->FindVm(*acquitted) : nullptr) {
+    this->EndUnfoundedEjection(*other, now);
+  }
+  if (this->vm_failures.Counts(vm.facts.id, step)) {
+    this->EjectIfFailing(vm, task, now);
+  }
+}
+
+// The step whose failure has ejected the VM has failed on another one as well.
+void Scheduler::EndUnfoundedEjection(Vm& vm, Time now) {
+  if (vm.ejected_until <= now) {
+    return;
+  }
+  const std::size_t jobs =
+      vm.ejections > 1 ? kFailedJobsToEjectAgain : kFailedJobsToEject;
+  if (this->vm_failures.FailsJobs(vm.facts.id, jobs)) {
+    return;
+  }
+  this->EmitLogEvent(
+      "ejection_ended",
+      {{"vm", vm.facts.id.str()},
+       {"left_ms", std::to_string(ToMs(vm.ejected_until - now))}});
+  --vm.ejections;
+  vm.ejected_until = now;
+}
+
 void Scheduler::EjectIfFailing(Vm& vm, const Task& task, Time now) {
-  if (vm.failures_in_row < kFailuresToEject || vm.ejected_until > now) {
+  const std::size_t jobs =
+      vm.ejections > 0 ? kFailedJobsToEjectAgain : kFailedJobsToEject;
+  if (vm.ejected_until > now ||
+      !this->vm_failures.FailsJobs(vm.facts.id, jobs)) {
     return;
   }
   const Duration pause =
@@ -449,9 +482,6 @@
                    (1 << std::min(vm.ejections, kMaxEjectionDoublings)));
   ++vm.ejections;
   vm.ejected_until = now + pause;
-  // One more failure after the ejection ejects the VM again.
-  vm.failures_in_row = kFailuresToEject - 1;
-  vm.last_failed_job = JobId();
   ++this->counter_values.ejections;
   this->EmitLogEvent("vm_ejected", {{"vm", vm.facts.id.str()},
                                     {"task", task.Ref().Name()},
@@ -772,13 +802,13 @@
       vm->next_poll = now;
       break;
     case StartAnswer::kNoRoom:
-      vm->ejected_until =
-          std::max(vm->ejected_until, now + this->limits.poll_retry);
+      vm->refused_until =
+          std::max(vm->refused_until, now + this->limits.poll_retry);
       vm->next_poll = now;
       break;
     case StartAnswer::kUnhealthy:
-      vm->ejected_until =
-          std::max(vm->ejected_until, now + this->limits.min_ejection);
+      vm->refused_until =
+          std::max(vm->refused_until, now + this->limits.min_ejection);
       break;
     case StartAnswer::kNoPermit:
       if (task == nullptr) {
--- a/src/jobs/vm.h
+++ b/src/jobs/vm.h
@@ -91,12 +91,11 @@
   // Doubles with each report; zero: no bound.
   Duration max_poll_wait{};
 
-  // Ejection of a VM on which runs fail that others complete.
-  std::int32_t failures_in_row = 0;
-  JobId last_failed_job;
-  Time last_done;
-  std::int32_t ejections = 0;
+  // Ejection of a VM on which runs fail by its fault, see VmFailures.
+  std::int32_t ejections = 0;  // since a run last succeeded there
   Time ejected_until;
+  // It has refused a start for want of room or as unhealthy.
+  Time refused_until;
 
   bool mixed = false;   // serving and backfill tasks run beside each other
   PaceController pace;  // of the backfill tasks
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -1493,6 +1493,52 @@
   BOOST_TEST(sim.scheduler->counters().failed <= 6);
 }
 
+// Guards against a pool without usable VMs: two endless jobs that fail on every
+// VM eject one VM after the other, and no other job starts.
+BOOST_AUTO_TEST_CASE(JobsThatFailEverywhereEjectNoVms) {
+  FleetSim sim;
+  WithVms(sim, 9);
+  for (int i = 0; i < 12; ++i) {
+    JobSpec job = EndlessJob("job" + std::to_string(i), 1);
+    if (i == 4 || i == 8) {
+      job.payload = "fails";
+    }
+    sim.Submit(job);
+    sim.Run(20);
+  }
+  sim.Run(5000);
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "later" + std::to_string(i);
+    sim.Submit(EndlessJob(id, 1));
+    const auto runs = [&] { return sim.Runs(id + ".0.0.0"); };
+    BOOST_TEST(sim.RunUntil(runs, 500));
+    sim.Run(2000);
+  }
+  std::int64_t ejected = 0;
+  for (const auto& [id, vm] : sim.scheduler->vms()) {
+    ejected += static_cast<std::int64_t>(vm->ejected_until > sim.now);
+  }
+  BOOST_TEST(ejected == 0);
+}
+
+// Guards against taking a VM's fault for the jobs': each job fails on this VM
+// only.
+BOOST_AUTO_TEST_CASE(VmThatFailsEndlessTasksIsEjected) {
+  FleetSim sim;
+  WithVms(sim, 3);
+  sim.vms.at("vm0")->fails_all = true;
+  for (int i = 0; i < 8; ++i) {
+    // Two tasks fill a VM, so that all VMs are needed.
+    JobSpec job = EndlessJob("job" + std::to_string(i), 1);
+    job.steps[0].need.cpu_m = kVmSize.cpu_m / 2;
+    sim.Submit(job);
+  }
+  sim.Run(1000);
+  BOOST_TEST((sim.scheduler->vms().at(VmId("vm0"))->ejected_until > sim.now));
+  BOOST_TEST(sim.vms.at("vm1")->runs.size() == 2U);
+  BOOST_TEST(sim.vms.at("vm2")->runs.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(GangStartsWholeOrNotAtAll) {
   FleetSim sim;
   WithVms(sim, 2);
