--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -59,7 +59,9 @@
   // The VM's clock is past this when the order to start arrives, unless the VM
   // has restarted.
   std::int64_t ordered_after_ms = 0;
-  bool resend_stop = false;       // the order to stop must be sent again
+  bool resend_stop = false;  // the order to stop must be sent again
+  // Endless: this run has been at work for so long that its VM is sound.
+  bool proved_vm = false;
   std::uint64_t last_listed = 0;  // latest report that listed the run
   std::int32_t percent = 0;       // as last reported, see RunningRow
   std::int64_t gauge = 0;         // as last reported, see RunningRow
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -656,6 +656,7 @@
   task.inferred_end = {};
   task.answered_at = Time();
   task.last_listed = 0;
+  task.proved_vm = false;
   vm.runs.insert(&task);
   vm.used += task.spec().Occupies();
   if (task.spec().endless) {
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -344,6 +344,7 @@
   void RestartVm(Vm& vm, const VmFacts& facts, Time now);
   void MarkRunsLost(Vm& vm, std::string_view reason);
   void BlameVm(Vm& vm, const Task& task, Time now);
+  void OnSuccess(Vm& vm);
   void EjectIfFailing(Vm& vm, const Task& task, Time now);
   void EndUnfoundedEjection(Vm& vm, Time now);
   void SetUnresponsive(Vm& vm, std::string_view unanswered, Time now);
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -17,6 +17,9 @@
 constexpr std::size_t kFailedJobsToEjectAgain = 1;
 // Doublings after which the ejection time no longer grows.
 constexpr std::int32_t kMaxEjectionDoublings = 4;
+// Endless tasks have no end that shows that their VM is sound. One that was at
+// work for this long shows it once.
+constexpr auto kProvingTime = std::chrono::seconds(2);
 // Longest wait of the first long poll after a call without an answer.
 constexpr auto kPollWaitAfterLoss = std::chrono::milliseconds(100);
 
@@ -184,6 +187,18 @@
   }
   task->percent = row.percent;
   task->gauge = row.gauge;
+  if (task->spec().endless && !task->proved_vm && task->Active() &&
+      now - task->answered_at >= kProvingTime) {
+    task->proved_vm = true;
+    this->OnSuccess(vm);
+  }
+}
+
+// A run has succeeded on the VM, so those that failed there before do not show
+// that it is at fault.
+void Scheduler::OnSuccess(Vm& vm) {
+  this->vm_failures.Clear(vm.facts.id);
+  vm.ejections = 0;
 }
 
 // Until then, no stop is sent for a start that had no answer. The lease in the
@@ -285,8 +300,7 @@
   }
   if (row.how == RunEnd::kDone) {
     this->vm_failures.OnDone({job.spec.id, task->step});
-    this->vm_failures.Clear(vm.facts.id);
-    vm.ejections = 0;
+    this->OnSuccess(vm);
   }
   if (job.Ended() || task->phase == TaskPhase::kDone) {
     if (current) {
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -1539,6 +1539,26 @@
   BOOST_TEST(sim.vms.at("vm2")->runs.size() == 2U);
 }
 
+// Guards against a VM that is ejected for longer and longer while it serves:
+// two endless jobs fail on the only VM, and the others that start there work.
+BOOST_AUTO_TEST_CASE(EndlessTasksAtWorkEndARowOfFailures) {
+  FleetSim sim;
+  WithVms(sim, 1);
+  for (const std::string id : {"a", "b"}) {
+    JobSpec job = EndlessJob(id, 1);
+    job.payload = "fails";
+    sim.Submit(job);
+  }
+  sim.Run(500);
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "later" + std::to_string(i);
+    sim.Submit(EndlessJob(id, 1));
+    const auto runs = [&] { return sim.Runs(id + ".0.0.0"); };
+    BOOST_TEST(sim.RunUntil(runs, 2 * ToMs(sim.limits.min_ejection)));
+    sim.Run(3000);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(GangStartsWholeOrNotAtAll) {
   FleetSim sim;
   WithVms(sim, 2);
