--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -325,7 +325,7 @@
                       Time now);
   void AwaitRecord(Vm& vm, const Job& job);
   void HandleDone(Task& task, bool current, Time now);
-  void HandleFailure(Task& task, Vm& vm, std::int64_t run, Time now);
+  void HandleFailure(Task& task, const Vm& vm, std::int64_t run, Time now);
   void CompleteStep(Job& job, Occurrence& occurrence, Time now);
   // An empty `reason`: another event tells why.
   void StopTask(Task& task, std::string_view reason = {});
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -336,6 +336,7 @@
   }
   if (row.how == RunEnd::kFailed) {
     ++this->counter_values.failed;
+    this->BlameVm(vm, *task, now);
     this->HandleFailure(*task, vm, row.run, now);
     this->AwaitRecord(vm, job);
   }
@@ -432,10 +433,13 @@
   }
 }
 
-void Scheduler::HandleFailure(Task& task, Vm& vm, std::int64_t run, Time now) {
+// Counts an attempt of the task.
+void Scheduler::HandleFailure(Task& task,
+                              const Vm& vm,
+                              std::int64_t run,
+                              Time now) {
   Job& job = *task.job;
   task.avoided_vm = vm.facts.id;
-  this->BlameVm(vm, task, now);
   if (task.spec().endless) {
     return;
   }
@@ -834,7 +838,8 @@
       }
       break;
     case StartAnswer::kInvalid:
-      // Other VMs would reject the order as well.
+      // Other VMs would reject the order as well, so it is not this one's
+      // fault.
       if (current) {
         this->HandleFailure(*task, *vm, run, now);
       }
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -1559,6 +1559,23 @@
   }
 }
 
+// Guards against VMs that are ejected for orders that no VM would accept.
+BOOST_AUTO_TEST_CASE(InvalidOrdersEjectNoVm) {
+  FleetSim sim;
+  WithVms(sim, 1);
+  sim.Run(100);
+  const Vm& vm = *sim.scheduler->vms().at(VmId("vm0"));
+  for (const std::string id : {"a", "b", "c"}) {
+    JobSpec job = SimpleJob(id, "q", 1, 1000, 100);
+    sim.scheduler->AddJob(job, "", 0, false, sim.now,
+                          sim.now);  // unknown there
+  }
+  sim.Run(100);
+  BOOST_TEST(sim.scheduler->counters().refused_starts >= 6);
+  BOOST_TEST((vm.ejected_until <= sim.now));
+  BOOST_TEST(sim.scheduler->counters().ejections == 0);
+}
+
 BOOST_AUTO_TEST_CASE(GangStartsWholeOrNotAtAll) {
   FleetSim sim;
   WithVms(sim, 2);
