--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -346,6 +346,7 @@
   void BlameVm(Vm& vm, const Task& task, Time now);
   void OnSuccess(Vm& vm);
   void EjectIfFailing(Vm& vm, const Task& task, Time now);
+  [[nodiscard]] bool MayEjectMore(const PoolId& pool, Time now) const;
   void EndUnfoundedEjection(Vm& vm, Time now);
   void SetUnresponsive(Vm& vm, std::string_view unanswered, Time now);
   void OnFenced(const VmId& id);
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -487,11 +487,21 @@
   vm.ejected_until = now;
 }
 
+// If runs fail on most VMs of a pool, the jobs are at fault more likely than
+// the VMs, and work that is sound needs some of them.
+bool Scheduler::MayEjectMore(const PoolId& id, Time now) const {
+  const auto& vms = this->pools.at(id).vms;
+  const auto ejected = static_cast<std::size_t>(std::ranges::count_if(
+      vms, [now](const auto& row) { return row.second->ejected_until > now; }));
+  return ejected < std::max<std::size_t>(1, vms.size() / 2);
+}
+
 void Scheduler::EjectIfFailing(Vm& vm, const Task& task, Time now) {
   const std::size_t jobs =
       vm.ejections > 0 ? kFailedJobsToEjectAgain : kFailedJobsToEject;
   if (vm.ejected_until > now ||
-      !this->vm_failures.FailsJobs(vm.facts.id, jobs)) {
+      !this->vm_failures.FailsJobs(vm.facts.id, jobs) ||
+      !this->MayEjectMore(vm.facts.pool, now)) {
     return;
   }
   const Duration pause =
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -1576,6 +1576,25 @@
   BOOST_TEST(sim.scheduler->counters().ejections == 0);
 }
 
+// Guards against a pool without usable VMs: jobs that may fail only once fail
+// on one VM each, so that nothing tells whether they or the VMs are at fault.
+BOOST_AUTO_TEST_CASE(AtMostHalfOfAPoolIsEjected) {
+  FleetSim sim;
+  WithVms(sim, 4);
+  sim.config.queues.at(QueueId("q")).max_attempts = 1;
+  ++sim.config.version;
+  sim.scheduler->SetConfig(sim.config, sim.now);
+  for (int i = 0; i < 40; ++i) {
+    JobSpec job = SimpleJob("fails" + std::to_string(i), "q", 1, 1000, 100);
+    job.payload = "fails";
+    sim.Submit(job);
+    sim.Run(20);
+  }
+  BOOST_TEST(sim.scheduler->counters().ejections >= 2);
+  sim.Submit(SimpleJob("sound", "q", 1, 1000, 100));
+  BOOST_TEST(sim.Completes("sound", 400));
+}
+
 BOOST_AUTO_TEST_CASE(GangStartsWholeOrNotAtAll) {
   FleetSim sim;
   WithVms(sim, 2);
