--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -259,8 +259,11 @@
     case Stage::kDone:
       break;
     case Stage::kDue:
-      if (machine == nullptr) {
+      if (machine == nullptr && this->read_at > wave.since) {
         item.stage = Stage::kDone;  // the machine has left the fleet
+      } else if (machine == nullptr) {
+        // The wave may name machines that have joined since the list was read.
+        this->RequestEarlyRead(now);
       }
       break;
     case Stage::kDraining: {
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -123,6 +123,32 @@
   BOOST_TEST(fixture.max_unavailable == 3);
 }
 
+// Guards against a wave that is completed without its newest machines: it names
+// them before the list of machines is read again.
+BOOST_AUTO_TEST_CASE(MachinesAddedSinceTheLastListAreMaintained) {
+  PlannerFixture fixture(3, 0.1);
+  fixture.Run(100);  // the list has been read
+  const VmId vm("vm3");
+  fixture.machines[MachineId("m3")] = {
+      .id = MachineId("m3"), .pool = PoolId("p"), .vm = vm};
+  fixture.loads[vm] = {.runs = 0, .pool_utilization_without = 0.1};
+  fixture.Order(4, 2, 40);
+  fixture.Run(15'000);
+  BOOST_TEST(fixture.completed);
+  BOOST_TEST(fixture.started_at_completion == 4);
+}
+
+// Guards against a wave that waits for a machine that has left for good.
+BOOST_AUTO_TEST_CASE(MachinesThatHaveLeftHoldNoWaveUp) {
+  PlannerFixture fixture(3, 0.1);
+  fixture.Run(100);
+  fixture.machines.erase(MachineId("m2"));
+  fixture.Order(3, 2, 40);
+  fixture.Run(15'000);
+  BOOST_TEST(fixture.completed);
+  BOOST_TEST(fixture.started_at_completion == 2);
+}
+
 // Guards against upkeep that overloads a busy pool although the wave is not
 // urgent yet, and against waves that are never completed because of it.
 BOOST_AUTO_TEST_CASE(BusyPoolWaitsUntilWaveIsUrgent) {
