--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -21,6 +21,12 @@
 namespace kch::net {
 namespace {
 
+// Lines may quote what others have sent, whose bytes need not be UTF-8.
+template <typename Json>
+std::string Dump(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 // Writes an event as one JSON object, so that logs can be filtered by field.
 class JsonLayout : public log4cplus::Layout {
  public:
@@ -35,7 +41,7 @@
          log4cplus::getLogLevelManager().toString(event.getLogLevel())},
         {"instance", event.getLoggerName()},
         {"text", event.getMessage()}};
-    output << line.dump() << '\n';
+    output << Dump(line) << '\n';
   }
 };
 
@@ -89,12 +95,12 @@
            << std::chrono::duration_cast<std::chrono::milliseconds>(
                   event.getTimestamp().time_since_epoch())
                   .count()
-           << ",\"instance\":" << nlohmann::json(event.getLoggerName()).dump()
+           << ",\"instance\":" << Dump(nlohmann::json(event.getLoggerName()))
            << ',';
     if (text.starts_with('{')) {
       output << std::string_view(text).substr(1) << '\n';
     } else {
-      output << nlohmann::json{{"text", text}}.dump().substr(1) << '\n';
+      output << Dump(nlohmann::json{{"text", text}}).substr(1) << '\n';
     }
   }
 };
@@ -150,9 +156,7 @@
   for (const auto& [name, value] : fields) {
     line[std::string(name)] = value;
   }
-  Target().log(
-      log4cplus::INFO_LOG_LEVEL,
-      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  Target().log(log4cplus::INFO_LOG_LEVEL, Dump(line));
 }
 
 void Log(LogLevel level, const std::string& text) {
