--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -647,6 +647,22 @@
   BOOST_TEST(list->at(2).labels.empty());
 }
 
+// Guards against a process that ends for a malformed row. The list fails as a
+// whole, since a machine that it leaves out would count as gone.
+BOOST_AUTO_TEST_CASE(OddRowFailsTheListOfMachines) {
+  for (const std::string row :
+       {R"({"Machine": "m-2", "Capacity": "big"})",
+        R"({"Machine": "m-2", "Capacity": {"Cpu": "many"}})", R"("m-2")"}) {
+    Stand stand;
+    stand.Answer("machines", 200,
+                 R"({"Machines": [{"Machine": "m-1"}, )" + row + "]}");
+    MachineClient machines(*stand.client, stand.Address(), "edge-1");
+    Waiter<std::optional<std::vector<upkeep::Machine>>> waiter;
+    machines.List(waiter.Callback());
+    BOOST_TEST(!waiter.Wait().has_value());
+  }
+}
+
 // Guards against an order to a machine that is sent after its sender's lease
 // has expired, as when the process was paused in between.
 BOOST_AUTO_TEST_CASE(OrdersToMachinesAreNotSentAfterTheLease) {
