--- a/src/app/fleet/front.cc
+++ b/src/app/fleet/front.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "app/fleet/keys.h"
@@ -23,13 +24,16 @@
 constexpr auto kRefusedPatience = std::chrono::milliseconds(350);
 constexpr int kStoreRetryMs = 60;
 constexpr int kWriteTimeoutMs = 800;
+// A cancellation waits this long for the lease under which it is recorded.
+constexpr auto kLeaseWait = std::chrono::milliseconds(800);
 // Time that an answer needs to reach its caller.
 constexpr auto kAnswerMargin = std::chrono::milliseconds(200);
 constexpr auto kDefaultDeadline = std::chrono::milliseconds(3000);
 // Tells callers when a refused request is worth another try.
 constexpr int kRetryAfterS = 1;
 // The record of a rejection outlasts every write that an earlier attempt may
-// have left behind. A lease is used for half of its time.
+// have left behind. A lease is used for half of its time. The same holds for
+// jobs that are cancelled before they are stored.
 constexpr auto kRejectionLease = std::chrono::seconds(120);
 
 constexpr int kOk = 200;
@@ -63,6 +67,12 @@
   return {.status = kGatewayTimeout, .body = R"({"Error":"outcome_unknown"})"};
 }
 
+// The record of a job that was cancelled before it was stored, in place of that
+// of a rejection for load. It binds the team that cancelled only.
+std::string CancelledRecord(const TeamId& team) {
+  return nlohmann::json{{"cancelled_by", team.str()}}.dump();
+}
+
 // An open queue's jobs belong to no team; other jobs exist for their team only.
 bool MayRead(const TeamId& owner, const TeamId& reader) {
   return owner.empty() || owner == reader;
@@ -76,6 +86,7 @@
   Front& front;
   jobs::JobId job;
   jobs::QueueId queue;
+  TeamId team;
   platform::Transaction transaction;
   Time begun = Now();
   Time deadline;
@@ -85,11 +96,13 @@
   Submission(Front& front,
              jobs::JobId job,
              jobs::QueueId queue,
+             TeamId team,
              Time deadline,
              Reply reply)
       : front(front),
         job(std::move(job)),
         queue(std::move(queue)),
+        team(std::move(team)),
         deadline(deadline),
         reply(std::move(reply)) {}
 
@@ -127,13 +140,25 @@
     return true;
   }
 
+  // It was cancelled while no record of it was there.
+  [[nodiscard]] bool Cancelled(const std::vector<platform::Item>& items) const {
+    return std::ranges::any_of(items, [this](const platform::Item& item) {
+      return item.key == KeyOf(kRejectedPrefix, this->job) &&
+             item.value == CancelledRecord(this->team);
+    });
+  }
+
   void OnWritten(const platform::WriteReply& result) {
     switch (result.outcome) {
       case Outcome::kOk:
         this->End("accepted", {.status = kOk, .body = "{}"});
         return;
       case Outcome::kConflict:
-        if (this->ReplaceRejection(result.items)) {
+        if (this->Cancelled(result.items)) {
+          this->End("cancelled",
+                    NotRun(kUnavailable, "cancelled",
+                           static_cast<int>(kRejectionLease.count())));
+        } else if (this->ReplaceRejection(result.items)) {
           this->Try();
         } else {  // the same job was stored before
           this->End("accepted", {.status = kOk, .body = "{}"});
@@ -267,9 +292,9 @@
     this->Refuse(call, Refusal::kStoreDown, version, reply);
     return;
   }
-  auto submission =
-      std::make_shared<Submission>(*this, admitted.job, admitted.queue->id,
-                                   DeadlineOf(request), std::move(reply));
+  auto submission = std::make_shared<Submission>(
+      *this, admitted.job, admitted.queue->id, admitted.team,
+      DeadlineOf(request), std::move(reply));
   const std::string key = KeyOf(kJobPrefix, admitted.job);
   submission->transaction.conditions = {
       {key, 0},
@@ -311,6 +336,11 @@
   return fresh ? std::optional(lease.id) : std::nullopt;
 }
 
+void Front::DropRejectionLease() {
+  const std::lock_guard lock(this->mutex);
+  this->rejection_lease.id = 0;
+}
+
 // The promise that a rejected job does not run holds only once its record is
 // stored: a write of an earlier attempt without an answer may still be under
 // way.
@@ -331,8 +361,7 @@
       [this, submission, rejection](const platform::WriteReply& result) {
         if (result.outcome != Outcome::kOk) {
           if (result.outcome == Outcome::kMissing) {
-            const std::lock_guard lock(this->mutex);
-            this->rejection_lease.id = 0;
+            this->DropRejectionLease();
           }
           submission->Try();
           return;
@@ -387,13 +416,14 @@
 void Front::FindJob(const jobs::JobId& job,
                     const TeamId& team,
                     Reply reply,
-                    FoundJob found) {
+                    FoundJob found,
+                    std::function<void()> missing) {
   this->parts.store.Get(
       KeyOf(kJobPrefix, job),
-      [this, job, team, reply = std::move(reply),
-       found = std::move(found)](const platform::GetReply& accepted) {
+      [this, job, team, reply = std::move(reply), found = std::move(found),
+       missing = std::move(missing)](const platform::GetReply& accepted) {
         if (accepted.outcome == Outcome::kMissing) {
-          this->FindEnded(job, team, reply, found);
+          this->FindEnded(job, team, reply, found, missing);
           return;
         }
         if (accepted.outcome != Outcome::kOk) {
@@ -415,10 +445,15 @@
 void Front::FindEnded(const jobs::JobId& job,
                       const TeamId& team,
                       const Reply& reply,
-                      const FoundJob& found) {
+                      const FoundJob& found,
+                      const std::function<void()>& missing) {
   this->parts.store.Get(
       KeyOf(kEndedJobPrefix, job),
-      [job, team, reply, found](const platform::GetReply& ended) {
+      [job, team, reply, found, missing](const platform::GetReply& ended) {
+        if (ended.outcome == Outcome::kMissing && missing) {
+          missing();
+          return;
+        }
         if (ended.outcome == Outcome::kMissing) {
           net::LogEvent("state_gone", {{"job", job.str()}});
           reply({.status = kGone});
@@ -497,15 +532,65 @@
 
 void Front::Cancel(const Admitted& admitted, const Reply& reply) {
   const jobs::JobId job = admitted.job;
-  this->FindJob(job, admitted.team, reply,
-                [this, admitted, reply](std::optional<jobs::JobState> ended,
-                                        std::uint64_t revision) {
-                  if (ended) {
-                    reply({.status = kOk, .body = "{}"});
-                  } else {
-                    this->StoreCancel(admitted, revision, reply);
-                  }
-                });
+  this->FindJob(
+      job, admitted.team, reply,
+      [this, admitted, reply](std::optional<jobs::JobState> ended,
+                              std::uint64_t revision) {
+        if (ended) {
+          reply({.status = kOk, .body = "{}"});
+        } else {
+          this->StoreCancel(admitted, revision, reply);
+        }
+      },
+      [this, admitted, reply] {
+        this->CancelMissing(admitted, reply, Now() + kLeaseWait);
+      });
+}
+
+// A submission that had no answer may still be carried out, so that the job is
+// gone holds only once a record is stored that bars it.
+void Front::CancelMissing(const Admitted& admitted,
+                          const Reply& reply,
+                          Time lease_by) {
+  const auto lease = this->LeaseForRejection();
+  if (!lease && Now() >= lease_by) {
+    reply(NotRun(kUnavailable, "store_down"));
+    return;
+  }
+  if (!lease) {
+    this->parts.client.Delay(kStoreRetryMs, [this, admitted, reply, lease_by] {
+      this->CancelMissing(admitted, reply, lease_by);
+    });
+    return;
+  }
+  const jobs::JobId job = admitted.job;
+  platform::Transaction transaction;
+  transaction.conditions = {{KeyOf(kJobPrefix, job), 0},
+                            {KeyOf(kEndedJobPrefix, job), 0}};
+  transaction.puts.push_back(
+      {KeyOf(kRejectedPrefix, job), CancelledRecord(admitted.team), *lease});
+  this->parts.store.Write(
+      transaction, kWriteTimeoutMs,
+      [this, job, admitted, reply](const platform::WriteReply& result) {
+        switch (result.outcome) {
+          case Outcome::kOk:
+            net::LogEvent("cancel",
+                          {{"job", job.str()}, {"outcome", "not_submitted"}});
+            reply({.status = kGone});
+            return;
+          case Outcome::kConflict:
+            this->Cancel(admitted, reply);  // it has been stored meanwhile
+            return;
+          case Outcome::kMissing:
+            this->DropRejectionLease();
+            break;
+          default:
+            break;
+        }
+        reply(result.outcome == Outcome::kUnknown
+                  ? Unknown()
+                  : NotRun(kUnavailable, "store_down"));
+      });
 }
 
 // The record of the job is a condition, so that no cancellation outlives the
--- a/src/app/fleet/front.h
+++ b/src/app/fleet/front.h
@@ -78,15 +78,20 @@
               const admit::Rejection& rejection);
   /*! @brief Lease for the record of a rejection; none while it is created. */
   std::optional<std::uint64_t> LeaseForRejection();
+  void DropRejectionLease();
   void ReportState(const ingress::Admitted& admitted, Reply reply);
+  /*! @brief Calls `found`, or `missing` if neither the job nor its end is
+   * stored; without `missing`, the caller is told that the job is gone. */
   void FindJob(const jobs::JobId& job,
                const TeamId& team,
                Reply reply,
-               FoundJob found);
+               FoundJob found,
+               std::function<void()> missing = nullptr);
   void FindEnded(const jobs::JobId& job,
                  const TeamId& team,
                  const Reply& reply,
-                 const FoundJob& found);
+                 const FoundJob& found,
+                 const std::function<void()>& missing = nullptr);
   void ReadState(const jobs::JobId& job,
                  const TeamId& team,
                  const Reply& reply);
@@ -94,6 +99,11 @@
                     const TeamId& team,
                     const Reply& reply);
   void Cancel(const ingress::Admitted& admitted, const Reply& reply);
+  /*! @brief Cancels a job that is not stored, and bars the writes that may
+   * still store it. */
+  void CancelMissing(const ingress::Admitted& admitted,
+                     const Reply& reply,
+                     Time lease_by);
   void StoreCancel(const ingress::Admitted& admitted,
                    std::uint64_t revision,
                    const Reply& reply);
--- a/test/process/admission_test.cc
+++ b/test/process/admission_test.cc
@@ -17,7 +17,9 @@
 using fake::CallFault;
 
 constexpr int kOk = 200;
+constexpr int kGone = 410;
 constexpr int kTooMany = 429;
+constexpr int kUnavailable = 503;
 
 // Jobs that together need several times as long as they are of use.
 struct Flood {
@@ -114,5 +116,32 @@
   BOOST_TEST(fleet.StateOf(job) == "");
 }
 
+// Guards against a cancelled job that runs: its submission had no answer, the
+// cancellation finds no job, and the submission's write is carried out later.
+BOOST_AUTO_TEST_CASE(CancelledJobIsNotStoredByAnEarlierAttempt) {
+  PlatformFleet fleet;
+  const jobs::JobSpec job = PlainJob("late", 2, 300);
+  fleet.platform->SetFaults(
+      [writes = 0](const std::string& call, const std::string& body) mutable {
+        if (call != "store/kv-txn" ||
+            body.find(R"("Puts":[{"Key":"kch/in/job/000000000000late")") ==
+                std::string::npos) {
+          return CallFault::kNone;
+        }
+        return writes++ == 0 ? CallFault::kLate : CallFault::kLoseCall;
+      });
+  auto attempt =
+      std::async(std::launch::async, [&] { return fleet.Submit(1, job); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  BOOST_TEST(fleet.CancelAt(2, job) == kGone);
+  BOOST_TEST(attempt.get() != kOk);
+  // Until the write has been carried out.
+  std::this_thread::sleep_for(std::chrono::seconds(7));
+  BOOST_TEST(fleet.starts() == 0);
+  BOOST_TEST(fleet.StateOf(job) == "");
+  fleet.platform->SetFaults(nullptr);
+  BOOST_TEST(fleet.Submit(2, job) == kUnavailable);
+}
+
 }  // namespace
 }  // namespace kch::test
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -252,6 +252,10 @@
   return "";
 }
 
+int PlatformFleet::CancelAt(std::size_t instance, const jobs::JobSpec& job) {
+  return this->Call("DELETE", instance, job).code;
+}
+
 void PlatformFleet::Cancel(const jobs::JobSpec& job) {
   std::size_t next = 0;
   this->WaitFor("the cancelling of " + job.id.str(), [&] {
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -44,6 +44,8 @@
   void Accept(const jobs::JobSpec& job);
   /*! @brief A job's state as some instance tells it; empty: none told. */
   std::string StateOf(const jobs::JobSpec& job);
+  /*! @brief Cancels a job at one instance; the code of its answer, or 0. */
+  int CancelAt(std::size_t instance, const jobs::JobSpec& job);
   /*! @brief Cancels a job at any instance. */
   void Cancel(const jobs::JobSpec& job);
   /*! @brief Waits until jobs are shown as completed. */
