--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -483,7 +483,8 @@
       "ejection_ended",
       {{"vm", vm.facts.id.str()},
        {"left_ms", std::to_string(ToMs(vm.ejected_until - now))}});
-  --vm.ejections;
+  // A run may have succeeded there since.
+  vm.ejections = std::max(0, vm.ejections - 1);
   vm.ejected_until = now;
 }
 
--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -1559,6 +1559,32 @@
   }
 }
 
+// Guards against a count of ejections below zero: a VM succeeds while it is
+// ejected, and the ejection turns out to be unfounded after that.
+BOOST_AUTO_TEST_CASE(UnfoundedEjectionOfAVmThatHasSucceededEnds) {
+  FleetSim sim;
+  FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
+  sim.Submit(SimpleJob("c", "q", 1, 1000, 300));
+  sim.Submit(EndlessJob("d", 1));
+  sim.Run(50);
+  for (const std::string id : {"a", "b"}) {
+    JobSpec job = EndlessJob(id, 1);
+    job.payload = "fails";
+    sim.Submit(job);
+  }
+  const Vm& known = *sim.scheduler->vms().at(VmId("vm0"));
+  BOOST_REQUIRE(sim.RunUntil([&known] { return known.ejections == 1; }, 500));
+  sim.Cancel("a");
+  sim.Cancel("b");
+  BOOST_REQUIRE(sim.Completes("c", 500));
+  BOOST_TEST(known.ejections == 0);
+  sim.AddVm("vm1", "p", kVmSize).fails_all = true;
+  vm.runs.at("d.0.0.0").fails = true;
+  sim.Run(200);
+  BOOST_TEST((known.ejected_until <= sim.now));
+  BOOST_TEST(known.ejections == 0);
+}
+
 // Guards against VMs that are ejected for orders that no VM would accept.
 BOOST_AUTO_TEST_CASE(InvalidOrdersEjectNoVm) {
   FleetSim sim;
