--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -60,7 +60,8 @@
   // has restarted.
   std::int64_t ordered_after_ms = 0;
   bool resend_stop = false;  // the order to stop must be sent again
-  // Endless: this run has been at work for so long that its VM is sound.
+  // Endless: this run has been at work long enough to count as a success of
+  // its VM, once.
   bool proved_vm = false;
   std::uint64_t last_listed = 0;  // latest report that listed the run
   std::int32_t percent = 0;       // as last reported, see RunningRow
