--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -343,7 +343,7 @@
   void RemoveUnlistedOrphans(Vm& vm, std::uint64_t listed_in);
   void RestartVm(Vm& vm, const VmFacts& facts, Time now);
   void MarkRunsLost(Vm& vm, std::string_view reason);
-  void BlameVm(Vm& vm, const Task& task, Time now);
+  void AttributeFailure(Vm& vm, const Task& task, Time now);
   void OnSuccess(Vm& vm);
   void EjectIfFailing(Vm& vm, const Task& task, Time now);
   [[nodiscard]] bool MayEjectMore(const PoolId& pool, Time now) const;
--- a/src/jobs/scheduler_report.cc
+++ b/src/jobs/scheduler_report.cc
@@ -336,7 +336,7 @@
   }
   if (row.how == RunEnd::kFailed) {
     ++this->counter_values.failed;
-    this->BlameVm(vm, *task, now);
+    this->AttributeFailure(vm, *task, now);
     this->HandleFailure(*task, vm, row.run, now);
     this->AwaitRecord(vm, job);
   }
@@ -453,15 +453,16 @@
   }
 }
 
-// Ejects a VM on which runs of several jobs have failed by its fault: it
-// receives no starts for some time.
-void Scheduler::BlameVm(Vm& vm, const Task& task, Time now) {
+// Counts a failed run against its VM or against its step. A VM on which runs of
+// several jobs have failed by its fault is ejected: it receives no starts for
+// some time.
+void Scheduler::AttributeFailure(Vm& vm, const Task& task, Time now) {
   const VmFailures::StepKey step{task.job->spec.id, task.step};
   const bool has_done =
       this->StepOf(task).done > 0 || task.job->finished.size() > 0;
-  const auto acquitted =
+  const auto not_at_fault =
       this->vm_failures.OnFailure(vm.facts.id, step, has_done, now);
-  if (Vm* other = acquitted ? this->FindVm(*acquitted) : nullptr) {
+  if (Vm* other = not_at_fault ? this->FindVm(*not_at_fault) : nullptr) {
     this->EndUnfoundedEjection(*other, now);
   }
   if (this->vm_failures.Counts(vm.facts.id, step)) {
@@ -469,7 +470,7 @@
   }
 }
 
-// The step whose failure has ejected the VM has failed on another one as well.
+// Called when a step that has failed on the VM has failed on another one, too.
 void Scheduler::EndUnfoundedEjection(Vm& vm, Time now) {
   if (vm.ejected_until <= now) {
     return;
--- a/test/jobs/vm_failures_test.cc
+++ b/test/jobs/vm_failures_test.cc
@@ -37,15 +37,16 @@
 BOOST_AUTO_TEST_CASE(StepsThatFailOnSeveralVmsCountAgainstNone) {
   VmFailures failures;
   failures.OnFailure(kVm0, StepOf("a"), false, kStart);
-  const auto acquitted = failures.OnFailure(kVm1, StepOf("a"), false, kStart);
-  BOOST_TEST((acquitted == kVm0));
+  const auto not_at_fault =
+      failures.OnFailure(kVm1, StepOf("a"), false, kStart);
+  BOOST_TEST((not_at_fault == kVm0));
   BOOST_TEST(!failures.FailsJobs(kVm0, 1));
   BOOST_TEST(!failures.Counts(kVm1, StepOf("a")));
   BOOST_TEST(!failures.OnFailure(kVm2, StepOf("a"), false, kStart));
   BOOST_TEST(!failures.Counts(kVm2, StepOf("a")));
 }
 
-// Guards against two broken VMs that acquit each other.
+// Guards against two broken VMs that are not found, as a job fails on both.
 BOOST_AUTO_TEST_CASE(FailuresOfAStepWithATaskThatIsDoneCount) {
   VmFailures failures;
   failures.OnFailure(kVm0, StepOf("a"), false, kStart);
--- a/test/process/admission_test.cc
+++ b/test/process/admission_test.cc
@@ -47,6 +47,20 @@
   }
 };
 
+// The first write of the job "late" is carried out seconds later, without an
+// answer; the others are lost.
+void CarryOutSubmissionLate(PlatformFleet& fleet) {
+  fleet.platform->SetFaults(
+      [writes = 0](const std::string& call, const std::string& body) mutable {
+        if (call != "store/kv-txn" ||
+            body.find(R"("Puts":[{"Key":"kch/in/job/000000000000late")") ==
+                std::string::npos) {
+          return CallFault::kNone;
+        }
+        return writes++ == 0 ? CallFault::kLate : CallFault::kLoseCall;
+      });
+}
+
 // Guards against jobs that are accepted and done long after they are of use,
 // and against a rejected job that runs.
 BOOST_AUTO_TEST_CASE(RejectedJobsDoNotRunUntilTheyReturn) {
@@ -95,15 +109,7 @@
 BOOST_AUTO_TEST_CASE(RejectedJobIsNotStoredByAnEarlierAttempt) {
   PlatformFleet fleet;
   const jobs::JobSpec job = PlainJob("late", 2, 300);
-  fleet.platform->SetFaults(
-      [writes = 0](const std::string& call, const std::string& body) mutable {
-        if (call != "store/kv-txn" ||
-            body.find(R"("Puts":[{"Key":"kch/in/job/000000000000late")") ==
-                std::string::npos) {
-          return CallFault::kNone;
-        }
-        return writes++ == 0 ? CallFault::kLate : CallFault::kLoseCall;
-      });
+  CarryOutSubmissionLate(fleet);
   auto attempt =
       std::async(std::launch::async, [&] { return fleet.Submit(1, job); });
   Flood flood;
@@ -121,15 +127,7 @@
 BOOST_AUTO_TEST_CASE(CancelledJobIsNotStoredByAnEarlierAttempt) {
   PlatformFleet fleet;
   const jobs::JobSpec job = PlainJob("late", 2, 300);
-  fleet.platform->SetFaults(
-      [writes = 0](const std::string& call, const std::string& body) mutable {
-        if (call != "store/kv-txn" ||
-            body.find(R"("Puts":[{"Key":"kch/in/job/000000000000late")") ==
-                std::string::npos) {
-          return CallFault::kNone;
-        }
-        return writes++ == 0 ? CallFault::kLate : CallFault::kLoseCall;
-      });
+  CarryOutSubmissionLate(fleet);
   auto attempt =
       std::async(std::launch::async, [&] { return fleet.Submit(1, job); });
   std::this_thread::sleep_for(std::chrono::milliseconds(300));
