--- a/src/app/fleet/front.cc
+++ b/src/app/fleet/front.cc
@@ -73,6 +73,18 @@
   return nlohmann::json{{"cancelled_by", team.str()}}.dump();
 }
 
+// Stores the record that bars all writes of a job that is not stored.
+platform::Transaction BarringTransaction(const jobs::JobId& job,
+                                         std::string record,
+                                         std::uint64_t lease) {
+  platform::Transaction transaction;
+  transaction.conditions = {{KeyOf(kJobPrefix, job), 0},
+                            {KeyOf(kEndedJobPrefix, job), 0}};
+  transaction.puts.push_back(
+      {KeyOf(kRejectedPrefix, job), std::move(record), lease});
+  return transaction;
+}
+
 // An open queue's jobs belong to no team; other jobs exist for their team only.
 bool MayRead(const TeamId& owner, const TeamId& reader) {
   return owner.empty() || owner == reader;
@@ -351,13 +363,8 @@
     submission->Try();
     return;
   }
-  const std::string key = KeyOf(kRejectedPrefix, submission->job);
-  platform::Transaction transaction;
-  transaction.conditions = {{KeyOf(kJobPrefix, submission->job), 0},
-                            {KeyOf(kEndedJobPrefix, submission->job), 0}};
-  transaction.puts.push_back({key, "{}", *lease});
   this->parts.store.Write(
-      transaction, kWriteTimeoutMs,
+      BarringTransaction(submission->job, "{}", *lease), kWriteTimeoutMs,
       [this, submission, rejection](const platform::WriteReply& result) {
         if (result.outcome != Outcome::kOk) {
           if (result.outcome == Outcome::kMissing) {
@@ -564,13 +571,9 @@
     return;
   }
   const jobs::JobId job = admitted.job;
-  platform::Transaction transaction;
-  transaction.conditions = {{KeyOf(kJobPrefix, job), 0},
-                            {KeyOf(kEndedJobPrefix, job), 0}};
-  transaction.puts.push_back(
-      {KeyOf(kRejectedPrefix, job), CancelledRecord(admitted.team), *lease});
   this->parts.store.Write(
-      transaction, kWriteTimeoutMs,
+      BarringTransaction(job, CancelledRecord(admitted.team), *lease),
+      kWriteTimeoutMs,
       [this, job, admitted, reply](const platform::WriteReply& result) {
         switch (result.outcome) {
           case Outcome::kOk:
