--- a/test/jobs/scheduler_test.cc
+++ b/test/jobs/scheduler_test.cc
@@ -60,6 +60,22 @@
   return used;
 }
 
+// A VM on which a serving task is far over its target beside the backfill task
+// filling.0.0.0, for long enough to throttle that.
+FakeVm& ThrottleABackfillTask(FleetSim& sim) {
+  FakeVm& vm = sim.AddVm("vm0", "p", kVmSize);
+  JobSpec serving = EndlessJob("serving", 1);
+  serving.steps[0].target_ms = 100;
+  JobSpec filling = EndlessJob("filling", 1);
+  filling.steps[0].backfill = true;
+  sim.Submit(serving);
+  sim.Submit(filling);
+  sim.Run(500);
+  vm.tail_ms = 180;
+  sim.Run(3500);
+  return vm;
+}
+
 // Two pools with one VM each, and a job of six tasks for each of them that the
 // simulation does not plan by itself.
 void AddTwoPoolsWithWork(FleetSim& sim) {
@@ -1682,17 +1698,7 @@
 
 BOOST_AUTO_TEST_CASE(FillingTasksArePacedWhileTheyHarm) {
   FleetSim sim;
-  WithVms(sim, 1);
-  JobSpec serving = EndlessJob("serving", 1);
-  serving.steps[0].target_ms = 100;
-  JobSpec filling = EndlessJob("filling", 1);
-  filling.steps[0].backfill = true;
-  sim.Submit(serving);
-  sim.Submit(filling);
-  sim.Run(500);
-  FakeVm& vm = *sim.vms.at("vm0");
-  vm.tail_ms = 180;
-  sim.Run(3500);
+  FakeVm& vm = ThrottleABackfillTask(sim);
   BOOST_TEST(vm.runs.at("filling.0.0.0").percent == 0);
   vm.tail_ms = 40;
   sim.Run(15'000);
@@ -1704,17 +1710,7 @@
 // takes an adopted run for one at its full share.
 BOOST_AUTO_TEST_CASE(AdoptedBackfillTasksAreNotLeftThrottled) {
   FleetSim sim;
-  WithVms(sim, 1);
-  JobSpec serving = EndlessJob("serving", 1);
-  serving.steps[0].target_ms = 100;
-  JobSpec filling = EndlessJob("filling", 1);
-  filling.steps[0].backfill = true;
-  sim.Submit(serving);
-  sim.Submit(filling);
-  sim.Run(500);
-  FakeVm& vm = *sim.vms.at("vm0");
-  vm.tail_ms = 180;
-  sim.Run(3500);
+  FakeVm& vm = ThrottleABackfillTask(sim);
   BOOST_REQUIRE(vm.runs.at("filling.0.0.0").percent == 0);
   vm.tail_ms = 40;
   sim.Takeover();
@@ -2026,7 +2022,6 @@
   BOOST_TEST(sim.scheduler->team_usage().at(TeamId()).cpu_m == 0);
 }
 
-// A cordoned VM without endless tasks may be ordered down at any time.
 // Guards against starts on a VM whose machine is about to be ordered away: the
 // VM restarts under its id while it drains.
 BOOST_AUTO_TEST_CASE(RestartedVmStaysCordoned) {
@@ -2043,6 +2038,7 @@
   BOOST_TEST(sim.Completes("a", 500));
 }
 
+// A cordoned VM without endless tasks may be ordered down at any time.
 BOOST_AUTO_TEST_CASE(NothingStartsOnAnEmptiedVm) {
   FleetSim sim;
   WithVms(sim, 1);
