--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -9,6 +9,23 @@
 
 // Delay after a failed write of a wave.
 constexpr auto kSaveRetryDelay = std::chrono::milliseconds(200);
+// Machines named in one log line at most.
+constexpr std::size_t kMaxLoggedMachines = 8;
+
+// The machines that `list` has and `other` lacks; the first few by name.
+std::string NamesMissingIn(const MachineList& other, const MachineList& list) {
+  std::string names;
+  std::size_t count = 0;
+  for (const auto& [id, machine] : list) {
+    if (!other.contains(id) && ++count <= kMaxLoggedMachines) {
+      names += (names.empty() ? "" : " ") + id.str();
+    }
+  }
+  if (count > kMaxLoggedMachines) {
+    names += " and " + std::to_string(count - kMaxLoggedMachines) + " more";
+  }
+  return names;
+}
 
 }  // namespace
 
@@ -77,10 +94,20 @@
 }
 
 void Planner::OnMachineList(const std::vector<Machine>& machines, Time now) {
-  this->list.clear();
+  const MachineList previous = std::exchange(this->list, {});
   for (const Machine& machine : machines) {
     this->list[machine.id] = machine;
   }
+  const std::string joined = NamesMissingIn(previous, this->list);
+  const std::string left = NamesMissingIn(this->list, previous);
+  if (!joined.empty() || !left.empty()) {
+    this->EmitLogEvent(
+        "machines",
+        {{"listed", std::to_string(this->list.size())},
+         {"joined", joined},
+         {"left", left},
+         {"read_ms", std::to_string(ToMs(now - this->read_started))}});
+  }
   this->has_list = true;
   this->read_pending = false;
   this->read_failed = false;
