--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -470,10 +470,10 @@
   net::LogEvent("wave", {{"key", item.key},
                          {"machines", std::to_string(wave->machines.size())},
                          {"most_away", std::to_string(wave->max_unavailable)}});
-  const auto seen = this->waves.emplace(item.key, SeenWave{*wave, Now()}).first;
-  seen->second.order = *std::move(wave);
+  upkeep::ObservedWave& observed = this->waves[item.key];
+  observed.Observe(*wave, Now());
   if (this->planner != nullptr) {
-    this->planner->SetWave(seen->second.order, seen->second.since);
+    this->planner->SetWave(observed.order, observed.since);
   }
 }
 
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -109,11 +109,6 @@
     std::function<void(platform::Outcome)> done;
   };
   void WriteRecords(std::vector<OpenRecord> records);
-  // A wave as the operators wrote it, and when this process first saw it.
-  struct SeenWave {
-    upkeep::WaveOrder order;
-    Time since;
-  };
 
   void Post(std::function<void()> event);
   /*! @brief As Post, for a scheduler; dropped if another one came since. */
@@ -218,7 +213,7 @@
   std::map<std::string, std::uint64_t> revisions;
   std::vector<OpenRecord> vm_records;  // to be written
   lead::StoreContact store_contact;
-  std::map<std::string, SeenWave> waves;  // by key
+  std::map<std::string, upkeep::ObservedWave> waves;  // by key
   std::unique_ptr<upkeep::Planner> planner;
   std::unique_ptr<upkeep::Mover> mover;
   std::optional<upkeep::FleetForecast> forecast;  // of this term
--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -29,6 +29,13 @@
 
 }  // namespace
 
+void ObservedWave::Observe(const WaveOrder& newest, Time now) {
+  if (newest != this->order) {
+    this->order = newest;
+    this->since = now;
+  }
+}
+
 Planner::Planner(const Limits& limits, Time start)
     : limits(limits), start(start) {}
 
@@ -53,6 +60,37 @@
       item.stage = Stage::kDone;
     }
   }
+  // An ordered machine stays until its order is answered.
+  std::erase_if(wave.items, [&](const auto& row) {
+    const auto& [id, item] = row;
+    const bool released =
+        !order.machines.contains(id) &&
+        (item.stage == Stage::kDue || item.stage == Stage::kDraining);
+    if (released && item.stage == Stage::kDraining) {
+      this->effects.emplace_back(SetCordon{item.vm, false});
+    }
+    return released;
+  });
+  if (wave.completed && !IsFinished(wave)) {
+    this->Reopen(wave);
+  }
+}
+
+bool Planner::IsFinished(const Wave& wave) {
+  return std::ranges::all_of(wave.items, [&](const auto& row) {
+    const auto& [id, item] = row;
+    return item.stage == Stage::kDone || item.stage == Stage::kUnavailable ||
+           !wave.order.machines.contains(id);
+  });
+}
+
+void Planner::Reopen(Wave& wave) {
+  wave.completed = false;
+  this->effects.emplace_back(SaveWave{wave.order.id, wave.started, false});
+  this->EmitLogEvent("wave_reopened",
+                     {{"wave", wave.order.id.str()},
+                      {"machines", std::to_string(wave.order.machines.size())},
+                      {"started", std::to_string(wave.started.size())}});
 }
 
 void Planner::RemoveWave(const WaveId& id) {
@@ -166,6 +204,11 @@
     case OrderAnswer::kRateLimited:
       // The order was not carried out: the machine continues to drain and is
       // ordered again.
+      if (!wave.order.machines.contains(id)) {
+        this->effects.emplace_back(SetCordon{item.vm, false});
+        wave.items.erase(id);
+        break;
+      }
       item.stage = Stage::kDraining;
       item.retry_at = now + this->limits.order_retry_interval;
       break;
@@ -200,13 +243,15 @@
     return;
   }
   for (auto& [id, wave] : this->waves) {
-    if (!wave.completed && !wave.order.machines.empty()) {
+    // Of a wave that the operators have removed, only the record is known.
+    if (!wave.completed && !wave.order.id.empty()) {
       this->TickWave(wave, now, load_of);
       continue;
     }
-    // The last machines of a completed wave have yet to return.
+    // The last machines of a completed wave have yet to return, and orders of
+    // machines that it names no longer are yet to be answered.
     for (auto& [machine, item] : wave.items) {
-      if (item.stage == Stage::kUnavailable) {
+      if (item.stage == Stage::kOrdered || item.stage == Stage::kUnavailable) {
         this->AdvanceItem(wave, machine, item, false, now, load_of);
       }
     }
@@ -261,11 +306,7 @@
     this->AdvanceItem(wave, id, item, urgent, now, load_of);
   }
   this->AdmitMachines(wave, urgent, now, load_of);
-  const bool all_done = std::ranges::all_of(wave.items, [](const auto& item) {
-    return item.second.stage == Stage::kDone ||
-           item.second.stage == Stage::kUnavailable;
-  });
-  if (all_done) {
+  if (IsFinished(wave)) {
     wave.completed = true;
     this->effects.emplace_back(SaveWave{wave.order.id, wave.started, true});
     this->EmitLogEvent("wave_completed",
--- a/src/upkeep/planner.h
+++ b/src/upkeep/planner.h
@@ -51,6 +51,19 @@
   std::set<MachineId> machines;
   std::int32_t max_unavailable = 1;
   Duration duration{};
+
+  bool operator==(const WaveOrder&) const = default;
+};
+
+/*! @brief Wave as the operators wrote it last, and when this process first
+ * observed it so. */
+struct ObservedWave {
+  WaveOrder order;
+  Time since;
+
+  /*! @brief Handles a record of the wave. One that asks for the same again, as
+   * each listing of the store returns it, changes nothing. */
+  void Observe(const WaveOrder& newest, Time now);
 };
 
 /*! @brief Plans upkeep waves: drains and orders a limited number of machines at
@@ -63,7 +76,9 @@
   Planner(const Limits& limits, Time start);
 
   /*! @brief Adds or replaces a wave; its duration starts at `since`, when this
-   * process first observed the wave, possibly before it became the owner. */
+   * process first observed it with this content, possibly before it became the
+   * owner. Machines that are not named any longer are released, and a completed
+   * wave is under way again if it names further ones. */
   void SetWave(const WaveOrder& order, Time since);
   /*! @brief Drops a wave and resumes placement on its draining VMs. */
   void RemoveWave(const WaveId& wave);
@@ -162,6 +177,9 @@
                      Time now,
                      const VmLoadLookup& load_of);
   [[nodiscard]] bool IsUrgent(const Wave& wave, Time now) const;
+  /*! @brief Whether all machines that the wave names are done or down. */
+  [[nodiscard]] static bool IsFinished(const Wave& wave);
+  void Reopen(Wave& wave);
   void EmitLogEvent(
       std::string_view event,
       std::vector<std::pair<std::string_view, std::string>> fields);
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -20,6 +20,9 @@
   bool completed = false;
   std::size_t started_at_completion = 0;
   bool drops_answers = false;
+  std::set<MachineId> unlisted;  // up, and left out of the list
+  std::map<MachineId, OrderAnswer> refusals;
+  std::set<VmId> cordoned;
 
   PlannerFixture(int count, double use) {
     for (int i = 0; i < count; ++i) {
@@ -44,7 +47,9 @@
   std::vector<Machine> List() const {
     std::vector<Machine> list;
     for (const auto& [id, machine] : this->machines) {
-      list.push_back(machine);
+      if (!this->unlisted.contains(id)) {
+        list.push_back(machine);
+      }
     }
     return list;
   }
@@ -53,6 +58,12 @@
     if (std::holds_alternative<ReadMachines>(effect)) {
       this->planner.OnMachineList(this->List(), this->now);
     } else if (const auto* order = std::get_if<OrderUpkeep>(&effect)) {
+      if (const auto refusal = this->refusals.find(order->machine);
+          refusal != this->refusals.end()) {
+        this->planner.OnOrderAnswer(order->machine, order->wave,
+                                    refusal->second, this->now);
+        return;
+      }
       Machine& machine = this->machines.at(order->machine);
       if (++this->orders[order->machine] == 1) {
         machine.state = MachineState::kUpkeep;
@@ -63,10 +74,16 @@
           this->drops_answers ? OrderAnswer::kUnknown : OrderAnswer::kDone,
           this->now);
     } else if (const auto* saved = std::get_if<SaveWave>(&effect)) {
+      this->completed = saved->completed;
       if (saved->completed) {
-        this->completed = true;
         this->started_at_completion = saved->started.size();
       }
+    } else if (const auto* cordon = std::get_if<SetCordon>(&effect)) {
+      if (cordon->on) {
+        this->cordoned.insert(cordon->vm);
+      } else {
+        this->cordoned.erase(cordon->vm);
+      }
     }
   }
 
@@ -149,6 +166,74 @@
   BOOST_TEST(fixture.started_at_completion == 2);
 }
 
+// Guards against a wave that is completed, or stays so, without machines that
+// its record names only since it was written anew.
+BOOST_AUTO_TEST_CASE(MachinesOfAWaveThatIsWrittenAnewAreMaintained) {
+  for (const int before_ms : {100, 15'000}) {
+    PlannerFixture fixture(3, 0.1);
+    fixture.Order(3, 2, 40);
+    fixture.Run(before_ms);
+    BOOST_TEST(fixture.completed == (before_ms == 15'000));
+    const VmId vm("vm3");
+    fixture.machines[MachineId("m3")] = {
+        .id = MachineId("m3"), .pool = PoolId("p"), .vm = vm};
+    fixture.loads[vm] = {.runs = 0, .pool_utilization_without = 0.1};
+    fixture.Order(4, 2, 40);
+    fixture.Run(50);
+    BOOST_TEST(!fixture.completed);
+    fixture.Run(15'000);
+    BOOST_TEST(fixture.completed);
+    BOOST_TEST(fixture.started_at_completion == 4);
+  }
+}
+
+// Guards against upkeep of a machine that a wave names no longer, and against a
+// VM that stays closed to new tasks after it.
+BOOST_AUTO_TEST_CASE(MachinesThatAWaveNamesNoLongerAreReleased) {
+  PlannerFixture fixture(3, 0.1);
+  fixture.loads.at(VmId("vm2")).runs = 1;
+  fixture.Order(3, 3, 40);
+  fixture.Run(1000);
+  BOOST_TEST(fixture.cordoned.contains(VmId("vm2")));
+  fixture.Order(2, 3, 40);
+  fixture.Run(50);
+  BOOST_TEST(!fixture.cordoned.contains(VmId("vm2")));
+  fixture.loads.at(VmId("vm2")).runs = 0;
+  fixture.Run(15'000);
+  BOOST_TEST(fixture.completed);
+  BOOST_TEST(fixture.started_at_completion == 2);
+  BOOST_TEST(!fixture.orders.contains(MachineId("m2")));
+}
+
+// Guards against machines that join a wave and find its time over, and against
+// a time that starts anew with each listing of the store.
+BOOST_AUTO_TEST_CASE(TimeOfAWaveStartsWithItsContent) {
+  const Time first{std::chrono::seconds(100)};
+  const Time second = first + std::chrono::seconds(50);
+  WaveOrder order{.id = WaveId("1"),
+                  .machines = {MachineId("m0")},
+                  .duration = std::chrono::seconds(30)};
+  ObservedWave wave;
+  wave.Observe(order, first);
+  wave.Observe(order, second);
+  BOOST_TEST((wave.since == first));
+  order.machines.insert(MachineId("m1"));
+  wave.Observe(order, second);
+  BOOST_TEST((wave.since == second));
+  BOOST_TEST(wave.order.machines.size() == 2);
+}
+
+// Guards against a wave without machines that stays under way for good.
+BOOST_AUTO_TEST_CASE(WaveThatNamesNoMachineAnyLongerIsCompleted) {
+  PlannerFixture fixture(2, 0.95);
+  fixture.Order(2, 1, 60);
+  fixture.Run(500);
+  fixture.Order(0, 1, 60);
+  fixture.Run(500);
+  BOOST_TEST(fixture.completed);
+  BOOST_TEST(fixture.orders.empty());
+}
+
 // Guards against upkeep that overloads a busy pool although the wave is not
 // urgent yet, and against waves that are never completed because of it.
 BOOST_AUTO_TEST_CASE(BusyPoolWaitsUntilWaveIsUrgent) {
