--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -56,7 +56,7 @@
   wave.since = since;
   for (const MachineId& id : order.machines) {
     WaveItem& item = wave.items[id];
-    if (wave.started.contains(id)) {
+    if (wave.started.contains(id) && item.stage != Stage::kUnavailable) {
       item.stage = Stage::kDone;
     }
   }
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -205,6 +205,20 @@
   BOOST_TEST(!fixture.orders.contains(MachineId("m2")));
 }
 
+// Guards against exceeding the limit of a wave: its record is observed again,
+// as after each gap of the watch, while a machine is down for its upkeep.
+BOOST_AUTO_TEST_CASE(WaveThatIsObservedAgainKeepsItsLimit) {
+  PlannerFixture fixture(3, 0.1);
+  fixture.Run(1900);
+  fixture.Order(3, 1, 40);
+  while (fixture.now < Time(std::chrono::seconds(120))) {
+    fixture.Run(100);
+    fixture.Order(3, 1, 40);
+  }
+  BOOST_TEST(fixture.completed);
+  BOOST_TEST(fixture.max_unavailable == 1);
+}
+
 // Guards against machines that join a wave and find its time over, and against
 // a time that starts anew with each listing of the store.
 BOOST_AUTO_TEST_CASE(TimeOfAWaveStartsWithItsContent) {
