--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -60,6 +60,12 @@
       item.stage = Stage::kDone;
     }
   }
+  for (auto& [id, item] : wave.items) {
+    if (item.absent_since && *item.absent_since <= since) {
+      item.absent_since.reset();
+      item.has_left = false;
+    }
+  }
   // An ordered machine stays until its order is answered.
   std::erase_if(wave.items, [&](const auto& row) {
     const auto& [id, item] = row;
@@ -80,10 +86,29 @@
   return std::ranges::all_of(wave.items, [&](const auto& row) {
     const auto& [id, item] = row;
     return item.stage == Stage::kDone || item.stage == Stage::kUnavailable ||
-           !wave.order.machines.contains(id);
+           item.has_left || !wave.order.machines.contains(id);
   });
 }
 
+bool Planner::ObservePresence(const Wave& wave,
+                              const MachineId& id,
+                              WaveItem& item) {
+  if (this->FindMachine(id) != nullptr) {
+    item.absent_since.reset();
+    item.has_left = false;
+    return true;
+  }
+  // The wave may name machines that have joined since an older list was read.
+  if (this->read_at > wave.since) {
+    if (!item.absent_since) {
+      item.absent_since = this->read_at;
+    }
+    item.has_left =
+        this->read_at - *item.absent_since >= this->limits.absence_time;
+  }
+  return false;
+}
+
 void Planner::Reopen(Wave& wave) {
   wave.completed = false;
   this->effects.emplace_back(SaveWave{wave.order.id, wave.started, false});
@@ -249,12 +274,19 @@
       continue;
     }
     // The last machines of a completed wave have yet to return, and orders of
-    // machines that it names no longer are yet to be answered.
+    // machines that it names no longer are yet to be answered. A machine that
+    // had left may return.
     for (auto& [machine, item] : wave.items) {
+      if (item.has_left) {
+        this->ObservePresence(wave, machine, item);
+      }
       if (item.stage == Stage::kOrdered || item.stage == Stage::kUnavailable) {
         this->AdvanceItem(wave, machine, item, false, now, load_of);
       }
     }
+    if (wave.completed && !IsFinished(wave)) {
+      this->Reopen(wave);
+    }
   }
 }
 
@@ -283,9 +315,10 @@
 }
 
 bool Planner::IsUrgent(const Wave& wave, Time now) const {
-  const auto left = std::ranges::count_if(wave.items, [](const auto& item) {
-    return item.second.stage == Stage::kDue ||
-           item.second.stage == Stage::kDraining;
+  const auto left = std::ranges::count_if(wave.items, [](const auto& row) {
+    const WaveItem& item = row.second;
+    return !item.has_left &&
+           (item.stage == Stage::kDue || item.stage == Stage::kDraining);
   });
   const double rounds =
       std::ceil(static_cast<double>(left) /
@@ -327,16 +360,16 @@
     case Stage::kDone:
       break;
     case Stage::kDue:
-      if (machine == nullptr && this->read_at > wave.since) {
-        item.stage = Stage::kDone;  // the machine has left the fleet
-      } else if (machine == nullptr) {
-        // The wave may name machines that have joined since the list was read.
+      if (!this->ObservePresence(wave, id, item) && !item.has_left) {
         this->RequestEarlyRead(now);
       }
       break;
     case Stage::kDraining: {
-      if (machine == nullptr) {
-        item.stage = Stage::kDone;
+      if (!this->ObservePresence(wave, id, item)) {
+        if (item.has_left) {
+          item.stage = Stage::kDue;
+          this->effects.emplace_back(SetCordon{item.vm, false});
+        }
         break;
       }
       if (machine->vm != item.vm) {
@@ -396,7 +429,7 @@
     if (in_progress ||
         (machine != nullptr && machine->state == MachineState::kUpkeep)) {
       ++count.taken;
-    } else if (item.stage == Stage::kDue &&
+    } else if (item.stage == Stage::kDue && !item.has_left &&
                this->FindPredecessorOrder(id, now) != nullptr) {
       ++count.may_go_down;
     }
--- a/src/upkeep/planner.h
+++ b/src/upkeep/planner.h
@@ -42,6 +42,9 @@
   Duration active_read_interval = std::chrono::milliseconds(500);
   Duration idle_read_interval = std::chrono::milliseconds(2000);
   Duration order_retry_interval = std::chrono::milliseconds(400);
+  // A machine has left the fleet when the lists of this long leave it out. The
+  // pages of one list are no snapshot.
+  Duration absence_time = std::chrono::milliseconds(1000);
 };
 
 /*! @brief A request of the operators to maintain machines within `duration`, at
@@ -139,6 +142,11 @@
     Time since;
     Time retry_at;            // no order is sent or repeated before
     bool order_sent = false;  // the answer to an order is pending
+    // Start of the first of the latest lists that leave the machine out.
+    std::optional<Time> absent_since;
+    // The lists leave the machine out for long: the wave does not wait for it,
+    // unless a list has it again.
+    bool has_left = false;
   };
   struct Wave {
     WaveOrder order;
@@ -177,7 +185,10 @@
                      Time now,
                      const VmLoadLookup& load_of);
   [[nodiscard]] bool IsUrgent(const Wave& wave, Time now) const;
-  /*! @brief Whether all machines that the wave names are done or down. */
+  /*! @brief Whether the list has the machine; notes for how long not. */
+  bool ObservePresence(const Wave& wave, const MachineId& id, WaveItem& item);
+  /*! @brief Whether all machines that the wave names and that have not left
+   * are done or down. */
   [[nodiscard]] static bool IsFinished(const Wave& wave);
   void Reopen(Wave& wave);
   void EmitLogEvent(
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -248,6 +248,53 @@
   BOOST_TEST(fixture.orders.empty());
 }
 
+// Guards against a wave that is completed without a machine that one list left
+// out: its pages are read one after the other while machines join and leave.
+BOOST_AUTO_TEST_CASE(MachineThatOneListLeavesOutIsMaintained) {
+  for (const std::size_t runs : {0U, 1U}) {
+    PlannerFixture fixture(3, 0.1);
+    fixture.loads.at(VmId("vm2")).runs = runs;
+    fixture.Order(3, runs == 0 ? 1 : 3, 40);  // it is due, or drains
+    fixture.Run(2200);
+    fixture.unlisted.insert(MachineId("m2"));
+    fixture.Run(600);
+    fixture.unlisted.clear();
+    fixture.loads.at(VmId("vm2")).runs = 0;
+    fixture.Run(20'000);
+    BOOST_TEST_CONTEXT("runs " << runs) {
+      BOOST_TEST(fixture.completed);
+      BOOST_TEST(fixture.started_at_completion == 3);
+    }
+  }
+}
+
+// Guards against a wave that stays completed when a machine returns that has
+// been away from the list for long, as a zone without power is.
+BOOST_AUTO_TEST_CASE(MachineThatReturnsToTheListReopensItsWave) {
+  for (const std::size_t runs : {0U, 1U}) {
+    PlannerFixture fixture(3, 0.1);
+    VmLoad& load = fixture.loads.at(VmId("vm2"));
+    load.runs = runs;
+    fixture.Order(3, runs == 0 ? 1 : 3, 40);  // it is due, or drains
+    fixture.Run(2200);
+    fixture.unlisted.insert(MachineId("m2"));
+    fixture.Run(10'000);
+    BOOST_TEST_CONTEXT("runs " << runs) {
+      BOOST_TEST(fixture.completed);
+      BOOST_TEST(fixture.started_at_completion == 2);
+      BOOST_TEST(!fixture.cordoned.contains(VmId("vm2")));
+      fixture.unlisted.clear();
+      load.runs = 1;
+      fixture.Run(2100);
+      BOOST_TEST(!fixture.completed);
+      load.runs = 0;
+      fixture.Run(10'000);
+      BOOST_TEST(fixture.completed);
+      BOOST_TEST(fixture.started_at_completion == 3);
+    }
+  }
+}
+
 // Guards against upkeep that overloads a busy pool although the wave is not
 // urgent yet, and against waves that are never completed because of it.
 BOOST_AUTO_TEST_CASE(BusyPoolWaitsUntilWaveIsUrgent) {
