--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -409,7 +409,10 @@
         // The order had been carried out before this VM began.
         this->effects.emplace_back(SetCordon{item.vm, false});
       }
-      if (machine == nullptr || same_vm || returned) {
+      // One list may leave out a machine that is down.
+      const bool gone = machine == nullptr && this->read_at > item.since &&
+                        now - item.since >= this->limits.upkeep_duration;
+      if (gone || same_vm || returned) {
         item.stage = Stage::kDone;
       }
       break;
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -295,6 +295,22 @@
   }
 }
 
+// Guards against exceeding the limit of a wave: a machine that is down for its
+// upkeep is left out of a list.
+BOOST_AUTO_TEST_CASE(MachineThatIsDownAndNotListedCounts) {
+  PlannerFixture fixture(2, 0.1);
+  fixture.Run(1900);  // a list is read soon after the order
+  fixture.Order(2, 1, 40);
+  fixture.Run(100);
+  BOOST_REQUIRE(fixture.orders.size() == 1);
+  fixture.unlisted.insert(fixture.orders.begin()->first);
+  fixture.Run(800);
+  fixture.unlisted.clear();
+  fixture.Run(15'000);
+  BOOST_TEST(fixture.completed);
+  BOOST_TEST(fixture.max_unavailable == 1);
+}
+
 // Guards against upkeep that overloads a busy pool although the wave is not
 // urgent yet, and against waves that are never completed because of it.
 BOOST_AUTO_TEST_CASE(BusyPoolWaitsUntilWaveIsUrgent) {
