--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -220,10 +220,7 @@
       break;
     case OrderAnswer::kNotInWave:
     case OrderAnswer::kNoMachine:
-      item.stage = Stage::kDone;
-      if (!item.vm.empty()) {
-        this->effects.emplace_back(SetCordon{item.vm, false});
-      }
+      this->OnRefusal(wave, id, now);
       break;
     case OrderAnswer::kBusy:
     case OrderAnswer::kRateLimited:
@@ -245,6 +242,27 @@
   }
 }
 
+// The platform may not know the machine yet, or not the wave as it was written
+// last. If the machine has left or the wave does not name it, the next list or
+// record tells.
+void Planner::OnRefusal(Wave& wave, const MachineId& id, Time now) {
+  WaveItem& item = wave.items[id];
+  if (!item.vm.empty()) {
+    this->effects.emplace_back(SetCordon{item.vm, false});
+  }
+  if (!wave.order.machines.contains(id)) {
+    wave.items.erase(id);
+    return;
+  }
+  const Duration delay =
+      std::min(this->limits.refusal_delay * (1 << std::min(item.refusals, 8)),
+               this->limits.max_refusal_delay);
+  ++item.refusals;
+  item.stage = Stage::kDue;
+  item.retry_at = now + delay;
+  this->RequestEarlyRead(now);
+}
+
 void Planner::Tick(Time now, const VmLoadLookup& load_of) {
   for (const VmId& vm :
        this->ordered_vms.TakeEnded(this->list, this->read_at)) {
@@ -465,8 +483,8 @@
   std::vector<Candidate> candidates;
   for (const auto& [id, item] : wave.items) {
     const Machine* machine = this->FindMachine(id);
-    if (item.stage != Stage::kDue || machine == nullptr ||
-        machine->state != MachineState::kUp) {
+    if (item.stage != Stage::kDue || now < item.retry_at ||
+        machine == nullptr || machine->state != MachineState::kUp) {
       continue;
     }
     auto predecessor = Predecessor::kNone;
--- a/src/upkeep/planner.h
+++ b/src/upkeep/planner.h
@@ -45,6 +45,9 @@
   // A machine has left the fleet when the lists of this long leave it out. The
   // pages of one list are no snapshot.
   Duration absence_time = std::chrono::milliseconds(1000);
+  // Delay after an order that was refused, doubled with each further refusal.
+  Duration refusal_delay = std::chrono::milliseconds(2000);
+  Duration max_refusal_delay = std::chrono::milliseconds(32000);
 };
 
 /*! @brief A request of the operators to maintain machines within `duration`, at
@@ -103,7 +106,8 @@
    * - kDone: the machine is saved as started; the next list tells whether its
    *   VM has ended or had its upkeep before.
    * - kBusy, kRateLimited: the machine drains on and is ordered again.
-   * - kNotInWave, kNoMachine: the machine is dropped, its VM uncordoned.
+   * - kNotInWave, kNoMachine: its VM is uncordoned, and the machine is due
+   *   again after a delay, as long as it is listed and its wave names it.
    * - kUnknown: the order is repeated until it is answered; meanwhile the
    *   machine counts as unavailable.
    * - kFenced: emits Superseded. */
@@ -142,6 +146,7 @@
     Time since;
     Time retry_at;            // no order is sent or repeated before
     bool order_sent = false;  // the answer to an order is pending
+    int refusals = 0;         // orders that were refused
     // Start of the first of the latest lists that leave the machine out.
     std::optional<Time> absent_since;
     // The lists leave the machine out for long: the wave does not wait for it,
@@ -185,6 +190,7 @@
                      Time now,
                      const VmLoadLookup& load_of);
   [[nodiscard]] bool IsUrgent(const Wave& wave, Time now) const;
+  void OnRefusal(Wave& wave, const MachineId& id, Time now);
   /*! @brief Whether the list has the machine; notes for how long not. */
   bool ObservePresence(const Wave& wave, const MachineId& id, WaveItem& item);
   /*! @brief Whether all machines that the wave names and that have not left
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -311,6 +311,40 @@
   BOOST_TEST(fixture.max_unavailable == 1);
 }
 
+// Guards against a wave that is completed without a machine whose order was
+// refused: the platform may not know the machine yet, or not its wave.
+BOOST_AUTO_TEST_CASE(RefusedMachineIsOrderedAgain) {
+  for (const OrderAnswer answer :
+       {OrderAnswer::kNotInWave, OrderAnswer::kNoMachine}) {
+    PlannerFixture fixture(3, 0.1);
+    fixture.refusals[MachineId("m1")] = answer;
+    fixture.Order(3, 1, 40);
+    fixture.Run(12'000);
+    BOOST_TEST_CONTEXT(NameOf(answer)) {
+      BOOST_TEST(!fixture.completed);
+      BOOST_TEST(fixture.orders.size() == 2);  // the others do not wait
+      fixture.refusals.clear();
+      fixture.Run(20'000);
+      BOOST_TEST(fixture.completed);
+      BOOST_TEST(fixture.started_at_completion == 3);
+      BOOST_TEST(fixture.max_unavailable == 1);
+    }
+  }
+}
+
+// Guards against a wave that waits for a machine that the platform refuses
+// because it has left.
+BOOST_AUTO_TEST_CASE(RefusedMachineThatHasLeftHoldsNoWaveUp) {
+  PlannerFixture fixture(3, 0.1);
+  fixture.refusals[MachineId("m1")] = OrderAnswer::kNoMachine;
+  fixture.Order(3, 3, 40);
+  fixture.Run(500);
+  fixture.unlisted.insert(MachineId("m1"));
+  fixture.Run(8000);
+  BOOST_TEST(fixture.completed);
+  BOOST_TEST(fixture.started_at_completion == 2);
+}
+
 // Guards against upkeep that overloads a busy pool although the wave is not
 // urgent yet, and against waves that are never completed because of it.
 BOOST_AUTO_TEST_CASE(BusyPoolWaitsUntilWaveIsUrgent) {
