--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -470,6 +470,7 @@
   net::LogEvent("wave", {{"key", item.key},
                          {"machines", std::to_string(wave->machines.size())},
                          {"most_away", std::to_string(wave->max_unavailable)}});
+  wave->created = item.created;
   upkeep::ObservedWave& observed = this->waves[item.key];
   observed.Observe(*wave, Now());
   if (this->planner != nullptr) {
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -645,7 +645,7 @@
 void UpkeepEffectVisitor::operator()(const upkeep::SaveWave& effect) const {
   this->driver.WriteRecord(
       {.key = std::string(kWaveRecordPrefix) + effect.wave.str(),
-       .value = EncodeMachines(effect.started),
+       .value = EncodeStarted(effect.started),
        .beside = {{std::string(kWaveStatePrefix) + effect.wave.str(),
                    platform::EncodeWaveState(effect.completed), 0}}},
       [&driver = this->driver, wave = effect.wave](Outcome outcome) {
--- a/src/app/fleet/machines_record.cc
+++ b/src/app/fleet/machines_record.cc
@@ -1,6 +1,9 @@
 #include "app/fleet/machines_record.h"
 
+#include <cstdint>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
 
 #include "net/net.h"
 
@@ -31,18 +34,25 @@
 
 }  // namespace
 
-std::string EncodeMachines(const std::set<jobs::MachineId>& machines) {
+// Processes of earlier versions read the names alone.
+std::string EncodeStarted(const upkeep::StartedMachines& started) {
   json names = json::array();
-  for (const jobs::MachineId& machine : machines) {
+  for (const jobs::MachineId& machine : started.machines) {
     names.push_back(machine.str());
   }
-  return json{{"machines", names}}.dump();
+  return json{{"machines", std::move(names)}, {"created", started.created}}
+      .dump();
 }
 
 // A machine whose upkeep is forgotten is drained and ordered again, which the
 // platform answers without taking it out a second time.
-std::set<jobs::MachineId> DecodeMachines(std::string_view text) {
-  return MachinesOf(Parse(text));
+upkeep::StartedMachines DecodeStarted(std::string_view text) {
+  const json record = Parse(text);
+  const auto created = record.find("created");
+  return {MachinesOf(record),
+          created != record.end() && created->is_number_unsigned()
+              ? created->get<std::uint64_t>()
+              : 0};
 }
 
 // Processes of earlier versions read the names alone.
--- a/src/app/fleet/machines_record.h
+++ b/src/app/fleet/machines_record.h
@@ -1,7 +1,6 @@
 #ifndef APP_FLEET_MACHINES_RECORD_H_
 #define APP_FLEET_MACHINES_RECORD_H_
 
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -10,10 +9,10 @@
 namespace kch::app {
 
 /*! @brief A record that names the machines of a wave whose upkeep has begun. */
-[[nodiscard]] std::string EncodeMachines(
-    const std::set<jobs::MachineId>& machines);
-/*! @brief Reads it; unreadable records name no machine. */
-[[nodiscard]] std::set<jobs::MachineId> DecodeMachines(std::string_view text);
+[[nodiscard]] std::string EncodeStarted(const upkeep::StartedMachines& started);
+/*! @brief Reads it, also as earlier versions wrote it, without the wave's
+ * creation; unreadable records name no machine. */
+[[nodiscard]] upkeep::StartedMachines DecodeStarted(std::string_view text);
 
 /*! @brief A record of the machines that may have been ordered lately, and of
  * their VMs at that time. */
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -175,7 +175,7 @@
                     this->revisions[item.key] = item.revision;
                     this->planner->SetStarted(
                         jobs::WaveId(item.key.substr(kWaveRecordPrefix.size())),
-                        DecodeMachines(item.value));
+                        DecodeStarted(item.value));
                   }
                   for (const auto& [key, wave] : this->waves) {
                     this->planner->SetWave(wave.order, wave.since);
--- a/src/upkeep/effect.h
+++ b/src/upkeep/effect.h
@@ -49,7 +49,7 @@
 /*! @brief Persists the machines of a wave whose upkeep has started. */
 struct SaveWave {
   WaveId wave;
-  std::set<MachineId> started;
+  StartedMachines started;
   bool completed = false;
 };
 /*! @brief Writes one line of the structured log. */
--- a/src/upkeep/machine.h
+++ b/src/upkeep/machine.h
@@ -40,6 +40,14 @@
  * VM stands for none or one that is not known. */
 using OrderedMachines = std::map<MachineId, VmId>;
 
+/*! @brief Machines of a wave whose upkeep has started. */
+struct StartedMachines {
+  std::set<MachineId> machines;
+  // Revision at which the wave was created; 0: unknown. One that the operators
+  // remove and create again under its number is another wave.
+  std::uint64_t created = 0;
+};
+
 /*! @brief Load of a VM, and utilization of its pool without the VM. */
 struct VmLoad {
   std::size_t runs = 0;  // task runs on the VM
--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -27,6 +27,11 @@
   return names;
 }
 
+// Whether two revisions tell that a wave was removed and created again.
+bool IsRecreated(std::uint64_t created, std::uint64_t other) {
+  return created != 0 && other != 0 && created != other;
+}
+
 }  // namespace
 
 void ObservedWave::Observe(const WaveOrder& newest, Time now) {
@@ -51,6 +56,11 @@
 }
 
 void Planner::SetWave(const WaveOrder& order, Time since) {
+  const auto known = this->waves.find(order.id);
+  if (known != this->waves.end() &&
+      IsRecreated(known->second.order.created, order.created)) {
+    this->RemoveWave(order.id);
+  }
   Wave& wave = this->waves[order.id];
   wave.order = order;
   wave.since = since;
@@ -109,9 +119,14 @@
   return false;
 }
 
+void Planner::Save(const Wave& wave) {
+  this->effects.emplace_back(SaveWave{
+      wave.order.id, {wave.started, wave.order.created}, wave.completed});
+}
+
 void Planner::Reopen(Wave& wave) {
   wave.completed = false;
-  this->effects.emplace_back(SaveWave{wave.order.id, wave.started, false});
+  this->Save(wave);
   this->EmitLogEvent("wave_reopened",
                      {{"wave", wave.order.id.str()},
                       {"machines", std::to_string(wave.order.machines.size())},
@@ -131,10 +146,16 @@
   this->waves.erase(found);
 }
 
-void Planner::SetStarted(const WaveId& id, const std::set<MachineId>& started) {
+void Planner::SetStarted(const WaveId& id, const StartedMachines& started) {
+  const auto known = this->waves.find(id);
+  if (known != this->waves.end() &&
+      IsRecreated(known->second.order.created, started.created)) {
+    return;
+  }
   Wave& wave = this->waves[id];
-  wave.started.insert(started.begin(), started.end());
-  for (const MachineId& machine : started) {
+  wave.order.created = std::max(wave.order.created, started.created);
+  wave.started.insert(started.machines.begin(), started.machines.end());
+  for (const MachineId& machine : started.machines) {
     wave.items[machine].stage = Stage::kDone;
   }
 }
@@ -200,7 +221,11 @@
     return;
   }
   Wave& wave = found->second;
-  WaveItem& item = wave.items[id];
+  const auto ordered = wave.items.find(id);
+  if (ordered == wave.items.end() || ordered->second.stage != Stage::kOrdered) {
+    return;  // ordered before the wave was created again
+  }
+  WaveItem& item = ordered->second;
   item.order_sent = false;
   this->EmitLogEvent("upkeep_order", {{"machine", id.str()},
                                       {"wave", wave_id.str()},
@@ -213,7 +238,7 @@
       wave.started.insert(id);
       this->predecessor_orders.erase(id);
       this->ordered_vms.Add(id, item.vm, now);
-      this->effects.emplace_back(SaveWave{wave_id, wave.started, false});
+      this->Save(wave);
       break;
     case OrderAnswer::kFenced:
       this->effects.emplace_back(Superseded{});
@@ -279,7 +304,7 @@
   for (auto& [id, wave] : this->waves) {
     if (wave.save_again_at && now >= *wave.save_again_at) {
       wave.save_again_at.reset();
-      this->effects.emplace_back(SaveWave{id, wave.started, wave.completed});
+      this->Save(wave);
     }
   }
   if (!this->has_list || now < this->start) {
@@ -350,7 +375,7 @@
 void Planner::TickWave(Wave& wave, Time now, const VmLoadLookup& load_of) {
   if (!wave.recorded) {
     wave.recorded = true;
-    this->effects.emplace_back(SaveWave{wave.order.id, wave.started, false});
+    this->Save(wave);
   }
   const bool urgent = this->IsUrgent(wave, now);
   for (auto& [id, item] : wave.items) {
@@ -359,7 +384,7 @@
   this->AdmitMachines(wave, urgent, now, load_of);
   if (IsFinished(wave)) {
     wave.completed = true;
-    this->effects.emplace_back(SaveWave{wave.order.id, wave.started, true});
+    this->Save(wave);
     this->EmitLogEvent("wave_completed",
                        {{"wave", wave.order.id.str()},
                         {"after_ms", std::to_string(ToMs(now - wave.since))},
--- a/src/upkeep/planner.h
+++ b/src/upkeep/planner.h
@@ -54,6 +54,8 @@
  * most `max_unavailable` of them at once. */
 struct WaveOrder {
   WaveId id;
+  // Revision of the store at which the operators created it; 0: unknown.
+  std::uint64_t created = 0;
   std::set<MachineId> machines;
   std::int32_t max_unavailable = 1;
   Duration duration{};
@@ -89,8 +91,9 @@
   /*! @brief Drops a wave and resumes placement on its draining VMs. */
   void RemoveWave(const WaveId& wave);
   /*! @brief Marks machines as done whose upkeep a predecessor has recorded as
-   * started. May be called before SetWave. */
-  void SetStarted(const WaveId& wave, const std::set<MachineId>& started);
+   * started, unless the wave was created again since. May be called before
+   * SetWave. */
+  void SetStarted(const WaveId& wave, const StartedMachines& started);
   /*! @brief Machines that a predecessor may have ordered, with their VMs. They
    * count as unavailable and are ordered before others of their waves, since an
    * order without an answer may be carried out within the late order time. An
@@ -197,6 +200,7 @@
    * are done or down. */
   [[nodiscard]] static bool IsFinished(const Wave& wave);
   void Reopen(Wave& wave);
+  void Save(const Wave& wave);
   void EmitLogEvent(
       std::string_view event,
       std::vector<std::pair<std::string_view, std::string>> fields);
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -23,6 +23,7 @@
   std::set<MachineId> unlisted;  // up, and left out of the list
   std::map<MachineId, OrderAnswer> refusals;
   std::set<VmId> cordoned;
+  std::uint64_t created = 1;  // revision of the wave's creation
 
   PlannerFixture(int count, double use) {
     for (int i = 0; i < count; ++i) {
@@ -36,6 +37,7 @@
 
   void Order(int count, int max_unavailable_machines, int seconds) {
     WaveOrder wave{.id = WaveId("1"),
+                   .created = this->created,
                    .max_unavailable = max_unavailable_machines,
                    .duration = std::chrono::seconds(seconds)};
     for (int i = 0; i < count; ++i) {
@@ -76,7 +78,7 @@
     } else if (const auto* saved = std::get_if<SaveWave>(&effect)) {
       this->completed = saved->completed;
       if (saved->completed) {
-        this->started_at_completion = saved->started.size();
+        this->started_at_completion = saved->started.machines.size();
       }
     } else if (const auto* cordon = std::get_if<SetCordon>(&effect)) {
       if (cordon->on) {
@@ -205,6 +207,42 @@
   BOOST_TEST(!fixture.orders.contains(MachineId("m2")));
 }
 
+// Guards against a wave that is completed without upkeep because an earlier one
+// had its number: the operators removed that one and created it again, in view
+// of this process or before its takeover.
+BOOST_AUTO_TEST_CASE(WaveThatIsCreatedAgainStartsAnew) {
+  for (const bool successor : {false, true}) {
+    PlannerFixture fixture(3, 0.1);
+    if (successor) {
+      fixture.planner.SetStarted(WaveId("1"),
+                                 {{MachineId("m0"), MachineId("m1")}, 1});
+    } else {
+      fixture.Order(3, 2, 40);
+      fixture.Run(15'000);
+      BOOST_REQUIRE(fixture.completed);
+      fixture.orders.clear();
+    }
+    fixture.created = 2;
+    fixture.Order(3, 2, 40);
+    fixture.Run(100);
+    BOOST_TEST(!fixture.completed);
+    fixture.Run(15'000);
+    BOOST_TEST(fixture.completed);
+    BOOST_TEST(fixture.orders.size() == 3);
+  }
+}
+
+// Guards against a successor that maintains machines twice: the record of an
+// earlier version does not tell when the wave was created.
+BOOST_AUTO_TEST_CASE(RecordOfAnEarlierVersionHolds) {
+  PlannerFixture fixture(3, 0.1);
+  fixture.planner.SetStarted(WaveId("1"), {{MachineId("m0")}, 0});
+  fixture.Order(3, 2, 40);
+  fixture.Run(15'000);
+  BOOST_TEST(fixture.completed);
+  BOOST_TEST(fixture.orders.size() == 2);
+}
+
 // Guards against exceeding the limit of a wave: its record is observed again,
 // as after each gap of the watch, while a machine is down for its upkeep.
 BOOST_AUTO_TEST_CASE(WaveThatIsObservedAgainKeepsItsLimit) {
@@ -401,7 +439,7 @@
 BOOST_AUTO_TEST_CASE(SuccessorWaitsAndSkipsStartedMachines) {
   PlannerFixture fixture(4, 0.1);
   fixture.planner = Planner(Limits{}, fixture.now + std::chrono::seconds(3));
-  fixture.planner.SetStarted(WaveId("1"), {MachineId("m0"), MachineId("m1")});
+  fixture.planner.SetStarted(WaveId("1"), {{MachineId("m0"), MachineId("m1")}});
   fixture.Order(4, 4, 30);
   fixture.Run(2900);
   BOOST_TEST(fixture.orders.empty());
@@ -462,7 +500,7 @@
 BOOST_AUTO_TEST_CASE(StartedMachineCountsWhileItIsDown) {
   PlannerFixture fixture(3, 0.1);
   fixture.planner = Planner(Limits{}, fixture.now + std::chrono::seconds(3));
-  fixture.planner.SetStarted(WaveId("1"), {MachineId("m0")});
+  fixture.planner.SetStarted(WaveId("1"), {{MachineId("m0")}});
   fixture.CarryOutLate("m0", 6000);
   fixture.Order(3, 1, 60);
   fixture.Run(20'000);
