--- a/fake/fleet/fleet_platform.cc
+++ b/fake/fleet/fleet_platform.cc
@@ -301,7 +301,13 @@
                   {"DurationS", length_s},
                   {"Maximum", most}};
   this->loop.Call([this, &wave, number] {
-    this->store.Put("op/wave/" + std::to_string(number), wave.dump());
+    const std::string key = "op/wave/" + std::to_string(number);
+    if (this->store.CreatedAt(key) == 0) {
+      for (auto& [name, machine] : this->machines) {
+        machine.waves.erase(number);
+      }
+    }
+    this->store.Put(key, wave.dump());
   });
 }
 
--- a/fake/fleet/fleet_platform.h
+++ b/fake/fleet/fleet_platform.h
@@ -92,7 +92,8 @@
   [[nodiscard]] bool IsUp(const std::string& vm);
   /*! @brief The callers that have owned the fleet, in order. */
   [[nodiscard]] std::vector<std::size_t> Owners();
-  /*! @brief Requests that machines have their upkeep within `length_s`. */
+  /*! @brief Requests that machines have their upkeep within `length_s`. A wave
+   * whose record was removed is another one under the same number. */
   void RequestWave(int number,
                    std::vector<std::string> machines,
                    int most,
--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -472,9 +472,9 @@
                          {"most_away", std::to_string(wave->max_unavailable)}});
   wave->created = item.created;
   upkeep::ObservedWave& observed = this->waves[item.key];
-  observed.Observe(*wave, Now());
+  observed.Observe(*wave, item.revision, Now());
   if (this->planner != nullptr) {
-    this->planner->SetWave(observed.order, observed.since);
+    this->planner->SetWave(observed);
   }
 }
 
--- a/src/app/fleet/driver.h
+++ b/src/app/fleet/driver.h
@@ -102,7 +102,8 @@
   struct OwnersRecord {
     std::string key;
     std::optional<std::string> value;
-    std::vector<platform::Put> beside;  // written with it
+    std::vector<platform::Put> beside;              // written with it
+    std::vector<platform::Condition> conditions{};  // beside its own revision
   };
   struct OpenRecord {
     OwnersRecord record;
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -260,6 +260,9 @@
     }
     transaction.puts.insert(transaction.puts.end(), record.beside.begin(),
                             record.beside.end());
+    transaction.conditions.insert(transaction.conditions.end(),
+                                  record.conditions.begin(),
+                                  record.conditions.end());
   }
   this->parts.store.Write(
       transaction, kWriteTimeoutMs,
@@ -642,12 +645,19 @@
   this->driver.scheduler->EndVm(effect.vm);
 }
 
+// The state tells of the operators' record as it is when the state is written.
 void UpkeepEffectVisitor::operator()(const upkeep::SaveWave& effect) const {
+  std::vector<platform::Condition> conditions;
+  if (effect.completed && effect.observed_revision != 0) {
+    conditions.push_back({std::string(kWavePrefix) + effect.wave.str(),
+                          effect.observed_revision});
+  }
   this->driver.WriteRecord(
       {.key = std::string(kWaveRecordPrefix) + effect.wave.str(),
        .value = EncodeStarted(effect.started),
        .beside = {{std::string(kWaveStatePrefix) + effect.wave.str(),
-                   platform::EncodeWaveState(effect.completed), 0}}},
+                   platform::EncodeWaveState(effect.completed), 0}},
+       .conditions = std::move(conditions)},
       [&driver = this->driver, wave = effect.wave](Outcome outcome) {
         driver.planner->OnWaveSaved(wave, outcome == Outcome::kOk, Now());
       });
--- a/src/upkeep/effect.h
+++ b/src/upkeep/effect.h
@@ -1,6 +1,7 @@
 #ifndef UPKEEP_EFFECT_H_
 #define UPKEEP_EFFECT_H_
 
+#include <cstdint>
 #include <set>
 #include <string>
 #include <string_view>
@@ -51,6 +52,9 @@
   WaveId wave;
   StartedMachines started;
   bool completed = false;
+  // Revision of the operators' record that this follows from. The wave is not
+  // stored as completed if they have written it anew since.
+  std::uint64_t observed_revision = 0;
 };
 /*! @brief Writes one line of the structured log. */
 struct LogEvent {
--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -34,7 +34,10 @@
 
 }  // namespace
 
-void ObservedWave::Observe(const WaveOrder& newest, Time now) {
+void ObservedWave::Observe(const WaveOrder& newest,
+                           std::uint64_t at_revision,
+                           Time now) {
+  this->revision = at_revision;
   if (newest != this->order) {
     this->order = newest;
     this->since = now;
@@ -55,7 +58,8 @@
   return found == this->list.end() ? nullptr : &found->second;
 }
 
-void Planner::SetWave(const WaveOrder& order, Time since) {
+void Planner::SetWave(const ObservedWave& observed) {
+  const WaveOrder& order = observed.order;
   const auto known = this->waves.find(order.id);
   if (known != this->waves.end() &&
       IsRecreated(known->second.order.created, order.created)) {
@@ -63,7 +67,8 @@
   }
   Wave& wave = this->waves[order.id];
   wave.order = order;
-  wave.since = since;
+  wave.since = observed.since;
+  wave.revision = observed.revision;
   for (const MachineId& id : order.machines) {
     WaveItem& item = wave.items[id];
     if (wave.started.contains(id) && item.stage != Stage::kUnavailable) {
@@ -71,7 +76,7 @@
     }
   }
   for (auto& [id, item] : wave.items) {
-    if (item.absent_since && *item.absent_since <= since) {
+    if (item.absent_since && *item.absent_since <= wave.since) {
       item.absent_since.reset();
       item.has_left = false;
     }
@@ -120,8 +125,10 @@
 }
 
 void Planner::Save(const Wave& wave) {
-  this->effects.emplace_back(SaveWave{
-      wave.order.id, {wave.started, wave.order.created}, wave.completed});
+  this->effects.emplace_back(SaveWave{wave.order.id,
+                                      {wave.started, wave.order.created},
+                                      wave.completed,
+                                      wave.revision});
 }
 
 void Planner::Reopen(Wave& wave) {
--- a/src/upkeep/planner.h
+++ b/src/upkeep/planner.h
@@ -68,10 +68,11 @@
 struct ObservedWave {
   WaveOrder order;
   Time since;
+  std::uint64_t revision = 0;  // of the operators' record
 
   /*! @brief Handles a record of the wave. One that asks for the same again, as
-   * each listing of the store returns it, changes nothing. */
-  void Observe(const WaveOrder& newest, Time now);
+   * each listing of the store returns it, does not change its time. */
+  void Observe(const WaveOrder& newest, std::uint64_t at_revision, Time now);
 };
 
 /*! @brief Plans upkeep waves: drains and orders a limited number of machines at
@@ -83,11 +84,11 @@
    * unavailable. */
   Planner(const Limits& limits, Time start);
 
-  /*! @brief Adds or replaces a wave; its duration starts at `since`, when this
-   * process first observed it with this content, possibly before it became the
-   * owner. Machines that are not named any longer are released, and a completed
+  /*! @brief Adds or replaces a wave; its duration starts when this process
+   * first observed it with this content, possibly before it became the owner.
+   * Machines that are not named any longer are released, and a completed
    * wave is under way again if it names further ones. */
-  void SetWave(const WaveOrder& order, Time since);
+  void SetWave(const ObservedWave& observed);
   /*! @brief Drops a wave and resumes placement on its draining VMs. */
   void RemoveWave(const WaveId& wave);
   /*! @brief Marks machines as done whose upkeep a predecessor has recorded as
@@ -159,6 +160,7 @@
   struct Wave {
     WaveOrder order;
     Time since;
+    std::uint64_t revision = 0;  // of the operators' record
     std::map<MachineId, WaveItem> items;
     bool recorded = false;              // the first SaveWave was emitted
     std::optional<Time> save_again_at;  // the last SaveWave failed
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -67,6 +67,18 @@
   return *fleet.Owner();
 }
 
+std::string ValueOf(PlatformFleet& fleet, const std::string& key) {
+  return fleet.platform->With(
+      [&key](fake::VmModel&, const fake::KeyStore& store) {
+        return store.Value(key).value_or("");
+      });
+}
+
+bool IsCompleted(PlatformFleet& fleet, const std::string& wave) {
+  return ValueOf(fleet, "status/wave/" + wave).find("completed") !=
+         std::string::npos;
+}
+
 // Kills the owner; its successor, once that has taken over.
 std::size_t KillOwner(PlatformFleet& fleet) {
   const std::size_t killed = fleet.WaitForOwner();
@@ -713,20 +725,13 @@
                         body.find(R"("kch/orders")") != std::string::npos;
     return orders && !late.exchange(true) ? CallFault::kLate : CallFault::kNone;
   });
-  const auto value = [&fleet](const std::string& key) {
-    return fleet.platform->With([&key](fake::VmModel&, fake::KeyStore& store) {
-      return store.Value(key).value_or("");
-    });
-  };
   fleet.platform->RequestWave(1, {"m0", "m1"}, 1);
-  fleet.WaitFor("the wave", [&] {
-    return value("status/wave/1").find("completed") != std::string::npos;
-  });
+  fleet.WaitFor("the wave", [&] { return IsCompleted(fleet, "1"); });
   BOOST_TEST(late.load());
-  const std::string last = value("kch/orders");
+  const std::string last = ValueOf(fleet, "kch/orders");
   const std::int64_t until_us = WallUs() + 6'000'000;
   fleet.WaitFor("the late write", [&] { return WallUs() >= until_us; });
-  BOOST_TEST(value("kch/orders") == last);
+  BOOST_TEST(ValueOf(fleet, "kch/orders") == last);
 }
 
 // Guards against work that ends, and jobs that are lost, while the store
@@ -786,18 +791,82 @@
   PlatformFleet fleet(3, {.vms = 4});
   const jobs::JobSpec lasting = StartLasting(fleet);
   fleet.platform->RequestWave(1, {"m0", "m1", "m2", "m3"}, 1);
-  fleet.WaitFor("the end of the wave", [&] {
-    const auto state =
-        fleet.platform->With([](fake::VmModel&, const fake::KeyStore& store) {
-          return store.Value("status/wave/1");
-        });
-    return state && state->find("completed") != std::string::npos;
-  });
+  fleet.WaitFor("the end of the wave", [&] { return IsCompleted(fleet, "1"); });
   BOOST_TEST(fleet.platform->most_away() == 1);
   fleet.WaitFor("the lasting tasks", [&] { return AllRun(fleet, lasting); });
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against a wave that is stored as completed without machines that the
+// operators have named meanwhile: the owner has not observed that yet.
+BOOST_AUTO_TEST_CASE(CompletedWaveIsTheOneInTheStore) {
+  PlatformFleet fleet(1, {.vms = 2});
+  std::atomic<bool> holds_state = true;
+  std::atomic<bool> holds_operators = false;
+  fleet.platform->SetFaults(
+      [&](const std::string& call, const std::string& body) {
+        const bool state = call == "store/kv-txn" &&
+                           body.find("status/wave/") != std::string::npos;
+        const bool operators =
+            (call == "store/kv-watch" || call == "store/kv-range") &&
+            body.starts_with("op/");
+        return (state && holds_state) || (operators && holds_operators)
+                   ? CallFault::kRefuse
+                   : CallFault::kNone;
+      });
+  fleet.platform->RequestWave(1, {"m0"}, 1);
+  fleet.WaitFor("the upkeep", [&] {
+    return fleet.Log(0).find("wave_completed") != std::string::npos;
+  });
+  holds_operators = true;
+  // Ends the watch that waits already.
+  fleet.platform->With([](fake::VmModel&, fake::KeyStore& store) {
+    store.Put("op/wave/9", "");
+  });
+  fleet.WaitFor("the last change that is observed", [&] {
+    return fleet.Log(0).find("wave_unreadable") != std::string::npos;
+  });
+  fleet.platform->RequestWave(1, {"m0", "m1"}, 1);
+  holds_state = false;
+  const std::int64_t until_us = WallUs() + 2'000'000;
+  fleet.WaitFor("some writes", [&] {
+    BOOST_REQUIRE(!IsCompleted(fleet, "1"));
+    return WallUs() >= until_us;
+  });
+  holds_operators = false;
+  fleet.WaitFor("the end of the wave", [&] { return IsCompleted(fleet, "1"); });
+  BOOST_TEST(ValueOf(fleet, "kch/wave/1").find("m1") != std::string::npos);
+  fleet.WaitFor("the further machine's next VM",
+                [&] { return !ValueOf(fleet, "servers/vm1-1").empty(); });
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
+// Guards against a completed wave whose further machines get no upkeep: the
+// operators write it anew, or remove it and create it again while no process
+// owns the fleet.
+BOOST_AUTO_TEST_CASE(WaveThatIsWrittenAnewIsCarriedOut) {
+  PlatformFleet fleet(2, {.vms = 3});
+  fleet.platform->RequestWave(1, {"m0"}, 1);
+  fleet.WaitFor("the first wave", [&] { return IsCompleted(fleet, "1"); });
+  fleet.platform->RequestWave(1, {"m0", "m1"}, 1);
+  fleet.WaitFor("its further machine", [&] {
+    return !ValueOf(fleet, "servers/vm1-1").empty() && IsCompleted(fleet, "1");
+  });
+  fleet.Signal(fleet.WaitForOwner(), SIGKILL);
+  fleet.platform->With([](fake::VmModel&, fake::KeyStore& store) {
+    store.Remove("op/wave/1");
+    store.Put("status/wave/1", "");
+  });
+  fleet.platform->RequestWave(1, {"m0", "m1"}, 1);
+  fleet.WaitFor("the wave that was created again",
+                [&] { return IsCompleted(fleet, "1"); });
+  fleet.WaitFor("the machines' next VMs", [&] {
+    return !ValueOf(fleet, "servers/vm0-2").empty() &&
+           !ValueOf(fleet, "servers/vm1-2").empty();
+  });
+  BOOST_TEST(fleet.Breaches() == "");
+}
+
 // Guards against a second run of tasks on a machine that had its upkeep under a
 // predecessor: the platform answers a repeated order as done and ends nothing.
 BOOST_AUTO_TEST_CASE(RepeatedUpkeepOrderRepeatsNoTask) {
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -43,7 +43,7 @@
     for (int i = 0; i < count; ++i) {
       wave.machines.insert(MachineId("m" + std::to_string(i)));
     }
-    this->planner.SetWave(wave, this->now);
+    this->planner.SetWave({wave, this->now});
   }
 
   std::vector<Machine> List() const {
@@ -266,11 +266,12 @@
                   .machines = {MachineId("m0")},
                   .duration = std::chrono::seconds(30)};
   ObservedWave wave;
-  wave.Observe(order, first);
-  wave.Observe(order, second);
+  wave.Observe(order, 7, first);
+  wave.Observe(order, 8, second);
   BOOST_TEST((wave.since == first));
+  BOOST_TEST(wave.revision == 8);
   order.machines.insert(MachineId("m1"));
-  wave.Observe(order, second);
+  wave.Observe(order, 9, second);
   BOOST_TEST((wave.since == second));
   BOOST_TEST(wave.order.machines.size() == 2);
 }
@@ -558,11 +559,11 @@
     }
     return actions;
   };
-  planner.SetWave({.id = WaveId("1"),
-                   .machines = {MachineId("m0"), MachineId("m1")},
-                   .max_unavailable = 1,
-                   .duration = std::chrono::seconds(30)},
-                  now);
+  planner.SetWave({{.id = WaveId("1"),
+                    .machines = {MachineId("m0"), MachineId("m1")},
+                    .max_unavailable = 1,
+                    .duration = std::chrono::seconds(30)},
+                   now});
   BOOST_TEST(tick(50) == std::vector<std::string>{"read"});
   planner.OnMachineList({machine("m0", "old"), machine("m1", "b")}, now);
   tick(50);
@@ -591,11 +592,11 @@
   bool terminated = false;
   bool cordoned = false;
   bool completed = false;
-  planner.SetWave({.id = WaveId("1"),
-                   .machines = {machine.id},
-                   .max_unavailable = 1,
-                   .duration = std::chrono::seconds(30)},
-                  now);
+  planner.SetWave({{.id = WaveId("1"),
+                    .machines = {machine.id},
+                    .max_unavailable = 1,
+                    .duration = std::chrono::seconds(30)},
+                   now});
   for (int i = 0; i < 100; ++i) {
     now += std::chrono::milliseconds(kStepMs);
     planner.Tick(now, [](const VmId&) { return VmLoad{}; });
