--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -663,6 +663,22 @@
   }
 }
 
+// Guards against machines that count as gone because the rows of a page, or
+// what leads to the next one, cannot be read.
+BOOST_AUTO_TEST_CASE(OddPageFailsTheListOfMachines) {
+  for (const std::string page :
+       {R"({"Machines": null})", R"({"Machines": {}})", R"({"Machines": ""})",
+        R"({"Machines": [{"Machine": "m-1"}], "NextToken": 2})",
+        R"({"Machines": [{"Machine": "m-1"}], "NextToken": "same"})"}) {
+    Stand stand;
+    stand.Answer("machines", 200, page);
+    MachineClient machines(*stand.client, stand.Address(), "edge-1");
+    Waiter<std::optional<std::vector<upkeep::Machine>>> waiter;
+    machines.List(waiter.Callback());
+    BOOST_TEST(!waiter.Wait().has_value());
+  }
+}
+
 // Guards against an order to a machine that is sent after its sender's lease
 // has expired, as when the process was paused in between.
 BOOST_AUTO_TEST_CASE(OrdersToMachinesAreNotSentAfterTheLease) {
