--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -66,6 +66,11 @@
     this->RemoveWave(order.id);
   }
   Wave& wave = this->waves[order.id];
+  if (wave.since != observed.since) {
+    for (auto& [id, item] : wave.items) {
+      item.absence = {};  // by lists that are older than the wave's content
+    }
+  }
   wave.order = order;
   wave.since = observed.since;
   wave.revision = observed.revision;
@@ -75,12 +80,6 @@
       item.stage = Stage::kDone;
     }
   }
-  for (auto& [id, item] : wave.items) {
-    if (item.absent_since && *item.absent_since <= wave.since) {
-      item.absent_since.reset();
-      item.has_left = false;
-    }
-  }
   // An ordered machine stays until its order is answered.
   std::erase_if(wave.items, [&](const auto& row) {
     const auto& [id, item] = row;
@@ -101,27 +100,18 @@
   return std::ranges::all_of(wave.items, [&](const auto& row) {
     const auto& [id, item] = row;
     return item.stage == Stage::kDone || item.stage == Stage::kUnavailable ||
-           item.has_left || !wave.order.machines.contains(id);
+           item.absence.has_left() || !wave.order.machines.contains(id);
   });
 }
 
-bool Planner::ObservePresence(const Wave& wave,
+// The wave may name machines that have joined since an older list was read.
+void Planner::ObservePresence(const Wave& wave,
                               const MachineId& id,
                               WaveItem& item) {
-  if (this->FindMachine(id) != nullptr) {
-    item.absent_since.reset();
-    item.has_left = false;
-    return true;
-  }
-  // The wave may name machines that have joined since an older list was read.
-  if (this->read_at > wave.since) {
-    if (!item.absent_since) {
-      item.absent_since = this->read_at;
-    }
-    item.has_left =
-        this->read_at - *item.absent_since >= this->limits.absence_time;
+  const bool listed = this->FindMachine(id) != nullptr;
+  if (listed || this->read_at > wave.since) {
+    item.absence.OnList(listed, this->read_at);
   }
-  return false;
 }
 
 void Planner::Save(const Wave& wave) {
@@ -327,7 +317,7 @@
     // machines that it names no longer are yet to be answered. A machine that
     // had left may return.
     for (auto& [machine, item] : wave.items) {
-      if (item.has_left) {
+      if (item.absence.has_left()) {
         this->ObservePresence(wave, machine, item);
       }
       if (item.stage == Stage::kOrdered || item.stage == Stage::kUnavailable) {
@@ -367,7 +357,7 @@
 bool Planner::IsUrgent(const Wave& wave, Time now) const {
   const auto left = std::ranges::count_if(wave.items, [](const auto& row) {
     const WaveItem& item = row.second;
-    return !item.has_left &&
+    return !item.absence.has_left() &&
            (item.stage == Stage::kDue || item.stage == Stage::kDraining);
   });
   const double rounds =
@@ -410,13 +400,15 @@
     case Stage::kDone:
       break;
     case Stage::kDue:
-      if (!this->ObservePresence(wave, id, item) && !item.has_left) {
+      this->ObservePresence(wave, id, item);
+      if (machine == nullptr && !item.absence.has_left()) {
         this->RequestEarlyRead(now);
       }
       break;
     case Stage::kDraining: {
-      if (!this->ObservePresence(wave, id, item)) {
-        if (item.has_left) {
+      this->ObservePresence(wave, id, item);
+      if (machine == nullptr) {
+        if (item.absence.has_left()) {
           item.stage = Stage::kDue;
           this->effects.emplace_back(SetCordon{item.vm, false});
         }
@@ -482,7 +474,7 @@
     if (in_progress ||
         (machine != nullptr && machine->state == MachineState::kUpkeep)) {
       ++count.taken;
-    } else if (item.stage == Stage::kDue && !item.has_left &&
+    } else if (item.stage == Stage::kDue && !item.absence.has_left() &&
                this->FindPredecessorOrder(id, now) != nullptr) {
       ++count.may_go_down;
     }
--- a/src/upkeep/planner.h
+++ b/src/upkeep/planner.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "upkeep/absence.h"
 #include "upkeep/effect.h"
 #include "upkeep/ordered_vms.h"
 
@@ -42,9 +43,6 @@
   Duration active_read_interval = std::chrono::milliseconds(500);
   Duration idle_read_interval = std::chrono::milliseconds(2000);
   Duration order_retry_interval = std::chrono::milliseconds(400);
-  // A machine has left the fleet when the lists of this long leave it out. The
-  // pages of one list are no snapshot.
-  Duration absence_time = std::chrono::milliseconds(1000);
   // Delay after an order that was refused, doubled with each further refusal.
   Duration refusal_delay = std::chrono::milliseconds(2000);
   Duration max_refusal_delay = std::chrono::milliseconds(32000);
@@ -151,11 +149,8 @@
     Time retry_at;            // no order is sent or repeated before
     bool order_sent = false;  // the answer to an order is pending
     int refusals = 0;         // orders that were refused
-    // Start of the first of the latest lists that leave the machine out.
-    std::optional<Time> absent_since;
-    // The lists leave the machine out for long: the wave does not wait for it,
-    // unless a list has it again.
-    bool has_left = false;
+    // The wave does not wait for a machine that has left, unless it returns.
+    Absence absence;
   };
   struct Wave {
     WaveOrder order;
@@ -196,8 +191,7 @@
                      const VmLoadLookup& load_of);
   [[nodiscard]] bool IsUrgent(const Wave& wave, Time now) const;
   void OnRefusal(Wave& wave, const MachineId& id, Time now);
-  /*! @brief Whether the list has the machine; notes for how long not. */
-  bool ObservePresence(const Wave& wave, const MachineId& id, WaveItem& item);
+  void ObservePresence(const Wave& wave, const MachineId& id, WaveItem& item);
   /*! @brief Whether all machines that the wave names and that have not left
    * are done or down. */
   [[nodiscard]] static bool IsFinished(const Wave& wave);
--- a/src/upkeep/upkeep.h
+++ b/src/upkeep/upkeep.h
@@ -1,6 +1,7 @@
 #ifndef UPKEEP_UPKEEP_H_
 #define UPKEEP_UPKEEP_H_
 
+#include "upkeep/absence.h"
 #include "upkeep/effect.h"
 #include "upkeep/fleet_forecast.h"
 #include "upkeep/machine.h"
