--- a/src/upkeep/mover.cc
+++ b/src/upkeep/mover.cc
@@ -102,26 +102,27 @@
   return sum;
 }
 
-void Mover::FinishMoves(const MachineList& machines, Time now) {
+void Mover::FinishMoves(const MachineList& machines, Time read_at, Time now) {
   std::erase_if(this->cooldown_until,
                 [now](const auto& row) { return now >= row.second; });
   for (auto row = this->moves.begin(); row != this->moves.end();) {
-    const Move& move = row->second;
+    Move& move = row->second;
     const auto machine = machines.find(row->first);
-    const bool arrived = machine != machines.end() &&
-                         machine->second.pool == move.to &&
+    const bool listed = machine != machines.end();
+    move.absence.OnList(listed, read_at);
+    const bool arrived = listed && machine->second.pool == move.to &&
                          machine->second.state == MachineState::kUp;
     const bool overdue = now - move.ordered > 4 * this->limits.move_duration;
-    if (move.done && (arrived || overdue || machine == machines.end())) {
-      if (machine != machines.end() && machine->second.vm == move.vm) {
-        // The order had been carried out before this VM began.
-        this->effects.emplace_back(SetCordon{move.vm, false});
-      }
-      this->cooldown_until[row->first] = now + this->limits.cooldown;
-      row = this->moves.erase(row);
-    } else {
+    if (!move.done || !(arrived || overdue || move.absence.has_left())) {
       ++row;
+      continue;
+    }
+    // Its VM may work on: the order had been carried out before the VM began.
+    if (!move.vm.empty() && (!listed || machine->second.vm == move.vm)) {
+      this->effects.emplace_back(SetCordon{move.vm, false});
     }
+    this->cooldown_until[row->first] = now + this->limits.cooldown;
+    row = this->moves.erase(row);
   }
 }
 
@@ -276,7 +277,7 @@
   for (const VmId& vm : this->ordered_vms.TakeEnded(machines, read_at)) {
     this->effects.emplace_back(VmTerminated{vm});
   }
-  this->FinishMoves(machines, now);
+  this->FinishMoves(machines, read_at, now);
   for (auto& [id, move] : this->moves) {
     if (!move.done && !move.order_sent && now >= move.retry_at) {
       move.order_sent = true;
--- a/src/upkeep/mover.h
+++ b/src/upkeep/mover.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "jobs/placement.h"
+#include "upkeep/absence.h"
 #include "upkeep/effect.h"
 #include "upkeep/ordered_vms.h"
 
@@ -130,9 +131,10 @@
     Time retry_at;           // the order is not repeated before
     bool order_sent = true;  // the answer to an order is pending
     bool done = false;       // the platform has carried out the order
+    Absence absence{};
   };
 
-  void FinishMoves(const MachineList& machines, Time now);
+  void FinishMoves(const MachineList& machines, Time read_at, Time now);
   void StartMove(const Machine& machine,
                  const PoolId& to,
                  const std::string& reason,
--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -447,13 +447,13 @@
       const bool same_vm = up && !item.vm.empty() && machine->vm == item.vm;
       const bool returned =
           up && !same_vm && now - item.since >= this->limits.upkeep_duration;
-      if (same_vm) {
-        // The order had been carried out before this VM began.
-        this->effects.emplace_back(SetCordon{item.vm, false});
-      }
       // One list may leave out a machine that is down.
       const bool gone = machine == nullptr && this->read_at > item.since &&
                         now - item.since >= this->limits.upkeep_duration;
+      if (same_vm || (gone && !item.vm.empty())) {
+        // Its VM may work on: the order had been carried out before it began.
+        this->effects.emplace_back(SetCordon{item.vm, false});
+      }
       if (gone || same_vm || returned) {
         item.stage = Stage::kDone;
       }
--- a/test/upkeep/mover_test.cc
+++ b/test/upkeep/mover_test.cc
@@ -252,6 +252,47 @@
   BOOST_TEST(cordoned.empty());
 }
 
+// Guards against a VM that stays closed to tasks for good, and a pool that gets
+// a second machine, because one list leaves out a machine that is on its way.
+BOOST_AUTO_TEST_CASE(MoveGoesOnWhileAListLeavesItsMachineOut) {
+  for (const bool returns : {true, false}) {
+    MoverFixture fixture;
+    fixture.SetBacklog("a", 60);
+    std::set<VmId> cordoned;
+    for (const OrderMove& order : fixture.Tick()) {
+      fixture.mover.OnOrderAnswer(order.machine, OrderAnswer::kDone,
+                                  fixture.now);
+      cordoned.insert(order.vm);
+    }
+    const std::set<MachineId> moving = fixture.mover.moving();
+    BOOST_REQUIRE(moving.size() == 2U);
+    const MachineList all = fixture.machines;
+    for (const MachineId& machine : moving) {
+      fixture.machines.erase(machine);
+    }
+    BOOST_TEST(fixture.Tick(500).empty());
+    BOOST_TEST((fixture.mover.moving() == moving));
+    if (returns) {
+      fixture.machines = all;  // with the VMs of before, in their pools
+    }
+    for (auto& [id, pool] : fixture.pools) {
+      pool.waiting = {};
+      pool.need = {};
+      pool.peak.reset();
+    }
+    for (int i = 0; i < (returns ? 30 : 4); ++i) {
+      fixture.Tick(500);
+      for (const Effect& effect : fixture.effects) {
+        if (const auto* cordon = std::get_if<SetCordon>(&effect)) {
+          cordoned.erase(cordon->vm);
+        }
+      }
+    }
+    BOOST_TEST(fixture.mover.moving().empty());
+    BOOST_TEST(cordoned.empty());
+  }
+}
+
 // Guards against machines that cost money while idle: the peak of their queue
 // is over, and the next peak is that of another queue.
 BOOST_AUTO_TEST_CASE(IdleMachinesMoveToStandby) {
