--- a/src/upkeep/ordered_vms.cc
+++ b/src/upkeep/ordered_vms.cc
@@ -12,13 +12,20 @@
 
 std::vector<VmId> OrderedVms::TakeEnded(const MachineList& list, Time read_at) {
   std::vector<VmId> ended;
+  for (Entry& entry : this->entries) {
+    if (entry.since < read_at) {
+      entry.absence.OnList(list.contains(entry.machine), read_at);
+    }
+  }
   std::erase_if(this->entries, [&](const Entry& entry) {
     if (entry.since >= read_at) {
       return false;
     }
     const auto found = list.find(entry.machine);
     if (found == list.end()) {
-      return true;  // it has left the fleet, which its registration tells
+      // That the VM of a machine that has left has ended, its registration
+      // tells.
+      return entry.absence.has_left();
     }
     const Machine& machine = found->second;
     switch (machine.state) {
--- a/src/upkeep/ordered_vms.h
+++ b/src/upkeep/ordered_vms.h
@@ -3,6 +3,7 @@
 
 #include <vector>
 
+#include "upkeep/absence.h"
 #include "upkeep/machine.h"
 
 namespace kch::upkeep {
@@ -32,6 +33,7 @@
     MachineId machine;
     VmId vm;
     Time since;
+    Absence absence{};
   };
 
   std::vector<Entry> entries;
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -621,6 +621,28 @@
   BOOST_TEST(!cordoned);
 }
 
+// Guards against tasks that wait for the end of a lease although their VM has
+// ended with its machine's order: one list leaves the machine out.
+BOOST_AUTO_TEST_CASE(EndOfAVmIsNotedAfterAListThatLeavesItOut) {
+  OrderedVms vms;
+  const MachineId id("m0");
+  const Machine down{
+      .id = id, .pool = PoolId("p"), .state = MachineState::kUpkeep};
+  const Time start{std::chrono::seconds(100)};
+  const auto later = [&](std::int64_t ms) {
+    return start + std::chrono::milliseconds(ms);
+  };
+  vms.Add(id, VmId("vm0"), start);
+  BOOST_TEST(vms.TakeEnded({}, later(100)).empty());
+  BOOST_TEST((vms.TakeEnded({{id, down}}, later(600)) ==
+              std::vector<VmId>{VmId("vm0")}));
+  // A machine that has left is forgotten.
+  vms.Add(id, VmId("vm1"), later(700));
+  BOOST_TEST(vms.TakeEnded({}, later(800)).empty());
+  BOOST_TEST(vms.TakeEnded({}, later(1800)).empty());
+  BOOST_TEST(vms.TakeEnded({{id, down}}, later(2000)).empty());
+}
+
 // Guards against a list that is read without a pause while its service is away:
 // the end of a VM with runs is awaited.
 BOOST_AUTO_TEST_CASE(FailedReadsOfAnAwaitedListKeepTheirInterval) {
