--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -465,6 +465,14 @@
   auto wave = platform::DecodeWave(item.value);
   if (!wave) {
     net::LogEvent("wave_unreadable", {{"error", wave.error().Text()}});
+    // The wave stays as it was read last, and its state follows this record.
+    if (const auto known = this->waves.find(item.key);
+        known != this->waves.end()) {
+      known->second.revision = item.revision;
+      if (this->planner != nullptr) {
+        this->planner->SetWave(known->second);
+      }
+    }
     return;
   }
   net::LogEvent("wave", {{"key", item.key},
--- a/src/app/fleet/effects.cc
+++ b/src/app/fleet/effects.cc
@@ -659,6 +659,12 @@
                    platform::EncodeWaveState(effect.completed), 0}},
        .conditions = std::move(conditions)},
       [&driver = this->driver, wave = effect.wave](Outcome outcome) {
+        if (outcome != Outcome::kOk) {
+          net::LogEvent("wave_not_stored",
+                        {{"wave", wave.str()},
+                         {"outcome", std::string(NameOf(AnswerOf(outcome)))},
+                         {"remedy", "written again"}});
+        }
         driver.planner->OnWaveSaved(wave, outcome == Outcome::kOk, Now());
       });
 }
--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -382,10 +382,15 @@
   if (IsFinished(wave)) {
     wave.completed = true;
     this->Save(wave);
+    const auto left =
+        std::ranges::count_if(wave.order.machines, [&](const MachineId& id) {
+          return wave.items.at(id).absence.has_left();
+        });
     this->EmitLogEvent("wave_completed",
                        {{"wave", wave.order.id.str()},
                         {"after_ms", std::to_string(ToMs(now - wave.since))},
-                        {"machines", std::to_string(wave.started.size())}});
+                        {"machines", std::to_string(wave.started.size())},
+                        {"left", std::to_string(left)}});
   }
 }
 
--- a/test/process/fleet_jobs_test.cc
+++ b/test/process/fleet_jobs_test.cc
@@ -841,6 +841,32 @@
   BOOST_TEST(fleet.Breaches() == "");
 }
 
+// Guards against a wave that is never stored as completed, and a write every
+// 200 ms, because the operators' record of it cannot be read any more.
+BOOST_AUTO_TEST_CASE(StateOfAWaveIsStoredBesideAnUnreadableRecord) {
+  PlatformFleet fleet(1, {.vms = 2});
+  std::atomic<bool> holds_state = true;
+  fleet.platform->SetFaults(
+      [&](const std::string& call, const std::string& body) {
+        return holds_state && call == "store/kv-txn" &&
+                       body.find("status/wave/") != std::string::npos
+                   ? CallFault::kRefuse
+                   : CallFault::kNone;
+      });
+  fleet.platform->RequestWave(1, {"m0"}, 1);
+  fleet.WaitFor("the upkeep", [&] {
+    return fleet.Log(0).find("wave_completed") != std::string::npos;
+  });
+  fleet.platform->With([](fake::VmModel&, fake::KeyStore& store) {
+    store.Put("op/wave/1", "{");
+  });
+  fleet.WaitFor("the record", [&] {
+    return fleet.Log(0).find("wave_unreadable") != std::string::npos;
+  });
+  holds_state = false;
+  fleet.WaitFor("the end of the wave", [&] { return IsCompleted(fleet, "1"); });
+}
+
 // Guards against a completed wave whose further machines get no upkeep: the
 // operators write it anew, or remove it and create it again while no process
 // owns the fleet.
