--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -476,7 +476,10 @@
     const Machine* machine = this->FindMachine(id);
     const bool in_progress =
         item.stage != Stage::kDue && item.stage != Stage::kDone;
-    if (in_progress ||
+    // Under an earlier wave of this number, it may be down and listed as up.
+    const bool ordered = item.stage == Stage::kDue &&
+                         this->ordered_vms.AwaitsList(id, this->read_at);
+    if (in_progress || ordered ||
         (machine != nullptr && machine->state == MachineState::kUpkeep)) {
       ++count.taken;
     } else if (item.stage == Stage::kDue && !item.absence.has_left() &&
@@ -513,7 +516,8 @@
   for (const auto& [id, item] : wave.items) {
     const Machine* machine = this->FindMachine(id);
     if (item.stage != Stage::kDue || now < item.retry_at ||
-        machine == nullptr || machine->state != MachineState::kUp) {
+        machine == nullptr || machine->state != MachineState::kUp ||
+        this->ordered_vms.AwaitsList(id, this->read_at)) {
       continue;
     }
     auto predecessor = Predecessor::kNone;
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -232,6 +232,28 @@
   }
 }
 
+// Guards against exceeding the limit of a wave that is created again while a
+// machine is down for the earlier one and still listed as up.
+BOOST_AUTO_TEST_CASE(WaveThatIsCreatedAgainKeepsItsLimit) {
+  for (const bool removal_seen : {false, true}) {
+    PlannerFixture fixture(3, 0.1);
+    fixture.Run(100);
+    fixture.Order(3, 1, 40);
+    fixture.Run(150);
+    BOOST_REQUIRE(fixture.orders.size() == 1);
+    // The other machines are preferred from now on.
+    fixture.loads.at(VmId("vm0")).pool_utilization_without = 0.3;
+    if (removal_seen) {
+      fixture.planner.RemoveWave(WaveId("1"));
+    }
+    fixture.created = 2;
+    fixture.Order(3, 1, 40);
+    fixture.Run(20'000);
+    BOOST_TEST(fixture.completed);
+    BOOST_TEST(fixture.max_unavailable == 1);
+  }
+}
+
 // Guards against a successor that maintains machines twice: the record of an
 // earlier version does not tell when the wave was created.
 BOOST_AUTO_TEST_CASE(RecordOfAnEarlierVersionHolds) {
