--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -114,7 +114,14 @@
   }
 }
 
-void Planner::Save(const Wave& wave) {
+// Each write expects the revision of the one before it.
+void Planner::Save(Wave& wave) {
+  wave.has_unsaved = wave.save_pending;
+  if (wave.save_pending) {
+    return;
+  }
+  wave.save_pending = true;
+  wave.save_again_at.reset();
   this->effects.emplace_back(SaveWave{wave.order.id,
                                       {wave.started, wave.order.created},
                                       wave.completed,
@@ -300,7 +307,6 @@
   }
   for (auto& [id, wave] : this->waves) {
     if (wave.save_again_at && now >= *wave.save_again_at) {
-      wave.save_again_at.reset();
       this->Save(wave);
     }
   }
@@ -332,8 +338,15 @@
 
 void Planner::OnWaveSaved(const WaveId& id, bool stored, Time now) {
   const auto found = this->waves.find(id);
-  if (found != this->waves.end() && !stored) {
-    found->second.save_again_at = now + kSaveRetryDelay;
+  if (found == this->waves.end()) {
+    return;
+  }
+  Wave& wave = found->second;
+  wave.save_pending = false;
+  if (!stored) {
+    wave.save_again_at = now + kSaveRetryDelay;
+  } else if (wave.has_unsaved) {
+    this->Save(wave);
   }
 }
 
--- a/src/upkeep/planner.h
+++ b/src/upkeep/planner.h
@@ -158,6 +158,8 @@
     std::uint64_t revision = 0;  // of the operators' record
     std::map<MachineId, WaveItem> items;
     bool recorded = false;              // the first SaveWave was emitted
+    bool save_pending = false;          // the last SaveWave is unanswered
+    bool has_unsaved = false;           // the state has changed since
     std::optional<Time> save_again_at;  // the last SaveWave failed
     bool completed = false;
     std::set<MachineId> started;
@@ -196,7 +198,8 @@
    * are done or down. */
   [[nodiscard]] static bool IsFinished(const Wave& wave);
   void Reopen(Wave& wave);
-  void Save(const Wave& wave);
+  /*! @brief Saves the present state, after the write that is under way. */
+  void Save(Wave& wave);
   void EmitLogEvent(
       std::string_view event,
       std::vector<std::pair<std::string_view, std::string>> fields);
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -20,9 +20,11 @@
   bool completed = false;
   std::size_t started_at_completion = 0;
   bool drops_answers = false;
+  bool drops_saves = false;
   std::set<MachineId> unlisted;  // up, and left out of the list
   std::map<MachineId, OrderAnswer> refusals;
   std::set<VmId> cordoned;
+  int saves = 0;
   std::uint64_t created = 1;  // revision of the wave's creation
 
   PlannerFixture(int count, double use) {
@@ -76,10 +78,14 @@
           this->drops_answers ? OrderAnswer::kUnknown : OrderAnswer::kDone,
           this->now);
     } else if (const auto* saved = std::get_if<SaveWave>(&effect)) {
+      ++this->saves;
       this->completed = saved->completed;
       if (saved->completed) {
         this->started_at_completion = saved->started.machines.size();
       }
+      if (!this->drops_saves) {
+        this->planner.OnWaveSaved(saved->wave, true, this->now);
+      }
     } else if (const auto* cordon = std::get_if<SetCordon>(&effect)) {
       if (cordon->on) {
         this->cordoned.insert(cordon->vm);
@@ -633,6 +639,7 @@
         cordoned = cordon->on;
       } else if (const auto* saved = std::get_if<SaveWave>(&effect)) {
         completed = saved->completed;
+        planner.OnWaveSaved(saved->wave, true, now);
       }
       terminated |= std::holds_alternative<VmTerminated>(effect);
     }
@@ -686,6 +693,23 @@
   BOOST_TEST(reads == 4);
 }
 
+// Guards against writes of one wave that meet each other in the store: each
+// expects the revision of the one before.
+BOOST_AUTO_TEST_CASE(RecordOfAWaveIsWrittenOnceAtATime) {
+  PlannerFixture fixture(3, 0.1);
+  fixture.Order(3, 3, 30);
+  fixture.drops_saves = true;
+  fixture.Run(800);
+  BOOST_TEST(fixture.saves == 1);  // under way
+  BOOST_TEST(fixture.orders.size() == 3);
+  fixture.drops_saves = false;
+  fixture.planner.OnWaveSaved(WaveId("1"), true, fixture.now);
+  fixture.Run(100);
+  BOOST_TEST(fixture.saves == 2);  // all that has changed
+  BOOST_TEST(fixture.completed);
+  BOOST_TEST(fixture.started_at_completion == 3);
+}
+
 // Guards against a successor that drains a machine again because the record of
 // its upkeep was lost.
 BOOST_AUTO_TEST_CASE(RecordOfAWaveIsRepeatedUntilItIsStored) {
