--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -470,7 +470,7 @@
         known != this->waves.end()) {
       known->second.revision = item.revision;
       if (this->planner != nullptr) {
-        this->planner->SetWave(known->second);
+        this->planner->SetWave(known->second, Now());
       }
     }
     return;
@@ -482,14 +482,14 @@
   upkeep::ObservedWave& observed = this->waves[item.key];
   observed.Observe(*wave, item.revision, Now());
   if (this->planner != nullptr) {
-    this->planner->SetWave(observed);
+    this->planner->SetWave(observed, Now());
   }
 }
 
 void Driver::OnOperatorRemoval(const std::string& key) {
   if (const auto wave = this->waves.find(key); wave != this->waves.end()) {
     if (this->planner != nullptr) {
-      this->planner->RemoveWave(wave->second.order.id);
+      this->planner->RemoveWave(wave->second.order.id, Now());
     }
     this->waves.erase(wave);
   }
--- a/src/app/fleet/takeover.cc
+++ b/src/app/fleet/takeover.cc
@@ -178,7 +178,7 @@
                         DecodeStarted(item.value));
                   }
                   for (const auto& [key, wave] : this->waves) {
-                    this->planner->SetWave(wave);
+                    this->planner->SetWave(wave, Now());
                   }
                   this->takeover->waves_known = true;
                   this->FinishTakeover();
--- a/src/upkeep/ordered_vms.cc
+++ b/src/upkeep/ordered_vms.cc
@@ -47,12 +47,6 @@
   return ended;
 }
 
-bool OrderedVms::AwaitsList(const MachineId& machine, Time read_at) const {
-  return std::ranges::any_of(this->entries, [&](const Entry& entry) {
-    return entry.machine == machine && entry.since >= read_at;
-  });
-}
-
 bool OrderedVms::RunsAwaitList(const VmLoadLookup& load_of,
                                Time read_at) const {
   return std::ranges::any_of(this->entries, [&](const Entry& entry) {
--- a/src/upkeep/ordered_vms.h
+++ b/src/upkeep/ordered_vms.h
@@ -23,9 +23,6 @@
    * began at `read_at`. Drops those that the list shows at work. */
   [[nodiscard]] std::vector<VmId> TakeEnded(const MachineList& list,
                                             Time read_at);
-  /*! @brief True if a machine was ordered and a list read after `read_at` is to
-   * show whether it is down. */
-  [[nodiscard]] bool AwaitsList(const MachineId& machine, Time read_at) const;
   /*! @brief True if a list read after `read_at` is to show the end of VMs with
    * runs. */
   [[nodiscard]] bool RunsAwaitList(const VmLoadLookup& load_of,
--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -58,12 +58,12 @@
   return found == this->list.end() ? nullptr : &found->second;
 }
 
-void Planner::SetWave(const ObservedWave& observed) {
+void Planner::SetWave(const ObservedWave& observed, Time now) {
   const WaveOrder& order = observed.order;
   const auto known = this->waves.find(order.id);
   if (known != this->waves.end() &&
       IsRecreated(known->second.order.created, order.created)) {
-    this->RemoveWave(order.id);
+    this->RemoveWave(order.id, now);
   }
   Wave& wave = this->waves[order.id];
   if (wave.since != observed.since) {
@@ -76,8 +76,13 @@
   wave.revision = observed.revision;
   for (const MachineId& id : order.machines) {
     WaveItem& item = wave.items[id];
-    if (wave.started.contains(id) && item.stage != Stage::kUnavailable) {
+    if (item.stage == Stage::kUnavailable) {
+      continue;
+    }
+    if (wave.started.contains(id)) {
       item.stage = Stage::kDone;
+    } else if (item.stage == Stage::kDone) {
+      item.stage = Stage::kDue;  // it was not named meanwhile
     }
   }
   // An ordered machine stays until its order is answered.
@@ -99,7 +104,7 @@
 bool Planner::IsFinished(const Wave& wave) {
   return std::ranges::all_of(wave.items, [&](const auto& row) {
     const auto& [id, item] = row;
-    return item.stage == Stage::kDone || item.stage == Stage::kUnavailable ||
+    return item.stage == Stage::kDone || wave.started.contains(id) ||
            item.absence.has_left() || !wave.order.machines.contains(id);
   });
 }
@@ -137,17 +142,32 @@
                       {"started", std::to_string(wave.started.size())}});
 }
 
-void Planner::RemoveWave(const WaveId& id) {
+// Machines that are down, or may go down by an order without an answer, keep
+// their places in a wave that is created again under this number.
+void Planner::RemoveWave(const WaveId& id, Time now) {
   const auto found = this->waves.find(id);
   if (found == this->waves.end()) {
     return;
   }
+  std::map<MachineId, WaveItem> down;
   for (const auto& [machine, item] : found->second.items) {
     if (item.stage == Stage::kDraining) {
       this->effects.emplace_back(SetCordon{item.vm, false});
+    } else if (item.stage == Stage::kUnavailable) {
+      down[machine] = item;
+    } else if (item.stage == Stage::kOrdered) {
+      down[machine] = {
+          .stage = Stage::kUnavailable, .vm = item.vm, .since = now};
+      this->predecessor_orders[machine] = {item.vm,
+                                           now + this->limits.late_order_time};
     }
   }
-  this->waves.erase(found);
+  if (down.empty()) {
+    this->waves.erase(found);
+  } else {
+    found->second = {};
+    found->second.items = std::move(down);
+  }
 }
 
 void Planner::SetStarted(const WaveId& id, const StartedMachines& started) {
@@ -266,6 +286,7 @@
     case OrderAnswer::kUnknown:
       // The order may be carried out at any time, so the machine counts as
       // unavailable until a repeated order is answered.
+      item.unanswered = true;
       item.retry_at = now + this->limits.order_retry_interval;
       break;
   }
@@ -276,6 +297,18 @@
 // record tells.
 void Planner::OnRefusal(Wave& wave, const MachineId& id, Time now) {
   WaveItem& item = wave.items[id];
+  const Duration delay =
+      std::min(this->limits.refusal_delay * (1 << std::min(item.refusals, 8)),
+               this->limits.max_refusal_delay);
+  ++item.refusals;
+  item.retry_at = now + delay;
+  this->RequestEarlyRead(now);
+  if (std::exchange(item.unanswered, false)) {
+    // An earlier order may have been carried out: the next list tells.
+    item.stage = Stage::kUnavailable;
+    item.since = now;
+    return;
+  }
   if (!item.vm.empty()) {
     this->effects.emplace_back(SetCordon{item.vm, false});
   }
@@ -283,13 +316,7 @@
     wave.items.erase(id);
     return;
   }
-  const Duration delay =
-      std::min(this->limits.refusal_delay * (1 << std::min(item.refusals, 8)),
-               this->limits.max_refusal_delay);
-  ++item.refusals;
   item.stage = Stage::kDue;
-  item.retry_at = now + delay;
-  this->RequestEarlyRead(now);
 }
 
 void Planner::Tick(Time now, const VmLoadLookup& load_of) {
@@ -473,7 +500,9 @@
         this->effects.emplace_back(SetCordon{item.vm, false});
       }
       if (gone || same_vm || returned) {
-        item.stage = Stage::kDone;
+        const bool due =
+            wave.order.machines.contains(id) && !wave.started.contains(id);
+        item.stage = due ? Stage::kDue : Stage::kDone;
       }
       break;
     }
@@ -489,10 +518,11 @@
     const Machine* machine = this->FindMachine(id);
     const bool in_progress =
         item.stage != Stage::kDue && item.stage != Stage::kDone;
-    // Under an earlier wave of this number, it may be down and listed as up.
-    const bool ordered = item.stage == Stage::kDue &&
-                         this->ordered_vms.AwaitsList(id, this->read_at);
-    if (in_progress || ordered ||
+    // Ordered by a predecessor, it may be down and left out of one list.
+    const bool unlisted = machine == nullptr && !item.absence.has_left() &&
+                          now < this->start + this->limits.upkeep_duration &&
+                          this->FindPredecessorOrder(id, now) != nullptr;
+    if (in_progress || unlisted ||
         (machine != nullptr && machine->state == MachineState::kUpkeep)) {
       ++count.taken;
     } else if (item.stage == Stage::kDue && !item.absence.has_left() &&
@@ -500,6 +530,14 @@
       ++count.may_go_down;
     }
   }
+  // One that the operators no longer name is down for this wave or another.
+  for (const auto& [id, order] : this->predecessor_orders) {
+    const Machine* machine = this->FindMachine(id);
+    if (!wave.items.contains(id) && now < order.until && machine != nullptr &&
+        machine->state == MachineState::kUpkeep) {
+      ++count.taken;
+    }
+  }
   return count;
 }
 
@@ -529,8 +567,7 @@
   for (const auto& [id, item] : wave.items) {
     const Machine* machine = this->FindMachine(id);
     if (item.stage != Stage::kDue || now < item.retry_at ||
-        machine == nullptr || machine->state != MachineState::kUp ||
-        this->ordered_vms.AwaitsList(id, this->read_at)) {
+        machine == nullptr || machine->state != MachineState::kUp) {
       continue;
     }
     auto predecessor = Predecessor::kNone;
--- a/src/upkeep/planner.h
+++ b/src/upkeep/planner.h
@@ -86,9 +86,9 @@
    * first observed it with this content, possibly before it became the owner.
    * Machines that are not named any longer are released, and a completed
    * wave is under way again if it names further ones. */
-  void SetWave(const ObservedWave& observed);
+  void SetWave(const ObservedWave& observed, Time now);
   /*! @brief Drops a wave and resumes placement on its draining VMs. */
-  void RemoveWave(const WaveId& wave);
+  void RemoveWave(const WaveId& wave, Time now);
   /*! @brief Marks machines as done whose upkeep a predecessor has recorded as
    * started, unless the wave was created again since. May be called before
    * SetWave. */
@@ -148,6 +148,7 @@
     Time since;
     Time retry_at;            // no order is sent or repeated before
     bool order_sent = false;  // the answer to an order is pending
+    bool unanswered = false;  // an order may have been carried out
     int refusals = 0;         // orders that were refused
     // The wave does not wait for a machine that has left, unless it returns.
     Absence absence;
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -45,7 +45,7 @@
     for (int i = 0; i < count; ++i) {
       wave.machines.insert(MachineId("m" + std::to_string(i)));
     }
-    this->planner.SetWave({wave, this->now});
+    this->planner.SetWave({wave, this->now}, this->now);
   }
 
   std::vector<Machine> List() const {
@@ -250,7 +250,7 @@
     // The other machines are preferred from now on.
     fixture.loads.at(VmId("vm0")).pool_utilization_without = 0.3;
     if (removal_seen) {
-      fixture.planner.RemoveWave(WaveId("1"));
+      fixture.planner.RemoveWave(WaveId("1"), fixture.now);
     }
     fixture.created = 2;
     fixture.Order(3, 1, 40);
@@ -591,7 +591,8 @@
                     .machines = {MachineId("m0"), MachineId("m1")},
                     .max_unavailable = 1,
                     .duration = std::chrono::seconds(30)},
-                   now});
+                   now},
+                  now);
   BOOST_TEST(tick(50) == std::vector<std::string>{"read"});
   planner.OnMachineList({machine("m0", "old"), machine("m1", "b")}, now);
   tick(50);
@@ -624,7 +625,8 @@
                     .machines = {machine.id},
                     .max_unavailable = 1,
                     .duration = std::chrono::seconds(30)},
-                   now});
+                   now},
+                  now);
   for (int i = 0; i < 100; ++i) {
     now += std::chrono::milliseconds(kStepMs);
     planner.Tick(now, [](const VmId&) { return VmLoad{}; });
