--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -369,6 +369,9 @@
     return;
   }
   Wave& wave = found->second;
+  if (wave.order.id.empty()) {
+    return;  // removed since
+  }
   wave.save_pending = false;
   if (!stored) {
     wave.save_again_at = now + kSaveRetryDelay;
--- a/src/upkeep/planner.h
+++ b/src/upkeep/planner.h
@@ -87,7 +87,8 @@
    * Machines that are not named any longer are released, and a completed
    * wave is under way again if it names further ones. */
   void SetWave(const ObservedWave& observed, Time now);
-  /*! @brief Drops a wave and resumes placement on its draining VMs. */
+  /*! @brief Drops a wave and resumes placement on its draining VMs. Machines
+   * that may be down are kept until the list shows that they are not. */
   void RemoveWave(const WaveId& wave, Time now);
   /*! @brief Marks machines as done whose upkeep a predecessor has recorded as
    * started, unless the wave was created again since. May be called before
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -695,6 +695,21 @@
   BOOST_TEST(reads == 4);
 }
 
+// Guards against a record without a wave's number: a write fails after its wave
+// was removed, while a machine is down for it.
+BOOST_AUTO_TEST_CASE(RecordOfARemovedWaveIsNotWrittenAgain) {
+  PlannerFixture fixture(2, 0.1);
+  fixture.Order(2, 1, 30);
+  fixture.Run(200);
+  BOOST_REQUIRE(fixture.orders.size() == 1);
+  fixture.planner.RemoveWave(WaveId("1"), fixture.now);
+  const int before = fixture.saves;
+  fixture.planner.OnWaveSaved(WaveId("1"), false, fixture.now);
+  fixture.Run(5000);
+  BOOST_TEST(fixture.saves == before);
+  BOOST_TEST(fixture.planner.claimed().empty());
+}
+
 // Guards against writes of one wave that meet each other in the store: each
 // expects the revision of the one before.
 BOOST_AUTO_TEST_CASE(RecordOfAWaveIsWrittenOnceAtATime) {
