--- a/src/app/fleet/driver.cc
+++ b/src/app/fleet/driver.cc
@@ -463,26 +463,24 @@
 
 void Driver::OnWave(const platform::Item& item) {
   auto wave = platform::DecodeWave(item.value);
-  if (!wave) {
+  if (wave) {
+    net::LogEvent("wave",
+                  {{"key", item.key},
+                   {"machines", std::to_string(wave->machines.size())},
+                   {"most_away", std::to_string(wave->max_unavailable)}});
+    wave->created = item.created;
+    this->waves[item.key].Observe(*wave, item.revision, Now());
+  } else {
     net::LogEvent("wave_unreadable", {{"error", wave.error().Text()}});
-    // The wave stays as it was read last, and its state follows this record.
-    if (const auto known = this->waves.find(item.key);
-        known != this->waves.end()) {
-      known->second.revision = item.revision;
-      if (this->planner != nullptr) {
-        this->planner->SetWave(known->second, Now());
-      }
+    const auto known = this->waves.find(item.key);
+    if (known == this->waves.end()) {
+      return;
     }
-    return;
+    // The wave stays as it was read last, and its state follows this record.
+    known->second.revision = item.revision;
   }
-  net::LogEvent("wave", {{"key", item.key},
-                         {"machines", std::to_string(wave->machines.size())},
-                         {"most_away", std::to_string(wave->max_unavailable)}});
-  wave->created = item.created;
-  upkeep::ObservedWave& observed = this->waves[item.key];
-  observed.Observe(*wave, item.revision, Now());
   if (this->planner != nullptr) {
-    this->planner->SetWave(observed, Now());
+    this->planner->SetWave(this->waves.at(item.key), Now());
   }
 }
 
--- a/src/upkeep/planner.cc
+++ b/src/upkeep/planner.cc
@@ -341,7 +341,8 @@
     return;
   }
   for (auto& [id, wave] : this->waves) {
-    // Of a wave that the operators have removed, only the record is known.
+    // A wave without an order was removed while machines were down for it, or
+    // is known by its record only.
     if (!wave.completed && !wave.order.id.empty()) {
       this->TickWave(wave, now, load_of);
       continue;
--- a/test/platform/clients_test.cc
+++ b/test/platform/clients_test.cc
@@ -212,6 +212,16 @@
   std::shared_ptr<PrefixView> view;
 };
 
+// The list of machines that a client reads if each page is this one.
+std::optional<std::vector<upkeep::Machine>> ListOf(const std::string& page) {
+  Stand stand;
+  stand.Answer("machines", 200, page);
+  MachineClient machines(*stand.client, stand.Address(), "edge-1");
+  Waiter<std::optional<std::vector<upkeep::Machine>>> waiter;
+  machines.List(waiter.Callback());
+  return waiter.Wait();
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(ClientsTest)
@@ -632,15 +642,10 @@
 // Guards against a list whose labels are not read, so that no machine is found
 // for a step that needs one, and against a row that ends the process.
 BOOST_AUTO_TEST_CASE(ListOfMachinesTellsTheirLabels) {
-  Stand stand;
-  stand.Answer("machines", 200, R"({"Machines": [
+  const auto list = ListOf(R"({"Machines": [
       {"Machine": "m-1", "Pool": "p", "State": "up", "Id": "i-1",
        "Labels": ["big", 3, null, "r1"], "Capacity": {"Cpu": 8000}},
       {"Machine": "m-2", "Labels": "big"}, {"Machine": "m-3"}]})");
-  MachineClient machines(*stand.client, stand.Address(), "edge-1");
-  Waiter<std::optional<std::vector<upkeep::Machine>>> waiter;
-  machines.List(waiter.Callback());
-  const auto list = waiter.Wait();
   BOOST_REQUIRE(list.has_value());
   BOOST_TEST(list->at(0).labels == (std::set<std::string>{"big", "r1"}));
   BOOST_TEST(list->at(1).labels.empty());
@@ -653,13 +658,8 @@
   for (const std::string row :
        {R"({"Machine": "m-2", "Capacity": "big"})",
         R"({"Machine": "m-2", "Capacity": {"Cpu": "many"}})", R"("m-2")"}) {
-    Stand stand;
-    stand.Answer("machines", 200,
-                 R"({"Machines": [{"Machine": "m-1"}, )" + row + "]}");
-    MachineClient machines(*stand.client, stand.Address(), "edge-1");
-    Waiter<std::optional<std::vector<upkeep::Machine>>> waiter;
-    machines.List(waiter.Callback());
-    BOOST_TEST(!waiter.Wait().has_value());
+    BOOST_TEST(!ListOf(R"({"Machines": [{"Machine": "m-1"}, )" + row + "]}")
+                    .has_value());
   }
 }
 
@@ -670,12 +670,7 @@
        {R"({"Machines": null})", R"({"Machines": {}})", R"({"Machines": ""})",
         R"({"Machines": [{"Machine": "m-1"}], "NextToken": 2})",
         R"({"Machines": [{"Machine": "m-1"}], "NextToken": "same"})"}) {
-    Stand stand;
-    stand.Answer("machines", 200, page);
-    MachineClient machines(*stand.client, stand.Address(), "edge-1");
-    Waiter<std::optional<std::vector<upkeep::Machine>>> waiter;
-    machines.List(waiter.Callback());
-    BOOST_TEST(!waiter.Wait().has_value());
+    BOOST_TEST(!ListOf(page).has_value());
   }
 }
 
--- a/test/upkeep/planner_test.cc
+++ b/test/upkeep/planner_test.cc
@@ -29,14 +29,17 @@
 
   PlannerFixture(int count, double use) {
     for (int i = 0; i < count; ++i) {
-      const std::string name = std::to_string(i);
-      const VmId vm("vm" + name);
-      this->machines[MachineId("m" + name)] = {
-          .id = MachineId("m" + name), .pool = PoolId("p"), .vm = vm};
-      this->loads[vm] = {.runs = 0, .pool_utilization_without = use};
+      this->AddMachine(std::to_string(i), use);
     }
   }
 
+  void AddMachine(const std::string& name, double use) {
+    const VmId vm("vm" + name);
+    this->machines[MachineId("m" + name)] = {
+        .id = MachineId("m" + name), .pool = PoolId("p"), .vm = vm};
+    this->loads[vm] = {.runs = 0, .pool_utilization_without = use};
+  }
+
   void Order(int count, int max_unavailable_machines, int seconds) {
     WaveOrder wave{.id = WaveId("1"),
                    .created = this->created,
@@ -153,10 +156,7 @@
 BOOST_AUTO_TEST_CASE(MachinesAddedSinceTheLastListAreMaintained) {
   PlannerFixture fixture(3, 0.1);
   fixture.Run(100);  // the list has been read
-  const VmId vm("vm3");
-  fixture.machines[MachineId("m3")] = {
-      .id = MachineId("m3"), .pool = PoolId("p"), .vm = vm};
-  fixture.loads[vm] = {.runs = 0, .pool_utilization_without = 0.1};
+  fixture.AddMachine("3", 0.1);
   fixture.Order(4, 2, 40);
   fixture.Run(15'000);
   BOOST_TEST(fixture.completed);
@@ -182,10 +182,7 @@
     fixture.Order(3, 2, 40);
     fixture.Run(before_ms);
     BOOST_TEST(fixture.completed == (before_ms == 15'000));
-    const VmId vm("vm3");
-    fixture.machines[MachineId("m3")] = {
-        .id = MachineId("m3"), .pool = PoolId("p"), .vm = vm};
-    fixture.loads[vm] = {.runs = 0, .pool_utilization_without = 0.1};
+    fixture.AddMachine("3", 0.1);
     fixture.Order(4, 2, 40);
     fixture.Run(50);
     BOOST_TEST(!fixture.completed);
